--- /dev/null
+++ b/run.py
@@ -0,0 +1,20 @@
+"""Entry point: put the installed dependencies on the path and hand over to the CLI.
+
+The platform starts ``python3 run.py --config FILE``; that is short for
+``weldhead serve --config FILE``.
+"""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent
+sys.path.insert(0, str(ROOT / "target" / "deps"))
+sys.path.insert(0, str(ROOT))
+
+from weldhead.cli import main  # noqa: E402  (the path must be set first)
+
+if __name__ == "__main__":
+    arguments = sys.argv[1:]
+    if arguments and arguments[0] == "--config":
+        arguments.insert(0, "serve")
+    main(arguments, prog_name="weldhead")
--- /dev/null
+++ b/weldhead/bookkeeping/__init__.py
@@ -0,0 +1,1 @@
+"""Models of jobs, machines and usage, and their records in the state service."""
--- /dev/null
+++ b/weldhead/bookkeeping/cluster.py
@@ -0,0 +1,123 @@
+"""The leader's picture of jobs, machines and usage. No I/O.
+
+Usage counts every attempt from the decision to start it until it is surely gone.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+
+from weldhead.bookkeeping.jobs import Attempt, Job, TaskState
+from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.protocol.settings import Team
+
+
+class Usage:
+    """What a team's attempts take."""
+
+    __slots__ = ("cpus", "gpus")
+
+    def __init__(self) -> None:
+        self.cpus = 0.0
+        self.gpus = 0.0
+
+
+class Cluster:
+    """All jobs that are not over and all machines of ours."""
+
+    def __init__(self, teams: Iterable[Team], token: int = 0) -> None:
+        self.teams: dict[str, Team] = {team.name: team for team in teams}
+        self.token = token
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.usage: Mapping[str, Usage] = defaultdict(Usage)
+        self._starts: dict[str, int] = defaultdict(int)
+
+    def next_attempt(self, task: str) -> int:
+        """Return an attempt number that no leader ever used for this task.
+
+        Tokens are unique and grow, so a number made of the token and a count within the
+        term is unique across terms without being stored.
+        """
+        self._starts[task] += 1
+        return (self.token << 20) + self._starts[task]
+
+    def start(self, job: Job, index: int, machine: Machine, at_us: int) -> Attempt:
+        """Decide that a task starts on a machine."""
+        attempt = Attempt(
+            job, index, self.next_attempt(f"{job.id}/{index}"), machine.name, at_us
+        )
+        self.adopt(attempt, machine)
+        return attempt
+
+    def adopt(self, attempt: Attempt, machine: Machine) -> None:
+        """Count an attempt that exists or is about to."""
+        attempt.job.begin(attempt, machine.zone)
+        machine.add(attempt)
+        usage = self.usage[attempt.job.team]
+        usage.cpus += attempt.job.spec.cpus
+        usage.gpus += attempt.job.spec.gpus
+
+    def release(self, attempt: Attempt, *, completed: bool = False) -> None:
+        """Record that an attempt is surely gone."""
+        machine = self.machines[attempt.machine]
+        machine.remove(attempt)
+        attempt.job.end(attempt, machine.zone, completed=completed)
+        usage = self.usage[attempt.job.team]
+        usage.cpus -= attempt.job.spec.cpus
+        usage.gpus -= attempt.job.spec.gpus
+        # Sums of decimals drift; an unused team is exactly unused.
+        if abs(usage.cpus) < EPSILON:
+            usage.cpus = 0.0
+        if abs(usage.gpus) < EPSILON:
+            usage.gpus = 0.0
+
+    def release_all(self, machine: Machine) -> list[Attempt]:
+        """Record that everything on a machine is surely gone."""
+        gone = list(machine.attempts.values())
+        for attempt in gone:
+            self.release(attempt)
+        machine.forget.clear()
+        machine.ghosts.clear()
+        return gone
+
+    def remove_machine(self, machine: Machine) -> list[Attempt]:
+        """Record that a machine is gone, and everything on it."""
+        gone = self.release_all(machine)
+        self.machines.pop(machine.name, None)
+        return gone
+
+    def unknown_cpus(self) -> float:
+        """CPUs of machines on which anything may run, of any team."""
+        return sum(m.cpus for m in self.machines.values() if m.up and not m.synced)
+
+    def within_limit(self, job: Job, reserved_cpus: float = 0.0, reserved_gpus: float = 0.0) -> int:
+        """How many more tasks of the job its team's limit allows."""
+        team = self.teams.get(job.team)
+        if team is None:
+            return 0
+        usage = self.usage[job.team]
+        most = job.spec.tasks
+        if job.spec.cpus > 0:
+            room = team.cpus_max - usage.cpus - reserved_cpus
+            most = min(most, int((room + EPSILON) / job.spec.cpus))
+        if job.spec.gpus > 0:
+            room = team.gpus_max - usage.gpus - reserved_gpus
+            most = min(most, int((room + EPSILON) / job.spec.gpus))
+        return max(0, most)
+
+    def waiting_jobs(self) -> list[Job]:
+        """Return the jobs with waiting tasks."""
+        return [job for job in self.jobs.values() if job.waiting > 0 and not job.finishing]
+
+    def check(self) -> None:
+        """Raise AssertionError if the sums disagree with the attempts; for tests."""
+        cpus: dict[str, float] = defaultdict(float)
+        for machine in self.machines.values():
+            used = sum(a.job.spec.cpus for a in machine.attempts.values())
+            assert abs(machine.cpus + used - machine.type.cpus) < EPSILON * 100, machine.name
+            for attempt in machine.attempts.values():
+                assert attempt.job.active[attempt.index] is attempt, attempt.task
+                assert attempt.job.states[attempt.index] == TaskState.ACTIVE, attempt.task
+                cpus[attempt.job.team] += attempt.job.spec.cpus
+        for team, usage in self.usage.items():
+            assert abs(usage.cpus - cpus[team]) < EPSILON * 100, team
--- /dev/null
+++ b/weldhead/bookkeeping/jobs.py
@@ -0,0 +1,237 @@
+"""A job and its tasks in memory. No I/O."""
+
+import enum
+from collections import Counter, deque
+
+from weldhead.bookkeeping.records import CHUNK_TASKS
+from weldhead.protocol.wire import JobSpec
+
+
+class Phase(enum.Enum):
+    """Where an attempt stands, as far as the leader knows."""
+
+    #: Promised a place; the worker has not reported it yet.
+    ASSIGNED = "assigned"
+    PULLING = "pulling"
+    RUNNING = "running"
+    SAVING = "saving"
+
+
+class Stop(enum.Enum):
+    """Whether an attempt was asked to stop, and how."""
+
+    NO = 0
+    #: May save first.
+    SOFT = 1
+    HARD = 2
+
+
+class TaskState(enum.IntEnum):
+    """A task's state."""
+
+    WAITING = 0
+    #: An attempt may exist somewhere.
+    ACTIVE = 1
+    #: Completed, not yet committed.
+    COMPLETED = 2
+    COMMITTED = 3
+
+
+class Attempt:
+    """One attempt of a task, from the decision to start it until it is surely gone."""
+
+    __slots__ = (
+        "job", "index", "number", "machine", "phase", "stop", "stop_us", "assigned_us",
+        "running_us", "sent_sequence", "posted", "limbo_us", "prior_us", "reason",
+    )  # fmt: skip
+
+    def __init__(self, job: "Job", index: int, number: int, machine: str, at_us: int) -> None:
+        self.job = job
+        self.index = index
+        self.number = number
+        self.machine = machine
+        self.phase = Phase.ASSIGNED
+        self.stop = Stop.NO
+        self.stop_us = 0
+        self.assigned_us = at_us
+        self.running_us = 0
+        #: Sequence of the report whose answer carried the ``run``; None: not sent so.
+        self.sent_sequence: int | None = None
+        #: A direct request with the ``run`` has been sent and not been answered.
+        self.posted = False
+        #: Since when that request may be lost, and may be executed late (0: it is not).
+        self.limbo_us = 0
+        #: Progress that earlier attempts saved.
+        self.prior_us = job.saved_us.get(index, 0)
+        self.reason = ""
+
+    @property
+    def task(self) -> str:
+        """The task's name."""
+        return f"{self.job.id}/{self.index}"
+
+    def elapsed_us(self, at_us: int) -> int:
+        """Return the run time so far, with what earlier attempts saved."""
+        return self.prior_us + (at_us - self.running_us if self.running_us else 0)
+
+
+class Job:
+    """A job that is not over."""
+
+    __slots__ = (
+        "spec", "id", "team", "submitted_us", "cancelled", "version", "states", "active", "done",
+        "committed", "restarts", "_fresh", "zones", "dirty", "last_machine", "saved_us",
+        "failed_on", "not_before_us", "failures", "first_seen_us", "late", "finishing",
+        "started_tasks", "forecast_us",
+    )  # fmt: skip
+
+    def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
+        self.spec = spec
+        self.id = spec.id
+        self.team = spec.team
+        #: Time of day; ``first_seen_us`` is the same moment on this node's steady clock.
+        self.submitted_us = submitted_us
+        self.first_seen_us = at_us
+        self.version = version
+        self.cancelled = False
+        self.finishing = False
+        self.states = bytearray(spec.tasks)
+        self.active: dict[int, Attempt] = {}
+        self.done = 0
+        self.committed = 0
+        #: Stopped tasks, to be restarted before new ones are started.
+        self.restarts: deque[int] = deque()
+        self._fresh = 0
+        self.zones: Counter[str] = Counter()
+        self.dirty: set[int] = set()
+        self.last_machine: dict[int, str] = {}
+        self.saved_us: dict[int, int] = {}
+        self.failed_on: set[str] = set()
+        self.failures = 0
+        self.not_before_us = 0
+        self.late = False
+        self.started_tasks = 0
+        #: Expected finish on the steady clock; None: cannot be told.
+        self.forecast_us: int | None = None
+
+    @property
+    def waiting(self) -> int:
+        """How many tasks wait for a place."""
+        if self.cancelled:
+            return 0
+        return self.spec.tasks - self.done - len(self.active)
+
+    @property
+    def running(self) -> int:
+        """How many tasks run."""
+        return sum(1 for a in self.active.values() if a.phase in (Phase.RUNNING, Phase.SAVING))
+
+    @property
+    def status(self) -> str:
+        """The status that users see while the job is not over."""
+        if self.cancelled:
+            return "withdrawn"
+        return "running" if self.running else "pending"
+
+    def peek_waiting(self) -> int | None:
+        """Return the next task to start: a stopped one if there is any."""
+        while self.restarts and self.states[self.restarts[0]] != TaskState.WAITING:
+            self.restarts.popleft()
+        if self.restarts:
+            return self.restarts[0]
+        while self._fresh < self.spec.tasks and self.states[self._fresh] != TaskState.WAITING:
+            self._fresh += 1
+        return self._fresh if self._fresh < self.spec.tasks else None
+
+    def waiting_indexes(self, most: int) -> list[int]:
+        """Return up to that many waiting tasks, stopped ones first, without repeats."""
+        found: list[int] = []
+        seen: set[int] = set()
+        for index in self.restarts:
+            if len(found) >= most:
+                return found
+            if self.states[index] == TaskState.WAITING and index not in seen:
+                seen.add(index)
+                found.append(index)
+        self.peek_waiting()
+        index = self._fresh
+        while index < self.spec.tasks and len(found) < most:
+            if self.states[index] == TaskState.WAITING and index not in seen:
+                found.append(index)
+            index += 1
+        return found
+
+    def begin(self, attempt: Attempt, zone: str) -> None:
+        """Record that an attempt may exist."""
+        index = attempt.index
+        if self.states[index] != TaskState.WAITING:
+            raise ValueError(f"{attempt.task}: not waiting")
+        self.states[index] = TaskState.ACTIVE
+        self.active[index] = attempt
+        self.zones[zone] += 1
+        self.last_machine[index] = attempt.machine
+
+    def end(self, attempt: Attempt, zone: str, *, completed: bool) -> None:
+        """Record that an attempt is surely gone."""
+        index = attempt.index
+        if self.active.get(index) is not attempt:
+            raise ValueError(f"{attempt.task}: attempt {attempt.number} is not the active one")
+        del self.active[index]
+        self.zones[zone] -= 1
+        if completed:
+            self.states[index] = TaskState.COMPLETED
+            self.done += 1
+            self.dirty.add(index // CHUNK_TASKS)
+        else:
+            self.states[index] = TaskState.WAITING
+            self.restarts.append(index)
+
+    def complete_waiting(self, index: int) -> None:
+        """Record that a task without an active attempt turned out to be completed."""
+        if self.states[index] != TaskState.WAITING:
+            raise ValueError(f"{self.id}/{index}: not waiting")
+        self.states[index] = TaskState.COMPLETED
+        self.done += 1
+        self.dirty.add(index // CHUNK_TASKS)
+
+    def load_committed(self, indexes: list[int]) -> None:
+        """Record completions read from the store."""
+        for index in indexes:
+            if self.states[index] == TaskState.WAITING:
+                self.done += 1
+            elif self.states[index] != TaskState.COMPLETED:
+                continue
+            self.states[index] = TaskState.COMMITTED
+            self.committed += 1
+
+    def snapshot_chunk(self, chunk: int) -> tuple[bytes, list[int]]:
+        """Return a chunk's completed flags, and which of them are not committed yet."""
+        start = chunk * CHUNK_TASKS
+        states = self.states[start : start + CHUNK_TASKS]
+        flags = bytes(1 if state >= TaskState.COMPLETED else 0 for state in states)
+        fresh = [start + i for i, state in enumerate(states) if state == TaskState.COMPLETED]
+        return flags, fresh
+
+    def mark_committed(self, indexes: list[int]) -> None:
+        """Record that completions are in the store."""
+        for index in indexes:
+            if self.states[index] == TaskState.COMPLETED:
+                self.states[index] = TaskState.COMMITTED
+                self.committed += 1
+
+    @property
+    def complete(self) -> bool:
+        """Whether every task is completed (replicas never complete by design)."""
+        return self.done == self.spec.tasks
+
+    def zone_limit(self) -> int:
+        """How many of the tasks may be in one zone."""
+        return -(-self.spec.tasks // 2) if self.spec.spread else self.spec.tasks
+
+    def room_in_zone(self, zone: str) -> int:
+        """How many more tasks may be placed in a zone, given the others at this moment."""
+        if self.spec.zone is not None and zone != self.spec.zone:
+            return 0
+        if self.spec.one_zone and any(n > 0 for z, n in self.zones.items() if z != zone):
+            return 0
+        return max(0, self.zone_limit() - self.zones[zone])
--- /dev/null
+++ b/weldhead/bookkeeping/ledger.py
@@ -0,0 +1,168 @@
+"""The leader's writes: batched transactions, each conditional on the leader's key.
+
+One transaction is under way at a time, and each is also conditional on the last known
+version of every key that it changes. So a transaction that was given up and is applied
+late either comes before the next one, which then fails and learns the new versions, or
+fails itself: a late one can never put an older value over a newer.
+"""
+
+import asyncio
+import logging
+from typing import Any
+
+import msgspec
+
+from weldhead.bookkeeping.records import LEADER_KEY
+from weldhead.protocol.wire import Condition, Delete, Put
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Conflict, Refused, StateClient
+
+log = logging.getLogger(__name__)
+
+
+class Deposed(Exception):
+    """Another leader has taken over, or this one's key is gone."""
+
+
+class _Write:
+    __slots__ = ("changes", "future")
+
+    def __init__(self, changes: dict[str, Any], future: "asyncio.Future[int]") -> None:
+        self.changes = changes
+        self.future = future
+
+
+class Ledger:
+    """A queue of changes; a value of None deletes a key."""
+
+    def __init__(self, state: StateClient, token: int) -> None:
+        self._state = state
+        self._token = token
+        self._versions: dict[str, int] = {}
+        self._urgent: list[_Write] = []
+        self._queue: list[_Write] = []
+        self._wake = asyncio.Event()
+        self._closed = False
+
+    def learn(self, key: str, version: int) -> None:
+        """Note a key's version, read from the store or its watch."""
+        if version > self._versions.get(key, 0):
+            self._versions[key] = version
+
+    def version(self, key: str) -> int:
+        """Return a key's last known version; 0: it does not exist."""
+        return self._versions.get(key, 0)
+
+    async def write(self, changes: dict[str, Any], *, urgent: bool = False) -> int:
+        """Commit changes that belong together; return the revision. Deposed if we are."""
+        if self._closed:
+            raise Deposed
+        if len(changes) > self._state.max_writes:
+            raise ValueError(f"{len(changes)} changes in one transaction")
+        write = _Write(changes, asyncio.get_running_loop().create_future())
+        (self._urgent if urgent else self._queue).append(write)
+        self._wake.set()
+        return await write.future
+
+    def _batch(self) -> list[_Write]:
+        """Take writes from the queue: urgent ones first, no key twice."""
+        batch: list[_Write] = []
+        keys: set[str] = set()
+        size = 0
+        for queue in (self._urgent, self._queue):
+            while queue:
+                write = queue[0]
+                added = len(msgspec.json.encode(write.changes))
+                if len(keys) + len(write.changes) > self._state.max_writes:
+                    return batch
+                if not keys.isdisjoint(write.changes) or (batch and size + added > 48 * 1024):
+                    return batch
+                keys |= write.changes.keys()
+                size += added
+                batch.append(queue.pop(0))
+        return batch
+
+    async def run(self) -> None:
+        """Write until closed or deposed; a duty of the leader's term."""
+        while not self._closed:
+            batch = self._batch()
+            if not batch:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            changes = {key: value for write in batch for key, value in write.changes.items()}
+            try:
+                revision = await self._commit(changes)
+            except BaseException as error:
+                cause = error if isinstance(error, Exception) else Deposed()
+                for write in batch:
+                    if not write.future.done():
+                        write.future.set_exception(cause)
+                        write.future.exception()
+                raise
+            for write in batch:
+                if not write.future.done():
+                    write.future.set_result(revision)
+
+    async def _commit(self, changes: dict[str, Any]) -> int:
+        pause_s = 0.05
+        while True:
+            conditions = [Condition(LEADER_KEY, self._token)]
+            conditions += [Condition(key, self.version(key)) for key in changes]
+            writes: list[Put | Delete] = [
+                Delete(key) if value is None else Put(key, value) for key, value in changes.items()
+            ]
+            try:
+                revision = await self._state.transact(conditions, writes)
+                for key, value in changes.items():
+                    if value is None:
+                        self._versions.pop(key, None)
+                    else:
+                        self._versions[key] = revision
+                return revision
+            except Conflict as conflict:
+                log.info("conflict: %s", conflict)
+                if await self._refresh(changes):
+                    return max(self.version(key) for key in changes)
+            except Refused as refused:
+                log.debug("write refused: %s", refused)
+            except CallFailed as failure:
+                log.info("write unanswered: %s", failure)
+            await asyncio.sleep(pause_s)
+            pause_s = min(0.5, pause_s * 1.5)
+
+    async def _refresh(self, changes: dict[str, Any]) -> bool:
+        """Learn the versions anew; true if the changes turn out to be there already."""
+        while True:
+            try:
+                leader = await self._state.get(LEADER_KEY, urgent=True)
+                if leader is None or leader.version != self._token:
+                    raise Deposed
+                applied = True
+                for key, value in changes.items():
+                    entry = await self._state.get(key, urgent=True)
+                    if entry is None:
+                        self._versions.pop(key, None)
+                        applied = applied and value is None
+                    else:
+                        self._versions[key] = entry.version
+                        wanted = msgspec.json.decode(msgspec.json.encode(value))
+                        stored = msgspec.json.decode(entry.value)
+                        applied = applied and value is not None and wanted == stored
+                return applied
+            except CallFailed as failure:
+                log.info("versions unknown: %s", failure)
+                await asyncio.sleep(0.2)
+
+    def close(self) -> None:
+        """Fail everything that is still waiting."""
+        self._closed = True
+        for write in self._urgent + self._queue:
+            if not write.future.done():
+                write.future.set_exception(Deposed())
+                write.future.exception()
+        self._urgent.clear()
+        self._queue.clear()
+        self._wake.set()
+
+
--- /dev/null
+++ b/weldhead/bookkeeping/machines.py
@@ -0,0 +1,137 @@
+"""Machines in memory. No I/O."""
+
+from collections import OrderedDict
+
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase
+from weldhead.clock import surely_over_us
+from weldhead.protocol.wire import MachineType
+
+#: Amounts are decimals on the wire; sums of them are compared with this slack.
+EPSILON = 1e-6
+
+
+class Machine:
+    """A machine of ours."""
+
+    __slots__ = (
+        "name", "type", "zone", "spot", "address", "hired_us", "up", "up_pending", "recorded",
+        "order", "report_sequence", "token", "heard_us", "synced", "expired_session", "attempts",
+        "forget", "notice_until_us", "draining", "deleting", "images", "idle_since_us",
+        "failures", "failed_jobs", "cpus", "gpus", "memory_gb", "ghosts", "posting", "seen_us",
+        "listed", "drain_reason", "successes", "delete_after_us",
+    )  # fmt: skip
+
+    def __init__(
+        self, name: str, machine_type: MachineType, zone: str, spot: bool, hired_us: int
+    ) -> None:
+        self.name = name
+        self.type = machine_type
+        self.zone = zone
+        self.spot = spot
+        self.address = ""
+        #: Steady clock of this node, estimated for machines that it did not rent.
+        self.hired_us = hired_us
+        #: The store knows that something may run here.
+        self.up = False
+        self.up_pending = False
+        self.recorded = False
+        #: (session, sequence) of the newest message seen; 0: none.
+        self.order = (0, 0)
+        self.report_sequence = 0
+        self.token = 0
+        #: When the newest report came that was answered; 0: never.
+        self.heard_us = 0
+        self.seen_us = 0
+        #: It has reported under the present leader's token.
+        self.synced = False
+        self.expired_session = 0
+        self.attempts: dict[str, Attempt] = {}
+        #: Exited attempts to be forgotten, by (task, attempt).
+        self.forget: set[tuple[str, int]] = set()
+        #: Attempts that must go and that no table knows.
+        self.ghosts: set[tuple[str, int]] = set()
+        self.notice_until_us = 0
+        self.draining = False
+        self.drain_reason = ""
+        self.deleting = False
+        self.delete_after_us = 0
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.idle_since_us = hired_us
+        self.failures = 0
+        self.successes = 0
+        self.failed_jobs: set[str] = set()
+        self.cpus = machine_type.cpus
+        self.gpus = machine_type.gpus
+        self.memory_gb = machine_type.memory_gb
+        #: A direct request is on its way.
+        self.posting = False
+        self.listed = False
+
+    @property
+    def session(self) -> int:
+        """The worker's session."""
+        return self.order[0]
+
+    @property
+    def booting(self) -> bool:
+        """Whether its worker has never been heard of."""
+        return self.order[0] == 0
+
+    def add(self, attempt: Attempt) -> None:
+        """Take an attempt's room."""
+        if attempt.task in self.attempts:
+            raise ValueError(f"{self.name}: {attempt.task} is here already")
+        self.attempts[attempt.task] = attempt
+        spec = attempt.job.spec
+        self.cpus -= spec.cpus
+        self.gpus -= spec.gpus
+        self.memory_gb -= spec.memory_gb
+
+    def remove(self, attempt: Attempt) -> None:
+        """Give an attempt's room back."""
+        if self.attempts.pop(attempt.task, None) is not attempt:
+            raise ValueError(f"{self.name}: {attempt.task} is not here")
+        spec = attempt.job.spec
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+
+    def fits(self, job: Job) -> int:
+        """How many more tasks of the job fit by their amounts."""
+        spec = job.spec
+        most = spec.tasks
+        if spec.cpus > 0:
+            most = min(most, int((self.cpus + EPSILON) / spec.cpus))
+        if spec.gpus > 0:
+            most = min(most, int((self.gpus + EPSILON) / spec.gpus))
+        if spec.memory_gb > 0:
+            most = min(most, int((self.memory_gb + EPSILON) / spec.memory_gb))
+        return max(0, most)
+
+    def allows(self, job: Job) -> bool:
+        """Whether the job may be here at all."""
+        spec = job.spec
+        return (
+            (spec.types is None or self.type.name in spec.types)
+            and (spec.zone is None or spec.zone == self.zone)
+            and (spec.spot or not self.spot)
+        )
+
+    def note_image(self, image: str, size_gb: float) -> None:
+        """Remember that an image was used here; the least recently used ones fall out."""
+        self.images[image] = size_gb
+        self.images.move_to_end(image)
+        while len(self.images) > 1 and sum(self.images.values()) > self.type.cache_gb:
+            self.images.popitem(last=False)
+
+    def pulls(self) -> int:
+        """How many images are being fetched."""
+        return len({a.job.spec.image for a in self.attempts.values() if a.phase is Phase.PULLING})
+
+    def lease_over_us(self, lease_us: int, floor_us: int) -> int:
+        """Return when its worker's lease is surely over.
+
+        ``floor_us`` is when an earlier leader may last have answered it.
+        """
+        start_us = self.heard_us if self.synced else max(self.heard_us, floor_us)
+        return surely_over_us(start_us, lease_us)
--- /dev/null
+++ b/weldhead/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: leadership, recovery, reports, placement, preemption, fleet sizing."""
--- /dev/null
+++ b/weldhead/coordination/forecast.py
@@ -0,0 +1,45 @@
+"""Forecasts: when each job will be finished, and whether that is too late."""
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Job
+from weldhead.clock import seconds_us
+from weldhead.coordination.estimates import Estimates
+
+
+def forecast_us(cluster: Cluster, job: Job, estimates: Estimates, at_us: int) -> int | None:
+    """Return when the job is expected to finish, on the steady clock.
+
+    None: it cannot be told (replicas never finish; a job whose tasks all fail has no end).
+    """
+    if job.spec.is_service or job.cancelled:
+        return None
+    if job.failures and not job.done and job.failures > 2 * job.spec.tasks:
+        return None
+    task_us = estimates.task_us(job)
+    ends = sorted(at_us + estimates.remaining_us(a, at_us) for a in job.active.values())
+    waiting = job.waiting
+    if waiting == 0:
+        return ends[-1] if ends else at_us
+    if not ends:
+        boots = [
+            m.hired_us + seconds_us(m.type.boot_s) for m in cluster.machines.values() if m.booting
+        ]
+        # Nothing runs yet: the next machine to come up, or else one that is still to be
+        # rented, will take as many tasks as the team's limit allows at once.
+        usual_us = max((seconds_us(m.type.boot_s) for m in cluster.machines.values()), default=0)
+        start_us = max(at_us, min(boots, default=at_us + usual_us))
+        slots = max(1, min(waiting, cluster.within_limit(job)))
+        return start_us + -(-waiting // slots) * task_us
+    # The places that the job holds now take the waiting tasks one after the other.
+    waves, rest = divmod(waiting, len(ends))
+    finish_us = ends[-1] + waves * task_us
+    if rest:
+        finish_us = max(finish_us, ends[rest - 1] + (waves + 1) * task_us)
+    return finish_us
+
+
+def due_us(job: Job) -> int | None:
+    """Return the job's deadline on the steady clock."""
+    if job.spec.deadline_s is None:
+        return None
+    return job.first_seen_us + seconds_us(job.spec.deadline_s)
--- /dev/null
+++ b/weldhead/coordination/frontdesk.py
@@ -0,0 +1,172 @@
+"""The users' side: submissions, polls and cancellations, on any node.
+
+A job's creation is committed by whichever node the user has reached. Everything that
+changes later is the leader's: its memory answers polls while its authority lasts, and
+otherwise the store itself is read, so that no answer is older than one already given.
+"""
+
+import logging
+from typing import Protocol
+
+import msgspec
+
+from weldhead.bookkeeping.records import (
+    FinalRecord,
+    JobRecord,
+    final_key,
+    job_key,
+)
+from weldhead.clock import wall_us
+from weldhead.coordination.leader import Leader, NotReady
+from weldhead.protocol.settings import Team
+from weldhead.protocol.validation import Refusal, check_feasible, is_job_id, parse_submission
+from weldhead.protocol.wire import Condition, JobSpec, JobStatus, MachineType, Put
+from weldhead.transport.http import CallFailed
+from weldhead.transport.server import Response, refusal
+from weldhead.transport.state import Conflict, StateClient, decode
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.json.Encoder().encode
+
+
+class NodeView(Protocol):
+    """What the front desk needs of its node."""
+
+    leader: Leader | None
+    catalog: list[MachineType]
+
+    async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        """Have the leader answer; None if it cannot be reached."""
+
+    async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        """Have a peer answer that the state service serves; None if there is none."""
+
+
+class FrontDesk:
+    """Answers users."""
+
+    def __init__(self, node: NodeView, state: StateClient, teams: list[Team]) -> None:
+        self._node = node
+        self._state = state
+        self._teams = {team.name: team for team in teams}
+
+    async def submit(self, body: bytes, *, forwarded: bool = False) -> Response:
+        """Accept a job: 201 only when it is in the store."""
+        try:
+            spec = parse_submission(body)
+        except Refusal as error:
+            return refusal(error.status, error.reason, error.field)
+        known = self._in_memory(spec.id)
+        if known is not None:
+            return Response(200, _encode(known))
+        if not self._node.catalog:
+            return refusal(503, "machine types not known yet", retry_after_s=1)
+        try:
+            check_feasible(spec, self._teams, self._node.catalog)
+        except Refusal as error:
+            # An accepted job stays accepted, whatever has changed since.
+            try:
+                stored = await self._from_store(spec.id)
+            except CallFailed:
+                return refusal(503, "state service unavailable", retry_after_s=1)
+            if stored is not None:
+                return Response(200, _encode(stored))
+            return refusal(error.status, error.reason, error.field)
+        try:
+            return await self._create(spec)
+        except CallFailed as error:
+            log.info("submission of %s not committed: %s", spec.id, error)
+            if not forwarded:
+                answer = await self._node.ask_served_peer("submit", spec.id, body)
+                if answer is not None:
+                    return answer
+            return refusal(503, "state service unavailable", retry_after_s=1)
+
+    async def _create(self, spec: JobSpec) -> Response:
+        record = JobRecord(spec, wall_us())
+        conditions = [Condition(job_key(spec.id), 0), Condition(final_key(spec.id), 0)]
+        try:
+            version = await self._state.transact(
+                conditions, [Put(job_key(spec.id), record)], timeout_us=1_000_000
+            )
+        except Conflict:
+            stored = self._in_memory(spec.id) or await self._from_store(spec.id)
+            if stored is None:
+                raise CallFailed("job is neither new nor known") from None
+            return Response(200, _encode(stored))
+        leader = self._node.leader
+        if leader is not None:
+            leader.job_created(record, version)
+        log.debug("%s accepted", spec.id)
+        return Response(201, _encode(JobStatus(spec.id, "pending")))
+
+    def _in_memory(self, job_id: str) -> JobStatus | None:
+        leader = self._node.leader
+        return leader.status(job_id) if leader is not None else None
+
+    async def _from_store(self, job_id: str) -> JobStatus | None:
+        """Read a job's status; it moves from j/ to f/ only, so that order is safe."""
+        entry = await self._state.get(job_key(job_id))
+        if entry is not None:
+            record = decode(bytes(entry.value), JobRecord)
+            leader = self._node.leader
+            if leader is not None and not record.cancelled:
+                leader.job_created(record, entry.version)
+            return JobStatus(job_id, "withdrawn" if record.cancelled else "pending")
+        final = await self._state.get(final_key(job_id))
+        if final is None:
+            return None
+        outcome = decode(bytes(final.value), FinalRecord)
+        leader = self._node.leader
+        if leader is not None:
+            leader.remember_final(job_id, outcome)
+        return JobStatus(job_id, outcome.status, outcome.done, 0)
+
+    async def poll(self, job_id: str, *, forwarded: bool = False) -> Response:
+        """Tell a job's state."""
+        if not is_job_id(job_id):
+            return refusal(404, "no such job")
+        known = self._in_memory(job_id)
+        if known is not None:
+            return Response(200, _encode(known))
+        if not forwarded and self._node.leader is None:
+            answer = await self._node.ask_leader("poll", job_id, b"")
+            if answer is not None and answer.status in (200, 404):
+                return answer
+        try:
+            stored = await self._from_store(job_id)
+        except CallFailed:
+            if not forwarded:
+                answer = await self._node.ask_served_peer("poll", job_id, b"")
+                if answer is not None:
+                    return answer
+            return refusal(503, "state service unavailable", retry_after_s=1)
+        if stored is None:
+            return refusal(404, "no such job")
+        return Response(200, _encode(stored))
+
+    async def cancel(self, job_id: str, *, forwarded: bool = False) -> Response:
+        """Cancel a job; only the leader does, as it knows what runs."""
+        if not is_job_id(job_id):
+            return refusal(404, "no such job")
+        leader = self._node.leader
+        if leader is None:
+            if not forwarded:
+                answer = await self._node.ask_leader("cancel", job_id, b"")
+                if answer is not None:
+                    return answer
+            return refusal(503, "no leader", retry_after_s=1)
+        try:
+            answer_now = await leader.cancel(job_id)
+            if answer_now is not None:
+                return Response(200, _encode(answer_now))
+            stored = await self._from_store(job_id)
+        except (CallFailed, NotReady):
+            return refusal(503, "cannot be decided yet", retry_after_s=1)
+        if stored is None:
+            return refusal(404, "no such job")
+        if stored.state in ("done", "withdrawn"):
+            return Response(200, _encode(JobStatus(job_id, stored.state)))
+        # Accepted by another node a moment ago, and taken up just now.
+        return refusal(503, "cannot be decided yet", retry_after_s=1)
--- /dev/null
+++ b/weldhead/coordination/leadership.py
@@ -0,0 +1,117 @@
+"""Leadership: a key of the state service under a lease; its revision is the token.
+
+What makes it safe:
+
+* The key can be created only while it does not exist, and goes with its lease.
+* The holder counts its lease from *sending* the last renewal that was answered, shortens
+  it by the drift of clocks, and commands nothing after that.
+* Every write of a leader is conditional on the key's version.
+* A successor that did not wait for the lease to run out (the holder's process looked
+  dead, so its lease was revoked) counts the holder as active until its full lease would
+  have run out; see ``predecessor_over_us``.
+* While the state service refuses this node, every other node can promise not to become
+  leader for a moment. With the promises of *all* others the holder may go on: nobody can
+  take over meanwhile. A node keeps its promise by not campaigning, and a node that has
+  just started does not campaign for as long as a promise of its former life may last.
+"""
+
+import logging
+from dataclasses import dataclass
+
+from weldhead.clock import SECOND_US, surely_over_us, surely_valid_us
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Timing:
+    """The leadership's times."""
+
+    ttl_us: int
+    renew_us: int
+    promise_us: int
+
+
+class Authority:
+    """What a holder may still believe. No I/O; times are the steady clock's."""
+
+    def __init__(self, timing: Timing, peers: frozenset[str]) -> None:
+        self._timing = timing
+        self._peers = peers
+        self.token = 0
+        self.lease = 0
+        self._lease_until_us = 0
+        self._promised_until_us: dict[str, int] = {}
+
+    def begin(self, token: int, lease: int, sent_us: int) -> None:
+        """Start a term whose lease was asked for at ``sent_us``."""
+        self.token = token
+        self.lease = lease
+        self._lease_until_us = surely_valid_us(sent_us, self._timing.ttl_us)
+        self._promised_until_us.clear()
+
+    def renewed(self, sent_us: int) -> None:
+        """Record an answered renewal."""
+        until_us = surely_valid_us(sent_us, self._timing.ttl_us)
+        self._lease_until_us = max(self._lease_until_us, until_us)
+
+    def promised(self, peer: str, sent_us: int) -> None:
+        """Record a peer's promise that was asked for at ``sent_us``."""
+        until_us = surely_valid_us(sent_us, self._timing.promise_us)
+        self._promised_until_us[peer] = max(self._promised_until_us.get(peer, 0), until_us)
+
+    def end(self) -> None:
+        """Give everything up."""
+        self.token = 0
+        self.lease = 0
+        self._lease_until_us = 0
+        self._promised_until_us.clear()
+
+    def until_us(self) -> int:
+        """Return until when this node may command."""
+        if not self.token:
+            return 0
+        promised_us = 0
+        if self._peers and all(peer in self._promised_until_us for peer in self._peers):
+            promised_us = min(self._promised_until_us[peer] for peer in self._peers)
+        return max(self._lease_until_us, promised_us)
+
+    def valid(self, at_us: int) -> bool:
+        """Whether this node may command now."""
+        return at_us < self.until_us()
+
+
+class Candidacy:
+    """When a node may campaign. No I/O."""
+
+    def __init__(self, timing: Timing, started_us: int) -> None:
+        self._timing = timing
+        # A promise given in a former life of this process may still be relied on.
+        self._promise_until_us = surely_over_us(started_us, timing.promise_us)
+
+    def promise(self, at_us: int) -> None:
+        """Promise not to become leader for the agreed time from now."""
+        until_us = surely_over_us(at_us, self._timing.promise_us)
+        self._promise_until_us = max(self._promise_until_us, until_us)
+
+    def may_lead(self, at_us: int) -> bool:
+        """Whether no promise stands in the way."""
+        return at_us >= self._promise_until_us
+
+    def wait_us(self, at_us: int) -> int:
+        """Return how long the promise still lasts."""
+        return max(0, self._promise_until_us - at_us)
+
+
+def predecessor_over_us(taken_us: int, ttl_us: int, *, revoked: bool) -> int:
+    """Return when an earlier leader has surely stopped commanding.
+
+    A lease that ran out by itself ended after its holder stopped. One that was revoked
+    may have been renewed just before, and its holder may not know.
+    """
+    return surely_over_us(taken_us, ttl_us) if revoked else taken_us
+
+
+def default_timing(ttl_us: int = 3 * SECOND_US) -> Timing:
+    """Return the times that follow from the lease's length."""
+    return Timing(ttl_us=ttl_us, renew_us=ttl_us // 4, promise_us=ttl_us * 2 // 3)
--- /dev/null
+++ b/weldhead/coordination/node.py
@@ -0,0 +1,350 @@
+"""A controller: campaigns, follows or leads, and answers whoever asks."""
+
+import asyncio
+import logging
+import secrets
+
+import msgspec
+
+from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
+from weldhead.coordination.frontdesk import FrontDesk
+from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership import (
+    Authority,
+    Candidacy,
+    default_timing,
+    predecessor_over_us,
+)
+from weldhead.duties import Duties
+from weldhead.protocol.peer import Answer, Ask, Held, Hold, Message, Ping, Pong, Resigned
+from weldhead.protocol.settings import Settings
+from weldhead.protocol.wire import Condition, MachineType, Put, Redirect, Report
+from weldhead.transport.cloud import CloudClient
+from weldhead.transport.http import CallFailed, HttpClient
+from weldhead.transport.peers import PeerLink, PeerServer
+from weldhead.transport.server import HttpServer, Response, refusal
+from weldhead.transport.state import Compacted, Conflict, LeaseGone, StateClient, decode
+from weldhead.tunables.defaults import Tunables
+
+log = logging.getLogger(__name__)
+
+_encode = msgspec.json.Encoder().encode
+_report_decoder = msgspec.json.Decoder(Report)
+
+#: How long a user's or worker's request may take on its way through another node.
+FORWARD_US = 900 * MILLISECOND_US
+
+
+class Node:
+    """One controller process."""
+
+    def __init__(self, settings: Settings, tunables: Tunables) -> None:
+        self.settings = settings
+        self.tunables = tunables
+        self.timing = default_timing(tunables.leadership.ttl_us)
+        self.authority = Authority(self.timing, frozenset(p.name for p in settings.peers))
+        self.candidacy = Candidacy(self.timing, now_us())
+        self.leader: Leader | None = None
+        self.catalog: list[MachineType] = []
+        self._known_leader: LeaderRecord | None = None
+        self._known_token = 0
+        self._known_lease = 0
+        self._leader_revision = 0
+        self._vacant = asyncio.Event()
+        self._revoked_over_us = 0
+        self._duties = Duties()
+        self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
+        self._reports_seen_us: dict[str, int] = {}
+        self._nonce = secrets.token_hex(8)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        sockets = 400
+        self._http = HttpClient(sockets)
+        self._state = StateClient(
+            self._http, self.settings.services.state, self.settings.facts.state
+        )
+        self._cloud = CloudClient(
+            self._http, self.settings.services.cloud, self.settings.facts.cloud
+        )
+        self._desk = FrontDesk(self, self._state, self.settings.facts.teams)
+        server = HttpServer(self._handle)
+        peer_server = PeerServer(self._peer_request, self._duties, set(self._links))
+        try:
+            await server.start(self.settings.listen)
+            await peer_server.start(self.settings.peer_listen)
+            for link in self._links.values():
+                link.on_lost = self._peer_lost
+                self._duties.start(f"link to {link.name}", link.run, 0.05)
+                self._duties.start(f"pings to {link.name}", lambda link=link: self._ping(link))
+            self._duties.start("catalog", self._watch_catalog)
+            self._duties.start("leader watch", self._watch_leader, 0.2)
+            self._duties.start("campaign", self._campaign, 0.2)
+            log.info("%s serves %s", self.settings.name, self.settings.listen)
+            await asyncio.Event().wait()
+        finally:
+            if self.leader is not None:
+                await self.leader.close()
+            await self._duties.close()
+            await peer_server.close()
+            await server.close()
+            await self._http.close()
+
+    # -- leadership -------------------------------------------------------------------
+
+    async def _watch_catalog(self) -> None:
+        while True:
+            self.catalog = await self._cloud.catalog()
+            if self.leader is not None:
+                self.leader.market.types = self.catalog
+            await asyncio.sleep(60.0)
+
+    async def _watch_leader(self) -> None:
+        """Follow the leader's key."""
+        await self._read_leader()
+        while True:
+            try:
+                changes = await self._state.watch(
+                    LEADER_KEY, self._leader_revision, 10 * SECOND_US
+                )
+            except Compacted:
+                await self._read_leader()
+                continue
+            for event in changes.events:
+                if event.put == LEADER_KEY or event.delete == LEADER_KEY:
+                    await self._read_leader()
+                    break
+            self._leader_revision = max(self._leader_revision, changes.revision)
+
+    async def _read_leader(self) -> None:
+        entry = await self._state.get(LEADER_KEY, urgent=True)
+        if entry is None:
+            self._known_leader = None
+            self._vacant.set()
+            return
+        self._known_leader = decode(bytes(entry.value), LeaderRecord)
+        self._known_token = entry.version
+        self._known_lease = entry.lease or 0
+        self._leader_revision = max(self._leader_revision, entry.version)
+        self._vacant.clear()
+
+    def _peer_lost(self, name: str) -> None:
+        """The leader's process looks dead: do not wait for its lease to run out."""
+        if self._known_leader is not None and self._known_leader.name == name:
+            self._duties.once("revocation", self._revoke(self._known_leader))
+
+    async def _revoke(self, record: LeaderRecord) -> None:
+        lease = self._known_lease
+        if not lease or self._known_leader is not record:
+            return
+        log.info("%s looks dead: its lease is revoked", record.name)
+        # Whatever comes of it, that leader may believe in its lease for its full time.
+        await self._state.revoke(lease)
+        self._revoked_over_us = predecessor_over_us(now_us(), record.ttl_us, revoked=True)
+        await self._read_leader()
+
+    async def _campaign(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self._vacant.wait(), 5.0)
+            except asyncio.TimeoutError:
+                await self._read_leader()
+                continue
+            if self.leader is not None or not self.catalog:
+                await asyncio.sleep(0.1)
+                continue
+            wait_us = self.candidacy.wait_us(now_us())
+            if wait_us:
+                await asyncio.sleep(to_seconds(wait_us))
+                continue
+            await self._stand()
+
+    async def _stand(self) -> None:
+        """Try to create the leader's key."""
+        sent_us = now_us()
+        lease = await self._state.grant(self.timing.ttl_us)
+        record = LeaderRecord(self.settings.name, secrets.token_hex(8), self.timing.ttl_us)
+        try:
+            token = await self._state.transact(
+                [Condition(LEADER_KEY, 0)], [Put(LEADER_KEY, record, lease)], urgent=True
+            )
+        except (Conflict, LeaseGone):
+            self._duties.once("lease returned", self._state.revoke(lease))
+            await self._read_leader()
+            return
+        except CallFailed:
+            # It may have been applied: only the key itself can tell.
+            entry = await self._state.get(LEADER_KEY, urgent=True)
+            if entry is None or decode(bytes(entry.value), LeaderRecord).nonce != record.nonce:
+                return
+            token = entry.version
+        at_us = now_us()
+        if not self.candidacy.may_lead(at_us):
+            # Promised to another meanwhile: the key goes with its lease.
+            await self._state.revoke(lease)
+            return
+        self.authority.begin(token, lease, sent_us)
+        if not self.authority.valid(at_us):
+            self.authority.end()
+            return
+        self._known_leader, self._known_token, self._known_lease = record, token, lease
+        self._vacant.clear()
+        over_us = max(at_us, self._revoked_over_us)
+        log.info("%s leads with token %d", self.settings.name, token)
+        self.leader = Leader(
+            self.settings, self.tunables, self.authority, self._state, self._cloud,
+            self._http, self.catalog, over_us, self._step_down,
+        )  # fmt: skip
+        self.leader.start()
+        self._duties.once("lease renewal", self._renew(self.leader))
+
+    async def _renew(self, leader: Leader) -> None:
+        """Keep the lease; the term ends with the authority."""
+        while self.leader is leader:
+            await asyncio.sleep(to_seconds(self.timing.renew_us))
+            sent_us = now_us()
+            try:
+                await self._state.extend(self.authority.lease, SECOND_US)
+                self.authority.renewed(sent_us)
+            except LeaseGone:
+                self._step_down("the lease is gone")
+            except CallFailed as error:
+                log.info("lease not renewed: %s", error)
+                if not self.authority.valid(now_us()):
+                    self._step_down("the lease ran out")
+
+    def _step_down(self, reason: str) -> None:
+        leader = self.leader
+        if leader is None:
+            return
+        log.info("%s leads no more: %s", self.settings.name, reason)
+        self.leader = None
+        self.authority.end()
+        self._known_leader = None
+        self._duties.once("end of term", leader.close())
+        self._duties.once("leader lookup", self._read_leader())
+
+    # -- peers ------------------------------------------------------------------------
+
+    def _reports_lately(self, at_us: int) -> int:
+        return sum(1 for seen in self._reports_seen_us.values() if at_us - seen < 3 * SECOND_US)
+
+    async def _ping(self, link: PeerLink) -> None:
+        while True:
+            await asyncio.sleep(0.4)
+            if not link.connected:
+                continue
+            at_us = now_us()
+            token = self.authority.token if self.authority.valid(at_us) else 0
+            ping = Ping(link.next_id(), token, self._state.ok, self._reports_lately(at_us))
+            try:
+                await link.ask(ping, Pong, 2 * SECOND_US)
+            except CallFailed:
+                link.drop()
+
+    async def _peer_request(self, name: str, message: Message) -> Message | None:
+        at_us = now_us()
+        match message:
+            case Ping():
+                return Pong(message.id, self._state.ok, self._reports_lately(at_us))
+            case Ask():
+                answer = await self._answer_peer(message)
+                return Answer(message.id, answer.status, answer.body)
+            case Hold():
+                return Held(message.id, False)
+            case Resigned():
+                self._duties.once("leader lookup", self._read_leader())
+                return None
+            case _:
+                log.error("peer %s asked with an answer", name)
+                return None
+
+    async def _answer_peer(self, ask: Ask) -> Response:
+        match ask.kind:
+            case "submit":
+                return await self._desk.submit(ask.body, forwarded=True)
+            case "poll":
+                if self.leader is None:
+                    return refusal(503, "not the leader", retry_after_s=1)
+                return await self._desk.poll(ask.job_id, forwarded=True)
+            case "cancel":
+                return await self._desk.cancel(ask.job_id, forwarded=True)
+            case "report":
+                return self._report(ask.body)
+            case _:
+                return refusal(503, "unknown kind", retry_after_s=1)
+
+    def _leader_link(self) -> PeerLink | None:
+        if self._known_leader is None:
+            return None
+        return self._links.get(self._known_leader.name)
+
+    async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        """Have the leader answer; None if it cannot be reached."""
+        link = self._leader_link()
+        return await self._forward(link, kind, job_id, body) if link is not None else None
+
+    async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        """Have a peer answer that the state service serves; None if there is none."""
+        at_us = now_us()
+        for link in self._links.values():
+            if link.alive(at_us) and link.state_ok:
+                return await self._forward(link, kind, job_id, body)
+        return None
+
+    async def _forward(
+        self, link: PeerLink, kind: str, job_id: str, body: bytes
+    ) -> Response | None:
+        if not link.connected:
+            return None
+        try:
+            answer = await link.ask(Ask(link.next_id(), kind, job_id, body), Answer, FORWARD_US)
+        except CallFailed:
+            return None
+        return Response(answer.status, answer.body, 1 if answer.status == 503 else 0)
+
+    # -- HTTP -------------------------------------------------------------------------
+
+    async def _handle(self, method: str, path: str, body: bytes) -> Response:
+        if path == "/v1/report" and method == "POST":
+            return self._report(body)
+        if path == "/ready" and method == "GET":
+            return self._ready()
+        if path == "/submissions" and method == "POST":
+            return await self._desk.submit(body)
+        if path.startswith("/submissions/"):
+            job_id = path.removeprefix("/submissions/")
+            if method == "GET" and "/" not in job_id:
+                return await self._desk.poll(job_id)
+            if method == "POST" and job_id.endswith("/cancel"):
+                return await self._desk.cancel(job_id.removesuffix("/cancel"))
+        return refusal(404, "no such path")
+
+    def _ready(self) -> Response:
+        at_us = now_us()
+        if not self.catalog:
+            return refusal(503, "machine types not known yet", retry_after_s=1)
+        refused = not self._state.ok
+        if refused and any(l.alive(at_us) and l.state_ok for l in self._links.values()):
+            return refusal(503, "the state service refuses this node", retry_after_s=1)
+        return Response(200, b"{}")
+
+    def _report(self, body: bytes) -> Response:
+        at_us = now_us()
+        try:
+            report = _report_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            log.error("malformed report refused: %s", error)
+            return refusal(400, str(error))
+        self._reports_seen_us[report.machine] = at_us
+        leader = self.leader
+        if leader is not None and self.authority.valid(at_us):
+            answer = leader.report(report, at_us)
+            if answer is not None:
+                return Response(200, _encode(answer))
+            return refusal(503, "not now", retry_after_s=1)
+        record = self._known_leader
+        if record is None or record.name == self.settings.name:
+            return Response(421, _encode(Redirect()))
+        return Response(421, _encode(Redirect(record.name)))
--- /dev/null
+++ b/weldhead/coordination/placement.py
@@ -0,0 +1,240 @@
+"""Placement: which waiting task goes where.
+
+The plan is a function of the cluster and the time; nothing is changed here but copies of
+the free amounts. Order: work inside its team's guarantee first (it need not wait for
+others), then by priority, then by the least slack before the job's deadline. Within a
+job, stopped tasks are restarted before new ones, preferably on their last machine.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.clock import SECOND_US, seconds_us
+from weldhead.coordination.estimates import Estimates
+
+NO_DEADLINE_US = 1 << 60
+
+
+@dataclass(frozen=True)
+class Start:
+    """A decision to start a task on a machine."""
+
+    job: Job
+    index: int
+    machine: Machine
+
+
+@dataclass
+class Plan:
+    """The decisions of one pass, and what is left over."""
+
+    starts: list[Start] = field(default_factory=list)
+    #: Jobs whose tasks found no room, with how many of them the limits would allow.
+    unplaced: list[tuple[Job, int]] = field(default_factory=list)
+
+
+class Room:
+    """A machine's free amounts while a plan is made."""
+
+    __slots__ = ("cpus", "gpus", "machine", "memory_gb", "planned_images", "used")
+
+    def __init__(self, machine: Machine) -> None:
+        self.machine = machine
+        self.cpus = machine.cpus
+        self.gpus = machine.gpus
+        self.memory_gb = machine.memory_gb
+        self.used = bool(machine.attempts)
+        self.planned_images: set[str] = set()
+
+    def fits(self, job: Job) -> int:
+        """How many tasks of the job fit."""
+        spec = job.spec
+        most = spec.tasks
+        if spec.cpus > 0:
+            most = min(most, int((self.cpus + EPSILON) / spec.cpus))
+        if spec.gpus > 0:
+            most = min(most, int((self.gpus + EPSILON) / spec.gpus))
+        if spec.memory_gb > 0:
+            most = min(most, int((self.memory_gb + EPSILON) / spec.memory_gb))
+        return most
+
+    def take(self, job: Job, count: int) -> None:
+        """Reserve room for tasks of the job."""
+        self.cpus -= job.spec.cpus * count
+        self.gpus -= job.spec.gpus * count
+        self.memory_gb -= job.spec.memory_gb * count
+        self.used = True
+        self.planned_images.add(job.spec.image)
+
+
+def usable(machine: Machine, at_us: int, silence_us: int) -> bool:
+    """Whether new work may be placed on a machine."""
+    return (
+        machine.synced
+        and not machine.draining
+        and not machine.deleting
+        and not machine.ghosts
+        and not machine.notice_until_us
+        and at_us - machine.heard_us < silence_us
+    )
+
+
+def slack_us(job: Job, at_us: int, estimates: Estimates) -> int:
+    """Return how long the job's last task could still wait."""
+    if job.spec.deadline_s is None:
+        return NO_DEADLINE_US
+    due_us = job.first_seen_us + seconds_us(job.spec.deadline_s)
+    return due_us - at_us - estimates.task_us(job)
+
+
+def order_key(job: Job, guaranteed: bool, at_us: int, estimates: Estimates) -> tuple[int, ...]:
+    """Sort waiting jobs: guarantee, priority, replicas last within it, slack, age."""
+    return (
+        0 if guaranteed else 1,
+        -job.spec.level,
+        1 if job.spec.is_service else 0,
+        slack_us(job, at_us, estimates),
+        job.first_seen_us,
+    )
+
+
+def guaranteed_tasks(cluster: Cluster, job: Job, cpus: float, gpus: float) -> int:
+    """How many more tasks fit inside the team's guarantee, given its use."""
+    team = cluster.teams[job.team]
+    most = job.waiting
+    if job.spec.cpus > 0:
+        most = min(most, int((team.cpus - cpus + EPSILON) / job.spec.cpus))
+    if job.spec.gpus > 0:
+        most = min(most, int((team.gpus - gpus + EPSILON) / job.spec.gpus))
+    return max(0, most)
+
+
+def fetch_delay_us(job: Job, room: Room) -> int:
+    """Estimate how long the image takes to arrive on a machine."""
+    spec = job.spec
+    machine = room.machine
+    if spec.image in machine.images or spec.image_gb <= 0:
+        return 0
+    rate = machine.type.fetch_gb_per_s or 1.0
+    alone_us = seconds_us(spec.image_gb / rate)
+    if spec.image in room.planned_images or any(
+        a.job.spec.image == spec.image for a in machine.attempts.values()
+    ):
+        return alone_us // 2
+    return alone_us * (1 + machine.pulls())
+
+
+def score(job: Job, room: Room, last_of_job: set[str], fetch_weight: float) -> tuple[float, ...]:
+    """Rank machines for a job, lower first: last machine, image at hand, tightest fit."""
+    delay_s = fetch_delay_us(job, room) / SECOND_US * fetch_weight
+    # A started machine's money is spent anyway: fill used ones so that others fall idle.
+    idle = 0.0 if room.used else 5.0
+    left = room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
+    return (0.0 if room.machine.name in last_of_job else 1.0, delay_s + idle + left)
+
+
+def plan_starts(
+    cluster: Cluster,
+    estimates: Estimates,
+    at_us: int,
+    silence_us: int,
+    fetch_weight: float = 1.0,
+) -> Plan:
+    """Decide which waiting tasks start where."""
+    plan = Plan()
+    rooms = [Room(m) for m in cluster.machines.values() if usable(m, at_us, silence_us)]
+    reserved: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    planned_zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+    planned: dict[str, int] = defaultdict(int)
+    waiting = [
+        job
+        for job in cluster.waiting_jobs()
+        if job.not_before_us <= at_us and job.team in cluster.teams
+    ]
+    # Two rounds: first what each team is guaranteed, then what it borrows.
+    for guaranteed in (True, False):
+        waiting.sort(key=lambda job: order_key(job, guaranteed, at_us, estimates))
+        for job in waiting:
+            held = reserved[job.team]
+            usage = cluster.usage[job.team]
+            allowed = min(
+                job.waiting - planned[job.id], cluster.within_limit(job, held[0], held[1])
+            )
+            if guaranteed:
+                most = guaranteed_tasks(cluster, job, usage.cpus + held[0], usage.gpus + held[1])
+                allowed = min(allowed, most)
+            if allowed <= 0:
+                continue
+            placed = _place(
+                plan, job, allowed, rooms, planned[job.id], planned_zones[job.id], fetch_weight
+            )
+            planned[job.id] += placed
+            held[0] += job.spec.cpus * placed
+            held[1] += job.spec.gpus * placed
+            if not guaranteed and allowed > placed:
+                plan.unplaced.append((job, allowed - placed))
+    return plan
+
+
+def _place(
+    plan: Plan,
+    job: Job,
+    most: int,
+    rooms: list[Room],
+    skip: int,
+    zones: dict[str, int],
+    fetch_weight: float,
+) -> int:
+    """Place up to ``most`` tasks of a job; return how many were placed."""
+    fitting = [r for r in rooms if r.machine.allows(job) and r.fits(job) > 0]
+    if job.failed_on:
+        # A task that failed somewhere is first tried elsewhere.
+        fitting = [r for r in fitting if r.machine.name not in job.failed_on] or fitting
+    if not fitting:
+        return 0
+    indexes = job.waiting_indexes(most + skip)[skip:]
+    count = 0
+    by_name = {r.machine.name: r for r in fitting}
+
+    def room_for(room: Room) -> int:
+        zone = room.machine.zone
+        if job.spec.one_zone and any(n for z, n in zones.items() if z != zone):
+            return 0
+        return min(room.fits(job), job.room_in_zone(zone) - zones.get(zone, 0))
+
+    rest: list[int] = []
+    for index in indexes:
+        last = by_name.get(job.last_machine.get(index, ""))
+        if last is not None and room_for(last) > 0:
+            last.take(job, 1)
+            zones[last.machine.zone] = zones.get(last.machine.zone, 0) + 1
+            plan.starts.append(Start(job, index, last.machine))
+            count += 1
+        else:
+            rest.append(index)
+    if not rest:
+        return count
+    fitting.sort(key=lambda room: score(job, room, set(), fetch_weight))
+    if job.spec.one_zone and not any(zones.values()):
+        # Everything has to be in one zone: take the zone that holds most.
+        best: dict[str, int] = defaultdict(int)
+        for room in fitting:
+            best[room.machine.zone] += room.fits(job)
+        choice = max(best, key=lambda zone: best[zone])
+        fitting.sort(key=lambda room: room.machine.zone != choice)
+    for room in fitting:
+        if not rest:
+            break
+        number = min(len(rest), room_for(room))
+        if number <= 0:
+            continue
+        room.take(job, number)
+        zone = room.machine.zone
+        zones[zone] = zones.get(zone, 0) + number
+        plan.starts += [Start(job, index, room.machine) for index in rest[:number]]
+        rest = rest[number:]
+        count += number
+    return count
--- /dev/null
+++ b/weldhead/coordination/reports.py
@@ -0,0 +1,276 @@
+"""What a worker's report means, and what to command in answer.
+
+Both are functions of the cluster, the message and the time: no I/O happens here.
+Commands are level-triggered: every answer carries all that the machine still has to do,
+so a lost answer costs one report's time and nothing else.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop, TaskState
+from weldhead.bookkeeping.machines import Machine
+from weldhead.clock import seconds_us
+from weldhead.protocol.wire import Command, Report, TaskReport, split_task
+
+log = logging.getLogger(__name__)
+
+_PHASES = {"pulling": Phase.PULLING, "running": Phase.RUNNING, "saving": Phase.SAVING}
+
+
+@dataclass
+class Outcome:
+    """What a report changed."""
+
+    #: Tasks completed, to be committed before they are forgotten.
+    completed: list[Job] = field(default_factory=list)
+    #: Attempts that ended without completing, with the reason.
+    lost: list[tuple[Attempt, str]] = field(default_factory=list)
+    #: Observed run times of completed tasks: (job, microseconds).
+    run_times: list[tuple[Job, int]] = field(default_factory=list)
+    #: Attempts that failed by themselves.
+    failed: list[Attempt] = field(default_factory=list)
+    #: Room has become free, or something else that placement should look at.
+    room: bool = False
+
+
+def is_newer(machine: Machine, report: Report) -> bool:
+    """Whether the report is newer than everything seen, and of a live session."""
+    return (
+        report.session,
+        report.sequence,
+    ) > machine.order and report.session > machine.expired_session
+
+
+def apply_report(
+    cluster: Cluster, machine: Machine, report: Report, at_us: int, *, direct: bool
+) -> Outcome:
+    """Bring the picture of a machine up to date with a newer report.
+
+    ``direct``: the report is the body of a direct command's answer. A task missing there
+    does not show that a ``run`` sent in a report's answer was lost: that answer may still
+    be on its way to the worker, who only drops it before it sends its next report.
+    """
+    outcome = Outcome()
+    if report.session > machine.session and machine.session:
+        for attempt in cluster.release_all(machine):
+            outcome.lost.append((attempt, "new session"))
+    machine.order = (report.session, report.sequence)
+    machine.token = max(machine.token, report.token)
+    machine.seen_us = at_us
+    if report.address:
+        machine.address = report.address
+    if report.notice_s is not None:
+        machine.notice_until_us = at_us + seconds_us(report.notice_s)
+    had_free = machine.cpus
+    was_synced = machine.synced
+    seen: set[str] = set()
+    listed: set[tuple[str, int]] = set()
+    for task in report.tasks:
+        listed.add((task.task, task.attempt))
+        attempt = machine.attempts.get(task.task)
+        if attempt is not None and attempt.number == task.attempt:
+            seen.add(task.task)
+            _known(cluster, machine, attempt, task, at_us, outcome)
+        else:
+            adopted = _unknown(cluster, machine, task, at_us, outcome)
+            if adopted is not None:
+                seen.add(task.task)
+    # Attempts that the worker no longer lists need no more commands.
+    machine.forget &= listed
+    machine.ghosts &= listed
+    if report.token == cluster.token:
+        machine.synced = True
+    for attempt in list(machine.attempts.values()):
+        if attempt.task in seen or attempt.posted or attempt.limbo_us:
+            continue
+        if attempt.phase is Phase.ASSIGNED:
+            if attempt.sent_sequence is None or direct:
+                continue
+            if report.sequence > attempt.sent_sequence:
+                # A worker has one report in flight: its next report shows that the answer
+                # to the last one was either executed or dropped for good.
+                attempt.sent_sequence = None
+                if attempt.stop is not Stop.NO:
+                    cluster.release(attempt)
+                    outcome.lost.append((attempt, "withdrawn before it was started"))
+        elif was_synced:
+            cluster.release(attempt)
+            outcome.lost.append((attempt, "gone from its worker"))
+    if not direct:
+        machine.report_sequence = report.sequence
+    outcome.room = outcome.room or machine.cpus > had_free or (machine.synced and not was_synced)
+    return outcome
+
+
+def _known(
+    cluster: Cluster,
+    machine: Machine,
+    attempt: Attempt,
+    task: TaskReport,
+    at_us: int,
+    outcome: Outcome,
+) -> None:
+    # Listed, so its ``run`` has been executed, answered or not; each ``run`` is sent in one
+    # direct request at most, so it cannot be executed a second time.
+    attempt.posted = False
+    attempt.limbo_us = 0
+    if task.state != "ended":
+        phase = _PHASES[task.state]
+        if phase is Phase.RUNNING and attempt.phase in (Phase.ASSIGNED, Phase.PULLING):
+            attempt.running_us = at_us
+            machine.note_image(attempt.job.spec.image, attempt.job.spec.image_gb)
+        attempt.phase = phase
+        return
+    machine.forget.add((task.task, task.attempt))
+    _ended(cluster, machine, attempt, task, at_us, outcome)
+
+
+def _ended(
+    cluster: Cluster,
+    machine: Machine,
+    attempt: Attempt,
+    task: TaskReport,
+    at_us: int,
+    outcome: Outcome,
+) -> None:
+    job = attempt.job
+    if task.why == "done":
+        if attempt.running_us and not attempt.prior_us:
+            outcome.run_times.append((job, at_us - attempt.running_us))
+        cluster.release(attempt, completed=True)
+        job.saved_us.pop(attempt.index, None)
+        machine.successes += 1
+        outcome.completed.append(job)
+        return
+    if attempt.running_us and job.spec.checkpoint_s > 0:
+        ran_us = attempt.elapsed_us(at_us)
+        step_us = seconds_us(job.spec.checkpoint_s)
+        job.saved_us[attempt.index] = ran_us if task.saved else ran_us // step_us * step_us
+    cluster.release(attempt)
+    outcome.lost.append((attempt, task.why or "no cause"))
+    if task.why in ("error", None):
+        outcome.failed.append(attempt)
+    elif task.why in ("no_room", "busy", "unknown"):
+        # The worker disagrees with our picture, or cannot know the job yet: not at once
+        # again, or the same refusal would go back and forth with every report.
+        job.not_before_us = max(job.not_before_us, at_us + seconds_us(1.0))
+        log.info("%s refused on %s: %s", attempt.task, machine.name, task.why)
+
+
+def _unknown(
+    cluster: Cluster, machine: Machine, task: TaskReport, at_us: int, outcome: Outcome
+) -> Attempt | None:
+    """Deal with an attempt that this leader has not started here."""
+    try:
+        job_id, index = split_task(task.task)
+    except ValueError:
+        log.error("%s reports a task with a malformed name: %r", machine.name, task.task)
+        machine.ghosts.add((task.task, task.attempt))
+        return None
+    job = cluster.jobs.get(job_id)
+    key = (task.task, task.attempt)
+    if key in machine.forget:
+        return None
+    known = job is not None and index < job.spec.tasks
+    state = job.states[index] if job is not None and known else None
+    if task.state == "ended":
+        machine.forget.add(key)
+        if (
+            task.why == "done"
+            and job is not None
+            and state == TaskState.WAITING
+            and not job.cancelled
+        ):
+            job.complete_waiting(index)
+            outcome.completed.append(job)
+        return None
+    if (
+        job is None
+        or state != TaskState.WAITING
+        or task.task in machine.attempts
+        or machine.fits(job) < 1
+    ):
+        # Over, completed, or active elsewhere: it must go, and until then nothing new is
+        # placed on this machine.
+        machine.ghosts.add(key)
+        return None
+    attempt = Attempt(job, index, task.attempt, machine.name, at_us)
+    attempt.phase = _PHASES[task.state]
+    if attempt.phase is not Phase.PULLING:
+        attempt.running_us = at_us
+        machine.note_image(job.spec.image, job.spec.image_gb)
+    cluster.adopt(attempt, machine)
+    if job.cancelled:
+        attempt.stop, attempt.stop_us, attempt.reason = Stop.HARD, at_us, "cancelled"
+    return attempt
+
+
+def request_stop(
+    cluster: Cluster, attempt: Attempt, stop: Stop, at_us: int, reason: str
+) -> bool:
+    """Ask an attempt to stop; true if it is gone at once because it was never sent."""
+    if (
+        attempt.phase is Phase.ASSIGNED
+        and attempt.sent_sequence is None
+        and not attempt.posted
+        and not attempt.limbo_us
+    ):
+        cluster.release(attempt)
+        return True
+    if stop.value > attempt.stop.value:
+        if attempt.stop is Stop.NO:
+            attempt.stop_us = at_us
+            attempt.reason = reason
+        attempt.stop = stop
+    return False
+
+
+def pending_commands(
+    machine: Machine,
+    committed: Callable[[str], bool],
+    *,
+    may_start: bool,
+    sequence: int | None,
+) -> list[Command]:
+    """Return everything the machine still has to do.
+
+    ``committed`` says whether a task needs no more saving to the store, so that its
+    attempt may be forgotten. ``sequence`` is that of the report being answered, or None
+    for a direct request, in which ``run`` commands are marked as posted.
+    """
+    kills: list[Command] = []
+    runs: list[Command] = []
+    forgets: list[Command] = []
+    for task, number in machine.ghosts:
+        kills.append(Command("kill", task, number, 0.0))
+    for attempt in machine.attempts.values():
+        if attempt.stop is not Stop.NO:
+            if attempt.phase is not Phase.ASSIGNED or attempt.limbo_us or attempt.posted:
+                grace_s = 0.0
+                if attempt.stop is Stop.SOFT:
+                    if attempt.phase is Phase.SAVING:
+                        continue
+                    grace_s = attempt.job.spec.save_s + 1.0
+                kills.append(Command("kill", attempt.task, attempt.number, grace_s))
+        elif attempt.phase is Phase.ASSIGNED and may_start:
+            if attempt.posted or attempt.limbo_us:
+                continue
+            if sequence is None:
+                if attempt.sent_sequence is not None:
+                    # Already on its way in a report's answer; sent twice, the second one
+                    # could be executed after the first was run and forgotten.
+                    continue
+                attempt.posted = True
+            else:
+                attempt.sent_sequence = sequence
+            runs.append(Command("run", attempt.task, attempt.number))
+    for task, number in machine.forget:
+        current = machine.attempts.get(task)
+        if current is not None and current.number == number:
+            continue
+        if committed(task):
+            forgets.append(Command("forget", task, number))
+    return kills + forgets + runs
--- /dev/null
+++ b/weldhead/duties.py
@@ -0,0 +1,57 @@
+"""Long-lived duties: asyncio tasks that never die unnoticed."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from weldhead.transport.http import CallFailed
+
+log = logging.getLogger(__name__)
+
+
+class Duties:
+    """Runs duties until closed; one that fails is logged and begun again."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, name: str, duty: Callable[[], Awaitable[None]], pause_s: float = 0.5) -> None:
+        """Keep a duty running: it is expected never to return."""
+        self._add(self._keep(name, duty, pause_s), name)
+
+    def once(self, name: str, job: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a single errand; a failure is logged."""
+        return self._add(self._guard(name, job), name)
+
+    def _add(self, job: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+        task = asyncio.create_task(job, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _keep(self, name: str, duty: Callable[[], Awaitable[None]], pause_s: float) -> None:
+        while True:
+            try:
+                await duty()
+                log.error("duty %s ended by itself; begun again", name)
+            except CallFailed as error:
+                log.info("duty %s: %s", name, error)
+            except Exception:
+                log.exception("duty %s failed; begun again", name)
+            await asyncio.sleep(pause_s)
+
+    async def _guard(self, name: str, job: Coroutine[Any, Any, None]) -> None:
+        try:
+            await job
+        except CallFailed as error:
+            log.info("%s: %s", name, error)
+        except Exception:
+            log.exception("%s failed", name)
+
+    async def close(self) -> None:
+        """Cancel everything and wait for it."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/weldhead/protocol/peer.py
@@ -0,0 +1,119 @@
+"""Messages between controllers: length-framed msgpack tagged tuples.
+
+Each frame is a 4-byte big-endian length and one message; a message is the tuple
+``(tag, field, ...)``. Requests carry an id that their answer repeats. Trailing fields
+that a newer version adds are ignored by an older one.
+"""
+
+import msgspec
+
+FRAME_LIMIT = 256 * 1024
+
+
+class Hello(msgspec.Struct, array_like=True, tag="hello"):
+    """The first message of a connection: who is calling."""
+
+    name: str
+
+
+class Ping(msgspec.Struct, array_like=True, tag="ping"):
+    """A sign of life.
+
+    ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
+    service has served the caller of late; ``reports`` how many workers have been heard
+    lately; ``silent`` names machines that a leader misses and wants relayed.
+    """
+
+    id: int
+    token: int
+    state_ok: bool
+    reports: int
+    silent: tuple[str, ...] = ()
+
+
+class Pong(msgspec.Struct, array_like=True, tag="pong"):
+    """The answer to a ping, with the answerer's own view."""
+
+    id: int
+    state_ok: bool
+    reports: int
+
+
+class Ask(msgspec.Struct, array_like=True, tag="ask"):
+    """A user's or worker's request that another node shall answer.
+
+    ``kind`` is ``submit``, ``poll``, ``cancel`` or ``report``.
+    """
+
+    id: int
+    kind: str
+    job_id: str
+    body: bytes
+
+
+class Answer(msgspec.Struct, array_like=True, tag="answer"):
+    """The answer to an ask: an HTTP status and body."""
+
+    id: int
+    status: int
+    body: bytes
+
+
+class Hold(msgspec.Struct, array_like=True, tag="hold"):
+    """A leader that the state service refuses asks for a promise.
+
+    Whoever promises does not become leader for ``duration_us`` from receiving this.
+    """
+
+    id: int
+    token: int
+    duration_us: int
+
+
+class Held(msgspec.Struct, array_like=True, tag="held"):
+    """The answer to a hold; false: the state service serves this node, hand over."""
+
+    id: int
+    promised: bool
+
+
+class Resigned(msgspec.Struct, array_like=True, tag="resigned"):
+    """The leader has stopped commanding; whoever gets this may take over at once."""
+
+    id: int
+    token: int
+    lease: int
+
+
+Message = Hello | Ping | Pong | Ask | Answer | Hold | Held | Resigned
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+class PeerProtocolError(Exception):
+    """A peer sent something that is no message."""
+
+
+def encode_frame(message: Message) -> bytes:
+    """Encode a message with its length in front."""
+    body = _encoder.encode(message)
+    if len(body) > FRAME_LIMIT:
+        raise PeerProtocolError(f"message of {len(body)} bytes")
+    return len(body).to_bytes(4, "big") + body
+
+
+def frame_length(header: bytes) -> int:
+    """Return the length that a frame's header announces."""
+    length = int.from_bytes(header, "big")
+    if not 0 < length <= FRAME_LIMIT:
+        raise PeerProtocolError(f"frame of {length} bytes")
+    return length
+
+
+def decode_message(body: bytes) -> Message:
+    """Decode a frame's body."""
+    try:
+        return _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PeerProtocolError(str(error)) from error
--- /dev/null
+++ b/weldhead/protocol/settings.py
@@ -0,0 +1,170 @@
+"""The platform's settings file.
+
+Unknown fields are ignored; a missing or invalid one is reported with its name.
+"""
+
+from pathlib import Path
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used."""
+
+
+class Node(msgspec.Struct, rename={"name": "label", "zone": "domain", "address": "endpoint"}):
+    """Another controller."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class Services(msgspec.Struct):
+    """Addresses of the cloud and the state service."""
+
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit."""
+
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
+    """What users expect of a class of jobs."""
+
+    kind: str
+    job_class: str | None = None
+    share: float | None = None
+    within_s: float | None = None
+    times: float | None = None
+
+
+class WorkerLimits(msgspec.Struct):
+    """How workers behave."""
+
+    report_s: float
+    lease_s: float
+    cancel_s: float
+
+
+class StateLimits(msgspec.Struct):
+    """Limits of the state service."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(msgspec.Struct):
+    """Limits of the cloud."""
+
+    rps: float
+    list_lag_s: float
+
+
+class Facts(msgspec.Struct):
+    """What the platform tells of the deployment."""
+
+    zones: list[str]
+    teams: list[Team]
+    workers: WorkerLimits
+    state: StateLimits
+    cloud: CloudLimits
+    objectives: list[Objective] = []
+    nodes: int = 0
+    clock_error_ms: float = 1000.0
+
+
+class MachineLimits(msgspec.Struct, rename={"cpu_share": "cores", "memory_mb": "mem_mb"}):
+    """What this controller may use."""
+
+    cpu_share: float = 1.0
+    memory_mb: float = 0.0
+    sockets: int = 1024
+
+
+class Settings(
+    msgspec.Struct,
+    rename={
+        "name": "label",
+        "zone": "domain",
+        "listen": "serve_on",
+        "peer_listen": "internal_addr",
+        "peers": "seeds",
+        "services": "external",
+    },
+):
+    """The whole file."""
+
+    name: str
+    zone: str
+    listen: str
+    peer_listen: str
+    peers: list[Node]
+    services: Services
+    facts: Facts
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; ValueError if it is neither."""
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"not host:port: {address!r}")
+    return host, int(port)
+
+
+def _positive(name: str, value: float) -> None:
+    if not value > 0:
+        raise SettingsError(f"{name}: must be above 0, is {value}")
+
+
+def parse_settings(body: bytes) -> Settings:
+    """Decode and check the settings; SettingsError names the field."""
+    try:
+        settings = msgspec.json.decode(body, type=Settings, strict=True)
+    except msgspec.DecodeError as error:
+        raise SettingsError(str(error)) from error
+    addresses = [("serve_on", settings.listen), ("internal_addr", settings.peer_listen)]
+    addresses += [(f"seeds: {peer.name}", peer.address) for peer in settings.peers]
+    addresses += [
+        ("external.cloud", settings.services.cloud),
+        ("external.state", settings.services.state),
+    ]
+    for name, address in addresses:
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise SettingsError(f"{name}: {error}") from error
+    facts = settings.facts
+    _positive("facts.workers.report_s", facts.workers.report_s)
+    _positive("facts.workers.lease_s", facts.workers.lease_s)
+    _positive("facts.workers.cancel_s", facts.workers.cancel_s)
+    _positive("facts.state.rps", facts.state.rps)
+    _positive("facts.state.write_rps", facts.state.write_rps)
+    _positive("facts.cloud.rps", facts.cloud.rps)
+    if facts.state.txn_ops < 4:
+        raise SettingsError("facts.state.txn_ops: at least 4 are needed to finish a job")
+    if facts.state.value_kb < 4:
+        raise SettingsError("facts.state.value_kb: at least 4 are needed for a job's progress")
+    names = [settings.name, *(peer.name for peer in settings.peers)]
+    if len(set(names)) != len(names):
+        raise SettingsError("seeds: two nodes have the same label")
+    return settings
+
+
+def load_settings(path: Path) -> Settings:
+    """Read the settings file."""
+    try:
+        body = path.read_bytes()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    return parse_settings(body)
--- /dev/null
+++ b/weldhead/protocol/validation.py
@@ -0,0 +1,92 @@
+"""Judging submissions: 400 for what is malformed, 422 for what can never run."""
+
+import math
+import re
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from weldhead.protocol.settings import Team
+from weldhead.protocol.wire import MAX_TASKS, JobSpec, MachineType
+
+#: The one form of job ids.
+JOB_ID = re.compile(r"run-[0-9]{1,24}", re.ASCII)
+
+#: Strings that end up in keys, records and logs stay short.
+MAX_NAME = 200
+
+_PATH = re.compile(r"`\$\.?([A-Za-z_]*)")
+_MISSING = re.compile(r"missing required field `([^`]+)`")
+_WIRE_NAMES: Mapping[str, str] = dict(
+    zip(JobSpec.__struct_fields__, JobSpec.__struct_encode_fields__, strict=True)
+)
+_decoder = msgspec.json.Decoder(JobSpec, strict=True)
+
+
+class Refusal(Exception):
+    """A submission that is refused for good."""
+
+    def __init__(self, status: int, reason: str, field: str | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.field = field
+
+
+def is_job_id(text: str) -> bool:
+    """Whether the text has a job id's form."""
+    return JOB_ID.fullmatch(text) is not None
+
+
+def _malformed(field: str, reason: str) -> Refusal:
+    wire = _WIRE_NAMES[field]
+    return Refusal(400, f"{wire}: {reason}", wire)
+
+
+def parse_submission(body: bytes) -> JobSpec:
+    """Decode a submission; Refusal(400) if it is malformed."""
+    try:
+        spec = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        text = str(error)
+        found = _MISSING.search(text) or _PATH.search(text)
+        raise Refusal(400, text, found.group(1) or None if found else None) from error
+    if not is_job_id(spec.id):
+        raise _malformed("id", "not a job id")
+    if not 1 <= spec.tasks <= MAX_TASKS:
+        raise _malformed("tasks", f"must be 1 to {MAX_TASKS}")
+    for field in ("job_class", "team", "image"):
+        value = getattr(spec, field)
+        if not value or len(value) > MAX_NAME:
+            raise _malformed(field, f"must have 1 to {MAX_NAME} characters")
+    for field in (
+        "cpus", "gpus", "memory_gb", "image_gb", "estimate_s", "checkpoint_s", "save_s",
+        "deadline_s",
+    ):  # fmt: skip
+        number = getattr(spec, field)
+        # 1e999 is valid JSON but no amount; 1e15 s would overflow sums of microseconds.
+        if number is not None and not (math.isfinite(number) and 0 <= number < 1e9):
+            raise _malformed(field, "must be a number from 0 to below 1e9")
+    if spec.types is not None and (
+        not spec.types or len(spec.types) > 100 or any(len(t) > MAX_NAME for t in spec.types)
+    ):
+        raise _malformed("types", "must be null or 1 to 100 names")
+    if spec.zone is not None and not 1 <= len(spec.zone) <= MAX_NAME:
+        raise _malformed("zone", "must be null or a zone's name")
+    return spec
+
+
+def check_feasible(
+    spec: JobSpec, teams: Mapping[str, Team], catalog: Sequence[MachineType]
+) -> None:
+    """Refusal(422) if the job can never run."""
+    team = teams.get(spec.team)
+    if team is None:
+        raise Refusal(422, "unknown team", _WIRE_NAMES["team"])
+    if not any(machine_type.fits(spec) for machine_type in catalog):
+        raise Refusal(422, "a task fits no allowed machine type", _WIRE_NAMES["types"])
+    at_once = spec.tasks if spec.is_service else 1
+    if spec.cpus * at_once > team.cpus_max:
+        raise Refusal(422, "needs more than the team's limit", _WIRE_NAMES["cpus"])
+    if spec.gpus * at_once > team.gpus_max:
+        raise Refusal(422, "needs more than the team's limit", _WIRE_NAMES["gpus"])
--- /dev/null
+++ b/weldhead/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections: HTTP servers and clients, peer links, budgets and timeouts."""
--- /dev/null
+++ b/weldhead/transport/cloud.py
@@ -0,0 +1,89 @@
+"""The cloud's client, within its rate; nonsense counts as a failed call."""
+
+import asyncio
+
+import msgspec
+
+from weldhead.clock import SECOND_US
+from weldhead.protocol.settings import CloudLimits
+from weldhead.protocol.wire import (
+    Catalog,
+    ListedMachine,
+    MachineList,
+    MachineNames,
+    MachineType,
+    RentalRequest,
+)
+from weldhead.transport.budget import Budget
+from weldhead.transport.http import CallFailed, HttpClient
+from weldhead.transport.state import decode
+
+
+class NoCapacity(Exception):
+    """None available of this type, zone and kind."""
+
+
+class BadRental(Exception):
+    """The cloud calls the request malformed."""
+
+
+class CloudClient:
+    """All calls to the cloud."""
+
+    def __init__(self, http: HttpClient, address: str, limits: CloudLimits) -> None:
+        self._http = http
+        self._base = f"http://{address}"
+        self._budget = Budget(limits.rps * 0.9, limits.rps * 1.5, limits.rps * 0.5)
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None, *, urgent: bool = False
+    ) -> tuple[int, bytes]:
+        await self._budget.take(urgent=urgent)
+        return await self._http.call(method, self._base + path, body, 6 * SECOND_US)
+
+    async def catalog(self) -> list[MachineType]:
+        """Read the machine types; an empty catalog counts as nonsense."""
+        status, body = await self._call("GET", "/catalog", None)
+        if status != 200:
+            raise CallFailed(f"cloud: {status}")
+        types = decode(body, Catalog).types
+        if not types:
+            raise CallFailed("cloud: empty catalog")
+        return types
+
+    async def rent(self, request: RentalRequest) -> list[str]:
+        """Rent machines; repeating a request rents nothing more."""
+        status, body = await self._call("POST", "/rentals", msgspec.json.encode(request))
+        if status == 503 and b"no capacity" in body:
+            raise NoCapacity
+        if status == 400:
+            raise BadRental(body[:200].decode("utf-8", "replace"))
+        if status != 200:
+            raise CallFailed(f"cloud: {status}")
+        return decode(body, MachineNames).machines
+
+    async def delete(self, names: list[str]) -> None:
+        """Delete machines; when this returns, they and all on them are gone."""
+        for start in range(0, len(names), 100):
+            body = msgspec.json.encode(MachineNames(names[start : start + 100]))
+            status, _ = await self._call("POST", "/rentals/delete", body, urgent=True)
+            if status != 200:
+                raise CallFailed(f"cloud: {status}")
+
+    async def machines(self) -> list[ListedMachine]:
+        """Read the whole machine list."""
+        machines: list[ListedMachine] = []
+        start = ""
+        while True:
+            path = "/rentals?most=500" + (f"&from={start}" if start else "")
+            status, body = await self._call("GET", path, None)
+            if status != 200:
+                raise CallFailed(f"cloud: {status}")
+            page = decode(body, MachineList)
+            machines += page.machines
+            if not page.more:
+                return machines
+            if not page.machines:
+                raise CallFailed("cloud: empty page that claims more")
+            start = page.machines[-1].id
+            await asyncio.sleep(0)
--- /dev/null
+++ b/weldhead/transport/peers.py
@@ -0,0 +1,197 @@
+"""Links between controllers, one connection in each direction.
+
+The caller of a connection asks, the other side answers. A link knows how the last attempt
+to connect ended: a refusal while the machine answers usually means that no process is
+there, which the leadership may use as a hint (never as proof).
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from weldhead.clock import SECOND_US, now_us
+from weldhead.duties import Duties
+from weldhead.protocol.peer import (
+    Answer,
+    Hello,
+    Held,
+    Message,
+    PeerProtocolError,
+    Ping,
+    Pong,
+    decode_message,
+    encode_frame,
+    frame_length,
+)
+from weldhead.protocol.settings import Node, split_address
+from weldhead.transport.http import CallFailed, NotConnected
+
+log = logging.getLogger(__name__)
+
+M = TypeVar("M", Answer, Pong, Held)
+
+#: More waiting bytes than this to one peer: it does not read, the connection is dropped.
+WRITE_LIMIT = 1024 * 1024
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """Read one frame."""
+    length = frame_length(await reader.readexactly(4))
+    return decode_message(await reader.readexactly(length))
+
+
+class PeerLink:
+    """The calling side of a connection to one peer."""
+
+    def __init__(self, peer: Node, own_name: str) -> None:
+        self.name = peer.name
+        self.zone = peer.zone
+        self._address = split_address(peer.address)
+        self._own_name = own_name
+        self._writer: asyncio.StreamWriter | None = None
+        self._pending: dict[int, asyncio.Future[Message]] = {}
+        self._next_id = 0
+        self.heard_us = 0
+        self.refused = False
+        self.state_ok = False
+        self.reports = 0
+        #: Called with the peer's name when its process seems to be gone.
+        self.on_lost: Callable[[str], None] = lambda name: None
+
+    @property
+    def connected(self) -> bool:
+        """Whether a connection is up (the peer may be silent all the same)."""
+        return self._writer is not None
+
+    def alive(self, at_us: int, within_us: int = 1_500_000) -> bool:
+        """Whether the peer answered lately."""
+        return self.connected and at_us - self.heard_us < within_us
+
+    def next_id(self) -> int:
+        """Return a request id."""
+        self._next_id += 1
+        return self._next_id
+
+    async def run(self) -> None:
+        """Connect and read answers until the connection ends; a duty."""
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(*self._address), timeout=1.0
+            )
+        except ConnectionRefusedError:
+            if not self.refused:
+                self.refused = True
+                self.on_lost(self.name)
+            return await asyncio.sleep(0.3)
+        except (OSError, asyncio.TimeoutError):
+            self.refused = False
+            return await asyncio.sleep(0.3)
+        self.refused = False
+        self._writer = writer
+        self.heard_us = now_us()
+        try:
+            writer.write(encode_frame(Hello(self._own_name)))
+            while True:
+                message = await read_message(reader)
+                self.heard_us = now_us()
+                if isinstance(message, Pong):
+                    self.state_ok = message.state_ok
+                    self.reports = message.reports
+                waiting = self._pending.pop(getattr(message, "id", -1), None)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(message)
+        except PeerProtocolError as error:
+            log.error("peer %s sent nonsense, connection closed: %s", self.name, error)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            log.info("peer %s: connection ended: %r", self.name, error)
+        finally:
+            self._writer = None
+            self.state_ok = False
+            writer.transport.abort()
+            for future in self._pending.values():
+                if not future.done():
+                    future.set_exception(CallFailed(f"peer {self.name}: connection ended"))
+            self._pending.clear()
+
+    def drop(self) -> None:
+        """Give the connection up; the duty connects anew."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+
+    def send(self, message: Message) -> bool:
+        """Send without waiting for an answer; false if no connection is up."""
+        writer = self._writer
+        if writer is None:
+            return False
+        if writer.transport.get_write_buffer_size() > WRITE_LIMIT:
+            self.drop()
+            return False
+        writer.write(encode_frame(message))
+        return True
+
+    async def ask(self, message: Message, kind: type[M], timeout_us: int) -> M:
+        """Send a request and return its answer; NotConnected if it was never sent."""
+        request_id: int = getattr(message, "id")  # noqa: B009  (all requests have one)
+        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._pending[request_id] = future
+        try:
+            if not self.send(message):
+                raise NotConnected(f"peer {self.name}: no connection")
+            answer = await asyncio.wait_for(future, timeout_us / SECOND_US)
+        except asyncio.TimeoutError as error:
+            raise CallFailed(f"peer {self.name}: no answer") from error
+        finally:
+            self._pending.pop(request_id, None)
+        if not isinstance(answer, kind):
+            raise CallFailed(f"peer {self.name}: wrong kind of answer")
+        return answer
+
+
+Handler = Callable[[str, Message], Awaitable[Message | None]]
+
+
+class PeerServer:
+    """The answering side: each incoming connection has its own routine."""
+
+    def __init__(self, handler: Handler, duties: Duties, names: set[str]) -> None:
+        self._handler = handler
+        self._duties = duties
+        self._names = names
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen."""
+        host, port = split_address(address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        name = "?"
+        try:
+            hello = await asyncio.wait_for(read_message(reader), 5.0)
+            if not isinstance(hello, Hello) or hello.name not in self._names:
+                raise PeerProtocolError("no greeting from a known peer")
+            name = hello.name
+            while True:
+                message = await read_message(reader)
+                if isinstance(message, Ping):
+                    await self._answer(name, message, writer)
+                else:
+                    # A slow request must not hold up the pings behind it.
+                    self._duties.once("peer request", self._answer(name, message, writer))
+        except PeerProtocolError as error:
+            log.error("peer %s sent nonsense, connection closed: %s", name, error)
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _answer(self, name: str, message: Message, writer: asyncio.StreamWriter) -> None:
+        answer = await self._handler(name, message)
+        if answer is not None and not writer.is_closing():
+            writer.write(encode_frame(answer))
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/weldhead/transport/state.py
@@ -0,0 +1,202 @@
+"""The state service's client: typed answers, budgets, and what counts as a failure.
+
+Nonsense from the service is a failed call, never an empty answer.
+"""
+
+from typing import TypeVar
+
+import msgspec
+
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us
+from weldhead.protocol.settings import StateLimits
+from weldhead.protocol.wire import (
+    Changes,
+    Committed,
+    Condition,
+    Delete,
+    Entry,
+    Grant,
+    GrantRequest,
+    Page,
+    Put,
+    Transaction,
+)
+from weldhead.transport.budget import Budget
+from weldhead.transport.http import CallFailed, HttpClient
+
+T = TypeVar("T")
+
+
+class Refused(CallFailed):
+    """The service said that it did not execute the request (503, 429)."""
+
+
+class Conflict(Exception):
+    """A condition of a transaction did not hold."""
+
+
+class LeaseGone(Exception):
+    """The lease has ended."""
+
+
+class Compacted(Exception):
+    """The watch's starting point is too old; read the keys again."""
+
+
+def decode(body: bytes, kind: type[T]) -> T:
+    """Decode an answer; CallFailed if it is nonsense."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CallFailed(f"nonsense: {error}") from error
+
+
+class StateClient:
+    """All calls to the state service."""
+
+    def __init__(self, http: HttpClient, address: str, limits: StateLimits) -> None:
+        self._http = http
+        self._base = f"http://{address}"
+        # Every controller calls the same service, and each gets an equal claim on most of
+        # the rate: the leader writes most, so it may use what the others rarely need.
+        self.requests = Budget(limits.rps * 0.6, limits.rps * 0.4, limits.rps * 0.1)
+        burst = max(limits.write_rps * 0.6, 4.0)
+        self.writes = Budget(limits.write_rps * 0.85, burst, limits.write_rps * 0.1)
+        #: A transaction larger than the burst would wait for ever.
+        self.max_writes = min(limits.txn_ops, int(burst))
+        #: When a call was last served, and when one last failed (steady clock, 0: never).
+        self.served_us = 0
+        self.failed_us = 0
+
+    @property
+    def ok(self) -> bool:
+        """Whether the last call was served."""
+        return self.served_us > self.failed_us
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_us: int,
+        urgent: bool,
+        writes: int = 0,
+        passive: bool = False,
+    ) -> tuple[int, bytes]:
+        limit_us = None if urgent else SECOND_US
+        if writes and not await self.writes.take(writes, urgent=urgent, limit_us=limit_us):
+            raise Refused("state service: write budget used up")
+        if not await self.requests.take(urgent=urgent, limit_us=limit_us):
+            raise Refused("state service: request budget used up")
+        started_us = now_us()
+        try:
+            status, answer = await self._http.call(method, self._base + path, body, timeout_us)
+        except CallFailed:
+            if not passive:
+                self.failed_us = max(self.failed_us, now_us())
+            raise
+        if status in (429, 503):
+            if status == 503:
+                self.failed_us = now_us()
+            raise Refused(f"state service: {status}")
+        if status not in (200, 400, 404, 409, 410):
+            raise CallFailed(f"state service: {status}")
+        if not passive:
+            self.served_us = max(self.served_us, started_us)
+        return status, answer
+
+    async def get(self, key: str, *, urgent: bool = False) -> Entry | None:
+        """Read a key."""
+        status, body = await self._call("GET", f"/store/{key}", None, 800 * MILLISECOND_US, urgent)
+        if status == 404:
+            # Proof of absence is the service's own answer, with its revision in it.
+            decode(body, Committed)
+            return None
+        if status != 200:
+            raise CallFailed(f"state service: {status}")
+        return decode(body, Entry)
+
+    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
+        """Read all keys with a prefix, and a revision from which to watch.
+
+        Pages are read one after the other; a change between two pages is seen by a watch
+        that starts at the first page's revision.
+        """
+        entries: list[Entry] = []
+        revision: int | None = None
+        start = ""
+        while True:
+            path = f"/store?starts={prefix}&most=1000" + (f"&from={start}" if start else "")
+            status, body = await self._call("GET", path, None, 3 * SECOND_US, True)
+            if status != 200:
+                raise CallFailed(f"state service: {status}")
+            page = decode(body, Page)
+            if revision is None:
+                revision = page.revision
+            entries += page.items
+            if not page.more:
+                return entries, revision
+            if not page.items:
+                raise CallFailed("state service: empty page that claims more")
+            start = page.items[-1].key
+
+    async def transact(
+        self,
+        conditions: list[Condition],
+        writes: list[Put | Delete],
+        *,
+        urgent: bool = False,
+        timeout_us: int = 1500 * MILLISECOND_US,
+    ) -> int:
+        """Apply a transaction and return its revision.
+
+        Conflict if a condition failed, LeaseGone if a lease is over, Refused if it was
+        surely not executed, CallFailed if that is not known.
+        """
+        body = msgspec.json.encode(Transaction(conditions, writes))
+        status, answer = await self._call(
+            "POST", "/multi", body, timeout_us, urgent, writes=len(writes)
+        )
+        if status == 200:
+            return decode(answer, Committed).revision
+        if status == 409:
+            raise Conflict(answer.decode("utf-8", "replace"))
+        if status == 400 and b"no such lease" in answer:
+            raise LeaseGone
+        raise CallFailed(f"state service: {status} {answer[:200]!r}")
+
+    async def grant(self, ttl_us: int) -> int:
+        """Create a lease."""
+        body = msgspec.json.encode(GrantRequest(ttl_us // MILLISECOND_US))
+        status, answer = await self._call("POST", "/grants", body, 800 * MILLISECOND_US, True)
+        if status != 200:
+            raise CallFailed(f"state service: {status}")
+        return decode(answer, Grant).lease
+
+    async def extend(self, lease: int, timeout_us: int) -> None:
+        """Renew a lease; LeaseGone if it has ended."""
+        status, _ = await self._call("POST", f"/grants/{lease}/extend", b"{}", timeout_us, True)
+        if status == 404:
+            raise LeaseGone
+        if status != 200:
+            raise CallFailed(f"state service: {status}")
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease at once; its keys go with it."""
+        status, _ = await self._call(
+            "DELETE", f"/grants/{lease}", None, 800 * MILLISECOND_US, True
+        )
+        if status not in (200, 404):
+            raise CallFailed(f"state service: {status}")
+
+    async def watch(self, prefix: str, revision: int, wait_us: int) -> Changes:
+        """Wait for changes after the revision; Compacted if it is too old."""
+        path = f"/changes?starts={prefix}&from={revision}&wait_ms={wait_us // MILLISECOND_US}"
+        status, body = await self._call(
+            "GET", path, None, wait_us + 2 * SECOND_US, True, passive=True
+        )
+        if status == 410:
+            raise Compacted
+        if status != 200:
+            raise CallFailed(f"state service: {status}")
+        return decode(body, Changes)
--- /dev/null
+++ b/weldhead/transport/workers.py
@@ -0,0 +1,28 @@
+"""Direct commands to workers."""
+
+import msgspec
+
+from weldhead.protocol.wire import Command, DirectCommands, Report
+from weldhead.transport.http import CallFailed, HttpClient
+from weldhead.transport.state import decode
+
+
+async def command(
+    http: HttpClient,
+    address: str,
+    token: int,
+    session: int,
+    commands: list[Command],
+    timeout_us: int,
+) -> tuple[bool, Report]:
+    """Send commands; return whether they were executed, and the worker's report.
+
+    CallFailed leaves open whether, and when, they are executed; NotConnected does not.
+    """
+    body = msgspec.json.encode(DirectCommands(token, session, commands))
+    status, answer = await http.call(
+        "POST", f"http://{address}/commands", body, timeout_us, connect_us=2_000_000
+    )
+    if status not in (200, 409):
+        raise CallFailed(f"worker: {status}")
+    return status == 200, decode(answer, Report)
--- /dev/null
+++ b/weldhead/tunables/defaults.py
@@ -0,0 +1,70 @@
+"""What operators may tune, with its defaults.
+
+Field names are the settings' names in the operators' language; ``_us`` marks durations and
+is left out there.
+"""
+
+from dataclasses import dataclass, field
+
+from weldhead.clock import MILLISECOND_US, SECOND_US
+from weldhead.coordination.fleet import FleetSettings
+from weldhead.coordination.preemptor import PreemptorSettings
+
+
+@dataclass
+class LeadershipTunables:
+    """The leader's lease."""
+
+    ttl_us: int = 3 * SECOND_US
+
+
+@dataclass
+class PreemptorTunables:
+    """The preemptor; the paper's values are 1 s, 12 s and 2 s."""
+
+    period_us: int = 1 * SECOND_US
+    kill_timeout_us: int = 12 * SECOND_US
+    expiry_us: int = 2 * SECOND_US
+
+    def settings(self, silence_us: int) -> PreemptorSettings:
+        """Return what one run needs."""
+        return PreemptorSettings(self.kill_timeout_us, self.expiry_us, silence_us)
+
+
+@dataclass
+class FleetTunables:
+    """Renting and returning."""
+
+    period_us: int = 1 * SECOND_US
+    keep_idle_us: int = 20 * SECOND_US
+    minimum_charge_us: int = 60 * SECOND_US
+    boot_patience: float = 2.0
+    boot_give_up: float = 4.0
+    freed_share: float = 0.7
+    refusal_backoff_us: int = 15 * SECOND_US
+    most_per_request: int = 20
+
+    def settings(self) -> FleetSettings:
+        """Return what one run needs."""
+        return FleetSettings(
+            keep_idle_us=self.keep_idle_us,
+            minimum_charge_us=self.minimum_charge_us,
+            boot_patience=self.boot_patience,
+            boot_give_up=self.boot_give_up,
+            freed_share=self.freed_share,
+            most_per_request=self.most_per_request,
+        )
+
+
+@dataclass
+class Tunables:
+    """All settings."""
+
+    direct_runs: bool = True
+    fetch_weight: float = 1.0
+    placement_pause_us: int = 50 * MILLISECOND_US
+    commit_gather_us: int = 100 * MILLISECOND_US
+    forecast_period_us: int = 1 * SECOND_US
+    leadership: LeadershipTunables = field(default_factory=LeadershipTunables)
+    preemptor: PreemptorTunables = field(default_factory=PreemptorTunables)
+    fleet: FleetTunables = field(default_factory=FleetTunables)
