Count a lease that an earlier leader renewed; takeover no longer drops the fleet

Cause: a worker synced by a direct command had never been heard by report, so its lease was taken to have begun at 0: every takeover released and returned the whole fleet. Also: deleted machines that the late list still shows are not adopted again.

--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -15,7 +15,7 @@
 
     __slots__ = (
         "name", "type", "zone", "spot", "address", "hired_us", "up", "up_pending", "recorded",
-        "order", "report_sequence", "token", "heard_us", "synced", "expired_session", "attempts",
+        "order", "report_sequence", "token", "heard_us", "lease_from_us", "synced", "expired_session", "attempts",
         "forget", "notice_until_us", "draining", "deleting", "images", "idle_since_us",
         "failures", "failed_jobs", "cpus", "gpus", "memory_gb", "ghosts", "posting", "seen_us",
         "listed", "drain_reason", "successes", "delete_after_us",
@@ -41,6 +41,8 @@
         self.token = 0
         #: When the newest report came that was answered; 0: never.
         self.heard_us = 0
+        #: No later than this was a report sent whose answer may have renewed its lease.
+        self.lease_from_us = 0
         self.seen_us = 0
         #: It has reported under the present leader's token.
         self.synced = False
@@ -131,7 +133,11 @@
     def lease_over_us(self, lease_us: int, floor_us: int) -> int:
         """Return when its worker's lease is surely over.
 
-        ``floor_us`` is when an earlier leader may last have answered it.
+        ``floor_us`` is when an earlier leader may last have answered it. That counts until
+        the worker is known to obey this leader only; having synced by a direct command is
+        no report, so the lease that an earlier leader renewed still runs from then.
         """
-        start_us = self.heard_us if self.synced else max(self.heard_us, floor_us)
+        start_us = self.lease_from_us
+        if not self.synced:
+            start_us = max(start_us, floor_us)
         return surely_over_us(start_us, lease_us)
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -122,6 +122,8 @@
         self._unsettled: dict[str, HireRecord] = {}
         self._written_chunks: dict[str, set[int]] = {}
         self._adopting: set[str] = set()
+        #: Names that are gone for good, though the cloud's list may show them for a while.
+        self._returned: set[str] = set()
         self.last_plan = Plan()
         self.reports_heard: dict[str, int] = {}
 
@@ -352,7 +354,7 @@
         elif report.sequence < machine.report_sequence and report.session == machine.session:
             # Held back on the way: its sender has long given up waiting.
             return None
-        machine.heard_us = at_us
+        machine.heard_us = machine.lease_from_us = at_us
         self.reports_heard[machine.name] = at_us
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
@@ -398,7 +400,7 @@
 
     def _unexpected(self, report: Report) -> None:
         """A machine that is not in the books: enter it, then use or return it."""
-        if report.machine in self._adopting:
+        if report.machine in self._adopting or report.machine in self._returned:
             return
         record = MachineRecord(
             report.type, report.zone, report.spot, wall_us(), False, report.address
@@ -749,6 +751,7 @@
 
     async def _delete_machines(self, machines: list[Machine]) -> None:
         names = [m.name for m in machines]
+        self._returned.update(names)
         log.info("returning %s", ", ".join(names))
         while True:
             try:
@@ -784,6 +787,8 @@
         for item in listed:
             machine = self.cluster.machines.get(item.id)
             if machine is None:
+                if item.id in self._returned:
+                    continue
                 lag_s = self._settings.facts.cloud.list_lag_s
                 # Gone ones are still listed for a while, new ones may be about to be entered.
                 if not self._unsettled and item.age_s > 4 * lag_s and item.id not in self._adopting:
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -81,8 +81,9 @@
     # Attempts that the worker no longer lists need no more commands.
     machine.forget &= listed
     machine.ghosts &= listed
-    if report.token == cluster.token:
+    if report.token == cluster.token and not machine.synced:
         machine.synced = True
+        machine.lease_from_us = max(machine.lease_from_us, at_us)
     for attempt in list(machine.attempts.values()):
         if attempt.task in seen or attempt.posted or attempt.limbo_us:
             continue
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -74,7 +74,13 @@
         return self._next_id
 
     async def run(self) -> None:
-        """Connect and read answers until the connection ends; a duty."""
+        """Connect and read answers, again and again; a duty."""
+        while True:
+            await self._connect()
+            await asyncio.sleep(0.1)
+
+    async def _connect(self) -> None:
+        """Connect and read answers until the connection ends."""
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(*self._address), timeout=1.0
@@ -83,10 +89,12 @@
             if not self.refused:
                 self.refused = True
                 self.on_lost(self.name)
-            return await asyncio.sleep(0.3)
+            await asyncio.sleep(0.2)
+            return
         except (OSError, asyncio.TimeoutError):
             self.refused = False
-            return await asyncio.sleep(0.3)
+            await asyncio.sleep(0.2)
+            return
         self.refused = False
         self._writer = writer
         self.heard_us = now_us()
