--- /dev/null
+++ b/tests/test_language.py
@@ -0,0 +1,112 @@
+"""The operators' settings language."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from weldhead.tunables.defaults import Tunables
+from weldhead.tunables.language import (
+    FACTS,
+    LanguageError,
+    check,
+    evaluate,
+    tunable_types,
+)
+
+VALUES = {name: 2e6 if kind == "duration" else 3.0 for name, kind in FACTS.items()}
+
+
+def test_a_file() -> None:
+    tunables = evaluate(
+        """
+        # keep machines a little longer
+        let base = 2 * report + 500ms
+        fleet.keep_idle = max(base, 1s, lease)
+        preemptor.period = if nodes > 2 and not (teams == 1) then 250ms else 2s
+        direct_runs = 1 < 2 or false
+        fleet.freed_share = 1 / 4
+        fleet.most_per_request = 2 * 3
+        """,
+        VALUES,
+    )
+    assert tunables.fleet.keep_idle_us == 4_500_000
+    assert tunables.preemptor.period_us == 250_000
+    assert tunables.direct_runs is True
+    assert tunables.fleet.freed_share == 0.25
+    assert tunables.fleet.most_per_request == 6
+    assert tunables.leadership == Tunables().leadership
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "column"),
+    [
+        ("preemptor.period = 3", 1, 20),
+        ("\n\nno.such = 3s", 3, 1),
+        ("fleet.keep_idle = 3s + 4", 1, 19),
+        ("fleet.keep_idle = 3s +", 1, 23),
+        ("let a = 1\nlet a = 2", 2, 5),
+        ("direct_runs = 1", 1, 15),
+        ("direct_runs = unknown", 1, 15),
+        ("direct_runs = if 1 then true else false", 1, 18),
+        ("fleet.keep_idle = report * lease", 1, 19),
+        ("fleet.keep_idle = 1s fleet.keep_idle = 2s", 1, 22),
+        ("fleet.keep_idle = $", 1, 19),
+        ("fleet.keep_idle = floor(1s)", 1, 19),
+    ],
+)
+def test_errors_have_line_and_column(text: str, line: int, column: int) -> None:
+    with pytest.raises(LanguageError) as caught:
+        check(text)
+    problem = caught.value.problems[0]
+    assert (problem.line, problem.column) == (line, column)
+
+
+def test_every_error_is_listed() -> None:
+    with pytest.raises(LanguageError) as caught:
+        check("a.b = 1\npreemptor.period = true\nlet x = y")
+    assert [problem.line for problem in caught.value.problems] == [1, 2, 3]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "fleet.freed_share = 1 / (nodes - 3)",
+        "fleet.keep_idle = -(1s)",
+        "fleet.keep_idle = 0s",
+        "fleet.most_per_request = 1.5",
+    ],
+)
+def test_values_are_checked_when_they_are_known(text: str) -> None:
+    check(text)
+    with pytest.raises(LanguageError):
+        evaluate(text, VALUES)
+
+
+ARITHMETIC = st.recursive(
+    st.integers(0, 50).map(str),
+    lambda inner: st.builds(
+        lambda a, op, b: f"({a} {op} {b})", inner, st.sampled_from("+-*"), inner
+    ),
+    max_leaves=8,
+)
+
+
+@given(ARITHMETIC)
+def test_arithmetic_agrees_with_python(expression: str) -> None:
+    expected = eval(expression)
+    text = f"fleet.freed_share = max({expression}, -({expression}))"
+    assert evaluate(text, VALUES).fleet.freed_share == abs(expected)
+
+
+@given(st.text(max_size=60))
+def test_any_text_is_a_file_or_an_error_with_a_place(text: str) -> None:
+    try:
+        check(text)
+    except LanguageError as error:
+        assert all(p.line >= 1 and p.column >= 1 for p in error.problems)
+
+
+@pytest.mark.parametrize("name", sorted(tunable_types()))
+def test_every_tunable_can_be_set(name: str) -> None:
+    value = {"duration": "5s", "number": "3", "truth value": "false"}[tunable_types()[name]]
+    assert evaluate(f"{name} = {value}", VALUES) != Tunables()
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,145 @@
+"""Leadership: two nodes never both believe that they may command (revocations apart)."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from weldhead.coordination.leadership import (
+    Authority,
+    Candidacy,
+    default_timing,
+    predecessor_over_us,
+)
+
+TIMING = default_timing()
+NODES = ["n-0", "n-1", "n-2"]
+#: Each node's steady clock runs a little faster than true time, by up to 0.05 %.
+RATES = {"n-0": 1.0, "n-1": 1.0005, "n-2": 1.0002}
+
+
+class StandInLease:
+    """The state service's only key: its holder, until when, and the revision."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.holder: str | None = None
+        self.until = 0.0
+
+
+class Leadership(RuleBasedStateMachine):
+    """Three nodes, a store that may refuse some, a network that may lose answers."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.true_us = 0.0
+        self.store = StandInLease()
+        self.outage = False
+        self.started = dict.fromkeys(NODES, 0.0)
+        self.authority = {n: Authority(TIMING, frozenset(NODES) - {n}) for n in NODES}
+        self.candidacy = {n: Candidacy(TIMING, self.clock(n)) for n in NODES}
+
+    def clock(self, node: str) -> int:
+        return round(1_000_000 + self.true_us * RATES[node])
+
+    @rule(step=st.sampled_from([1_000, 50_000, 300_000, 900_000, 2_500_000]))
+    def time_passes(self, step: int) -> None:
+        self.true_us += step
+        if not self.outage and self.store.holder and self.true_us >= self.store.until:
+            self.store.holder = None
+
+    @rule()
+    def outage_begins(self) -> None:
+        self.outage = True
+
+    @rule()
+    def outage_ends(self) -> None:
+        # Every lease has its full time again.
+        if self.outage:
+            self.outage = False
+            self.store.until = self.true_us + TIMING.ttl_us
+
+    @rule(node=st.sampled_from(NODES), delay=st.sampled_from([0, 5_000, 400_000]))
+    def campaign(self, node: str, delay: int) -> None:
+        sent = self.clock(node)
+        if self.outage or self.store.holder or not self.candidacy[node].may_lead(sent):
+            return
+        granted = self.true_us
+        self.store.revision += 1
+        self.store.holder, self.store.until = node, granted + TIMING.ttl_us
+        self.time_passes(delay)
+        if self.candidacy[node].may_lead(self.clock(node)):
+            self.authority[node].begin(self.store.revision, 7, sent)
+
+    @rule(node=st.sampled_from(NODES), answered=st.booleans())
+    def renew(self, node: str, answered: bool) -> None:
+        authority = self.authority[node]
+        if not authority.token or self.outage:
+            return
+        if self.store.holder != node or self.store.revision != authority.token:
+            authority.end()
+            return
+        sent = self.clock(node)
+        self.store.until = self.true_us + TIMING.ttl_us
+        if answered:
+            authority.renewed(sent)
+
+    @rule(node=st.sampled_from(NODES), delay=st.sampled_from([0, 20_000, 700_000]))
+    def ask_for_promises(self, node: str, delay: int) -> None:
+        """During an outage the holder asks everyone; those that are served refuse."""
+        authority = self.authority[node]
+        if not authority.token or not self.outage or not authority.valid(self.clock(node)):
+            return
+        sent = self.clock(node)
+        for peer in NODES:
+            if peer != node and not self.authority[peer].valid(self.clock(peer)):
+                self.candidacy[peer].promise(self.clock(peer))
+                authority.promised(peer, sent)
+        self.time_passes(delay)
+
+    @rule(node=st.sampled_from(NODES))
+    def restart(self, node: str) -> None:
+        self.authority[node] = Authority(TIMING, frozenset(NODES) - {node})
+        self.candidacy[node] = Candidacy(TIMING, self.clock(node))
+
+    @invariant()
+    def one_commander(self) -> None:
+        valid = [n for n in NODES if self.authority[n].valid(self.clock(n))]
+        assert len(valid) <= 1, valid
+
+
+Leadership.TestCase.settings = settings(max_examples=300, stateful_step_count=50)
+TestLeadership = Leadership.TestCase
+
+
+def test_a_lease_counts_from_sending_and_allows_for_drift() -> None:
+    authority = Authority(TIMING, frozenset({"n-1"}))
+    authority.begin(5, 7, 1_000_000)
+    assert authority.valid(1_000_000 + TIMING.ttl_us * 99 // 100)
+    assert not authority.valid(1_000_000 + TIMING.ttl_us)
+
+
+def test_promises_count_only_when_all_others_gave_one() -> None:
+    authority = Authority(TIMING, frozenset({"n-1", "n-2"}))
+    authority.begin(5, 7, 0)
+    late = TIMING.ttl_us - 100_000
+    authority.promised("n-1", late)
+    assert authority.until_us() < TIMING.ttl_us
+    authority.promised("n-2", late)
+    assert authority.until_us() > TIMING.ttl_us
+
+
+def test_a_node_without_peers_has_nobody_to_promise() -> None:
+    authority = Authority(TIMING, frozenset())
+    authority.begin(5, 7, 0)
+    assert authority.until_us() < TIMING.ttl_us
+
+
+def test_a_started_node_keeps_the_promise_of_its_former_life() -> None:
+    candidacy = Candidacy(TIMING, 10_000_000)
+    assert not candidacy.may_lead(10_000_000 + TIMING.promise_us)
+    assert candidacy.may_lead(10_000_000 + TIMING.promise_us * 102 // 100)
+
+
+def test_a_replaced_leader_counts_as_active_for_its_full_lease() -> None:
+    assert predecessor_over_us(100, 3_000_000) > 3_000_100
+    assert predecessor_over_us(100, 0) == 100
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,86 @@
+"""The leader's writes, against a store that loses, refuses and delays."""
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.stand_ins import StandInState
+from weldhead.bookkeeping.ledger import Deposed, Ledger
+from weldhead.bookkeeping.records import LEADER_KEY
+from weldhead.transport.state import StateClient
+
+FATES = st.lists(st.sampled_from(["ok", "refused", "lost", "unanswered", "late"]), max_size=12)
+
+
+def run(scenario: Any, monkeypatch: pytest.MonkeyPatch | None = None) -> None:
+    async def no_pause(_: float) -> None:
+        await original(0)
+
+    original = asyncio.sleep
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("weldhead.bookkeeping.ledger.asyncio.sleep", no_pause)
+        asyncio.run(scenario)
+
+
+@given(FATES, st.lists(st.integers(0, 3), min_size=1, max_size=12), st.integers(0, 12))
+def test_the_last_value_written_stays(fates: list[str], keys: list[int], release: int) -> None:
+    """A transaction that is applied late never puts an older value over a newer."""
+
+    async def scenario() -> None:
+        state = StandInState()
+        token = state.put(LEADER_KEY, {"name": "n-0"})
+        state.fates = list(fates)
+        ledger = Ledger(cast(StateClient, state), token)
+        duty = asyncio.create_task(ledger.run())
+        for count, key in enumerate(keys):
+            if count == release:
+                state.release_late()
+            await ledger.write({f"p/{key}": count})
+        state.release_late()
+        for key in set(keys):
+            last = max(i for i, k in enumerate(keys) if k == key)
+            assert state.keys[f"p/{key}"][0] == last
+        ledger.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    run(scenario())
+
+
+@given(FATES)
+def test_a_deposed_leader_writes_nothing(fates: list[str]) -> None:
+    async def scenario() -> None:
+        state = StandInState()
+        token = state.put(LEADER_KEY, {"name": "n-0"})
+        ledger = Ledger(cast(StateClient, state), token)
+        state.fates = list(fates)
+        state.put(LEADER_KEY, {"name": "n-1"})
+        duty = asyncio.create_task(ledger.run())
+        with pytest.raises(Deposed):
+            await ledger.write({"f/run-1": "done"})
+        state.release_late()
+        assert "f/run-1" not in state.keys
+        ledger.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    run(scenario())
+
+
+def test_writes_are_batched_and_urgent_ones_first() -> None:
+    async def scenario() -> None:
+        state = StandInState()
+        token = state.put(LEADER_KEY, {"name": "n-0"})
+        ledger = Ledger(cast(StateClient, state), token)
+        writes = [asyncio.create_task(ledger.write({f"p/{n}": n})) for n in range(20)]
+        urgent = asyncio.create_task(ledger.write({"m/x": 1}, urgent=True))
+        await asyncio.sleep(0)
+        duty = asyncio.create_task(ledger.run())
+        revisions = await asyncio.gather(*writes)
+        assert len(set(revisions)) == 2
+        assert await urgent == min(revisions)
+        ledger.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    run(scenario())
--- /dev/null
+++ b/tests/test_life_cycle.py
@@ -0,0 +1,182 @@
+"""A state machine of attempts: leader's picture against workers, with lost and late messages.
+
+What must hold, whatever is lost or held back: a task is never on two machines, a team's
+tasks never take more than its limit, and the sums in the books are right.
+"""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from tests.builders import TOKEN, add_job, job_spec, machine_type
+from tests.stand_ins import StandInWorker
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Stop, TaskState
+from weldhead.bookkeeping.machines import Machine
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.placement import plan_starts
+from weldhead.coordination.reports import (
+    apply_report,
+    is_newer,
+    pending_commands,
+    request_stop,
+)
+from weldhead.protocol.settings import Team
+from weldhead.protocol.wire import Command, Report, split_task
+
+NAMES = ["vm-000001", "vm-000002", "vm-000003"]
+LIMIT = 10.0
+
+
+class LifeCycle(RuleBasedStateMachine):
+    """Three workers, two jobs of one team, one leader."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now = 1_000_000
+        self.cluster = Cluster([Team("red", 4, LIMIT)], TOKEN)
+        self.workers = {name: StandInWorker(name, 4.0) for name in NAMES}
+        for name in NAMES:
+            machine = Machine(name, machine_type(), "a", False, 0)
+            machine.up = machine.recorded = True
+            self.cluster.machines[name] = machine
+        add_job(self.cluster, job_spec(1, tasks=6))
+        add_job(self.cluster, job_spec(2, tasks=3, cpus=1.0, checkpoint_s=10.0))
+        #: Reports and direct requests that the network holds back.
+        self.held_reports: list[Report] = []
+        self.held_direct: list[tuple[str, int, list[Command]]] = []
+        self.finished: set[str] = set()
+
+    def _handle(self, report: Report, *, direct: bool) -> None:
+        machine = self.cluster.machines[report.machine]
+        if not is_newer(machine, report):
+            return
+        outcome = apply_report(self.cluster, machine, report, self.now, direct=direct)
+        for job in outcome.completed:
+            _, fresh = job.snapshot_chunk(0)
+            job.mark_committed(fresh)
+        if not direct:
+            machine.heard_us = machine.lease_from_us = self.now
+
+    def _committed(self, task: str) -> bool:
+        job_id, index = split_task(task)
+        return self.cluster.jobs[job_id].states[index] != TaskState.COMPLETED
+
+    def _commands(self, machine: Machine, sequence: int | None) -> list[Command]:
+        return pending_commands(
+            machine, self._committed, may_start=machine.synced, sequence=sequence
+        )
+
+    @rule(name=st.sampled_from(NAMES), lose_report=st.booleans(), lose_answer=st.booleans())
+    def worker_reports(self, name: str, lose_report: bool, lose_answer: bool) -> None:
+        self.now += 500_000
+        worker = self.workers[name]
+        report = worker.report()
+        if lose_report:
+            self.held_reports.append(report)
+            return
+        machine = self.cluster.machines[name]
+        self._handle(report, direct=False)
+        commands = self._commands(machine, report.sequence)
+        if not lose_answer:
+            worker.token = TOKEN
+            worker.execute(commands)
+
+    @rule()
+    def late_report_arrives(self) -> None:
+        if self.held_reports:
+            # Its sender has given up waiting, so the answer is dropped.
+            self._handle(self.held_reports.pop(0), direct=False)
+
+    @rule()
+    def leader_places(self) -> None:
+        for machine in self.cluster.machines.values():
+            machine.heard_us = self.now
+        plan = plan_starts(self.cluster, Estimates(), self.now, 10_000_000)
+        for start in plan.starts:
+            self.cluster.start(start.job, start.index, start.machine, self.now)
+
+    @rule(name=st.sampled_from(NAMES), fate=st.sampled_from(["answered", "unanswered", "held"]))
+    def leader_commands_directly(self, name: str, fate: str) -> None:
+        machine = self.cluster.machines[name]
+        if not machine.synced or any(n == name for n, _, _ in self.held_direct):
+            return
+        commands = self._commands(machine, None)
+        if not commands:
+            return
+        started = [machine.attempts[c.task] for c in commands if c.op == "run"]
+        if fate == "held":
+            self.held_direct.append((name, machine.session, commands))
+        else:
+            _, report = self.workers[name].direct(TOKEN, machine.session, commands)
+            if fate == "answered":
+                for attempt in started:
+                    attempt.posted = False
+                self._handle(report, direct=True)
+                return
+        for attempt in started:
+            if attempt.posted:
+                attempt.posted, attempt.limbo_us = False, self.now
+
+    @rule()
+    def held_direct_arrives(self) -> None:
+        if self.held_direct:
+            name, session, commands = self.held_direct.pop(0)
+            self.workers[name].direct(TOKEN, session, commands)
+
+    @rule(name=st.sampled_from(NAMES))
+    def lease_runs_out(self, name: str) -> None:
+        """The worker starts a new session; the leader learns it by report or by time."""
+        self.workers[name].expire()
+
+    @rule(name=st.sampled_from(NAMES), data=st.data())
+    def task_moves_on(self, name: str, data: st.DataObject) -> None:
+        live = sorted(self.workers[name].live())
+        if not live:
+            return
+        task = self.workers[name].tasks[data.draw(st.sampled_from(live))]
+        if task.state == "pulling":
+            task.state = "running"
+        else:
+            task.state, task.why = "ended", data.draw(st.sampled_from(["done", "error"]))
+
+    @rule(name=st.sampled_from(NAMES), data=st.data(), hard=st.booleans())
+    def leader_stops(self, name: str, data: st.DataObject, hard: bool) -> None:
+        attempts: list[Any] = list(self.cluster.machines[name].attempts.values())
+        if attempts:
+            attempt = data.draw(st.sampled_from(attempts))
+            stop = Stop.HARD if hard else Stop.SOFT
+            request_stop(self.cluster, attempt, stop, self.now, "test")
+
+    @invariant()
+    def no_task_is_on_two_machines(self) -> None:
+        live = [task for worker in self.workers.values() for task in worker.live()]
+        assert len(live) == len(set(live)), live
+
+    @invariant()
+    def the_limit_holds(self) -> None:
+        used = sum(
+            self.cluster.jobs[split_task(task)[0]].spec.cpus
+            for worker in self.workers.values()
+            for task in worker.live()
+        )
+        assert used <= LIMIT
+
+    @invariant()
+    def the_books_are_right(self) -> None:
+        self.cluster.check()
+
+    @invariant()
+    def whatever_runs_is_counted(self) -> None:
+        for name, worker in self.workers.items():
+            machine = self.cluster.machines[name]
+            for task in worker.live():
+                known = task in machine.attempts
+                ghost = any(ghost == task for ghost, _ in machine.ghosts)
+                assert known or ghost, (name, task)
+
+
+LifeCycle.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+TestLifeCycle = LifeCycle.TestCase
--- /dev/null
+++ b/tests/test_validation.py
@@ -0,0 +1,124 @@
+"""Submissions: what is accepted, malformed, impossible."""
+
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import job_spec, machine_type
+from weldhead.protocol.settings import Team
+from weldhead.protocol.validation import Refusal, check_feasible, is_job_id, parse_submission
+
+GOOD: dict[str, Any] = {
+    "uid": "run-000412", "jobclass": "train", "owner": "red", "shape": "batch",
+    "urgency": "high", "pieces": 16, "cores": 2.0, "cards": 0.0, "ram_gb": 4, "build": "img-07",
+    "pull_gb": 6.2, "frames": ["m4"], "yard": None, "same_place": True, "apart": False,
+    "loaners": True, "expected_s": 240.0, "tack_s": 30.0, "weld_s": 4.0, "due_s": 900.0,
+}  # fmt: skip
+NULLABLE = {"frames", "yard", "due_s"}
+
+
+def test_a_good_submission() -> None:
+    spec = parse_submission(msgspec.json.encode(GOOD | {"something_new": [1, 2]}))
+    assert (spec.id, spec.tasks, spec.level, spec.estimate_us) == (
+        "run-000412",
+        16,
+        2,
+        240_000_000,
+    )
+
+
+@pytest.mark.parametrize("field", sorted(GOOD))
+def test_missing_fields(field: str) -> None:
+    body = msgspec.json.encode({k: v for k, v in GOOD.items() if k != field})
+    if field in NULLABLE:
+        assert parse_submission(body).id == "run-000412"
+        return
+    with pytest.raises(Refusal) as refused:
+        parse_submission(body)
+    assert (refused.value.status, refused.value.field) == (400, field)
+
+
+WRONG: dict[str, list[Any]] = {
+    "uid": ["", "job-1", "run-", "run-1/2", "run-1 ", 7, None],
+    "jobclass": ["", 3, "x" * 1000],
+    "owner": ["", None],
+    "shape": ["gang", "BATCH", 1],
+    "urgency": ["low", "", None],
+    "pieces": [0, -1, 100_001, 1.5, "4", None, True],
+    "cores": [-1, "2", None, 1e308],
+    "cards": [-0.5],
+    "ram_gb": [-1, []],
+    "pull_gb": [-1],
+    "frames": [[], [1], "m4"],
+    "yard": ["", 1],
+    "same_place": [0, "true", None],
+    "expected_s": [-1, None],
+    "due_s": [-1, "soon"],
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [(field, value) for field, values in WRONG.items() for value in values]
+)
+def test_wrong_values_are_400_and_name_the_field(field: str, value: object) -> None:
+    with pytest.raises(Refusal) as refused:
+        parse_submission(msgspec.json.encode(GOOD | {field: value}))
+    assert (refused.value.status, refused.value.field) == (400, field)
+
+
+@given(st.binary(max_size=100) | st.text(max_size=50).map(lambda t: t.encode()))
+def test_nonsense_is_400(body: bytes) -> None:
+    with pytest.raises(Refusal) as refused:
+        parse_submission(body)
+    assert refused.value.status == 400
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 10**6) | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=5,
+)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(GOOD)), JSON, max_size=4))
+def test_any_mutation_is_accepted_or_refused_cleanly(changes: dict[str, Any]) -> None:
+    """Whatever comes, it is a valid job or a refusal: nothing else is ever raised."""
+    try:
+        body = msgspec.json.encode(GOOD | changes)
+        spec = parse_submission(body)
+    except Refusal as refused:
+        assert refused.status == 400 and refused.reason
+        return
+    assert is_job_id(spec.id) and 1 <= spec.tasks <= 100_000 and spec.cpus >= 0
+
+
+TEAMS = {"red": Team("red", 8, 16, 0, 2)}
+CATALOG = [machine_type(), machine_type(name="g1", gpus=1.0, zones=("b",))]
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"team": "green"}, "owner"),
+        ({"cpus": 5.0}, "frames"),
+        ({"types": ("m9",)}, "frames"),
+        ({"zone": "c"}, "frames"),
+        ({"gpus": 1.0, "zone": "a"}, "frames"),
+        ({"kind": "standing", "tasks": 9}, "cores"),
+        ({"kind": "standing", "tasks": 3, "gpus": 1.0, "cpus": 1.0}, "cards"),
+    ],
+)
+def test_impossible_jobs_are_422(changes: dict[str, Any], field: str) -> None:
+    with pytest.raises(Refusal) as refused:
+        check_feasible(job_spec(**changes), TEAMS, CATALOG)
+    assert (refused.value.status, refused.value.field) == (422, field)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"tasks": 100_000}, {"kind": "standing", "tasks": 8}, {"gpus": 1.0, "zone": "b"}]
+)
+def test_possible_jobs_pass(changes: dict[str, Any]) -> None:
+    check_feasible(job_spec(**changes), TEAMS, CATALOG)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,182 @@
+"""Formats: the wire's names, records, peer frames."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import job_spec
+from weldhead.bookkeeping.records import decode_progress, encode_progress
+from weldhead.protocol import peer
+from weldhead.protocol.settings import SettingsError, parse_settings
+from weldhead.protocol.wire import (
+    Command,
+    Condition,
+    Delete,
+    JobSpec,
+    Put,
+    Report,
+    ReportAnswer,
+    Transaction,
+    split_task,
+    task_name,
+)
+
+REPORT = b"""{"welder":"vm-000231","endpoint":"10.1.0.232:9000","frame":"g8","yard":"a",
+ "loaners":true,"shift":1,"stamp":88,"torch":41,"recall_s":null,"novel":{"x":[1]},
+ "pieces":[{"piece":"run-000412/3","pass":2,"status":"running"},
+           {"piece":"run-000398/0","pass":1,"status":"ended","cause":"done"}]}"""
+
+
+def test_report_has_the_wires_names_and_ignores_unknown_fields() -> None:
+    report = msgspec.json.decode(REPORT, type=Report)
+    assert (report.machine, report.session, report.sequence, report.token) == (
+        "vm-000231",
+        1,
+        88,
+        41,
+    )
+    assert report.tasks[1].why == "done"
+    assert report.notice_s is None
+
+
+def test_answers_and_transactions_have_the_wires_names() -> None:
+    answer = ReportAnswer(41, [Command("kill", "run-1/1", 1, 10.0), Command("run", "run-1/2", 2)])
+    assert msgspec.json.decode(msgspec.json.encode(answer)) == {
+        "torch": 41,
+        "orders": [
+            {"order": "kill", "piece": "run-1/1", "pass": 1, "cooldown_s": 10.0},
+            {"order": "run", "piece": "run-1/2", "pass": 2},
+        ],
+    }
+    transaction = Transaction([Condition("a/b", 0)], [Put("a/b", {"x": 1}, 7), Delete("c/d")])
+    assert msgspec.json.decode(msgspec.json.encode(transaction)) == {
+        "if": [{"key": "a/b", "mark": 0}],
+        "writes": [{"set": "a/b", "value": {"x": 1}, "permit": 7}, {"delete": "c/d"}],
+    }
+
+
+@given(
+    st.builds(
+        job_spec,
+        number=st.integers(0, 999_999),
+        tasks=st.integers(1, 100_000),
+        zone=st.none() | st.text(min_size=1, max_size=5),
+        types=st.none() | st.lists(st.text(max_size=5), max_size=3).map(tuple),
+        deadline_s=st.none() | st.floats(0, 1e6),
+    )
+)
+def test_job_specs_survive_the_store(spec: JobSpec) -> None:
+    assert msgspec.json.decode(msgspec.json.encode(spec), type=JobSpec) == spec
+
+
+@given(st.binary(max_size=300).map(lambda flags: bytes(f % 2 for f in flags)))
+def test_progress_round_trip(flags: bytes) -> None:
+    expected = [index for index, flag in enumerate(flags) if flag]
+    assert decode_progress(encode_progress(flags), len(flags)) == expected
+
+
+def test_progress_of_a_full_chunk_fits_any_value_limit() -> None:
+    assert len(encode_progress(bytes([1]) * 8192)) < 2048
+
+
+@given(st.integers(0, 99_999))
+def test_task_names(index: int) -> None:
+    assert split_task(task_name("run-000412", index)) == ("run-000412", index)
+
+
+@pytest.mark.parametrize("name", ["", "run-1", "run-1/", "/1", "run-1/x", "run-1/-1"])
+def test_malformed_task_names(name: str) -> None:
+    with pytest.raises(ValueError):
+        split_task(name)
+
+
+MESSAGES = st.one_of(
+    st.builds(peer.Hello, st.text(max_size=20)),
+    st.builds(
+        peer.Ping,
+        st.integers(0, 2**63),
+        st.integers(0, 2**63),
+        st.booleans(),
+        st.integers(0, 100),
+        st.lists(st.text(max_size=9), max_size=3).map(tuple),
+    ),
+    st.builds(
+        peer.Ask,
+        st.integers(0, 2**63),
+        st.sampled_from(["poll", "submit"]),
+        st.text(max_size=9),
+        st.binary(max_size=99),
+    ),
+    st.builds(peer.Hold, st.integers(0, 99), st.integers(0, 99), st.integers(0, 10**7)),
+    st.builds(peer.Held, st.integers(0, 99), st.booleans()),
+)
+
+
+@given(MESSAGES)
+def test_peer_frames_round_trip(message: peer.Message) -> None:
+    frame = peer.encode_frame(message)
+    assert peer.frame_length(frame[:4]) == len(frame) - 4
+    assert peer.decode_message(frame[4:]) == message
+
+
+@given(st.binary(max_size=200))
+def test_nonsense_from_a_peer_is_refused_not_crashed_on(body: bytes) -> None:
+    try:
+        message = peer.decode_message(body)
+    except peer.PeerProtocolError:
+        return
+    assert peer.decode_message(peer.encode_frame(message)[4:]) == message
+
+
+def test_oversized_frames_are_refused() -> None:
+    with pytest.raises(peer.PeerProtocolError):
+        peer.frame_length((peer.FRAME_LIMIT + 1).to_bytes(4, "big"))
+
+
+SETTINGS = {
+    "label": "n-0",
+    "domain": "a",
+    "serve_on": "10.0.0.1:8080",
+    "internal_addr": "10.0.0.1:8081",
+    "seeds": [{"label": "n-1", "domain": "a", "endpoint": "10.0.0.2:8081"}],
+    "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+    "facts": {
+        "zones": ["a"],
+        "teams": [{"name": "red", "cpus": 8, "cpus_max": 16}],
+        "objectives": [{"kind": "wait", "class": "x", "within_s": 4.0, "share": 0.9}],
+        "workers": {"report_s": 3.0, "lease_s": 14.0, "cancel_s": 44.0},
+        "state": {"rps": 100.0, "write_rps": 25.0, "value_kb": 8.0, "txn_ops": 12},
+        "cloud": {"rps": 2.0, "list_lag_s": 6.0},
+        "machine_limits": {"cores": 0.5, "mem_mb": 266.0, "sockets": 1200},
+        "new_field": 1,
+    },
+}
+
+
+def test_settings_are_read() -> None:
+    settings = parse_settings(msgspec.json.encode(SETTINGS))
+    assert settings.peers[0].name == "n-1"
+    assert settings.facts.limits.cpu_share == 0.5
+    assert settings.facts.objectives[0].job_class == "x"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("serve_on",), "nowhere", "serve_on"),
+        (("external", "state"), "10.0.0.1:99999", "external.state"),
+        (("facts", "workers", "lease_s"), 0, "facts.workers.lease_s"),
+        (("facts", "state", "txn_ops"), 2, "facts.state.txn_ops"),
+        (("facts", "teams"), None, "teams"),
+        (("label",), 7, "label"),
+    ],
+)
+def test_bad_settings_name_the_field(path: tuple[str, ...], value: object, named: str) -> None:
+    document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
+    holder = document
+    for part in path[:-1]:
+        holder = holder[part]
+    holder[path[-1]] = value
+    with pytest.raises(SettingsError, match=named):
+        parse_settings(msgspec.json.encode(document))
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -43,9 +43,7 @@
 
     def start(self, job: Job, index: int, machine: Machine, at_us: int) -> Attempt:
         """Decide that a task starts on a machine."""
-        attempt = Attempt(
-            job, index, self.next_attempt(f"{job.id}/{index}"), machine.name, at_us
-        )
+        attempt = Attempt(job, index, self.next_attempt(f"{job.id}/{index}"), machine.name, at_us)
         self.adopt(attempt, machine)
         return attempt
 
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -41,8 +41,20 @@
     """One attempt of a task, from the decision to start it until it is surely gone."""
 
     __slots__ = (
-        "job", "index", "number", "machine", "phase", "stop", "stop_us", "assigned_us",
-        "running_us", "sent_sequence", "posted", "limbo_us", "prior_us", "reason",
+        "assigned_us",
+        "index",
+        "job",
+        "limbo_us",
+        "machine",
+        "number",
+        "phase",
+        "posted",
+        "prior_us",
+        "reason",
+        "running_us",
+        "sent_sequence",
+        "stop",
+        "stop_us",
     )  # fmt: skip
 
     def __init__(self, job: "Job", index: int, number: int, machine: str, at_us: int) -> None:
@@ -79,10 +91,30 @@
     """A job that is not over."""
 
     __slots__ = (
-        "spec", "id", "team", "submitted_us", "cancelled", "version", "states", "active", "done",
-        "committed", "restarts", "_fresh", "zones", "dirty", "last_machine", "saved_us",
-        "failed_on", "not_before_us", "failures", "first_seen_us", "late", "finishing",
-        "started_tasks", "forecast_us",
+        "_fresh",
+        "active",
+        "cancelled",
+        "committed",
+        "dirty",
+        "done",
+        "failed_on",
+        "failures",
+        "finishing",
+        "first_seen_us",
+        "forecast_us",
+        "id",
+        "last_machine",
+        "late",
+        "not_before_us",
+        "restarts",
+        "saved_us",
+        "spec",
+        "started_tasks",
+        "states",
+        "submitted_us",
+        "team",
+        "version",
+        "zones",
     )  # fmt: skip
 
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -164,5 +164,3 @@
         self._urgent.clear()
         self._queue.clear()
         self._wake.set()
-
-
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -124,27 +124,25 @@
         missing[position] = (job, count - served)
     new_rooms: list[tuple[Offer, list[float]]] = []
     for job, count in missing:
-        for offer, room in new_rooms:
+        for offer, left in new_rooms:
             if count <= 0:
                 break
             if offer_allows(offer, job):
-                count -= _fill(room, job, count)
+                count -= _fill(left, job, count)
         while count > 0:
             best = _best_offer(job, count, missing, offers)
             if best is None:
                 break
-            room = [best.type.cpus, best.type.gpus, best.type.memory_gb]
-            count -= _fill(room, job, count)
-            new_rooms.append((best, room))
+            left = [best.type.cpus, best.type.gpus, best.type.memory_gb]
+            count -= _fill(left, job, count)
+            new_rooms.append((best, left))
             hires[best] += 1
             if len(new_rooms) >= settings.most_per_request * 4:
                 return dict(hires)
     return dict(hires)
 
 
-def freed_cpus(
-    cluster: Cluster, offers: list[Offer], estimates: Estimates, at_us: int
-) -> float:
+def freed_cpus(cluster: Cluster, offers: list[Offer], estimates: Estimates, at_us: int) -> float:
     """Estimate how many CPUs running work gives back before a new machine is up."""
     horizon_us = seconds_us(min(offer.type.boot_s for offer in offers))
     total = 0.0
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -116,6 +116,8 @@
         self.ready = False
         self._loaded_us = 0
         self._jobs_revision = 0
+        #: Set when nothing can run anywhere that this leader does not know of.
+        self._known = asyncio.Event()
         self._place = asyncio.Event()
         self._flush = asyncio.Event()
         self._hires = 0
@@ -125,7 +127,6 @@
         #: Names that are gone for good, though the cloud's list may show them for a while.
         self._returned: set[str] = set()
         self.last_plan = Plan()
-        self.reports_heard: dict[str, int] = {}
 
     # -- the term's life ------------------------------------------------------------
 
@@ -169,11 +170,11 @@
         duties.start("machine list", self._list_machines)
         duties.start("hires", self._settle_hires)
         duties.start("forecasts", self._forecast)
+        self._check_known()
         for machine in list(self.cluster.machines.values()):
             if machine.up:
                 duties.once("sync", self._sync(machine))
-        while not self._recovered():
-            await asyncio.sleep(0.02)
+        await self._known.wait()
         self.ready = True
         log.info("term %d: ready after %.3f s", self.token, to_seconds(now_us() - self._loaded_us))
         duties.start("placement", self._place_tasks, 0.2)
@@ -237,9 +238,10 @@
         self.cluster.machines[name] = machine
         return machine
 
-    def _recovered(self) -> bool:
-        """Whether nothing can run anywhere that this leader does not know of."""
-        return all(m.synced for m in self.cluster.machines.values() if m.up)
+    def _check_known(self) -> None:
+        """See whether every machine on which something may run has been heard or is gone."""
+        if self.loaded and all(m.synced for m in self.cluster.machines.values() if m.up):
+            self._known.set()
 
     async def _sync(self, machine: Machine) -> None:
         """Show the worker our token and hear what it runs, without waiting for its report.
@@ -355,7 +357,6 @@
             # Held back on the way: its sender has long given up waiting.
             return None
         machine.heard_us = machine.lease_from_us = at_us
-        self.reports_heard[machine.name] = at_us
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
             self._duties.once("machine up", self._record_up(machine))
@@ -433,6 +434,8 @@
             self._evacuate(machine, at_us)
 
     def _digest(self, machine: Machine, outcome: Outcome, at_us: int) -> None:
+        if not self.ready:
+            self._check_known()
         if outcome.completed:
             self._flush.set()
         for job, run_us in outcome.run_times:
@@ -440,7 +443,9 @@
         for attempt in outcome.failed:
             self._failed(machine, attempt, at_us)
         for attempt, reason in outcome.lost:
-            log.debug("%s attempt %d left %s: %s", attempt.task, attempt.number, machine.name, reason)
+            log.debug(
+                "%s attempt %d left %s: %s", attempt.task, attempt.number, machine.name, reason
+            )
             if attempt.job.cancelled:
                 self._flush.set()
         if not machine.attempts and (outcome.lost or outcome.completed):
@@ -711,9 +716,9 @@
                 if at_us > machine.lease_over_us(self._lease_us, floor_us):
                     self._expire(machine)
                     doomed.append(machine)
-                elif quiet_us > self._lease_us * 2 // 3 and mostly_heard:
-                    doomed.append(machine)
-                elif self._in_trouble(machine, at_us):
+                elif (quiet_us > self._lease_us * 2 // 3 and mostly_heard) or self._in_trouble(
+                    machine, at_us
+                ):
                     doomed.append(machine)
             for machine in machines:
                 if machine.notice_until_us and at_us > machine.notice_until_us + SECOND_US:
@@ -738,6 +743,7 @@
         machine.draining = True
         machine.drain_reason = "silent"
         log.info("machine %s: lease over, %d tasks lost", machine.name, len(gone))
+        self._check_known()
         for attempt in gone:
             if attempt.job.cancelled:
                 self._flush.set()
@@ -765,7 +771,7 @@
             for attempt in self.cluster.remove_machine(machine):
                 if attempt.job.cancelled:
                     self._flush.set()
-            self.reports_heard.pop(machine.name, None)
+        self._check_known()
         self._place.set()
         try:
             for name in names:
@@ -900,9 +906,9 @@
                     else:
                         finish = job.forecast_us or at_us
                         log.warning(
-                            "%s will be late: %d of %d tasks done, due in %.0f s, forecast in %.0f s",
+                            "%s will be late: %d of %d tasks done, due in %.0f s, "
+                            "forecast in %.0f s",
                             job.id, job.done, job.spec.tasks,
                             to_seconds((due or at_us) - at_us), to_seconds(finish - at_us),
                         )  # fmt: skip
                 job.late = late or stuck
-
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -7,7 +7,7 @@
   it by the drift of clocks, and commands nothing after that.
 * Every write of a leader is conditional on the key's version.
 * A successor that did not wait for the lease to run out (the holder's process looked
-  dead, so its lease was revoked) counts the holder as active until its full lease would
+  dead, so its key was replaced) counts the holder as active until its full lease would
   have run out; see ``predecessor_over_us``.
 * While the state service refuses this node, every other node can promise not to become
   leader for a moment. With the promises of *all* others the holder may go on: nobody can
@@ -103,13 +103,13 @@
         return max(0, self._promise_until_us - at_us)
 
 
-def predecessor_over_us(taken_us: int, ttl_us: int, *, revoked: bool) -> int:
+def predecessor_over_us(taken_us: int, believes_us: int) -> int:
     """Return when an earlier leader has surely stopped commanding.
 
-    A lease that ran out by itself ended after its holder stopped. One that was revoked
-    may have been renewed just before, and its holder may not know.
+    A lease that ran out by itself ended after its holder stopped (``believes_us`` 0). One
+    that was replaced may have been renewed just before, and its holder may not know.
     """
-    return surely_over_us(taken_us, ttl_us) if revoked else taken_us
+    return surely_over_us(taken_us, believes_us) if believes_us else taken_us
 
 
 def default_timing(ttl_us: int = 3 * SECOND_US) -> Timing:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets
+from functools import partial
 
 import msgspec
 
@@ -52,7 +53,6 @@
         self._known_lease = 0
         self._leader_revision = 0
         self._vacant = asyncio.Event()
-        self._revoked_over_us = 0
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._reports_seen_us: dict[str, int] = {}
@@ -60,8 +60,8 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        sockets = 400
-        self._http = HttpClient(sockets)
+        # Users and workers need the rest.
+        self._http = HttpClient(max(16, self.settings.facts.limits.sockets // 3))
         self._state = StateClient(
             self._http, self.settings.services.state, self.settings.facts.state
         )
@@ -77,7 +77,7 @@
             for link in self._links.values():
                 link.on_lost = self._peer_lost
                 self._duties.start(f"link to {link.name}", link.run, 0.05)
-                self._duties.start(f"pings to {link.name}", lambda link=link: self._ping(link))
+                self._duties.start(f"pings to {link.name}", partial(self._ping, link))
             self._duties.start("catalog", self._watch_catalog)
             self._duties.start("leader watch", self._watch_leader, 0.2)
             self._duties.start("campaign", self._campaign, 0.2)
@@ -105,9 +105,7 @@
         await self._read_leader()
         while True:
             try:
-                changes = await self._state.watch(
-                    LEADER_KEY, self._leader_revision, 10 * SECOND_US
-                )
+                changes = await self._state.watch(LEADER_KEY, self._leader_revision, 10 * SECOND_US)
             except Compacted:
                 await self._read_leader()
                 continue
@@ -131,18 +129,19 @@
 
     def _peer_lost(self, name: str) -> None:
         """The leader's process looks dead: do not wait for its lease to run out."""
-        if self._known_leader is not None and self._known_leader.name == name:
-            self._duties.once("revocation", self._revoke(self._known_leader))
+        record = self._known_leader
+        if record is not None and record.name == name and self.catalog:
+            self._duties.once("takeover", self._take_over(record, self._known_token))
 
-    async def _revoke(self, record: LeaderRecord) -> None:
-        lease = self._known_lease
-        if not lease or self._known_leader is not record:
-            return
-        log.info("%s looks dead: its lease is revoked", record.name)
-        # Whatever comes of it, that leader may believe in its lease for its full time.
-        await self._state.revoke(lease)
-        self._revoked_over_us = predecessor_over_us(now_us(), record.ttl_us, revoked=True)
-        await self._read_leader()
+    async def _take_over(self, record: LeaderRecord, token: int) -> None:
+        """Replace a leader that looks dead.
+
+        Replacing its key at once, instead of ending its lease, leaves no moment in which a
+        third node could take a leader that was pushed out for one whose lease ran out.
+        """
+        if self.leader is None and self.candidacy.may_lead(now_us()):
+            log.info("%s looks dead: taking over", record.name)
+            await self._stand(token, record.ttl_us)
 
     async def _campaign(self) -> None:
         while True:
@@ -158,16 +157,20 @@
             if wait_us:
                 await asyncio.sleep(to_seconds(wait_us))
                 continue
-            await self._stand()
+            await self._stand(0, 0)
+
+    async def _stand(self, replaced: int, believes_us: int) -> None:
+        """Try to write the leader's key.
 
-    async def _stand(self) -> None:
-        """Try to create the leader's key."""
+        ``replaced`` is the token of the leader to be replaced, or 0 if the key has to be
+        absent; ``believes_us`` is for how long that leader may still believe in its lease.
+        """
         sent_us = now_us()
         lease = await self._state.grant(self.timing.ttl_us)
         record = LeaderRecord(self.settings.name, secrets.token_hex(8), self.timing.ttl_us)
         try:
             token = await self._state.transact(
-                [Condition(LEADER_KEY, 0)], [Put(LEADER_KEY, record, lease)], urgent=True
+                [Condition(LEADER_KEY, replaced)], [Put(LEADER_KEY, record, lease)], urgent=True
             )
         except (Conflict, LeaseGone):
             self._duties.once("lease returned", self._state.revoke(lease))
@@ -190,7 +193,7 @@
             return
         self._known_leader, self._known_token, self._known_lease = record, token, lease
         self._vacant.clear()
-        over_us = max(at_us, self._revoked_over_us)
+        over_us = predecessor_over_us(at_us, believes_us)
         log.info("%s leads with token %d", self.settings.name, token)
         self.leader = Leader(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
@@ -201,19 +204,68 @@
 
     async def _renew(self, leader: Leader) -> None:
         """Keep the lease; the term ends with the authority."""
+        pause_us = self.timing.renew_us
         while self.leader is leader:
-            await asyncio.sleep(to_seconds(self.timing.renew_us))
+            await asyncio.sleep(to_seconds(pause_us))
             sent_us = now_us()
             try:
-                await self._state.extend(self.authority.lease, SECOND_US)
+                await self._state.extend(self.authority.lease, self.timing.renew_us)
                 self.authority.renewed(sent_us)
+                pause_us = self.timing.renew_us
             except LeaseGone:
                 self._step_down("the lease is gone")
             except CallFailed as error:
                 log.info("lease not renewed: %s", error)
-                if not self.authority.valid(now_us()):
+                pause_us = self.timing.renew_us // 3
+                await self._hold_on()
+                if self.leader is leader and not self.authority.valid(now_us()):
                     self._step_down("the lease ran out")
 
+    async def _hold_on(self) -> None:
+        """The state service does not serve the leader: is it an outage, or only us?
+
+        In an outage all peers promise not to lead for a moment, and the term goes on; if
+        one of them is served, it takes over at once.
+        """
+        links = list(self._links.values())
+        if not links or not all(link.connected for link in links):
+            return
+        sent_us = now_us()
+        asked = [
+            link.ask(
+                Hold(link.next_id(), self.authority.token, self.timing.promise_us),
+                Held,
+                self.timing.renew_us,
+            )
+            for link in links
+        ]
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        for link, answer in zip(links, answers, strict=True):
+            if isinstance(answer, Held) and answer.promised:
+                self.authority.promised(link.name, sent_us)
+            elif isinstance(answer, Held) and self.leader is not None:
+                token = self.authority.token
+                self._step_down(f"the state service serves {link.name} but not this node")
+                link.send(Resigned(0, token))
+                return
+
+    async def _promise(self, hold: Hold) -> bool:
+        """Whether to promise the leader not to campaign: only if we are not served either."""
+        try:
+            await self._state.get(LEADER_KEY, urgent=True, timeout_us=self.timing.renew_us // 2)
+            return False
+        except CallFailed:
+            if self.leader is not None or hold.duration_us > self.timing.promise_us:
+                raise
+            # From here on until the promise is over, this node does not become leader.
+            self.candidacy.promise(now_us())
+            return True
+
+    async def _succeed(self, message: Resigned) -> None:
+        """The leader says that it has stopped commanding: replace it at once."""
+        if self.leader is None and self.catalog and self.candidacy.may_lead(now_us()):
+            await self._stand(message.token, 0)
+
     def _step_down(self, reason: str) -> None:
         leader = self.leader
         if leader is None:
@@ -252,9 +304,9 @@
                 answer = await self._answer_peer(message)
                 return Answer(message.id, answer.status, answer.body)
             case Hold():
-                return Held(message.id, False)
+                return Held(message.id, await self._promise(message))
             case Resigned():
-                self._duties.once("leader lookup", self._read_leader())
+                self._duties.once("succession", self._succeed(message))
                 return None
             case _:
                 log.error("peer %s asked with an answer", name)
@@ -287,11 +339,13 @@
 
     async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
-        at_us = now_us()
-        for link in self._links.values():
-            if link.alive(at_us) and link.state_ok:
-                return await self._forward(link, kind, job_id, body)
-        return None
+        link = self._served_peer(now_us())
+        return await self._forward(link, kind, job_id, body) if link is not None else None
+
+    def _served_peer(self, at_us: int) -> PeerLink | None:
+        """Return a live peer that the state service serves."""
+        served = (link for link in self._links.values() if link.alive(at_us) and link.state_ok)
+        return next(served, None)
 
     async def _forward(
         self, link: PeerLink, kind: str, job_id: str, body: bytes
@@ -326,7 +380,7 @@
         if not self.catalog:
             return refusal(503, "machine types not known yet", retry_after_s=1)
         refused = not self._state.ok
-        if refused and any(l.alive(at_us) and l.state_ok for l in self._links.values()):
+        if refused and self._served_peer(at_us) is not None:
             return refusal(503, "the state service refuses this node", retry_after_s=1)
         return Response(200, b"{}")
 
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -36,9 +36,7 @@
     if team is None:
         return True
     usage = cluster.usage[job.team]
-    return (
-        usage.cpus - freed[job.team] > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
-    )
+    return usage.cpus - freed[job.team] > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
 
 
 def within_guarantee(cluster: Cluster, job: Job, claimed: dict[str, float]) -> bool:
@@ -77,9 +75,7 @@
         self.estimates = estimates
         self.at_us = at_us
         self.machines = {
-            m.name: m
-            for m in cluster.machines.values()
-            if usable(m, at_us, settings.silence_us)
+            m.name: m for m in cluster.machines.values() if usable(m, at_us, settings.silence_us)
         }
         self.taken: set[int] = set()
         #: Room that is free or being freed on each machine, less what is promised already.
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -70,10 +70,10 @@
     listed: set[tuple[str, int]] = set()
     for task in report.tasks:
         listed.add((task.task, task.attempt))
-        attempt = machine.attempts.get(task.task)
-        if attempt is not None and attempt.number == task.attempt:
+        known = machine.attempts.get(task.task)
+        if known is not None and known.number == task.attempt:
             seen.add(task.task)
-            _known(cluster, machine, attempt, task, at_us, outcome)
+            _known(cluster, machine, known, task, at_us, outcome)
         else:
             adopted = _unknown(cluster, machine, task, at_us, outcome)
             if adopted is not None:
@@ -209,9 +209,7 @@
     return attempt
 
 
-def request_stop(
-    cluster: Cluster, attempt: Attempt, stop: Stop, at_us: int, reason: str
-) -> bool:
+def request_stop(cluster: Cluster, attempt: Attempt, stop: Stop, at_us: int, reason: str) -> bool:
     """Ask an attempt to stop; true if it is gone at once because it was never sent."""
     if (
         attempt.phase is Phase.ASSIGNED
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -82,7 +82,6 @@
 
     id: int
     token: int
-    lease: int
 
 
 Message = Hello | Ping | Pong | Ask | Answer | Hold | Held | Resigned
--- a/weldhead/protocol/settings.py
+++ b/weldhead/protocol/settings.py
@@ -80,7 +80,9 @@
     state: StateLimits
     cloud: CloudLimits
     objectives: list[Objective] = []
-    nodes: int = 0
+    limits: "MachineLimits" = msgspec.field(
+        default_factory=lambda: MachineLimits(), name="machine_limits"
+    )
     clock_error_ms: float = 1000.0
 
 
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -14,8 +14,8 @@
 from weldhead.duties import Duties
 from weldhead.protocol.peer import (
     Answer,
-    Hello,
     Held,
+    Hello,
     Message,
     PeerProtocolError,
     Ping,
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -105,9 +105,11 @@
             self.served_us = max(self.served_us, started_us)
         return status, answer
 
-    async def get(self, key: str, *, urgent: bool = False) -> Entry | None:
+    async def get(
+        self, key: str, *, urgent: bool = False, timeout_us: int = 800 * MILLISECOND_US
+    ) -> Entry | None:
         """Read a key."""
-        status, body = await self._call("GET", f"/store/{key}", None, 800 * MILLISECOND_US, urgent)
+        status, body = await self._call("GET", f"/store/{key}", None, timeout_us, urgent)
         if status == 404:
             # Proof of absence is the service's own answer, with its revision in it.
             decode(body, Committed)
@@ -183,9 +185,7 @@
 
     async def revoke(self, lease: int) -> None:
         """End a lease at once; its keys go with it."""
-        status, _ = await self._call(
-            "DELETE", f"/grants/{lease}", None, 800 * MILLISECOND_US, True
-        )
+        status, _ = await self._call("DELETE", f"/grants/{lease}", None, 800 * MILLISECOND_US, True)
         if status not in (200, 404):
             raise CallFailed(f"state service: {status}")
 
