--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -24,7 +24,7 @@
         fleet.keep_idle = max(base, 1s, lease)
         preemptor.period = if nodes > 2 and not (teams == 1) then 250ms else 2s
         direct_runs = 1 < 2 or false
-        fleet.freed_share = 1 / 4
+        fetch_weight = 1 / 4
         fleet.most_per_request = 2 * 3
         """,
         VALUES,
@@ -32,7 +32,7 @@
     assert tunables.fleet.keep_idle_us == 4_500_000
     assert tunables.preemptor.period_us == 250_000
     assert tunables.direct_runs is True
-    assert tunables.fleet.freed_share == 0.25
+    assert tunables.fetch_weight == 0.25
     assert tunables.fleet.most_per_request == 6
     assert tunables.leadership == Tunables().leadership
 
@@ -70,7 +70,7 @@
 @pytest.mark.parametrize(
     "text",
     [
-        "fleet.freed_share = 1 / (nodes - 3)",
+        "fetch_weight = 1 / (nodes - 3)",
         "fleet.keep_idle = -(1s)",
         "fleet.keep_idle = 0s",
         "fleet.most_per_request = 1.5",
@@ -94,8 +94,8 @@
 @given(ARITHMETIC)
 def test_arithmetic_agrees_with_python(expression: str) -> None:
     expected = eval(expression)
-    text = f"fleet.freed_share = max({expression}, -({expression}))"
-    assert evaluate(text, VALUES).fleet.freed_share == abs(expected)
+    text = f"fetch_weight = max({expression}, -({expression}))"
+    assert evaluate(text, VALUES).fetch_weight == abs(expected)
 
 
 @given(st.text(max_size=60))
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -3,15 +3,17 @@
 Both are functions of the cluster, the last placement plan and the time.
 """
 
+import heapq
 from collections import defaultdict
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Job, Stop
+from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.placement import Plan, Room
+from weldhead.coordination.goals import Goals
+from weldhead.coordination.placement import Plan
 from weldhead.protocol.wire import MachineType
 
 
@@ -20,10 +22,12 @@
     """The operators' choices."""
 
     keep_idle_us: int
+    keep_idle_spot_us: int
+    spot_patience_us: int
+    goal_margin_us: int
     minimum_charge_us: int
     boot_patience: float
     boot_give_up: float
-    freed_share: float
     most_per_request: int
 
 
@@ -77,83 +81,119 @@
     return machine.booting and at_us - machine.hired_us > limit_us
 
 
+class _Queue:
+    """A coarse forecast: waiting tasks take CPUs in order, as running ones give them back."""
+
+    def __init__(
+        self, cluster: Cluster, estimates: Estimates, at_us: int, settings: FleetSettings
+    ) -> None:
+        self._heap: list[tuple[int, float]] = []
+        for machine in cluster.machines.values():
+            if machine.deleting or machine.draining:
+                continue
+            if machine.booting:
+                if not is_late(machine, at_us, settings.boot_patience):
+                    ready_us = max(at_us, machine.hired_us + seconds_us(machine.type.boot_s))
+                    self._heap.append((ready_us, machine.cpus))
+                continue
+            if machine.cpus > EPSILON:
+                self._heap.append((at_us, machine.cpus))
+            for attempt in machine.attempts.values():
+                remaining_us = estimates.remaining_us(attempt, at_us)
+                if not attempt.job.spec.is_service:
+                    self._heap.append((at_us + remaining_us, attempt.job.spec.cpus))
+        heapq.heapify(self._heap)
+
+    def take(self, cpus: float, run_us: int) -> int | None:
+        """Let one task run as early as it can; return its start, None if it never can."""
+        taken: list[tuple[int, float]] = []
+        found = 0.0
+        while found + EPSILON < cpus:
+            if not self._heap:
+                for item in taken:
+                    heapq.heappush(self._heap, item)
+                return None
+            item = heapq.heappop(self._heap)
+            taken.append(item)
+            found += item[1]
+        start_us = taken[-1][0] if taken else 0
+        rest = found - cpus
+        if rest > EPSILON:
+            heapq.heappush(self._heap, (start_us, rest))
+        heapq.heappush(self._heap, (start_us + run_us, cpus))
+        return start_us
+
+
 def plan_hires(
     cluster: Cluster,
     plan: Plan,
     market: Market,
     estimates: Estimates,
+    goals: Goals,
     at_us: int,
     settings: FleetSettings,
 ) -> dict[Offer, int]:
-    """Decide how many of which machines to rent."""
-    if not plan.unplaced:
+    """Decide how many of which machines to rent.
+
+    Two patiences: cheap machines are rented as soon as work would wait longer than
+    ``spot_patience``; dear ones only for work that would otherwise miss its goal.
+    """
+    offers = market.offers(at_us)
+    if not plan.unplaced or not offers:
         return {}
-    coming = [
-        Room(m)
-        for m in cluster.machines.values()
-        if not m.deleting
-        and not m.draining
-        and (
-            (m.booting and not is_late(m, at_us, settings.boot_patience))
-            or (not m.booting and not m.synced)
-        )
-    ]
-    missing: list[tuple[Job, int]] = []
+    queue = _Queue(cluster, estimates, at_us, settings)
+    boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
+    patient: list[tuple[Job, int]] = []
+    pressing: list[tuple[Job, int]] = []
     for job, count in plan.unplaced:
-        for room in coming:
-            if count <= 0:
-                break
-            if room.machine.allows(job):
-                number = min(count, room.fits(job))
-                room.take(job, number)
-                count -= number
-        if count > 0:
-            missing.append((job, count))
+        task_us = estimates.task_us(job)
+        target_us = goals.target_us(job, task_us) - settings.goal_margin_us
+        slow = late = 0
+        for _ in range(count):
+            start_us = queue.take(job.spec.cpus, task_us)
+            if start_us is None or start_us - at_us > settings.spot_patience_us:
+                slow += 1
+            if start_us is None or start_us + task_us > target_us:
+                late += 1
+        # Tasks that a new machine can run one after the other and still be in time.
+        turns = max(1, (target_us - at_us - boot_us) // max(1, task_us))
+        if slow:
+            patient.append((job, -(-slow // min(turns, 2)) if slow > 1 else 1))
+        if late:
+            pressing.append((job, -(-late // turns)))
     hires: dict[Offer, int] = defaultdict(int)
-    offers = market.offers(at_us)
-    if not missing or not offers:
-        return {}
-    freed = freed_cpus(cluster, offers, estimates, at_us) * settings.freed_share
-    # Room that running work leaves before a new machine is up serves the least urgent.
-    for position in range(len(missing) - 1, -1, -1):
-        job, count = missing[position]
-        if job.spec.cpus <= 0 or freed < job.spec.cpus:
-            continue
-        served = min(count, int(freed / job.spec.cpus))
-        freed -= served * job.spec.cpus
-        missing[position] = (job, count - served)
-    new_rooms: list[tuple[Offer, list[float]]] = []
+    cheap = [offer for offer in offers if offer.spot]
+    rooms = _hire_for(patient, cheap, hires, [], settings)
+    _hire_for(pressing, offers, hires, rooms, settings)
+    return dict(hires)
+
+
+def _hire_for(
+    missing: list[tuple[Job, int]],
+    offers: list[Offer],
+    hires: dict[Offer, int],
+    rooms: list[tuple[Offer, list[float]]],
+    settings: FleetSettings,
+) -> list[tuple[Offer, list[float]]]:
+    """Add machines for the missing tasks; ``rooms`` are those hired already this time."""
+    rooms = [
+        (offer, [offer.type.cpus, offer.type.gpus, offer.type.memory_gb]) for offer, _ in rooms
+    ]
     for job, count in missing:
-        for offer, left in new_rooms:
+        for offer, left in rooms:
             if count <= 0:
                 break
             if offer_allows(offer, job):
                 count -= _fill(left, job, count)
-        while count > 0:
+        while count > 0 and len(rooms) < settings.most_per_request * 4:
             best = _best_offer(job, count, missing, offers)
             if best is None:
                 break
             left = [best.type.cpus, best.type.gpus, best.type.memory_gb]
             count -= _fill(left, job, count)
-            new_rooms.append((best, left))
+            rooms.append((best, left))
             hires[best] += 1
-            if len(new_rooms) >= settings.most_per_request * 4:
-                return dict(hires)
-    return dict(hires)
-
-
-def freed_cpus(cluster: Cluster, offers: list[Offer], estimates: Estimates, at_us: int) -> float:
-    """Estimate how many CPUs running work gives back before a new machine is up."""
-    horizon_us = seconds_us(min(offer.type.boot_s for offer in offers))
-    total = 0.0
-    for machine in cluster.machines.values():
-        if machine.draining or machine.deleting or not machine.synced:
-            continue
-        for attempt in machine.attempts.values():
-            if attempt.stop is Stop.NO and attempt.running_us:
-                if estimates.remaining_us(attempt, at_us) < horizon_us:
-                    total += attempt.job.spec.cpus
-    return total
+    return rooms
 
 
 def _fill(room: list[float], job: Job, most: int) -> int:
@@ -202,6 +242,7 @@
             continue
         idle_us = at_us - machine.idle_since_us
         paid = at_us - machine.hired_us >= settings.minimum_charge_us
-        if machine.draining or (idle_us >= settings.keep_idle_us and paid):
+        keep_us = settings.keep_idle_spot_us if machine.spot else settings.keep_idle_us
+        if machine.draining or (idle_us >= keep_us and paid):
             found.append(machine)
     return found
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -36,6 +36,7 @@
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.fleet import Market, Offer, plan_hires, plan_returns
 from weldhead.coordination.forecast import due_us, forecast_us
+from weldhead.coordination.goals import Goals
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.placement import Plan, plan_starts
 from weldhead.coordination.preemptor import overdue, plan_reclaims
@@ -104,6 +105,7 @@
         self.ledger = Ledger(state, self.token)
         self.finals: dict[str, FinalRecord] = {}
         self.estimates = Estimates()
+        self.goals = Goals(settings.facts.objectives)
         self.market = Market(types=types)
         self.reclaims = ReclaimLists()
         self._types = {machine_type.name: machine_type for machine_type in types}
@@ -871,7 +873,13 @@
             if self._unsettled:
                 continue
             hires = plan_hires(
-                self.cluster, self.last_plan, self.market, self.estimates, at_us, settings
+                self.cluster,
+                self.last_plan,
+                self.market,
+                self.estimates,
+                self.goals,
+                at_us,
+                settings,
             )
             for offer, count in hires.items():
                 await self._hire(offer, count)
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -36,11 +36,13 @@
     """Renting and returning."""
 
     period_us: int = 1 * SECOND_US
-    keep_idle_us: int = 20 * SECOND_US
+    keep_idle_us: int = 8 * SECOND_US
+    keep_idle_spot_us: int = 25 * SECOND_US
+    spot_patience_us: int = 10 * SECOND_US
+    goal_margin_us: int = 10 * SECOND_US
     minimum_charge_us: int = 60 * SECOND_US
     boot_patience: float = 2.0
     boot_give_up: float = 4.0
-    freed_share: float = 0.7
     refusal_backoff_us: int = 15 * SECOND_US
     most_per_request: int = 20
 
@@ -48,10 +50,12 @@
         """Return what one run needs."""
         return FleetSettings(
             keep_idle_us=self.keep_idle_us,
+            keep_idle_spot_us=self.keep_idle_spot_us,
+            spot_patience_us=self.spot_patience_us,
+            goal_margin_us=self.goal_margin_us,
             minimum_charge_us=self.minimum_charge_us,
             boot_patience=self.boot_patience,
             boot_give_up=self.boot_give_up,
-            freed_share=self.freed_share,
             most_per_request=self.most_per_request,
         )
 
