--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -151,14 +151,17 @@
         slow = late = 0
         for _ in range(count):
             start_us = queue.take(job.spec.cpus, task_us)
-            if start_us is None or start_us - at_us > settings.spot_patience_us:
+            # A machine rented now is up only after its boot: it helps only what would
+            # start later than that, however long it has to wait until then.
+            if start_us is None or start_us > at_us + boot_us + settings.spot_patience_us:
                 slow += 1
-            if start_us is None or start_us + task_us > target_us:
+            if start_us is None or (start_us + task_us > target_us and start_us > at_us + boot_us):
                 late += 1
         # Tasks that a new machine can run one after the other and still be in time.
         turns = max(1, (target_us - at_us - boot_us) // max(1, task_us))
         if slow:
-            patient.append((job, -(-slow // min(turns, 2)) if slow > 1 else 1))
+            short = max(1, settings.spot_patience_us // max(1, task_us))
+            patient.append((job, -(-slow // short)))
         if late:
             pressing.append((job, -(-late // turns)))
     hires: dict[Offer, int] = defaultdict(int)
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -20,6 +20,7 @@
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
 #: is rented at the ordinary price: those are to fall idle and be returned.
 IDLE_PENALTY = 5.0
+FIT_WEIGHT = 4.0
 DEAR_PENALTY = 8.0
 
 
@@ -138,7 +139,7 @@
     # A started machine's money is spent anyway: fill used ones so that others fall idle.
     idle = 0.0 if room.used else IDLE_PENALTY
     dear = 0.0 if room.machine.spot else DEAR_PENALTY
-    left = room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
+    left = FIT_WEIGHT * room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
     return (0.0 if room.machine.name in last_of_job else 1.0, delay_s + idle + dear + left)
 
 
