--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -16,6 +16,7 @@
     __slots__ = (
         "address",
         "attempts",
+        "closing",
         "cpus",
         "delete_after_us",
         "deleting",
@@ -85,6 +86,8 @@
         self.notice_until_us = 0
         self.draining = False
         self.drain_reason = ""
+        #: Filled last, so that it falls idle and can be returned.
+        self.closing = False
         self.deleting = False
         self.delete_after_us = 0
         self.images: OrderedDict[str, float] = OrderedDict()
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -24,7 +24,8 @@
     keep_idle_us: int
     keep_idle_spot_us: int
     spot_patience_us: int
-    goal_margin_us: int
+    goal_margin: float
+    reserve: float
     minimum_charge_us: int
     boot_patience: float
     boot_give_up: float
@@ -147,7 +148,9 @@
     pressing: list[tuple[Job, int]] = []
     for job, count in plan.unplaced:
         task_us = estimates.task_us(job)
-        target_us = goals.target_us(job, task_us) - settings.goal_margin_us
+        target_us = goals.target_us(job, task_us)
+        # The forecast is hopeful: it knows neither preemption nor leftover room.
+        target_us -= round((target_us - job.first_seen_us) * settings.goal_margin)
         slow = late = 0
         for _ in range(count):
             start_us = queue.take(job.spec.cpus, task_us)
@@ -232,6 +235,34 @@
     return best[2] if best else None
 
 
+def plan_closings(cluster: Cluster, plan: Plan, settings: FleetSettings) -> set[str]:
+    """Choose machines that are no longer needed, so that they are filled last.
+
+    The rest must have room for what runs on them and a reserve besides. Those that cost
+    most for what runs on them go first.
+    """
+    open_machines = [
+        m for m in cluster.machines.values() if m.synced and not m.draining and not m.deleting
+    ]
+    if plan.unplaced or not open_machines:
+        return set()
+    used = {m.name: m.type.cpus - m.cpus for m in open_machines}
+    free = sum(m.cpus for m in open_machines)
+    reserve = settings.reserve * sum(used.values())
+
+    def waste(machine: Machine) -> float:
+        price = machine.type.spot_price if machine.spot else machine.type.price
+        return price / (used[machine.name] + 0.1 * machine.type.cpus)
+
+    closing: set[str] = set()
+    for machine in sorted(open_machines, key=waste, reverse=True):
+        if free - machine.type.cpus < reserve:
+            continue
+        free -= machine.type.cpus
+        closing.add(machine.name)
+    return closing
+
+
 def plan_returns(cluster: Cluster, at_us: int, settings: FleetSettings) -> list[Machine]:
     """Decide which machines to return: idle ones, and those that never came up."""
     found = []
@@ -246,6 +277,6 @@
         idle_us = at_us - machine.idle_since_us
         paid = at_us - machine.hired_us >= settings.minimum_charge_us
         keep_us = settings.keep_idle_spot_us if machine.spot else settings.keep_idle_us
-        if machine.draining or (idle_us >= keep_us and paid):
+        if machine.draining or (paid and (machine.closing or idle_us >= keep_us)):
             found.append(machine)
     return found
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -22,6 +22,7 @@
 IDLE_PENALTY = 5.0
 FIT_WEIGHT = 4.0
 DEAR_PENALTY = 8.0
+CLOSING_PENALTY = 60.0
 
 
 @dataclass(frozen=True)
@@ -139,6 +140,8 @@
     # A started machine's money is spent anyway: fill used ones so that others fall idle.
     idle = 0.0 if room.used else IDLE_PENALTY
     dear = 0.0 if room.machine.spot else DEAR_PENALTY
+    if room.machine.closing:
+        dear += CLOSING_PENALTY
     left = FIT_WEIGHT * room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
     return (0.0 if room.machine.name in last_of_job else 1.0, delay_s + idle + dear + left)
 
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -39,7 +39,8 @@
     keep_idle_us: int = 8 * SECOND_US
     keep_idle_spot_us: int = 25 * SECOND_US
     spot_patience_us: int = 10 * SECOND_US
-    goal_margin_us: int = 10 * SECOND_US
+    goal_margin: float = 0.25
+    reserve: float = 0.15
     minimum_charge_us: int = 60 * SECOND_US
     boot_patience: float = 2.0
     boot_give_up: float = 4.0
@@ -52,7 +53,8 @@
             keep_idle_us=self.keep_idle_us,
             keep_idle_spot_us=self.keep_idle_spot_us,
             spot_patience_us=self.spot_patience_us,
-            goal_margin_us=self.goal_margin_us,
+            goal_margin=self.goal_margin,
+            reserve=self.reserve,
             minimum_charge_us=self.minimum_charge_us,
             boot_patience=self.boot_patience,
             boot_give_up=self.boot_give_up,
