Followers relay reports of workers that cannot reach the leader

The leader names the machines it misses in its pings; followers relay those, and whoever comes back after a redirect.

--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -40,6 +40,7 @@
         "order",
         "posting",
         "recorded",
+        "relayed",
         "report_sequence",
         "seen_us",
         "spot",
@@ -98,6 +99,8 @@
         self.cpus = machine_type.cpus
         self.gpus = machine_type.gpus
         self.memory_gb = machine_type.memory_gb
+        #: Its reports come through another node: it cannot be reached directly.
+        self.relayed = False
         #: A direct request is on its way.
         self.posting = False
         self.listed = False
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -71,6 +71,9 @@
 #: How many final states are kept in memory; older ones are read from the store.
 FINALS_KEPT = 20_000
 
+#: How many silent machines are named to the other nodes at once.
+SILENT_NAMED = 1_000
+
 
 class NotReady(Exception):
     """The leader cannot answer this yet; ask again later."""
@@ -340,7 +343,18 @@
 
     # -- workers ----------------------------------------------------------------------
 
-    def report(self, report: Report, at_us: int) -> ReportAnswer | None:
+    def silent_machines(self, at_us: int) -> tuple[str, ...]:
+        """Machines that ought to have reported by now; their reports are to be relayed."""
+        if not self.loaded:
+            return ()
+        limit_us = self._report_us * 5 // 4 + SECOND_US
+        return tuple(
+            machine.name
+            for machine in self.cluster.machines.values()
+            if machine.session and at_us - max(machine.heard_us, self._loaded_us) > limit_us
+        )[:SILENT_NAMED]
+
+    def report(self, report: Report, at_us: int, *, relayed: bool) -> ReportAnswer | None:
         """Handle a worker's report; None: it must not be answered 200."""
         if not self.loaded or not self.valid:
             return None
@@ -359,6 +373,7 @@
             # Held back on the way: its sender has long given up waiting.
             return None
         machine.heard_us = machine.lease_from_us = at_us
+        machine.relayed = relayed
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
             self._duties.once("machine up", self._record_up(machine))
@@ -495,7 +510,7 @@
     # -- direct commands ----------------------------------------------------------------
 
     def _post_soon(self, machine: Machine) -> None:
-        if not machine.posting and machine.synced and machine.address:
+        if not machine.posting and machine.synced and machine.address and not machine.relayed:
             machine.posting = True
             self._duties.once("direct commands", self._post(machine))
 
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -17,6 +17,7 @@
     default_timing,
     predecessor_over_us,
 )
+from weldhead.coordination.relays import Relays
 from weldhead.duties import Duties
 from weldhead.protocol.peer import Answer, Ask, Held, Hold, Message, Ping, Pong, Resigned
 from weldhead.protocol.settings import Settings
@@ -56,7 +57,7 @@
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._reports_seen_us: dict[str, int] = {}
-        self._nonce = secrets.token_hex(8)
+        self._relays = Relays()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -289,7 +290,8 @@
                 continue
             at_us = now_us()
             token = self.authority.token if self.authority.valid(at_us) else 0
-            ping = Ping(link.next_id(), token, self._state.ok, self._reports_lately(at_us))
+            silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
+            ping = Ping(link.next_id(), token, self._state.ok, self._reports_lately(at_us), silent)
             try:
                 await link.ask(ping, Pong, 2 * SECOND_US)
             except CallFailed:
@@ -299,6 +301,8 @@
         at_us = now_us()
         match message:
             case Ping():
+                if message.token:
+                    self._relays.leader_misses(message.silent, at_us)
                 return Pong(message.id, self._state.ok, self._reports_lately(at_us))
             case Ask():
                 answer = await self._answer_peer(message)
@@ -323,7 +327,7 @@
             case "cancel":
                 return await self._desk.cancel(ask.job_id, forwarded=True)
             case "report":
-                return self._report(ask.body)
+                return await self._report(ask.body, relayed=True)
             case _:
                 return refusal(503, "unknown kind", retry_after_s=1)
 
@@ -362,7 +366,7 @@
 
     async def _handle(self, method: str, path: str, body: bytes) -> Response:
         if path == "/v1/report" and method == "POST":
-            return self._report(body)
+            return await self._report(body, relayed=False)
         if path == "/ready" and method == "GET":
             return self._ready()
         if path == "/submissions" and method == "POST":
@@ -384,21 +388,46 @@
             return refusal(503, "the state service refuses this node", retry_after_s=1)
         return Response(200, b"{}")
 
-    def _report(self, body: bytes) -> Response:
+    async def _report(self, body: bytes, *, relayed: bool) -> Response:
         at_us = now_us()
         try:
             report = _report_decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.error("malformed report refused: %s", error)
             return refusal(400, str(error))
-        self._reports_seen_us[report.machine] = at_us
+        if not relayed:
+            self._reports_seen_us[report.machine] = at_us
         leader = self.leader
         if leader is not None and self.authority.valid(at_us):
-            answer = leader.report(report, at_us)
+            answer = leader.report(report, at_us, relayed=relayed)
             if answer is not None:
                 return Response(200, _encode(answer))
             return refusal(503, "not now", retry_after_s=1)
         record = self._known_leader
-        if record is None or record.name == self.settings.name:
+        if record is None or record.name not in self._links:
             return Response(421, _encode(Redirect()))
-        return Response(421, _encode(Redirect(record.name)))
+        return await self._pass_on(report.machine, body, record.name, at_us, relayed=relayed)
+
+    async def _pass_on(
+        self, machine: str, body: bytes, leader: str, at_us: int, *, relayed: bool
+    ) -> Response:
+        """A worker's report has reached a follower: redirect the worker, or relay it."""
+        link = self._links[leader]
+        if link.alive(at_us):
+            if relayed or self._relays.wanted(machine, at_us):
+                answer = await self._forward(link, "report", "", body)
+                if answer is not None and answer.status == 200:
+                    return answer
+            if relayed:
+                return refusal(503, "not now")
+            self._relays.redirected(machine, at_us)
+            return Response(421, _encode(Redirect(leader)))
+        if not relayed:
+            # A worker sent to a leader that is cut off from this zone would lose seconds
+            # of its lease: another node may reach that leader.
+            for other in self._links.values():
+                if other.name != leader and other.alive(at_us):
+                    answer = await self._forward(other, "report", "", body)
+                    if answer is not None and answer.status == 200:
+                        return answer
+        return Response(421, _encode(Redirect()))
