--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -699,7 +699,13 @@
                     if victim.job.active.get(victim.index) is victim:
                         self._stop(victim, Stop.HARD, at_us, "room, overdue")
             for reclaim in plan_reclaims(
-                self.cluster, self.reclaims, self.last_plan, self.estimates, at_us, settings
+                self.cluster,
+                self.reclaims,
+                self.last_plan,
+                self.estimates,
+                at_us,
+                settings,
+                self.goals,
             ):
                 self.reclaims.add(reclaim)
                 for victim in reclaim.victims:
