--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -24,6 +24,7 @@
     keep_idle_us: int
     keep_idle_spot_us: int
     spot_patience_us: int
+    overdue_patience_us: int
     goal_margin: float
     reserve: float
     minimum_charge_us: int
@@ -149,6 +150,9 @@
     for job, count in plan.unplaced:
         task_us = estimates.task_us(job)
         target_us = goals.target_us(job, task_us)
+        # No money brings in time what is late already; it only must not wait for ever.
+        lost = at_us + boot_us + task_us > target_us
+        hopeless_us = at_us + boot_us + settings.overdue_patience_us
         # The forecast is hopeful: it knows neither preemption nor leftover room.
         target_us -= round((target_us - job.first_seen_us) * settings.goal_margin)
         slow = late = 0
@@ -158,7 +162,9 @@
             # start later than that, however long it has to wait until then.
             if start_us is None or start_us > at_us + boot_us + settings.spot_patience_us:
                 slow += 1
-            if start_us is None or (start_us + task_us > target_us and start_us > at_us + boot_us):
+            if lost:
+                late += start_us is None or start_us > hopeless_us
+            elif start_us is None or start_us > max(at_us + boot_us, target_us - task_us):
                 late += 1
         # Tasks that a new machine can run one after the other and still be in time.
         turns = max(1, (target_us - at_us - boot_us) // max(1, task_us))
--- a/weldhead/coordination/goals.py
+++ b/weldhead/coordination/goals.py
@@ -11,10 +11,7 @@
     """The users' expectations, as the settings state them."""
 
     def __init__(self, objectives: Iterable[Objective]) -> None:
-        objectives = list(objectives)
         self._within_us: dict[str, int] = {}
-        #: Classes whose tasks are expected to start soon.
-        self._prompt = {o.job_class for o in objectives if o.kind == "wait"}
         for objective in objectives:
             if objective.kind == "finished" and objective.job_class and objective.within_s:
                 within_us = seconds_us(objective.within_s)
@@ -22,14 +19,6 @@
                 # Of several, the tightest: whoever meets it meets the others.
                 self._within_us[objective.job_class] = min(known_us, within_us)
 
-    def is_prompt(self, job: Job) -> bool:
-        """Whether the job's tasks are expected to start at once."""
-        return job.spec.job_class in self._prompt
-
-    def laxity_us(self, job: Job, task_us: int, at_us: int) -> int:
-        """Return how long the job's tasks could still wait and be in time."""
-        return self.target_us(job, task_us) - at_us - task_us
-
     def target_us(self, job: Job, task_us: int) -> int:
         """Return when the job ought to be finished, on the steady clock.
 
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -699,20 +699,25 @@
                     if victim.job.active.get(victim.index) is victim:
                         self._stop(victim, Stop.HARD, at_us, "room, overdue")
             for reclaim in plan_reclaims(
-                self.cluster,
-                self.reclaims,
-                self.last_plan,
-                self.estimates,
-                at_us,
-                settings,
-                self.goals,
+                self.cluster, self.reclaims, self.last_plan, self.estimates, at_us, settings
             ):
                 self.reclaims.add(reclaim)
                 for victim in reclaim.victims:
-                    log.info("%s stops for %s", victim.task, reclaim.job_id)
+                    log.info(
+                        "%s (%s, %s) stops for %s (%s)",
+                        victim.task,
+                        victim.job.spec.priority,
+                        victim.job.team,
+                        reclaim.job_id,
+                        self._who(reclaim.job_id),
+                    )
                     soft = victim.job.spec.checkpoint_s > 0
                     self._stop(victim, Stop.SOFT if soft else Stop.HARD, at_us, "room")
 
+    def _who(self, job_id: str) -> str:
+        job = self.cluster.jobs[job_id]
+        return f"{job.spec.priority}, {job.team}"
+
     def _stop(self, attempt: Attempt, stop: Stop, at_us: int, reason: str) -> None:
         machine = self.cluster.machines[attempt.machine]
         if request_stop(self.cluster, attempt, stop, at_us, reason):
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -18,7 +18,6 @@
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals
 from weldhead.coordination.placement import Plan, usable
 
 
@@ -27,7 +26,6 @@
     """Times of the preemptor."""
 
     kill_timeout_us: int
-    patience_us: int
     expiry_us: int
     silence_us: int
 
@@ -126,17 +124,6 @@
             return job.team == claimant.team or borrowed or guaranteed
         return guaranteed and borrowed and job.team != claimant.team
 
-    def pressing(self, claimant: Job, goals: Goals, patience_us: int) -> bool:
-        """Whether the claimant cannot simply wait for room.
-
-        The paper's laxity, used for the claimant: work that has time to spare does not
-        make others lose theirs. What a team is guaranteed need not wait.
-        """
-        if goals.is_prompt(claimant) or within_guarantee(self.cluster, claimant, self.claimed):
-            return True
-        task_us = self.estimates.task_us(claimant)
-        return goals.laxity_us(claimant, task_us, self.at_us) < patience_us
-
     def choose(self, claimant: Job) -> Reclaim | None:
         """Choose victims for one task of the claimant; None if nobody may be stopped."""
         guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
@@ -204,7 +191,6 @@
     estimates: Estimates,
     at_us: int,
     settings: PreemptorSettings,
-    goals: Goals,
     most: int = 64,
 ) -> list[Reclaim]:
     """Return the new requests of one run; ``plan`` says who found no room."""
@@ -213,8 +199,6 @@
     run = _Pass(cluster, lists, estimates, at_us, settings)
     reclaims: list[Reclaim] = []
     for job, unplaced in plan.unplaced:
-        if not run.pressing(job, goals, settings.patience_us):
-            continue
         for _ in range(max(0, unplaced - lists.count(job.id))):
             if len(reclaims) >= most:
                 return reclaims
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -135,7 +135,12 @@
         if writer.transport.get_write_buffer_size() > WRITE_LIMIT:
             self.drop()
             return False
-        writer.write(encode_frame(message))
+        try:
+            writer.write(encode_frame(message))
+        except (OSError, RuntimeError) as error:
+            # The connection broke a moment ago and its reader has not been told yet.
+            log.info("peer %s: cannot send: %r", self.name, error)
+            return False
         return True
 
     async def ask(self, message: Message, kind: type[M], timeout_us: int) -> M:
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -24,12 +24,11 @@
 
     period_us: int = 1 * SECOND_US
     kill_timeout_us: int = 12 * SECOND_US
-    patience_us: int = 45 * SECOND_US
     expiry_us: int = 2 * SECOND_US
 
     def settings(self, silence_us: int) -> PreemptorSettings:
         """Return what one run needs."""
-        return PreemptorSettings(self.kill_timeout_us, self.patience_us, self.expiry_us, silence_us)
+        return PreemptorSettings(self.kill_timeout_us, self.expiry_us, silence_us)
 
 
 @dataclass
@@ -40,6 +39,7 @@
     keep_idle_us: int = 8 * SECOND_US
     keep_idle_spot_us: int = 25 * SECOND_US
     spot_patience_us: int = 10 * SECOND_US
+    overdue_patience_us: int = 30 * SECOND_US
     goal_margin: float = 0.25
     reserve: float = 0.15
     minimum_charge_us: int = 60 * SECOND_US
@@ -54,6 +54,7 @@
             keep_idle_us=self.keep_idle_us,
             keep_idle_spot_us=self.keep_idle_spot_us,
             spot_patience_us=self.spot_patience_us,
+            overdue_patience_us=self.overdue_patience_us,
             goal_margin=self.goal_margin,
             reserve=self.reserve,
             minimum_charge_us=self.minimum_charge_us,
