Followers learn the leader from its pings; recovery returns what does not answer

Cause 2: machines that were gone but still on record held recovery up until their leases were over (7.0 and 9.7 s).

--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -71,6 +71,10 @@
 #: How many final states are kept in memory; older ones are read from the store.
 FINALS_KEPT = 20_000
 
+#: A new leader returns machines that have not answered by then, if they are few: a deletion
+#: that is answered proves sooner than the end of their leases that nothing runs there.
+UNKNOWN_PATIENCE_US = 2 * SECOND_US
+
 #: How many silent machines are named to the other nodes at once.
 SILENT_NAMED = 1_000
 
@@ -748,6 +752,11 @@
                     machine, at_us
                 ):
                     doomed.append(machine)
+            if not self.ready and at_us - self._loaded_us > UNKNOWN_PATIENCE_US:
+                # Recovery waits for them; most are gone already and only still on record.
+                unknown = [m for m in live if not m.synced]
+                if len(unknown) * 3 <= len(live) or len(unknown) <= 1:
+                    doomed += unknown
             for machine in machines:
                 if machine.notice_until_us and at_us > machine.notice_until_us + SECOND_US:
                     if at_us - machine.heard_us > self._report_us * 2:
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -114,4 +114,4 @@
 
 def default_timing(ttl_us: int = 3 * SECOND_US) -> Timing:
     """Return the times that follow from the lease's length."""
-    return Timing(ttl_us=ttl_us, renew_us=ttl_us // 4, promise_us=ttl_us * 2 // 3)
+    return Timing(ttl_us=ttl_us, renew_us=ttl_us // 4, promise_us=ttl_us // 2)
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -51,7 +51,6 @@
         self.catalog: list[MachineType] = []
         self._known_leader: LeaderRecord | None = None
         self._known_token = 0
-        self._known_lease = 0
         self._leader_revision = 0
         self._vacant = asyncio.Event()
         self._duties = Duties()
@@ -124,7 +123,6 @@
             return
         self._known_leader = decode(bytes(entry.value), LeaderRecord)
         self._known_token = entry.version
-        self._known_lease = entry.lease or 0
         self._leader_revision = max(self._leader_revision, entry.version)
         self._vacant.clear()
 
@@ -192,7 +190,7 @@
         if not self.authority.valid(at_us):
             self.authority.end()
             return
-        self._known_leader, self._known_token, self._known_lease = record, token, lease
+        self._known_leader, self._known_token = record, token
         self._vacant.clear()
         over_us = predecessor_over_us(at_us, believes_us)
         log.info("%s leads with token %d", self.settings.name, token)
@@ -302,6 +300,7 @@
         match message:
             case Ping():
                 if message.token:
+                    self._hear_leader(name, message.token)
                     self._relays.leader_misses(message.silent, at_us)
                 return Pong(message.id, self._state.ok, self._reports_lately(at_us))
             case Ask():
@@ -331,6 +330,17 @@
             case _:
                 return refusal(503, "unknown kind", retry_after_s=1)
 
+    def _hear_leader(self, name: str, token: int) -> None:
+        """A peer says that it leads: a node that the store does not serve learns it so.
+
+        Without this a follower cut off from the store sent workers to nobody, or to the
+        leader before last, while it could have relayed their reports.
+        """
+        if token > self._known_token or (self._known_leader is None and self.leader is None):
+            if self.leader is None:
+                self._known_leader = LeaderRecord(name, "", self.timing.ttl_us)
+                self._known_token = token
+
     def _leader_link(self) -> PeerLink | None:
         if self._known_leader is None:
             return None
