--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
+from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import Plan, Room
+from weldhead.coordination.placement import Plan
 from weldhead.protocol.wire import MachineType
 
 
@@ -25,8 +25,6 @@
     keep_idle_spot_us: int
     spot_patience_us: int
     overdue_patience_us: int
-    move_after_us: int
-    moves_at_once: int
     goal_margin: float
     reserve: float
     minimum_charge_us: int
@@ -271,49 +269,6 @@
     return closing
 
 
-def plan_moves(cluster: Cluster, at_us: int, settings: FleetSettings) -> list[Attempt]:
-    """Choose tasks to be moved off closing machines: those that lose nothing by it.
-
-    Only tasks that save when they are stopped, that have run a while, and for which there
-    is room on a machine that stays.
-    """
-    staying = [
-        Room(m)
-        for m in cluster.machines.values()
-        if m.synced
-        and not (m.closing or m.draining or m.deleting or m.ghosts)
-        and not m.notice_until_us
-    ]
-    moves: list[Attempt] = []
-    for machine in cluster.machines.values():
-        if not machine.closing:
-            continue
-        for attempt in machine.attempts.values():
-            job = attempt.job
-            if (
-                job.spec.checkpoint_s <= 0
-                or attempt.phase is not Phase.RUNNING
-                or attempt.stop is not Stop.NO
-                or at_us - attempt.running_us < settings.move_after_us
-            ):
-                continue
-            room = next(
-                (
-                    r
-                    for r in staying
-                    if r.machine.allows(job)
-                    and r.fits(job) > 0
-                    and (r.machine.zone == machine.zone or not job.spec.one_zone)
-                    and job.room_in_zone(r.machine.zone) > 0
-                ),
-                None,
-            )
-            if room is not None:
-                room.take(job, 1)
-                moves.append(attempt)
-    return moves[: settings.moves_at_once]
-
-
 def plan_returns(cluster: Cluster, at_us: int, settings: FleetSettings) -> list[Machine]:
     """Decide which machines to return: idle ones, and those that never came up."""
     found = []
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -21,10 +21,8 @@
 #: is rented at the ordinary price: those are to fall idle and be returned.
 IDLE_PENALTY = 5.0
 FIT_WEIGHT = 4.0
-DEAR_PENALTY = 4.0
+DEAR_PENALTY = 8.0
 CLOSING_PENALTY = 60.0
-#: Long tasks hold a dear machine longer: this share of their run time is added.
-DEAR_SHARE = 0.2
 
 
 @dataclass(frozen=True)
@@ -141,7 +139,7 @@
     delay_s = fetch_delay_us(job, room) / SECOND_US * fetch_weight
     # A started machine's money is spent anyway: fill used ones so that others fall idle.
     idle = 0.0 if room.used else IDLE_PENALTY
-    dear = 0.0 if room.machine.spot else DEAR_PENALTY + DEAR_SHARE * job.spec.estimate_s
+    dear = 0.0 if room.machine.spot else DEAR_PENALTY
     if room.machine.closing:
         dear += CLOSING_PENALTY
     left = FIT_WEIGHT * room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
