--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -75,6 +75,9 @@
 #: that is answered proves sooner than the end of their leases that nothing runs there.
 UNKNOWN_PATIENCE_US = 2 * SECOND_US
 
+#: How often the fleet's use is logged.
+FLEET_LOG_US = 10 * SECOND_US
+
 #: How many silent machines are named to the other nodes at once.
 SILENT_NAMED = 1_000
 
@@ -898,11 +901,15 @@
                     self._add_machine(machine_name, machine_record, at_us, wall_us())
 
     async def _size_fleet(self) -> None:
+        said_us = 0
         while True:
             await asyncio.sleep(to_seconds(self._tunables.fleet.period_us))
             if not self.valid:
                 continue
             at_us = now_us()
+            if at_us >= said_us + FLEET_LOG_US:
+                said_us = at_us
+                self._log_fleet()
             settings = self._tunables.fleet.settings()
             closing = plan_closings(self.cluster, self.last_plan, settings)
             for machine in self.cluster.machines.values():
@@ -922,6 +929,24 @@
             for offer, count in hires.items():
                 await self._hire(offer, count)
 
+    def _log_fleet(self) -> None:
+        """Say how the fleet's CPUs are used, for operators and for measured rounds."""
+        cpus = dict.fromkeys(("booting", "free", "assigned", "pulling", "running", "saving"), 0.0)
+        cost = 0.0
+        for machine in self.cluster.machines.values():
+            cost += machine.type.spot_price if machine.spot else machine.type.price
+            cpus["booting" if machine.booting else "free"] += machine.cpus
+            for attempt in machine.attempts.values():
+                cpus[attempt.phase.value] += attempt.job.spec.cpus
+        waiting = sum(job.waiting * job.spec.cpus for job in self.cluster.jobs.values())
+        log.info(
+            "fleet: %d machines at %.2f an hour; cpus: %s, waiting %.0f",
+            len(self.cluster.machines),
+            cost,
+            ", ".join(f"{name} {amount:.0f}" for name, amount in cpus.items()),
+            waiting,
+        )
+
     async def _hire(self, offer: Offer, count: int) -> None:
         """Record a rental's name, then ask for it."""
         most = min(50, max(1, self._state.max_writes - 1))
