--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -17,7 +17,6 @@
         "address",
         "attempts",
         "closing",
-        "closing_since_us",
         "cpus",
         "delete_after_us",
         "deleting",
@@ -90,7 +89,6 @@
         self.drain_reason = ""
         #: Filled last, so that it falls idle and can be returned.
         self.closing = False
-        self.closing_since_us = 0
         self.deleting = False
         self.delete_after_us = 0
         self.images: OrderedDict[str, float] = OrderedDict()
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
+from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import Plan, Room
+from weldhead.coordination.placement import Plan
 from weldhead.protocol.wire import MachineType
 
 
@@ -25,8 +25,6 @@
     keep_idle_spot_us: int
     spot_patience_us: int
     overdue_patience_us: int
-    move_after_us: int
-    move_below: float
     goal_margin: float
     reserve: float
     minimum_charge_us: int
@@ -271,51 +269,6 @@
     return closing
 
 
-def plan_moves(
-    cluster: Cluster, estimates: Estimates, at_us: int, settings: FleetSettings
-) -> list[Attempt]:
-    """Choose tasks to be moved so that nearly empty closing machines can be returned.
-
-    Only tasks that save when they are stopped and that still have long to run; only off
-    machines that then fall idle soon; only if machines that stay have the room.
-    """
-    staying = [
-        Room(m)
-        for m in cluster.machines.values()
-        if m.synced and not (m.closing or m.draining or m.deleting or m.ghosts)
-        if not m.notice_until_us
-    ]
-    moves: list[Attempt] = []
-    for machine in cluster.machines.values():
-        if not machine.closing or at_us - machine.closing_since_us < settings.move_after_us:
-            continue
-        if machine.type.cpus - machine.cpus > settings.move_below * machine.type.cpus:
-            continue
-        long_ones = [
-            a
-            for a in machine.attempts.values()
-            if estimates.remaining_us(a, at_us) > settings.move_after_us
-        ]
-        if all(a.job.spec.checkpoint_s > 0 and a.phase is Phase.RUNNING for a in long_ones):
-            moves += [a for a in long_ones if a.stop is Stop.NO and _find_room(a, machine, staying)]
-    return moves
-
-
-def _find_room(attempt: Attempt, machine: Machine, staying: list[Room]) -> bool:
-    """Reserve room for an attempt on a machine that stays, if there is any."""
-    job = attempt.job
-    for room in staying:
-        zone = room.machine.zone
-        if (
-            room.machine.allows(job)
-            and room.fits(job) > 0
-            and (zone == machine.zone or (not job.spec.one_zone and job.room_in_zone(zone) > 0))
-        ):
-            room.take(job, 1)
-            return True
-    return False
-
-
 def plan_returns(cluster: Cluster, at_us: int, settings: FleetSettings) -> list[Machine]:
     """Decide which machines to return: idle ones, and those that never came up."""
     found = []
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -34,14 +34,7 @@
 )
 from weldhead.clock import SECOND_US, now_us, seconds_us, to_seconds, wall_us
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import (
-    Market,
-    Offer,
-    plan_closings,
-    plan_hires,
-    plan_moves,
-    plan_returns,
-)
+from weldhead.coordination.fleet import Market, Offer, plan_closings, plan_hires, plan_returns
 from weldhead.coordination.forecast import due_us, forecast_us
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.leadership import Authority
@@ -920,12 +913,7 @@
             settings = self._tunables.fleet.settings()
             closing = plan_closings(self.cluster, self.last_plan, settings)
             for machine in self.cluster.machines.values():
-                if machine.name in closing and not machine.closing:
-                    machine.closing_since_us = at_us
                 machine.closing = machine.name in closing
-            for attempt in plan_moves(self.cluster, self.estimates, at_us, settings):
-                log.info("%s moves off %s", attempt.task, attempt.machine)
-                self._stop(attempt, Stop.SOFT, at_us, "machine is returned")
             self._delete({m.name: m for m in plan_returns(self.cluster, at_us, settings)})
             if self._unsettled:
                 continue
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -40,8 +40,6 @@
     keep_idle_spot_us: int = 25 * SECOND_US
     spot_patience_us: int = 10 * SECOND_US
     overdue_patience_us: int = 30 * SECOND_US
-    move_after_us: int = 15 * SECOND_US
-    move_below: float = 0.3
     goal_margin: float = 0.25
     reserve: float = 0.15
     minimum_charge_us: int = 60 * SECOND_US
@@ -57,8 +55,6 @@
             keep_idle_spot_us=self.keep_idle_spot_us,
             spot_patience_us=self.spot_patience_us,
             overdue_patience_us=self.overdue_patience_us,
-            move_after_us=self.move_after_us,
-            move_below=self.move_below,
             goal_margin=self.goal_margin,
             reserve=self.reserve,
             minimum_charge_us=self.minimum_charge_us,
