--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -13,7 +13,7 @@
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import Plan
+from weldhead.coordination.placement import Plan, guaranteed_tasks
 from weldhead.protocol.wire import MachineType
 
 
@@ -147,6 +147,7 @@
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
     patient: list[tuple[Job, int]] = []
     pressing: list[tuple[Job, int]] = []
+    held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
     for job, count in plan.unplaced:
         task_us = estimates.task_us(job)
         target_us = goals.target_us(job, task_us)
@@ -155,6 +156,9 @@
         hopeless_us = at_us + boot_us + settings.overdue_patience_us
         # The forecast is hopeful: it knows neither preemption nor leftover room.
         target_us -= round((target_us - job.first_seen_us) * settings.goal_margin)
+        # What a team is guaranteed need not wait for others, however patient the job is.
+        guaranteed = guaranteed_tasks(cluster, job, held[job.team], 0.0) >= count
+        held[job.team] += job.spec.cpus * count
         slow = late = 0
         for _ in range(count):
             start_us = queue.take(job.spec.cpus, task_us)
@@ -162,7 +166,9 @@
             # start later than that, however long it has to wait until then.
             if start_us is None or start_us > at_us + boot_us + settings.spot_patience_us:
                 slow += 1
-            if lost:
+            if guaranteed and start_us is not None and start_us > at_us + boot_us:
+                late += 1
+            elif lost:
                 late += start_us is None or start_us > hopeless_us
             elif start_us is None or start_us > max(at_us + boot_us, target_us - task_us):
                 late += 1
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -39,8 +39,8 @@
     keep_idle_us: int = 8 * SECOND_US
     keep_idle_spot_us: int = 25 * SECOND_US
     spot_patience_us: int = 10 * SECOND_US
-    overdue_patience_us: int = 30 * SECOND_US
-    goal_margin: float = 0.25
+    overdue_patience_us: int = 60 * SECOND_US
+    goal_margin: float = 0.1
     reserve: float = 0.15
     minimum_charge_us: int = 60 * SECOND_US
     boot_patience: float = 2.0
