No more dear machines than the backlog pays for

Cause: in bursts and at a cold start every job at risk asked for ordinary machines at once, which then shared the backlog so thinly that they idled through their minimum charge. Now the waiting work must keep the fleet busy for payback (45 s) after the boot.

--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -25,6 +25,7 @@
     keep_idle_spot_us: int
     spot_patience_us: int
     overdue_patience_us: int
+    payback_us: int
     goal_margin: float
     reserve: float
     minimum_charge_us: int
@@ -145,6 +146,7 @@
         return {}
     queue = _Queue(cluster, estimates, at_us, settings)
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
+    backlog_us = 0.0
     patient: list[tuple[Job, int]] = []
     pressing: list[tuple[Job, int]] = []
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
@@ -164,6 +166,8 @@
             start_us = queue.take(job.spec.cpus, task_us)
             # A machine rented now is up only after its boot: it helps only what would
             # start later than that, however long it has to wait until then.
+            if start_us is None or start_us > at_us + boot_us:
+                backlog_us += job.spec.cpus * task_us
             if start_us is None or start_us > at_us + boot_us + settings.spot_patience_us:
                 slow += 1
             if guaranteed and start_us is not None and start_us > at_us + boot_us:
@@ -182,7 +186,12 @@
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
     rooms = _hire_for(patient, cheap, hires, [], settings)
-    _hire_for(pressing, offers, hires, rooms, settings)
+    # More dear machines than this would share the backlog so thinly that they are idle
+    # before they have been paid for; one is always allowed.
+    capacity = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
+    capacity += sum(offer.type.cpus * number for offer, number in hires.items())
+    worthwhile = backlog_us / settings.payback_us - capacity
+    _hire_for(pressing, offers, hires, rooms, settings, worthwhile)
     return dict(hires)
 
 
@@ -192,11 +201,13 @@
     hires: dict[Offer, int],
     rooms: list[tuple[Offer, list[float]]],
     settings: FleetSettings,
+    dear_cpus: float = 0.0,
 ) -> list[tuple[Offer, list[float]]]:
     """Add machines for the missing tasks; ``rooms`` are those hired already this time."""
     rooms = [
         (offer, [offer.type.cpus, offer.type.gpus, offer.type.memory_gb]) for offer, _ in rooms
     ]
+    dear = 0.0
     for job, count in missing:
         for offer, left in rooms:
             if count <= 0:
@@ -207,6 +218,10 @@
             best = _best_offer(job, count, missing, offers)
             if best is None:
                 break
+            if not best.spot:
+                if dear and dear + best.type.cpus > dear_cpus:
+                    return rooms
+                dear += best.type.cpus
             left = [best.type.cpus, best.type.gpus, best.type.memory_gb]
             count -= _fill(left, job, count)
             rooms.append((best, left))
