--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -16,6 +16,7 @@
 from weldhead.bookkeeping.jobs import Stop, TaskState
 from weldhead.bookkeeping.machines import Machine
 from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.goals import Goals
 from weldhead.coordination.placement import plan_starts
 from weldhead.coordination.reports import (
     apply_report,
@@ -94,7 +95,7 @@
     def leader_places(self) -> None:
         for machine in self.cluster.machines.values():
             machine.heard_us = self.now
-        plan = plan_starts(self.cluster, Estimates(), self.now, 10_000_000)
+        plan = plan_starts(self.cluster, Estimates(), Goals([]), self.now, 10_000_000, 45_000_000)
         for start in plan.starts:
             self.cluster.start(start.job, start.index, start.machine, self.now)
 
--- a/weldhead/coordination/goals.py
+++ b/weldhead/coordination/goals.py
@@ -1,5 +1,6 @@
 """When each job ought to be finished, from its deadline or what is expected of its class."""
 
+import enum
 from collections.abc import Iterable
 
 from weldhead.bookkeeping.jobs import Job
@@ -7,11 +8,22 @@
 from weldhead.protocol.settings import Objective
 
 
+class Press(enum.IntEnum):
+    """How urgently a job's waiting tasks need room, most urgent first."""
+
+    PRESSING = 0
+    LATE = 1
+    PATIENT = 2
+
+
 class Goals:
     """The users' expectations, as the settings state them."""
 
     def __init__(self, objectives: Iterable[Objective]) -> None:
+        objectives = list(objectives)
         self._within_us: dict[str, int] = {}
+        #: Classes whose tasks are expected to start soon.
+        self._prompt = {o.job_class for o in objectives if o.kind == "wait"}
         for objective in objectives:
             if objective.kind == "finished" and objective.job_class and objective.within_s:
                 within_us = seconds_us(objective.within_s)
@@ -19,6 +31,24 @@
                 # Of several, the tightest: whoever meets it meets the others.
                 self._within_us[objective.job_class] = min(known_us, within_us)
 
+    def laxity_us(self, job: Job, task_us: int, at_us: int) -> int:
+        """Return how long the job's tasks could still wait and be in time."""
+        return self.target_us(job, task_us) - at_us - task_us
+
+    def press(self, job: Job, task_us: int, at_us: int, patience_us: int) -> Press:
+        """Say how urgent it is that the job's tasks get room.
+
+        The paper's laxity (Natjam-R), used by placement and preemptor alike: if one gave
+        room by a rule that contradicts the other's, jobs would start and stop in a circle.
+        """
+        if job.spec.job_class in self._prompt:
+            return Press.PRESSING
+        laxity_us = self.laxity_us(job, task_us, at_us)
+        if laxity_us >= patience_us:
+            return Press.PATIENT
+        # Estimates are rough: only what is clearly late gives way to what can be in time.
+        return Press.PRESSING if laxity_us >= -task_us // 3 else Press.LATE
+
     def target_us(self, job: Job, task_us: int) -> int:
         """Return when the job ought to be finished, on the steady clock.
 
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -670,8 +670,10 @@
         plan = plan_starts(
             self.cluster,
             self.estimates,
+            self.goals,
             at_us,
             self._silence_us,
+            self._tunables.preemptor.patience_us,
             self._tunables.fetch_weight,
         )
         self.last_plan = plan
@@ -706,7 +708,13 @@
                     if victim.job.active.get(victim.index) is victim:
                         self._stop(victim, Stop.HARD, at_us, "room, overdue")
             for reclaim in plan_reclaims(
-                self.cluster, self.reclaims, self.last_plan, self.estimates, at_us, settings
+                self.cluster,
+                self.reclaims,
+                self.last_plan,
+                self.estimates,
+                at_us,
+                settings,
+                self.goals,
             ):
                 self.reclaims.add(reclaim)
                 for victim in reclaim.victims:
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -2,8 +2,9 @@
 
 The plan is a function of the cluster and the time; nothing is changed here but copies of
 the free amounts. Order: work inside its team's guarantee first (it need not wait for
-others), then by priority, then by the least slack before the job's deadline. Within a
-job, stopped tasks are restarted before new ones, preferably on their last machine.
+others), then what presses, by priority and least laxity, then what has time to spare, by
+laxity alone. Within a job, stopped tasks are restarted before new ones, preferably on their
+last machine.
 """
 
 from collections import defaultdict
@@ -14,8 +15,7 @@
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.coordination.estimates import Estimates
-
-NO_DEADLINE_US = 1 << 60
+from weldhead.coordination.goals import Goals, Press
 
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
 #: is rented at the ordinary price: those are to fall idle and be returned.
@@ -89,21 +89,17 @@
     )
 
 
-def slack_us(job: Job, at_us: int, estimates: Estimates) -> int:
-    """Return how long the job's last task could still wait."""
-    if job.spec.deadline_s is None:
-        return NO_DEADLINE_US
-    due_us = job.first_seen_us + seconds_us(job.spec.deadline_s)
-    return due_us - at_us - estimates.task_us(job)
-
-
-def order_key(job: Job, guaranteed: bool, at_us: int, estimates: Estimates) -> tuple[int, ...]:
-    """Sort waiting jobs: guarantee, priority, replicas last within it, slack, age."""
+def order_key(
+    job: Job, estimates: Estimates, goals: Goals, at_us: int, patience_us: int
+) -> tuple[int, ...]:
+    """Sort waiting jobs: by need, then priority; those with time to spare by laxity alone."""
+    task_us = estimates.task_us(job)
+    press = goals.press(job, task_us, at_us, patience_us)
     return (
-        0 if guaranteed else 1,
-        -job.spec.level,
+        press,
+        -job.spec.level if press is not Press.PATIENT else 0,
         1 if job.spec.is_service else 0,
-        slack_us(job, at_us, estimates),
+        goals.laxity_us(job, task_us, at_us),
         job.first_seen_us,
     )
 
@@ -149,8 +145,10 @@
 def plan_starts(
     cluster: Cluster,
     estimates: Estimates,
+    goals: Goals,
     at_us: int,
     silence_us: int,
+    patience_us: int,
     fetch_weight: float = 1.0,
 ) -> Plan:
     """Decide which waiting tasks start where."""
@@ -164,9 +162,9 @@
         for job in cluster.waiting_jobs()
         if job.not_before_us <= at_us and job.team in cluster.teams
     ]
+    waiting.sort(key=lambda job: order_key(job, estimates, goals, at_us, patience_us))
     # Two rounds: first what each team is guaranteed, then what it borrows.
     for guaranteed in (True, False):
-        waiting.sort(key=lambda job: order_key(job, guaranteed, at_us, estimates))
         for job in waiting:
             held = reserved[job.team]
             usage = cluster.usage[job.team]
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -18,6 +18,7 @@
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.placement import Plan, usable
 
 
@@ -26,6 +27,7 @@
     """Times of the preemptor."""
 
     kill_timeout_us: int
+    patience_us: int
     expiry_us: int
     silence_us: int
 
@@ -124,6 +126,12 @@
             return job.team == claimant.team or borrowed or guaranteed
         return guaranteed and borrowed and job.team != claimant.team
 
+    def may_claim(self, claimant: Job, goals: Goals, patience_us: int) -> bool:
+        """Whether the claimant cannot simply wait: it presses, or it is guaranteed room."""
+        task_us = self.estimates.task_us(claimant)
+        press = goals.press(claimant, task_us, self.at_us, patience_us)
+        return press is not Press.PATIENT or within_guarantee(self.cluster, claimant, self.claimed)
+
     def choose(self, claimant: Job) -> Reclaim | None:
         """Choose victims for one task of the claimant; None if nobody may be stopped."""
         guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
@@ -191,6 +199,7 @@
     estimates: Estimates,
     at_us: int,
     settings: PreemptorSettings,
+    goals: Goals,
     most: int = 64,
 ) -> list[Reclaim]:
     """Return the new requests of one run; ``plan`` says who found no room."""
@@ -199,6 +208,8 @@
     run = _Pass(cluster, lists, estimates, at_us, settings)
     reclaims: list[Reclaim] = []
     for job, unplaced in plan.unplaced:
+        if not run.may_claim(job, goals, settings.patience_us):
+            continue
         for _ in range(max(0, unplaced - lists.count(job.id))):
             if len(reclaims) >= most:
                 return reclaims
