--- a/weldhead/coordination/goals.py
+++ b/weldhead/coordination/goals.py
@@ -23,14 +23,22 @@
         objectives = list(objectives)
         self._within_us: dict[str, int] = {}
         #: Classes whose tasks are expected to start soon.
-        self._prompt = {o.job_class for o in objectives if o.kind == "wait"}
+        self._wait_us: dict[str, int] = {}
         for objective in objectives:
+            if objective.kind == "wait" and objective.job_class and objective.within_s:
+                wait_us = seconds_us(objective.within_s)
+                known_us = self._wait_us.get(objective.job_class, wait_us)
+                self._wait_us[objective.job_class] = min(known_us, wait_us)
             if objective.kind == "finished" and objective.job_class and objective.within_s:
                 within_us = seconds_us(objective.within_s)
                 known_us = self._within_us.get(objective.job_class, within_us)
                 # Of several, the tightest: whoever meets it meets the others.
                 self._within_us[objective.job_class] = min(known_us, within_us)
 
+    def wait_us(self, job: Job) -> int | None:
+        """Return within what time the job's tasks are expected to start, if any is stated."""
+        return self._wait_us.get(job.spec.job_class)
+
     def laxity_us(self, job: Job, task_us: int, at_us: int) -> int:
         """Return how long the job's tasks could still wait and be in time."""
         return self.target_us(job, task_us) - at_us - task_us
@@ -41,7 +49,7 @@
         The paper's laxity (Natjam-R), used by placement and preemptor alike: if one gave
         room by a rule that contradicts the other's, jobs would start and stop in a circle.
         """
-        if job.spec.job_class in self._prompt:
+        if job.spec.job_class in self._wait_us:
             return Press.PRESSING
         laxity_us = self.laxity_us(job, task_us, at_us)
         if laxity_us >= patience_us:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -39,7 +39,7 @@
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.placement import Plan, plan_starts
-from weldhead.coordination.preemptor import overdue, plan_reclaims
+from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.reports import (
     Outcome,
     apply_report,
@@ -726,8 +726,9 @@
                         reclaim.job_id,
                         self._who(reclaim.job_id),
                     )
-                    soft = victim.job.spec.checkpoint_s > 0
-                    self._stop(victim, Stop.SOFT if soft else Stop.HARD, at_us, "room")
+                    claimant = self.cluster.jobs[reclaim.job_id]
+                    stop = stop_for(claimant, victim.job, self.goals)
+                    self._stop(victim, stop, at_us, "room")
 
     def _who(self, job_id: str) -> str:
         job = self.cluster.jobs[job_id]
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -17,6 +17,7 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
+from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.placement import Plan, usable
@@ -220,6 +221,16 @@
     return reclaims
 
 
+def stop_for(claimant: Job, victim: Job, goals: Goals) -> Stop:
+    """Whether a victim may save first: not if the claimant's start cannot wait for that."""
+    wait_us = goals.wait_us(claimant)
+    if victim.spec.checkpoint_s <= 0 or (
+        wait_us is not None and seconds_us(victim.spec.save_s) >= wait_us
+    ):
+        return Stop.HARD
+    return Stop.SOFT
+
+
 def overdue(
     lists: ReclaimLists, at_us: int, settings: PreemptorSettings
 ) -> tuple[list[Reclaim], list[Reclaim]]:
