--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -153,6 +153,14 @@
                 raise CallFailed("the answer was lost")
         return self.apply(conditions, writes)
 
+    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
+        entries = [
+            Entry(key, msgspec.Raw(msgspec.json.encode(value)), version)
+            for key, (value, version) in sorted(self.keys.items())
+            if key.startswith(prefix)
+        ]
+        return entries, self.revision
+
     async def get(self, key: str, **_: Any) -> Entry | None:
         if key not in self.keys:
             return None
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,438 @@
+"""Placement, preemption, fleet sizing, estimates and goals: functions of a picture and a time."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from tests.builders import add_job, add_machine, cluster, job_spec, machine_type
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
+from weldhead.bookkeeping.machines import Machine
+from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.fleet import Market, Offer, plan_closings, plan_hires, plan_returns
+from weldhead.coordination.forecast import forecast_us
+from weldhead.coordination.goals import Goals, Press
+from weldhead.coordination.placement import Plan, plan_starts
+from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
+from weldhead.protocol.settings import Objective, Team
+from weldhead.tunables.defaults import Tunables
+
+S = 1_000_000
+TUNABLES = Tunables()
+SILENCE = 10 * S
+PATIENCE = TUNABLES.preemptor.patience_us
+PREEMPTOR = TUNABLES.preemptor.settings(SILENCE)
+GOALS = Goals(
+    [
+        Objective("wait", "prompt", 0.9, 4.0),
+        Objective("finished", "soon", 0.9, 100.0),
+        Objective("finished", "soon", 0.8, 50.0),
+    ]
+)
+
+
+def starts(into: Cluster, at_us: int = S) -> Plan:
+    return plan_starts(into, Estimates(), GOALS, at_us, SILENCE, PATIENCE)
+
+
+def run_on(into: Cluster, job: Job, index: int, machine: Machine, since_us: int = 0) -> Attempt:
+    attempt = into.start(job, index, machine, since_us)
+    attempt.phase, attempt.running_us = Phase.RUNNING, max(1, since_us)
+    return attempt
+
+
+def reclaims(
+    into: Cluster, plan: Plan, at_us: int = 2 * S, lists: ReclaimLists | None = None
+) -> list[Reclaim]:
+    lists = lists if lists is not None else ReclaimLists()
+    return plan_reclaims(into, lists, plan, Estimates(), at_us, PREEMPTOR, GOALS)
+
+
+# -- placement ------------------------------------------------------------------------
+
+AMOUNTS = st.fixed_dictionaries(
+    {
+        "team": st.sampled_from(["red", "blue"]),
+        "priority": st.sampled_from(["idle", "normal", "high"]),
+        "tasks": st.integers(1, 9),
+        "cpus": st.sampled_from([0.5, 1.0, 2.0, 4.0]),
+        "memory_gb": st.sampled_from([0.0, 2.0, 8.0]),
+        "spot": st.booleans(),
+        "zone": st.sampled_from([None, "a", "b"]),
+        "one_zone": st.booleans(),
+        "spread": st.booleans(),
+        "types": st.sampled_from([None, ("m4",), ("m9",)]),
+    }
+)
+
+
+@given(
+    st.lists(AMOUNTS, min_size=1, max_size=6),
+    st.lists(st.tuples(st.sampled_from("ab"), st.booleans()), min_size=1, max_size=5),
+    st.integers(1, 12),
+)
+def test_every_placement_keeps_every_limit(
+    jobs: list[dict[str, Any]], machines: list[tuple[str, bool]], limit: int
+) -> None:
+    into = cluster(Team("red", 2, limit), Team("blue", 2, 100))
+    for number, (zone, spot) in enumerate(machines):
+        add_machine(into, f"vm-{number:06}", zone, spot)
+    for number, changes in enumerate(jobs):
+        add_job(into, job_spec(number, **changes))
+    for start in starts(into).starts:
+        spec = start.job.spec
+        assert start.job.room_in_zone(start.machine.zone) > 0
+        assert start.machine.allows(start.job)
+        into.start(start.job, start.index, start.machine, S)
+        assert spec.spot or not start.machine.spot
+        assert start.machine.cpus > -1e-6 and start.machine.memory_gb > -1e-6
+    into.check()
+    assert into.usage["red"].cpus <= limit + 1e-6
+    for job in into.jobs.values():
+        zones = {zone: n for zone, n in job.zones.items() if n}
+        assert not job.spec.one_zone or len(zones) <= 1
+        assert max(zones.values(), default=0) <= job.zone_limit()
+
+
+def test_spread_of_nine_is_at_most_five_in_a_zone() -> None:
+    into = cluster()
+    job = add_job(into, job_spec(tasks=9, cpus=0.1, spread=True))
+    add_machine(into, zone="a")
+    assert len(starts(into).starts) == 5
+    assert add_job(into, job_spec(2, tasks=1, spread=True)).zone_limit() == 1
+    assert job.zone_limit() == 5
+
+
+def test_guaranteed_work_comes_before_anothers_borrowing() -> None:
+    into = cluster(Team("red", 0, 100), Team("blue", 4, 100))
+    add_machine(into)
+    add_job(into, job_spec(1, team="red", priority="high"))
+    wanted = add_job(into, job_spec(2, team="blue", priority="idle", tasks=2))
+    assert {start.job for start in starts(into).starts} == {wanted}
+
+
+def test_stopped_tasks_restart_first_and_on_their_last_machine() -> None:
+    into = cluster()
+    add_machine(into, "vm-000001")
+    last = add_machine(into, "vm-000002")
+    job = add_job(into, job_spec(tasks=10, cpus=2.0))
+    attempt = into.start(job, 7, last, 0)
+    into.release(attempt)
+    first = starts(into).starts[0]
+    assert (first.index, first.machine) == (7, last)
+
+
+@pytest.mark.parametrize("flaw", ["ghosts", "draining", "deleting", "notice", "silent", "unsynced"])
+def test_doubtful_machines_get_nothing(flaw: str) -> None:
+    into = cluster()
+    machine = add_machine(into)
+    add_job(into, job_spec())
+    at_us = S
+    match flaw:
+        case "ghosts":
+            machine.ghosts.add(("run-9/1", 1))
+        case "notice":
+            machine.notice_until_us = 9 * S
+        case "silent":
+            at_us = SILENCE + S
+        case "unsynced":
+            machine.synced = False
+        case _:
+            setattr(machine, flaw, True)
+    assert starts(into, at_us).starts == []
+
+
+# -- the preemptor --------------------------------------------------------------------
+
+
+def full(into: Cluster, *jobs: Job) -> list[Machine]:
+    """Fill one machine with each job's tasks."""
+    machines = []
+    for number, job in enumerate(jobs):
+        machine = add_machine(into, f"vm-{number:06}")
+        machines.append(machine)
+        for index in range(int(4 / job.spec.cpus)):
+            run_on(into, job, index, machine, since_us=(index + 1) * 1000)
+    return machines
+
+
+def claimant(into: Cluster, **changes: Any) -> Job:
+    values = {"priority": "high", "tasks": 1, "job_class": "prompt"} | changes
+    return add_job(into, job_spec(99, **values))
+
+
+def test_the_lowest_level_that_holds_room_gives_way() -> None:
+    into = cluster(Team("red", 100, 100))
+    low = add_job(into, job_spec(1, priority="idle", tasks=2))
+    middle = add_job(into, job_spec(2, priority="normal", tasks=2))
+    full(into, middle, low)
+    claimant(into)
+    assert [v.job for r in reclaims(into, starts(into)) for v in r.victims] == [low]
+
+
+def test_most_resources_within_a_level() -> None:
+    into = cluster(Team("red", 100, 100))
+    small = add_job(into, job_spec(1, priority="idle", tasks=2))
+    large = add_job(into, job_spec(2, priority="idle", tasks=4))
+    machines = full(into, small, large)
+    third = add_machine(into, "vm-000009")
+    run_on(into, large, 2, third)
+    run_on(into, large, 3, third)
+    claimant(into)
+    assert reclaims(into, starts(into))[0].victims[0].job is large
+    assert len(machines) == 2
+
+
+def test_shortest_remaining_time_in_jobs_that_save() -> None:
+    into = cluster(Team("red", 100, 100))
+    low = add_job(into, job_spec(1, priority="idle", checkpoint_s=10.0, estimate_s=100.0))
+    machine = add_machine(into)
+    run_on(into, low, 0, machine, since_us=1 * S)
+    longest_run = run_on(into, low, 1, machine, since_us=0)
+    claimant(into)
+    assert reclaims(into, starts(into, 50 * S // 10), 5 * S)[0].victims == [longest_run]
+
+
+def test_least_run_time_in_jobs_that_lose_their_work() -> None:
+    into = cluster(Team("red", 100, 100))
+    low = add_job(into, job_spec(1, priority="idle"))
+    machine = add_machine(into)
+    newest = run_on(into, low, 0, machine, since_us=3 * S)
+    run_on(into, low, 1, machine, since_us=0)
+    claimant(into)
+    assert reclaims(into, starts(into, 5 * S), 5 * S)[0].victims == [newest]
+
+
+def test_same_or_higher_priority_is_never_stopped_inside_guarantees() -> None:
+    into = cluster(Team("red", 100, 100), Team("blue", 100, 100))
+    full(into, add_job(into, job_spec(1, priority="high")))
+    claimant(into, team="blue")
+    claimant(into, team="red")
+    assert reclaims(into, starts(into)) == []
+
+
+def test_borrowed_work_yields_to_a_guarantee_whatever_its_priority() -> None:
+    into = cluster(Team("red", 0, 100), Team("blue", 4, 100))
+    borrowed = add_job(into, job_spec(1, priority="production"))
+    full(into, borrowed)
+    wanted = claimant(into, team="blue", priority="idle", job_class="x")
+    found = reclaims(into, starts(into))
+    assert [r.job_id for r in found] == [wanted.id]
+    assert found[0].victims[0].job is borrowed
+
+
+def test_guaranteed_work_does_not_yield_to_anothers_borrowing() -> None:
+    into = cluster(Team("red", 4, 100), Team("blue", 0, 100))
+    full(into, add_job(into, job_spec(1, priority="idle")))
+    claimant(into, team="blue")
+    assert reclaims(into, starts(into)) == []
+
+
+def test_several_victims_where_one_is_not_enough() -> None:
+    into = cluster(Team("red", 100, 100))
+    low = add_job(into, job_spec(1, priority="idle"))
+    full(into, low)
+    claimant(into, cpus=4.0)
+    found = reclaims(into, starts(into))
+    assert len(found) == 1 and len(found[0].victims) == 2
+
+
+def test_open_entries_damp_further_requests() -> None:
+    into = cluster(Team("red", 100, 100))
+    low = add_job(into, job_spec(1, priority="idle"))
+    full(into, low)
+    claimant(into)
+    lists = ReclaimLists()
+    plan = starts(into)
+    for reclaim in reclaims(into, plan, lists=lists):
+        lists.add(reclaim)
+    assert lists.count("run-000099") == 1
+    assert reclaims(into, plan, lists=lists) == []
+
+
+def test_old_entries_become_hard_kills_and_then_expire() -> None:
+    lists = ReclaimLists()
+    entry = Reclaim("run-1", "vm-1", [], asked_us=0)
+    lists.add(entry)
+    assert overdue(lists, PREEMPTOR.kill_timeout_us - 1, PREEMPTOR) == ([], [])
+    assert overdue(lists, PREEMPTOR.kill_timeout_us, PREEMPTOR) == ([entry], [])
+    entry.hard_us = 20 * S
+    assert overdue(lists, 20 * S + PREEMPTOR.expiry_us, PREEMPTOR) == ([], [entry])
+
+
+def test_victims_save_unless_the_claimant_cannot_wait_for_it() -> None:
+    into = cluster()
+    saves = add_job(into, job_spec(1, checkpoint_s=30.0, save_s=6.0))
+    quick = add_job(into, job_spec(2, checkpoint_s=30.0, save_s=1.0))
+    prompt = add_job(into, job_spec(3, job_class="prompt"))
+    other = add_job(into, job_spec(4))
+    assert stop_for(other, saves, GOALS) is Stop.SOFT
+    assert stop_for(prompt, quick, GOALS) is Stop.SOFT
+    assert stop_for(prompt, saves, GOALS) is Stop.HARD
+    assert stop_for(other, prompt, GOALS) is Stop.HARD
+
+
+class Reclaiming(RuleBasedStateMachine):
+    """Reclaim lists under requests, grants and jobs that wait for less."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.lists = ReclaimLists()
+        self.model: dict[str, list[Reclaim]] = {}
+
+    @rule(job=st.sampled_from("xyz"), machine=st.sampled_from(["m1", "m2"]))
+    def request(self, job: str, machine: str) -> None:
+        entry = Reclaim(job, machine, [], 0)
+        self.lists.add(entry)
+        self.model.setdefault(job, []).append(entry)
+
+    @rule(job=st.sampled_from("xyz"), machine=st.sampled_from(["m1", "m2", "m3"]))
+    def grant(self, job: str, machine: str) -> None:
+        before = self.lists.count(job)
+        self.lists.granted(job, machine)
+        assert self.lists.count(job) == max(0, before - 1)
+        left = [e for e in self.lists.entries() if e.job_id == job]
+        same = [e for e in self.model.get(job, []) if e.machine == machine]
+        if same:
+            assert sum(e.machine == machine for e in left) == len(same) - 1
+        self.model[job] = left
+
+    @rule(job=st.sampled_from("xyz"), waiting=st.integers(0, 4))
+    def waits_for_less(self, job: str, waiting: int) -> None:
+        kept = self.model.get(job, [])[:waiting]
+        self.lists.trim(job, waiting)
+        self.model[job] = kept
+
+    @invariant()
+    def lists_agree(self) -> None:
+        for job in "xyz":
+            assert self.lists.count(job) == len(self.model.get(job, []))
+        assert set(self.lists.jobs()) == {job for job, entries in self.model.items() if entries}
+
+
+Reclaiming.TestCase.settings = settings(max_examples=80, stateful_step_count=30)
+TestReclaiming = Reclaiming.TestCase
+
+
+# -- the fleet ------------------------------------------------------------------------
+
+MARKET = Market([machine_type()])
+FLEET = TUNABLES.fleet.settings()
+
+
+def hires(into: Cluster, market: Market = MARKET, at_us: int = S) -> dict[Offer, int]:
+    return plan_hires(into, starts(into, at_us), market, Estimates(), GOALS, at_us, FLEET)
+
+
+def test_spot_machines_are_rented_first() -> None:
+    into = cluster()
+    add_job(into, job_spec(tasks=8, deadline_s=500.0))
+    wanted = hires(into)
+    assert wanted and all(offer.spot for offer in wanted)
+    assert sum(wanted.values()) == 4
+
+
+def test_jobs_that_may_not_use_spot_get_ordinary_machines() -> None:
+    into = cluster()
+    add_job(into, job_spec(tasks=2, spot=False, deadline_s=100.0))
+    assert [offer.spot for offer in hires(into)] == [False]
+
+
+def test_what_was_refused_is_not_asked_for_again_at_once() -> None:
+    into = cluster()
+    add_job(into, job_spec(tasks=2, types=("m4",), zone="a", deadline_s=100.0))
+    refused = Market([machine_type()], {("m4", "a", True): 9 * S, ("m4", "a", False): 9 * S})
+    assert hires(into, refused) == {}
+    assert hires(into, refused, 10 * S) != {}
+
+
+def test_what_starts_before_a_new_machine_is_up_rents_nothing() -> None:
+    """Found on the bench: while machines booted, each second rented more."""
+    into = cluster()
+    machine = Machine("vm-000001", machine_type(), "a", True, 0)
+    into.machines[machine.name] = machine
+    add_job(into, job_spec(tasks=2, deadline_s=100.0))
+    assert hires(into) == {}
+
+
+def test_dear_machines_are_limited_by_the_backlog() -> None:
+    """Found on the bench: a burst of short tasks rented what it could not keep busy."""
+    into = cluster(Team("red", 8, 10_000))
+    spec = job_spec(tasks=400, cpus=1.0, estimate_s=10.0, job_class="soon", spot=False)
+    add_job(into, spec)
+    backlog_s = 400 * 10.0
+    rented = sum(offer.type.cpus * number for offer, number in hires(into).items())
+    assert 0 < rented <= backlog_s / (FLEET.payback_us / S)
+
+
+def test_idle_machines_are_returned_and_late_ones_given_up() -> None:
+    into = cluster()
+    idle = add_machine(into, "vm-000001")
+    busy = add_machine(into, "vm-000002")
+    run_on(into, add_job(into, job_spec()), 0, busy)
+    late = Machine("vm-000003", machine_type(), "a", False, 0)
+    into.machines[late.name] = late
+    assert plan_returns(into, 59 * S, FLEET) == []
+    assert plan_returns(into, 61 * S, FLEET) == [idle]
+    assert plan_returns(into, 200 * S, FLEET) == [idle, late]
+
+
+def test_what_is_not_needed_closes_but_the_rest_has_room() -> None:
+    into = cluster()
+    for number in range(4):
+        add_machine(into, f"vm-{number:06}")
+    run_on(into, add_job(into, job_spec()), 0, into.machines["vm-000000"])
+    closing = plan_closings(into, Plan(), FLEET)
+    assert closing == {"vm-000001", "vm-000002", "vm-000003"}
+    waiting = Plan(unplaced=[(add_job(into, job_spec(2)), 1)])
+    assert plan_closings(into, waiting, FLEET) == set()
+
+
+# -- estimates, goals, forecasts --------------------------------------------------------
+
+
+@given(st.floats(0.3, 3.0), st.integers(10, 40))
+def test_estimates_that_are_off_are_corrected(bias: float, tasks: int) -> None:
+    into = cluster()
+    estimates = Estimates()
+    job = add_job(into, job_spec(1, tasks=100))
+    for _ in range(tasks):
+        estimates.observe(job, round(job.spec.estimate_us * bias))
+    other = add_job(into, job_spec(2))
+    ratio = estimates.task_us(other) / other.spec.estimate_us
+    assert abs(ratio - bias) < abs(1 - bias) * 0.35 + 1e-6
+
+
+def test_remaining_time_is_floored_and_counts_saved_progress() -> None:
+    into = cluster()
+    job = add_job(into, job_spec(checkpoint_s=10.0, estimate_s=60.0))
+    job.saved_us[0] = 30 * S
+    attempt = run_on(into, job, 0, add_machine(into), since_us=S)
+    assert Estimates().remaining_us(attempt, 11 * S) == 20 * S
+    assert Estimates().remaining_us(attempt, 99 * S) == 0
+
+
+def test_presses() -> None:
+    into = cluster()
+    soon = add_job(into, job_spec(1, job_class="soon"))
+    assert GOALS.target_us(soon, 10 * S) == 50 * S
+    assert GOALS.press(soon, 10 * S, 0, 30 * S) is Press.PATIENT
+    assert GOALS.press(soon, 10 * S, 20 * S, 30 * S) is Press.PRESSING
+    assert GOALS.press(soon, 10 * S, 60 * S, 30 * S) is Press.LATE
+    prompt = add_job(into, job_spec(2, job_class="prompt", deadline_s=900.0))
+    assert GOALS.press(prompt, 10 * S, 0, 30 * S) is Press.PRESSING
+
+
+def test_forecast() -> None:
+    into = cluster()
+    job = add_job(into, job_spec(tasks=4, estimate_s=60.0))
+    machine = add_machine(into)
+    run_on(into, job, 0, machine, since_us=0)
+    run_on(into, job, 1, machine, since_us=0)
+    assert forecast_us(into, job, Estimates(), 10 * S) == pytest.approx(120 * S, abs=10)
+    service = add_job(into, job_spec(2, kind="standing"))
+    assert forecast_us(into, service, Estimates(), 10 * S) is None
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,245 @@
+"""A new leader: it starts nothing until it knows what may run anywhere.
+
+The leader is driven directly: its duties are not started, the store is a stand-in, and the
+clock is the test's.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from typing import Any, cast
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import job_spec, machine_type
+from tests.stand_ins import StandInState, StandInTask, StandInWorker
+from tests.test_wire import SETTINGS
+from weldhead.bookkeeping.jobs import Phase
+from weldhead.bookkeeping.records import (
+    LEADER_KEY,
+    JobRecord,
+    MachineRecord,
+    encode_progress,
+    job_key,
+    progress_key,
+)
+from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership import Authority, default_timing
+from weldhead.protocol.settings import parse_settings
+from weldhead.protocol.wire import JobSpec
+from weldhead.transport.cloud import CloudClient
+from weldhead.transport.http import HttpClient
+from weldhead.transport.state import StateClient
+from weldhead.tunables.defaults import Tunables
+
+S = 1_000_000
+START = 1_000 * S
+
+
+class Clock:
+    """The steady clock and the time of day, moved by the test."""
+
+    def __init__(self) -> None:
+        self.us = START
+
+    def __call__(self) -> int:
+        return self.us
+
+
+@pytest.fixture
+def clock() -> Iterator[Clock]:
+    with fixed_clock() as clock:
+        yield clock
+
+
+class fixed_clock:
+    """A context in which the leader's module sees the test's clock."""
+
+    def __enter__(self) -> Clock:
+        self.patch = pytest.MonkeyPatch()
+        clock = Clock()
+        for name in ("now_us", "wall_us"):
+            self.patch.setattr(f"weldhead.coordination.leader.{name}", clock)
+        return clock
+
+    def __exit__(self, *_: object) -> None:
+        self.patch.undo()
+
+
+def new_leader(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
+    document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
+    document["facts"]["teams"] = [{"name": "red", "cpus": 8, "cpus_max": 100}]
+    settings = parse_settings(msgspec.json.encode(document))
+    token = state.put(LEADER_KEY, {"name": "n-0", "nonce": "x", "ttl_us": 3 * S})
+    authority = Authority(default_timing(1_000 * S), frozenset())
+    authority.begin(token, 1, at_us)
+    leader = Leader(
+        settings, Tunables(), authority, cast(StateClient, state), cast(CloudClient, None),
+        cast(HttpClient, None), [machine_type()], predecessor_over_us, lambda reason: None,
+    )  # fmt: skip
+    asyncio.run(leader._load())
+    leader._check_known()
+    return leader
+
+
+def put_job(state: StandInState, spec: JobSpec, **changes: Any) -> None:
+    state.put(job_key(spec.id), JobRecord(spec, START - 10 * S, **changes))
+
+
+def put_machine(state: StandInState, name: str, *, up: bool = True) -> StandInWorker:
+    state.put(f"m/{name}", MachineRecord("m4", "a", False, START - 60 * S, up, "10.0.0.9:1"))
+    return StandInWorker(name, 4.0)
+
+
+def report(leader: Leader, worker: StandInWorker, at_us: int) -> bool:
+    """Let a worker report and execute the answer; false if it was not answered."""
+
+    async def deliver() -> bool:
+        answer = leader.report(worker.report(), at_us, relayed=False)
+        if answer is None:
+            return False
+        worker.answered(answer)
+        return True
+
+    return asyncio.run(deliver())
+
+
+def synced(leader: Leader) -> list[str]:
+    return [machine.name for machine in leader.cluster.machines.values() if machine.synced]
+
+
+def test_jobs_progress_and_cancellations_are_read(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=4))
+    state.put(progress_key("run-000001", 0), encode_progress(bytes([1, 0, 1, 0])))
+    put_job(state, job_spec(2), cancelled=True)
+    leader = new_leader(state, clock())
+    job = leader.cluster.jobs["run-000001"]
+    assert (job.done, job.committed, job.waiting_indexes(9)) == (2, 2, [1, 3])
+    assert job.first_seen_us == START - 10 * S
+    assert leader.cluster.jobs["run-000002"].waiting == 0
+    assert leader._known.is_set()
+
+
+def test_nothing_is_known_until_every_machine_has_shown_the_new_token(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=4))
+    workers = [put_machine(state, f"vm-{n:06}") for n in range(2)]
+    put_machine(state, "vm-000009", up=False)
+    workers[0].tasks["run-000001/2"] = StandInTask(77, "running")
+    leader = new_leader(state, clock())
+    assert not leader._known.is_set()
+    # The first report still has the old token: an earlier leader could still command it.
+    assert report(leader, workers[0], clock())
+    assert synced(leader) == []
+    assert report(leader, workers[0], clock())
+    assert synced(leader) == ["vm-000000"]
+    assert not leader._known.is_set()
+    report(leader, workers[1], clock())
+    report(leader, workers[1], clock())
+    assert leader._known.is_set()
+    attempt = leader.cluster.jobs["run-000001"].active[2]
+    assert (attempt.number, attempt.phase) == (77, Phase.RUNNING)
+
+
+def test_a_machine_synced_directly_keeps_its_earlier_lease(clock: Clock) -> None:
+    """Found on the bench: it had never been heard by report, so its lease seemed over."""
+    state = StandInState()
+    put_job(state, job_spec(1))
+    worker = put_machine(state, "vm-000001")
+    worker.tasks["run-000001/0"] = StandInTask(77, "running")
+    leader = new_leader(state, clock(), predecessor_over_us=clock())
+    machine = leader.cluster.machines["vm-000001"]
+    _, shown = worker.direct(leader.token, 1, [])
+    leader._apply(machine, shown, direct=True)
+    assert machine.synced
+    lease_us = leader._lease_us
+    assert machine.lease_over_us(lease_us, 0) > clock() + lease_us
+    clock.us += lease_us + S
+    assert machine.lease_over_us(lease_us, 0) < clock()
+
+
+def test_a_silent_machines_lease_counts_from_the_earlier_leaders_end(clock: Clock) -> None:
+    state = StandInState()
+    put_machine(state, "vm-000001")
+    leader = new_leader(state, clock())
+    machine = leader.cluster.machines["vm-000001"]
+    over_us = machine.lease_over_us(leader._lease_us, clock() + 3 * S)
+    assert over_us > clock() + 3 * S + leader._lease_us
+
+
+def test_reports_of_an_expired_session_are_not_answered(clock: Clock) -> None:
+    state = StandInState()
+    worker = put_machine(state, "vm-000001")
+    leader = new_leader(state, clock())
+    report(leader, worker, clock())
+    leader._expire(leader.cluster.machines["vm-000001"])
+    assert not report(leader, worker, clock())
+    worker.expire()
+    assert report(leader, worker, clock())
+
+
+def test_completions_are_committed_before_they_are_forgotten(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=4))
+    worker = put_machine(state, "vm-000001")
+    worker.tasks["run-000001/0"] = StandInTask(77, "ended", "done")
+    leader = new_leader(state, clock())
+    for _ in range(3):
+        report(leader, worker, clock())
+    assert "run-000001/0" in worker.tasks
+    job = leader.cluster.jobs["run-000001"]
+    job.mark_committed([0])
+    report(leader, worker, clock())
+    assert worker.tasks == {}
+
+
+def test_attempt_numbers_never_repeat_across_terms(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1))
+    first, second = new_leader(state, clock()), new_leader(state, clock())
+    numbers = {leader.cluster.next_attempt("run-000001/0") for leader in (first, second)}
+    assert len(numbers) == 2 and all(number < 2**64 for number in numbers)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["report", "old term runs", "direct", "expire"]), st.integers(0, 2)
+        ),
+        max_size=25,
+    )
+)
+def test_whatever_an_earlier_leader_started_is_known_before_anything_starts(
+    events: list[tuple[str, int]],
+) -> None:
+    """Until all is known an old leader may still start tasks; afterwards none are unknown."""
+    with fixed_clock() as clock:
+        state = StandInState()
+        put_job(state, job_spec(1, tasks=50, cpus=1.0))
+        workers = [put_machine(state, f"vm-{n:06}") for n in range(3)]
+        leader = new_leader(state, clock())
+        for number, (event, who) in enumerate(events):
+            clock.us += 100_000
+            worker = workers[who]
+            machine = leader.cluster.machines[worker.name]
+            match event:
+                case "report":
+                    report(leader, worker, clock())
+                case "old term runs":
+                    # Dropped by the worker once it has seen the new token.
+                    if worker.token < leader.token and len(worker.live()) < 4:
+                        worker.tasks[f"run-000001/{number}"] = StandInTask(number, "running")
+                case "direct":
+                    accepted, shown = worker.direct(leader.token, worker.session, [])
+                    assert accepted
+                    leader._apply(machine, shown, direct=True)
+                case "expire":
+                    worker.expire()
+            if leader._known.is_set():
+                for other in workers:
+                    known = leader.cluster.machines[other.name].attempts
+                    assert other.live() <= set(known)
+        leader.cluster.check()
--- /dev/null
+++ b/tests/test_users.py
@@ -0,0 +1,147 @@
+"""The users' side over HTTP on loopback, with a stand-in for the state service."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, cast
+
+import aiohttp
+import msgspec
+import pytest
+
+from tests.builders import machine_type
+from tests.stand_ins import StandInState
+from tests.test_validation import GOOD
+from weldhead.bookkeeping.records import FinalRecord, final_key, job_key
+from weldhead.coordination.frontdesk import FrontDesk
+from weldhead.coordination.leader import Leader
+from weldhead.protocol.settings import Team
+from weldhead.protocol.wire import MachineType
+from weldhead.transport.server import HttpServer, Response
+from weldhead.transport.state import StateClient
+
+JOB = "run-000412"
+GOOD_BODY = msgspec.json.encode(GOOD)
+
+
+class StandInNode:
+    """A follower that reaches neither leader nor peers."""
+
+    def __init__(self) -> None:
+        self.leader: Leader | None = None
+        self.catalog: list[MachineType] = [machine_type()]
+
+    async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        return None
+
+    async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        return None
+
+
+def desk(state: StandInState, node: StandInNode | None = None) -> FrontDesk:
+    return FrontDesk(node or StandInNode(), cast(StateClient, state), [Team("red", 8, 16)])
+
+
+def run(call: Awaitable[Response]) -> tuple[int, Any]:
+    async def answer() -> Response:
+        return await call
+
+    response = asyncio.run(answer())
+    return response.status, msgspec.json.decode(response.body)
+
+
+def test_a_job_is_created_once_and_known_ever_after() -> None:
+    state = StandInState()
+    assert run(desk(state).submit(GOOD_BODY)) == (201, {"uid": JOB, "status": "pending"})
+    assert run(desk(state).submit(GOOD_BODY)) == (200, {"uid": JOB, "status": "pending"})
+    assert run(desk(state).poll(JOB))[0] == 200
+    # Over: it has moved, and is neither new nor unknown.
+    del state.keys[job_key(JOB)]
+    state.put(final_key(JOB), FinalRecord("done", 16))
+    assert run(desk(state).submit(GOOD_BODY)) == (
+        200,
+        {"uid": JOB, "status": "done", "done": 16, "running": 0},
+    )
+    assert run(desk(state).poll(JOB))[1]["status"] == "done"
+
+
+@pytest.mark.parametrize("fate", ["refused", "lost", "late", "unanswered"])
+def test_without_an_answer_from_the_store_nothing_is_promised(fate: str) -> None:
+    state = StandInState()
+    state.fates = [fate]
+    assert run(desk(state).submit(GOOD_BODY))[0] == 503
+    state.release_late()
+    assert run(desk(state).submit(GOOD_BODY))[0] in (200, 201)
+    assert run(desk(state).poll(JOB))[0] == 200
+
+
+def test_unknown_jobs_are_404_by_the_stores_word() -> None:
+    assert run(desk(StandInState()).poll("run-999999"))[0] == 404
+    assert run(desk(StandInState()).poll("nonsense"))[0] == 404
+
+
+def test_undecidable_without_machine_types() -> None:
+    node = StandInNode()
+    node.catalog = []
+    assert run(desk(StandInState(), node).submit(GOOD_BODY))[0] == 503
+
+
+def test_impossible_jobs_are_422_unless_they_were_accepted_before() -> None:
+    state = StandInState()
+    body = msgspec.json.encode(GOOD | {"owner": "nobody"})
+    assert run(desk(state).submit(body)) == (422, {"error": "unknown team", "field": "owner"})
+    run(desk(state).submit(GOOD_BODY))
+    assert run(desk(state).submit(body))[0] == 200
+
+
+def test_cancellations_need_a_leader() -> None:
+    assert run(desk(StandInState()).cancel(JOB))[0] == 503
+
+
+async def with_server(
+    visit: Callable[[aiohttp.ClientSession, str, list[tuple[str, str, bytes]]], Awaitable[None]],
+) -> None:
+    seen: list[tuple[str, str, bytes]] = []
+
+    async def handle(method: str, path: str, body: bytes) -> Response:
+        seen.append((method, path, body))
+        if path == "/broken":
+            raise RuntimeError("a bug")
+        return Response(200, b"{}")
+
+    server = HttpServer(handle)
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    await server.start(address)
+    try:
+        async with aiohttp.ClientSession() as session:
+            await visit(session, f"http://{address}", seen)
+    finally:
+        await server.close()
+
+
+def test_bodies_over_the_limit_are_malformed_and_not_read() -> None:
+    async def chunks() -> Any:
+        for _ in range(3):
+            yield b"x" * 40_000
+
+    async def visit(session: aiohttp.ClientSession, base: str, seen: list[Any]) -> None:
+        for body in (b"x" * 65_537, chunks()):
+            async with session.post(f"{base}/submissions", data=body) as answer:
+                assert answer.status == 400
+                assert "65536" in (await answer.json())["error"]
+        assert seen == []
+        async with session.post(f"{base}/submissions", data=b"x" * 65_536) as answer:
+            assert answer.status == 200
+        assert len(seen[0][2]) == 65_536
+
+    asyncio.run(with_server(visit))
+
+
+def test_a_bug_is_a_503_with_retry_after() -> None:
+    async def visit(session: aiohttp.ClientSession, base: str, seen: list[Any]) -> None:
+        async with session.get(f"{base}/broken") as answer:
+            assert answer.status == 503
+            assert answer.headers["Retry-After"] == "1"
+
+    asyncio.run(with_server(visit))
