--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,86 @@
+"""Each `run` is sent so that it cannot be executed a second time."""
+
+from tests.builders import add_job, add_machine, cluster, job_spec, report
+from weldhead.bookkeeping.jobs import Phase, Stop
+from weldhead.bookkeeping.machines import Machine
+from weldhead.coordination.reports import apply_report, pending_commands, request_stop
+from weldhead.protocol.wire import Command, TaskReport
+
+
+def runs(machine: Machine, sequence: int | None) -> list[Command]:
+    commands = pending_commands(machine, lambda task: True, may_start=True, sequence=sequence)
+    return [command for command in commands if command.op == "run"]
+
+
+def test_a_direct_answer_does_not_show_that_a_reports_answer_was_lost() -> None:
+    """The answer may still be on its way; sent again directly, it could run twice."""
+    into = cluster()
+    machine = add_machine(into)
+    attempt = into.start(add_job(into, job_spec()), 0, machine, 0)
+    assert len(runs(machine, 2)) == 1
+    apply_report(into, machine, report(machine, 3, []), 0, direct=True)
+    assert attempt.sent_sequence == 2
+    assert runs(machine, None) == []
+    # The worker's next report does show it.
+    apply_report(into, machine, report(machine, 4, []), 0, direct=False)
+    assert attempt.sent_sequence is None
+    assert len(runs(machine, None)) == 1
+
+
+def test_what_went_out_in_a_reports_answer_does_not_go_out_directly() -> None:
+    into = cluster()
+    machine = add_machine(into)
+    into.start(add_job(into, job_spec()), 0, machine, 0)
+    assert len(runs(machine, 2)) == 1
+    assert runs(machine, None) == []
+    # Level-triggered: the next answer carries it again.
+    assert len(runs(machine, 3)) == 1
+
+
+def test_an_unanswered_direct_run_is_neither_repeated_nor_forgotten() -> None:
+    into = cluster()
+    machine = add_machine(into)
+    job = add_job(into, job_spec())
+    attempt = into.start(job, 0, machine, 0)
+    assert len(runs(machine, None)) == 1
+    assert attempt.posted
+    assert runs(machine, 2) == runs(machine, None) == []
+    attempt.posted, attempt.limbo_us = False, 5
+    assert runs(machine, 2) == runs(machine, None) == []
+    # It stays counted, whatever reports fail to show, until it is surely resolved.
+    apply_report(into, machine, report(machine, 9, []), 0, direct=False)
+    assert job.active[0] is attempt
+    assert not request_stop(into, attempt, Stop.HARD, 0, "cancelled")
+    apply_report(into, machine, report(machine, 10, []), 0, direct=False)
+    assert job.active[0] is attempt
+    listed = [TaskReport(attempt.task, attempt.number, "running")]
+    apply_report(into, machine, report(machine, 11, listed), 0, direct=False)
+    assert (attempt.limbo_us, attempt.phase) == (0, Phase.RUNNING)
+
+
+def test_a_new_session_ends_everything_that_was_unanswered() -> None:
+    into = cluster()
+    machine = add_machine(into)
+    job = add_job(into, job_spec())
+    attempt = into.start(job, 0, machine, 0)
+    attempt.limbo_us = 5
+    apply_report(into, machine, report(machine, 1, [], session=2), 0, direct=False)
+    assert job.active == {} and machine.attempts == {}
+
+
+def test_a_task_that_was_never_sent_stops_at_once() -> None:
+    into = cluster()
+    machine = add_machine(into)
+    job = add_job(into, job_spec())
+    assert request_stop(into, into.start(job, 0, machine, 0), Stop.HARD, 0, "room")
+    assert job.active == {} and job.waiting == job.spec.tasks
+
+
+def test_a_malformed_task_name_harms_nothing() -> None:
+    into = cluster()
+    machine = add_machine(into)
+    nonsense = report(machine, 2, [TaskReport("///", 1, "running")])
+    apply_report(into, machine, nonsense, 0, direct=False)
+    commands = pending_commands(machine, lambda task: True, may_start=True, sequence=2)
+    assert commands == [Command("kill", "///", 1, 0.0)]
+    into.check()
