--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -22,7 +22,7 @@
 class PreemptorTunables:
     """The preemptor; the paper's values are 1 s, 12 s and 2 s."""
 
-    period_us: int = 1 * SECOND_US
+    period_us: int = 250 * MILLISECOND_US
     kill_timeout_us: int = 12 * SECOND_US
     patience_us: int = 45 * SECOND_US
     expiry_us: int = 2 * SECOND_US
