--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -241,6 +241,17 @@
     assert len(found) == 1 and len(found[0].victims) == 2
 
 
+def test_room_that_a_large_victim_leaves_serves_the_next_claim() -> None:
+    """Found on the bench: six small tasks stopped six large ones."""
+    into = cluster(Team("red", 100, 100))
+    low = add_job(into, job_spec(1, priority="idle", cpus=4.0, tasks=2))
+    full(into, low, add_job(into, job_spec(2, priority="idle", cpus=4.0, tasks=1)))
+    claimant(into, cpus=1.0, memory_gb=1.0, tasks=4)
+    found = reclaims(into, starts(into))
+    assert len(found) == 4
+    assert sum(len(reclaim.victims) for reclaim in found) == 1
+
+
 def test_open_entries_damp_further_requests() -> None:
     into = cluster(Team("red", 100, 100))
     low = add_job(into, job_spec(1, priority="idle"))
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -141,6 +141,11 @@
             for name, m in self.machines.items()
             if m.allows(claimant) and claimant.room_in_zone(m.zone) > 0
         }
+        for name in allowed:
+            # A victim larger than its claimant leaves room for others: without this, a
+            # job of six small tasks stopped six large ones (found on the bench).
+            if self._fits(self.free[name], claimant):
+                return self._take(claimant, name, [])
         by_job: dict[str, list[Attempt]] = defaultdict(list)
         for machine in allowed.values():
             for attempt in machine.attempts.values():
@@ -160,7 +165,7 @@
             for attempt in attempts:
                 victims = self._complete(claimant, attempt, allowed[attempt.machine], order)
                 if victims:
-                    return self._take(claimant, victims)
+                    return self._take(claimant, attempt.machine, victims)
         return None
 
     def _complete(
@@ -182,15 +187,15 @@
                     return victims
         return []
 
-    def _take(self, claimant: Job, victims: list[Attempt]) -> Reclaim:
-        room = self.free[victims[0].machine]
+    def _take(self, claimant: Job, machine: str, victims: list[Attempt]) -> Reclaim:
+        room = self.free[machine]
         for victim in victims:
             self.taken.add(id(victim))
             self._add(room, victim.job, 1)
             self.freed[victim.job.team] += victim.job.spec.cpus
         self._add(room, claimant, -1)
         self.claimed[claimant.team] += claimant.spec.cpus
-        return Reclaim(claimant.id, victims[0].machine, victims, self.at_us)
+        return Reclaim(claimant.id, machine, victims, self.at_us)
 
 
 def plan_reclaims(
