--- a/tests/builders.py
+++ b/tests/builders.py
@@ -65,7 +65,7 @@
 ) -> Machine:
     """A machine that is up, synced and was heard at time 0."""
     machine = Machine(name, machine_type(**changes), zone, spot, 0)
-    machine.up = machine.recorded = machine.synced = True
+    machine.up = machine.synced = True
     machine.order = (1, 1)
     machine.address = "10.0.0.9:1"
     into.machines[name] = machine
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -41,7 +41,7 @@
         self.workers = {name: StandInWorker(name, 4.0) for name in NAMES}
         for name in NAMES:
             machine = Machine(name, machine_type(), "a", False, 0)
-            machine.up = machine.recorded = True
+            machine.up = True
             self.cluster.machines[name] = machine
         add_job(self.cluster, job_spec(1, tasks=6))
         add_job(self.cluster, job_spec(2, tasks=3, cpus=1.0, checkpoint_s=10.0))
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping
 
 from weldhead.bookkeeping.jobs import Attempt, Job, TaskState
-from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.protocol.settings import Team
 
 
@@ -84,24 +84,15 @@
         self.machines.pop(machine.name, None)
         return gone
 
-    def unknown_cpus(self) -> float:
-        """CPUs of machines on which anything may run, of any team."""
-        return sum(m.cpus for m in self.machines.values() if m.up and not m.synced)
-
     def within_limit(self, job: Job, reserved_cpus: float = 0.0, reserved_gpus: float = 0.0) -> int:
         """How many more tasks of the job its team's limit allows."""
         team = self.teams.get(job.team)
         if team is None:
             return 0
         usage = self.usage[job.team]
-        most = job.spec.tasks
-        if job.spec.cpus > 0:
-            room = team.cpus_max - usage.cpus - reserved_cpus
-            most = min(most, int((room + EPSILON) / job.spec.cpus))
-        if job.spec.gpus > 0:
-            room = team.gpus_max - usage.gpus - reserved_gpus
-            most = min(most, int((room + EPSILON) / job.spec.gpus))
-        return max(0, most)
+        cpus = team.cpus_max - usage.cpus - reserved_cpus
+        gpus = team.gpus_max - usage.gpus - reserved_gpus
+        return how_many(job.spec, cpus, gpus)
 
     def waiting_jobs(self) -> list[Job]:
         """Return the jobs with waiting tasks."""
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -41,7 +41,6 @@
     """One attempt of a task, from the decision to start it until it is surely gone."""
 
     __slots__ = (
-        "assigned_us",
         "index",
         "job",
         "limbo_us",
@@ -65,7 +64,6 @@
         self.phase = Phase.ASSIGNED
         self.stop = Stop.NO
         self.stop_us = 0
-        self.assigned_us = at_us
         self.running_us = 0
         #: Sequence of the report whose answer carried the ``run``; None: not sent so.
         self.sent_sequence: int | None = None
@@ -109,7 +107,6 @@
         "restarts",
         "saved_us",
         "spec",
-        "started_tasks",
         "states",
         "submitted_us",
         "team",
@@ -142,7 +139,6 @@
         self.failures = 0
         self.not_before_us = 0
         self.late = False
-        self.started_tasks = 0
         #: Expected finish on the steady clock; None: cannot be told.
         self.forecast_us: int | None = None
 
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -1,15 +1,25 @@
 """Machines in memory. No I/O."""
 
+import math
 from collections import OrderedDict
 
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase
 from weldhead.clock import surely_over_us
-from weldhead.protocol.wire import MachineType
+from weldhead.protocol.wire import JobSpec, MachineType
 
 #: Amounts are decimals on the wire; sums of them are compared with this slack.
 EPSILON = 1e-6
 
 
+def how_many(spec: JobSpec, cpus: float, gpus: float, memory_gb: float = math.inf) -> int:
+    """How many of the job's tasks fit into these amounts."""
+    most = spec.tasks
+    for have, need in ((cpus, spec.cpus), (gpus, spec.gpus), (memory_gb, spec.memory_gb)):
+        if need > 0 and have < need * most:
+            most = int((have + EPSILON) / need)
+    return max(0, most)
+
+
 class Machine:
     """A machine of ours."""
 
@@ -18,9 +28,7 @@
         "attempts",
         "closing",
         "cpus",
-        "delete_after_us",
         "deleting",
-        "drain_reason",
         "draining",
         "expired_session",
         "failed_jobs",
@@ -39,12 +47,9 @@
         "notice_until_us",
         "order",
         "posting",
-        "recorded",
         "relayed",
         "report_sequence",
-        "seen_us",
         "spot",
-        "successes",
         "synced",
         "token",
         "type",
@@ -66,7 +71,6 @@
         #: The store knows that something may run here.
         self.up = False
         self.up_pending = False
-        self.recorded = False
         #: (session, sequence) of the newest message seen; 0: none.
         self.order = (0, 0)
         self.report_sequence = 0
@@ -75,7 +79,6 @@
         self.heard_us = 0
         #: No later than this was a report sent whose answer may have renewed its lease.
         self.lease_from_us = 0
-        self.seen_us = 0
         #: It has reported under the present leader's token.
         self.synced = False
         self.expired_session = 0
@@ -86,15 +89,12 @@
         self.ghosts: set[tuple[str, int]] = set()
         self.notice_until_us = 0
         self.draining = False
-        self.drain_reason = ""
         #: Filled last, so that it falls idle and can be returned.
         self.closing = False
         self.deleting = False
-        self.delete_after_us = 0
         self.images: OrderedDict[str, float] = OrderedDict()
         self.idle_since_us = hired_us
         self.failures = 0
-        self.successes = 0
         self.failed_jobs: set[str] = set()
         self.cpus = machine_type.cpus
         self.gpus = machine_type.gpus
@@ -136,15 +136,7 @@
 
     def fits(self, job: Job) -> int:
         """How many more tasks of the job fit by their amounts."""
-        spec = job.spec
-        most = spec.tasks
-        if spec.cpus > 0:
-            most = min(most, int((self.cpus + EPSILON) / spec.cpus))
-        if spec.gpus > 0:
-            most = min(most, int((self.gpus + EPSILON) / spec.gpus))
-        if spec.memory_gb > 0:
-            most = min(most, int((self.memory_gb + EPSILON) / spec.memory_gb))
-        return max(0, most)
+        return how_many(job.spec, self.cpus, self.gpus, self.memory_gb)
 
     def allows(self, job: Job) -> bool:
         """Whether the job may be here at all."""
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -95,11 +95,6 @@
     return f"{PROGRESS}{job_id}/{chunk}"
 
 
-def chunk_count(tasks: int) -> int:
-    """Return how many chunks a job's progress has."""
-    return -(-tasks // CHUNK_TASKS)
-
-
 def encode_progress(done: bytes | bytearray) -> str:
     """Encode one chunk; ``done`` has one byte a task, non-zero when completed."""
     bits = int("".join("1" if flag else "0" for flag in reversed(done)) or "0", 2)
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -9,7 +9,7 @@
 
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
-from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
@@ -231,10 +231,7 @@
 
 def _fill(room: list[float], job: Job, most: int) -> int:
     spec = job.spec
-    for position, amount in enumerate((spec.cpus, spec.gpus, spec.memory_gb)):
-        if amount > 0:
-            most = min(most, int((room[position] + EPSILON) / amount))
-    most = max(0, most)
+    most = min(most, how_many(spec, *room))
     room[0] -= spec.cpus * most
     room[1] -= spec.gpus * most
     room[2] -= spec.memory_gb * most
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -244,7 +244,6 @@
         hired_us = at_us - max(0, wall - record.hired_us)
         machine = Machine(name, known, record.zone, record.spot, hired_us)
         machine.up = record.up
-        machine.recorded = True
         machine.address = record.address
         machine.idle_since_us = at_us
         self.cluster.machines[name] = machine
@@ -410,7 +409,6 @@
                 {MACHINES + machine.name: self._machine_record(machine, up=True)}, urgent=True
             )
             machine.up = True
-            machine.recorded = True
             self._place.set()
         except Deposed:
             pass
@@ -492,7 +490,6 @@
         suspects = {j for j in machine.failed_jobs if not self._broken_id(j)}
         if not machine.draining and suspects and machine.failures >= 2:
             machine.draining = True
-            machine.drain_reason = "tasks fail on it"
             log.info("machine %s is drained: tasks fail on it", machine.name)
 
     @staticmethod
@@ -790,7 +787,6 @@
         machine.expired_session = max(machine.expired_session, machine.session)
         machine.synced = True
         machine.draining = True
-        machine.drain_reason = "silent"
         log.info("machine %s: lease over, %d tasks lost", machine.name, len(gone))
         self._check_known()
         for attempt in gone:
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -12,7 +12,7 @@
 
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
-from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.bookkeeping.machines import Machine, how_many
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals, Press
@@ -58,15 +58,7 @@
 
     def fits(self, job: Job) -> int:
         """How many tasks of the job fit."""
-        spec = job.spec
-        most = spec.tasks
-        if spec.cpus > 0:
-            most = min(most, int((self.cpus + EPSILON) / spec.cpus))
-        if spec.gpus > 0:
-            most = min(most, int((self.gpus + EPSILON) / spec.gpus))
-        if spec.memory_gb > 0:
-            most = min(most, int((self.memory_gb + EPSILON) / spec.memory_gb))
-        return most
+        return how_many(job.spec, self.cpus, self.gpus, self.memory_gb)
 
     def take(self, job: Job, count: int) -> None:
         """Reserve room for tasks of the job."""
@@ -107,12 +99,7 @@
 def guaranteed_tasks(cluster: Cluster, job: Job, cpus: float, gpus: float) -> int:
     """How many more tasks fit inside the team's guarantee, given its use."""
     team = cluster.teams[job.team]
-    most = job.waiting
-    if job.spec.cpus > 0:
-        most = min(most, int((team.cpus - cpus + EPSILON) / job.spec.cpus))
-    if job.spec.gpus > 0:
-        most = min(most, int((team.gpus - gpus + EPSILON) / job.spec.gpus))
-    return max(0, most)
+    return min(job.waiting, how_many(job.spec, team.cpus - cpus, team.gpus - gpus))
 
 
 def fetch_delay_us(job: Job, room: Room) -> int:
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -59,7 +59,6 @@
             outcome.lost.append((attempt, "new session"))
     machine.order = (report.session, report.sequence)
     machine.token = max(machine.token, report.token)
-    machine.seen_us = at_us
     if report.address:
         machine.address = report.address
     if report.notice_s is not None:
@@ -143,7 +142,6 @@
             outcome.run_times.append((job, at_us - attempt.running_us))
         cluster.release(attempt, completed=True)
         job.saved_us.pop(attempt.index, None)
-        machine.successes += 1
         outcome.completed.append(job)
         return
     if attempt.running_us and job.spec.checkpoint_s > 0:
