A cancellation that the store cannot take is answered at once

Cause: in a state outage the leader held a user's cancellation until its write was answered, past the user's 5 s. Now it goes on by itself and the user gets 503 with Retry-After after 1.5 s at most; a repeat joins it. Also: a renewal that fails again and again is logged once.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -25,7 +25,7 @@
     job_key,
     progress_key,
 )
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leader import Leader, NotReady
 from weldhead.coordination.leadership import Authority, default_timing
 from weldhead.protocol.settings import parse_settings
 from weldhead.protocol.wire import JobSpec
@@ -243,3 +243,33 @@
                     known = leader.cluster.machines[other.name].attempts
                     assert other.live() <= set(known)
         leader.cluster.check()
+
+
+def test_a_cancellation_that_the_store_cannot_take_is_answered_at_once(
+    clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In an outage the user was kept waiting until the store was back."""
+    monkeypatch.setattr("weldhead.coordination.leader.CANCEL_WAIT_US", 0)
+    state = StandInState()
+    put_job(state, job_spec(1))
+    leader = new_leader(state, clock())
+    job = leader.cluster.jobs["run-000001"]
+
+    async def scenario() -> None:
+        store_is_back: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        async def write(changes: dict[str, Any], *, urgent: bool = False) -> int:
+            return await store_is_back
+
+        monkeypatch.setattr(leader.ledger, "write", write)
+        for _ in range(2):
+            with pytest.raises(NotReady):
+                await leader.cancel(job.id)
+        assert not job.cancelled and len(leader._cancelling) == 1
+        store_is_back.set_result(99)
+        await asyncio.gather(*leader._cancelling.values())
+        answer = await leader.cancel(job.id)
+        assert answer is not None and answer.state == "withdrawn"
+        assert (job.cancelled, job.version, job.waiting) == (True, 99, 0)
+
+    asyncio.run(scenario())
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -75,6 +75,9 @@
 #: that is answered proves sooner than the end of their leases that nothing runs there.
 UNKNOWN_PATIENCE_US = 2 * SECOND_US
 
+#: How long a user waits for a cancellation before being told to ask again.
+CANCEL_WAIT_US = 1_500_000
+
 #: How often the fleet's use is logged.
 FLEET_LOG_US = 10 * SECOND_US
 
@@ -135,6 +138,7 @@
         self._hires = 0
         self._unsettled: dict[str, HireRecord] = {}
         self._written_chunks: dict[str, set[int]] = {}
+        self._cancelling: dict[str, asyncio.Task[None]] = {}
         self._adopting: set[str] = set()
         #: Names that are gone for good, though the cloud's list may show them for a while.
         self._returned: set[str] = set()
@@ -322,21 +326,37 @@
         if job is None:
             return self.status(job_id)
         if not job.cancelled:
-            if job.finishing:
+            task = self._cancelling.get(job_id)
+            if task is None:
+                task = self._duties.once("cancellation", self._commit_cancel(job))
+                self._cancelling[job_id] = task
+            # A user is told within a moment, if only to ask again: a cancellation that the
+            # store cannot take now goes on without keeping the user waiting.
+            await asyncio.wait({task}, timeout=to_seconds(CANCEL_WAIT_US))
+            if not job.cancelled:
                 raise NotReady
-            record = JobRecord(job.spec, job.submitted_us, cancelled=True)
+        return JobStatus(job_id, "withdrawn")
+
+    async def _commit_cancel(self, job: Job) -> None:
+        try:
+            # Another write of this job is under way: a matter of one transaction.
+            while job.finishing:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+            if self.cluster.jobs.get(job.id) is not job:
+                return
             job.finishing = True
             try:
-                version = await self.ledger.write({job_key(job_id): record}, urgent=True)
-            except Deposed as error:
-                raise NotReady from error
+                record = JobRecord(job.spec, job.submitted_us, cancelled=True)
+                job.version = await self.ledger.write({job_key(job.id): record}, urgent=True)
             finally:
                 job.finishing = False
-            job.version = version
             job.cancelled = True
             self._withdraw(job)
-            log.info("%s cancelled", job_id)
-        return JobStatus(job_id, "withdrawn")
+            log.info("%s cancelled", job.id)
+        except Deposed:
+            pass
+        finally:
+            self._cancelling.pop(job.id, None)
 
     def _withdraw(self, job: Job) -> None:
         at_us = now_us()
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -204,6 +204,7 @@
     async def _renew(self, leader: Leader) -> None:
         """Keep the lease; the term ends with the authority."""
         pause_us = self.timing.renew_us
+        failing = False
         while self.leader is leader:
             await asyncio.sleep(to_seconds(pause_us))
             sent_us = now_us()
@@ -211,10 +212,13 @@
                 await self._state.extend(self.authority.lease, self.timing.renew_us)
                 self.authority.renewed(sent_us)
                 pause_us = self.timing.renew_us
+                failing = False
             except LeaseGone:
                 self._step_down("the lease is gone")
             except CallFailed as error:
-                log.info("lease not renewed: %s", error)
+                # Said once for each trouble, not at each of its many attempts.
+                log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
+                failing = True
                 pause_us = self.timing.renew_us // 3
                 await self._hold_on()
                 if self.leader is leader and not self.authority.valid(now_us()):
