Tidy: what no decision used

Found on reading the whole change: pings carried how many workers each node heard, and every node kept a table for it, but nothing looked at it; the machine score had a parameter that was always empty (last machines are handled before it); a re-raise that does what happens anyway; the final status worked out twice.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -98,7 +98,6 @@
         st.integers(0, 2**63),
         st.integers(0, 2**63),
         st.booleans(),
-        st.integers(0, 100),
         st.lists(st.text(max_size=9), max_size=3).map(tuple),
     ),
     st.builds(
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -66,8 +66,6 @@
 
 log = logging.getLogger(__name__)
 
-_encode = msgspec.json.Encoder().encode
-
 #: How many final states are kept in memory; older ones are read from the store.
 FINALS_KEPT = 20_000
 
@@ -573,8 +571,6 @@
                             attempt.limbo_us = at_us
                     log.info("machine %s: direct commands unanswered: %s", machine.name, error)
                     return
-                except asyncio.CancelledError:
-                    raise
                 # Answered: executed, or (409) surely not.
                 for attempt in started:
                     attempt.posted = False
@@ -655,7 +651,6 @@
             job.mark_committed(fresh)
 
     async def _finish_job(self, job: Job) -> None:
-        status = "withdrawn" if job.cancelled else "done"
         final = FinalRecord("withdrawn" if job.cancelled else "done", job.done)
         changes: dict[str, Any] = {final_key(job.id): final, job_key(job.id): None}
         written = sorted(self._written_chunks.get(job.id, ()))
@@ -669,7 +664,7 @@
         self.estimates.forget(job.id)
         self.reclaims.trim(job.id, 0)
         job.dirty.clear()
-        log.info("%s %s", job.id, status)
+        log.info("%s %s", job.id, final.status)
         for chunk in written[len(first) :]:
             await self.ledger.write({progress_key(job.id, chunk): None})
 
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -55,7 +55,6 @@
         self._vacant = asyncio.Event()
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
-        self._reports_seen_us: dict[str, int] = {}
         self._relays = Relays()
 
     async def run(self) -> None:
@@ -282,9 +281,6 @@
 
     # -- peers ------------------------------------------------------------------------
 
-    def _reports_lately(self, at_us: int) -> int:
-        return sum(1 for seen in self._reports_seen_us.values() if at_us - seen < 3 * SECOND_US)
-
     async def _ping(self, link: PeerLink) -> None:
         while True:
             await asyncio.sleep(0.4)
@@ -293,7 +289,7 @@
             at_us = now_us()
             token = self.authority.token if self.authority.valid(at_us) else 0
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
-            ping = Ping(link.next_id(), token, self._state.ok, self._reports_lately(at_us), silent)
+            ping = Ping(link.next_id(), token, self._state.ok, silent)
             try:
                 await link.ask(ping, Pong, 2 * SECOND_US)
             except CallFailed:
@@ -306,7 +302,7 @@
                 if message.token:
                     self._hear_leader(name, message.token)
                     self._relays.leader_misses(message.silent, at_us)
-                return Pong(message.id, self._state.ok, self._reports_lately(at_us))
+                return Pong(message.id, self._state.ok)
             case Ask():
                 answer = await self._answer_peer(message)
                 return Answer(message.id, answer.status, answer.body)
@@ -409,8 +405,6 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.error("malformed report refused: %s", error)
             return refusal(400, str(error))
-        if not relayed:
-            self._reports_seen_us[report.machine] = at_us
         leader = self.leader
         if leader is not None and self.authority.valid(at_us):
             answer = leader.report(report, at_us, relayed=relayed)
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -117,8 +117,8 @@
     return alone_us * (1 + machine.pulls())
 
 
-def score(job: Job, room: Room, last_of_job: set[str], fetch_weight: float) -> tuple[float, ...]:
-    """Rank machines for a job, lower first: last machine, image at hand, tightest fit."""
+def score(job: Job, room: Room, fetch_weight: float) -> float:
+    """Rank machines for a job, lower first: image at hand, price, tightest fit."""
     delay_s = fetch_delay_us(job, room) / SECOND_US * fetch_weight
     # A started machine's money is spent anyway: fill used ones so that others fall idle.
     idle = 0.0 if room.used else IDLE_PENALTY
@@ -126,7 +126,7 @@
     if room.machine.closing:
         dear += CLOSING_PENALTY
     left = FIT_WEIGHT * room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
-    return (0.0 if room.machine.name in last_of_job else 1.0, delay_s + idle + dear + left)
+    return delay_s + idle + dear + left
 
 
 def plan_starts(
@@ -212,7 +212,7 @@
             rest.append(index)
     if not rest:
         return count
-    fitting.sort(key=lambda room: score(job, room, set(), fetch_weight))
+    fitting.sort(key=lambda room: score(job, room, fetch_weight))
     if job.spec.one_zone and not any(zones.values()):
         # Everything has to be in one zone: take the zone that holds most.
         best: dict[str, int] = defaultdict(int)
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -20,14 +20,13 @@
     """A sign of life.
 
     ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
-    service has served the caller of late; ``reports`` how many workers have been heard
-    lately; ``silent`` names machines that a leader misses and wants relayed.
+    service has served the caller of late; ``silent`` names machines that a leader misses
+    and wants relayed.
     """
 
     id: int
     token: int
     state_ok: bool
-    reports: int
     silent: tuple[str, ...] = ()
 
 
@@ -36,7 +35,6 @@
 
     id: int
     state_ok: bool
-    reports: int
 
 
 class Ask(msgspec.Struct, array_like=True, tag="ask"):
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -55,7 +55,6 @@
         self.heard_us = 0
         self.refused = False
         self.state_ok = False
-        self.reports = 0
         #: Called with the peer's name when its process seems to be gone.
         self.on_lost: Callable[[str], None] = lambda name: None
 
@@ -105,7 +104,6 @@
                 self.heard_us = now_us()
                 if isinstance(message, Pong):
                     self.state_ok = message.state_ok
-                    self.reports = message.reports
                 waiting = self._pending.pop(getattr(message, "id", -1), None)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(message)
