--- a/run.py
+++ b/run.py
@@ -11,7 +11,9 @@
 sys.path.insert(0, str(ROOT / "target" / "deps"))
 sys.path.insert(0, str(ROOT))
 
-from weldhead.cli import main  # noqa: E402  (the path must be set first)
+# The path must be set first; the clock notes the start before all else is loaded.
+import weldhead.clock  # noqa: E402, F401
+from weldhead.cli import main  # noqa: E402
 
 if __name__ == "__main__":
     arguments = sys.argv[1:]
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -25,7 +25,7 @@
         preemptor.period = if nodes > 2 and not (teams == 1) then 250ms else 2s
         direct_runs = 1 < 2 or false
         fetch_weight = 1 / 4
-        fleet.most_per_request = 2 * 3
+        fleet.most_per_look = 2 * 3
         """,
         VALUES,
     )
@@ -33,7 +33,7 @@
     assert tunables.preemptor.period_us == 250_000
     assert tunables.direct_runs is True
     assert tunables.fetch_weight == 0.25
-    assert tunables.fleet.most_per_request == 6
+    assert tunables.fleet.most_per_look == 6
     assert tunables.leadership == Tunables().leadership
 
 
@@ -73,7 +73,7 @@
         "fetch_weight = 1 / (nodes - 3)",
         "fleet.keep_idle = -(1s)",
         "fleet.keep_idle = 0s",
-        "fleet.most_per_request = 1.5",
+        "fleet.most_per_look = 1.5",
     ],
 )
 def test_values_are_checked_when_they_are_known(text: str) -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -19,8 +19,8 @@
 from weldhead.bookkeeping.jobs import Phase
 from weldhead.bookkeeping.records import (
     LEADER_KEY,
+    HireRecord,
     JobRecord,
-    MachineRecord,
     encode_progress,
     job_key,
     progress_key,
@@ -60,8 +60,9 @@
     def __enter__(self) -> Clock:
         self.patch = pytest.MonkeyPatch()
         clock = Clock()
-        for name in ("now_us", "wall_us"):
-            self.patch.setattr(f"weldhead.coordination.leader.{name}", clock)
+        for module in ("leader", "term", "rentals", "completions", "dispatch"):
+            for name in ("now_us", "wall_us"):
+                self.patch.setattr(f"weldhead.coordination.{module}.{name}", clock, raising=False)
         return clock
 
     def __exit__(self, *_: object) -> None:
@@ -89,7 +90,9 @@
 
 
 def put_machine(state: StandInState, name: str, *, up: bool = True) -> StandInWorker:
-    state.put(f"m/{name}", MachineRecord("m4", "a", False, START - 60 * S, up, "10.0.0.9:1"))
+    machines: dict[str, str | None] = {name: "10.0.0.9:1" if up else None}
+    record = HireRecord("m4", "a", False, 1, START - 60 * S, True, machines)
+    state.put(f"h/{name}", record)
     return StandInWorker(name, 4.0)
 
 
@@ -155,7 +158,7 @@
     _, shown = worker.direct(leader.token, 1, [])
     leader._apply(machine, shown, direct=True)
     assert machine.synced
-    lease_us = leader._lease_us
+    lease_us = leader.term.lease_us
     assert machine.lease_over_us(lease_us, 0) > clock() + lease_us
     clock.us += lease_us + S
     assert machine.lease_over_us(lease_us, 0) < clock()
@@ -166,8 +169,8 @@
     put_machine(state, "vm-000001")
     leader = new_leader(state, clock())
     machine = leader.cluster.machines["vm-000001"]
-    over_us = machine.lease_over_us(leader._lease_us, clock() + 3 * S)
-    assert over_us > clock() + 3 * S + leader._lease_us
+    over_us = machine.lease_over_us(leader.term.lease_us, clock() + 3 * S)
+    assert over_us > clock() + 3 * S + leader.term.lease_us
 
 
 def test_reports_of_an_expired_session_are_not_answered(clock: Clock) -> None:
@@ -265,9 +268,9 @@
         for _ in range(2):
             with pytest.raises(NotReady):
                 await leader.cancel(job.id)
-        assert not job.cancelled and len(leader._cancelling) == 1
+        assert not job.cancelled and len(leader.completions.cancelling) == 1
         store_is_back.set_result(99)
-        await asyncio.gather(*leader._cancelling.values())
+        await asyncio.gather(*leader.completions.cancelling.values())
         answer = await leader.cancel(job.id)
         assert answer is not None and answer.state == "withdrawn"
         assert (job.cancelled, job.version, job.waiting) == (True, 99, 0)
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -54,11 +54,14 @@
         "sent_sequence",
         "stop",
         "stop_us",
+        "task",
     )  # fmt: skip
 
     def __init__(self, job: "Job", index: int, number: int, machine: str, at_us: int) -> None:
         self.job = job
         self.index = index
+        #: The task's name.
+        self.task = f"{job.id}/{index}"
         self.number = number
         self.machine = machine
         self.phase = Phase.ASSIGNED
@@ -75,11 +78,6 @@
         self.prior_us = job.saved_us.get(index, 0)
         self.reason = ""
 
-    @property
-    def task(self) -> str:
-        """The task's name."""
-        return f"{self.job.id}/{self.index}"
-
     def elapsed_us(self, at_us: int) -> int:
         """Return the run time so far, with what earlier attempts saved."""
         return self.prior_us + (at_us - self.running_us if self.running_us else 0)
@@ -106,6 +104,7 @@
         "not_before_us",
         "restarts",
         "saved_us",
+        "saving",
         "spec",
         "states",
         "submitted_us",
@@ -123,7 +122,9 @@
         self.first_seen_us = at_us
         self.version = version
         self.cancelled = False
+        #: Its end or its cancellation is being committed, or its progress.
         self.finishing = False
+        self.saving = False
         self.states = bytearray(spec.tasks)
         self.active: dict[int, Attempt] = {}
         self.done = 0
@@ -252,6 +253,11 @@
         """Whether every task is completed (replicas never complete by design)."""
         return self.done == self.spec.tasks
 
+    @property
+    def over(self) -> bool:
+        """Whether nothing more is to come: all completed, or cancelled and all gone."""
+        return self.done == self.spec.tasks or (self.cancelled and not self.active)
+
     def zone_limit(self) -> int:
         """How many of the tasks may be in one zone."""
         return -(-self.spec.tasks // 2) if self.spec.spread else self.spec.tasks
--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import logging
+from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -25,11 +27,18 @@
 
 
 class _Write:
-    __slots__ = ("changes", "future")
-
-    def __init__(self, changes: dict[str, Any], future: "asyncio.Future[int]") -> None:
+    __slots__ = ("build", "changes", "future")
+
+    def __init__(
+        self,
+        changes: dict[str, Any],
+        future: "asyncio.Future[int]",
+        build: Callable[[], Any] | None = None,
+    ) -> None:
         self.changes = changes
         self.future = future
+        #: Makes the value of the only key when the write's turn comes.
+        self.build = build
 
 
 class Ledger:
@@ -39,8 +48,10 @@
         self._state = state
         self._token = token
         self._versions: dict[str, int] = {}
-        self._urgent: list[_Write] = []
-        self._queue: list[_Write] = []
+        self._urgent: deque[_Write] = deque()
+        self._queue: deque[_Write] = deque()
+        #: Writes of newest values whose turn has not come, by key.
+        self._latest: dict[str, _Write] = {}
         self._wake = asyncio.Event()
         self._closed = False
 
@@ -64,6 +75,33 @@
         self._wake.set()
         return await write.future
 
+    async def write_latest(
+        self, key: str, build: Callable[[], Any], *, urgent: bool = False
+    ) -> int:
+        """Commit the newest value of a key, made when the write's turn comes.
+
+        Whoever asks before that shares the write: a record that changes often costs one
+        change a turn, however many changes it has seen.
+        """
+        if self._closed:
+            raise Deposed
+        write = self._latest.get(key)
+        if write is None:
+            write = _Write({key: None}, asyncio.get_running_loop().create_future(), build)
+            self._latest[key] = write
+            (self._urgent if urgent else self._queue).append(write)
+            self._wake.set()
+        elif urgent:
+            self.hasten(key)
+        return await asyncio.shield(write.future)
+
+    def hasten(self, key: str) -> None:
+        """Let a newest value's write that waits for its turn overtake the others."""
+        write = self._latest.get(key)
+        if write is not None and write in self._queue:
+            self._queue.remove(write)
+            self._urgent.append(write)
+
     def _batch(self) -> list[_Write]:
         """Take writes from the queue: urgent ones first, no key twice."""
         batch: list[_Write] = []
@@ -72,6 +110,8 @@
         for queue in (self._urgent, self._queue):
             while queue:
                 write = queue[0]
+                if write.build is not None:
+                    write.changes = dict.fromkeys(write.changes, write.build())
                 added = len(msgspec.json.encode(write.changes))
                 if len(keys) + len(write.changes) > self._state.max_writes:
                     return batch
@@ -79,7 +119,9 @@
                     return batch
                 keys |= write.changes.keys()
                 size += added
-                batch.append(queue.pop(0))
+                batch.append(queue.popleft())
+                if write.build is not None:
+                    del self._latest[next(iter(write.changes))]
         return batch
 
     async def run(self) -> None:
@@ -157,10 +199,11 @@
     def close(self) -> None:
         """Fail everything that is still waiting."""
         self._closed = True
-        for write in self._urgent + self._queue:
+        for write in (*self._urgent, *self._queue):
             if not write.future.done():
                 write.future.set_exception(Deposed())
                 write.future.exception()
         self._urgent.clear()
         self._queue.clear()
+        self._latest.clear()
         self._wake.set()
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -37,6 +37,7 @@
         "ghosts",
         "gpus",
         "heard_us",
+        "hire",
         "hired_us",
         "idle_since_us",
         "images",
@@ -66,6 +67,8 @@
         self.zone = zone
         self.spot = spot
         self.address = ""
+        #: The rental in whose record it stands.
+        self.hire = ""
         #: Steady clock of this node, estimated for machines that it did not rent.
         self.hired_us = hired_us
         #: The store knows that something may run here.
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -7,8 +7,7 @@
 j/ID      JobRecord: a job that is not over, or whose tasks may still be somewhere
 p/ID/N    the completed tasks of a job, N-th chunk of a bitmap
 f/ID      FinalRecord: how a job ended, kept for good
-m/NAME    MachineRecord: a machine that is ours
-h/NAME    HireRecord: a rental that may have been asked for, its names not recorded yet
+h/NAME    HireRecord: a rental that may have been asked for, and its machines
 ========  =========================================================================
 
 Only the leader writes anything but ``leader`` and new ``j/`` keys, and each of its
@@ -26,12 +25,15 @@
 JOBS = "j/"
 PROGRESS = "p/"
 FINAL = "f/"
-MACHINES = "m/"
 HIRES = "h/"
 
 #: Tasks in one chunk of progress: 1 KiB of bits, well inside any value limit.
 CHUNK_TASKS = 8192
 
+#: Room for a rental's own fields, and for each machine's name and address, generously.
+HIRE_HEAD_BYTES = 400
+HIRE_MACHINE_BYTES = 96
+
 
 class LeaderRecord(msgspec.Struct):
     """Who leads; the nonce tells a leader its own record after an unanswered write.
@@ -59,25 +61,27 @@
     done: int
 
 
-class MachineRecord(msgspec.Struct):
-    """A machine of ours; until ``up`` is set, nothing was ever started on it."""
-
-    type: str
-    zone: str
-    spot: bool
-    hired_us: int
-    up: bool = False
-    address: str = ""
-
+class HireRecord(msgspec.Struct, omit_defaults=True):
+    """A rental: asked for under the name in its key, and the machines that came of it.
 
-class HireRecord(msgspec.Struct):
-    """A rental request that may have been executed."""
+    One record holds many machines, so that hundreds of them can be entered and marked
+    within the store's rate of changes. A machine maps to the address at which it reported,
+    or to null: until the address is entered, nothing was ever started on it.
+    """
 
     type: str
     zone: str
     spot: bool
     count: int
     hired_us: int
+    #: What came of the request is known.
+    settled: bool = False
+    machines: dict[str, str | None] = {}
+
+
+def hire_size(value_kb: float) -> int:
+    """How many machines a rental's record can hold."""
+    return max(1, int((value_kb * 1024 - HIRE_HEAD_BYTES) / HIRE_MACHINE_BYTES))
 
 
 def job_key(job_id: str) -> str:
--- a/weldhead/clock.py
+++ b/weldhead/clock.py
@@ -20,6 +20,12 @@
     return time.monotonic_ns() // 1_000
 
 
+#: The steady clock when this process had loaded next to nothing but this module. Whatever
+#: a former life of the node promised, it promised before; a small controller takes a second
+#: and more to load the rest.
+PROCESS_STARTED_US = now_us()
+
+
 def wall_us() -> int:
     """Return the time of day."""
     return time.time_ns() // 1_000
--- /dev/null
+++ b/weldhead/coordination/completions.py
@@ -0,0 +1,202 @@
+"""Completions, cancellations and ends of jobs: what is committed before it is told."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from weldhead.bookkeeping.jobs import Job, TaskState
+from weldhead.bookkeeping.ledger import Deposed
+from weldhead.bookkeeping.records import (
+    CHUNK_TASKS,
+    FinalRecord,
+    JobRecord,
+    encode_progress,
+    final_key,
+    job_key,
+    progress_key,
+)
+from weldhead.clock import now_us, to_seconds
+from weldhead.coordination.term import Term
+from weldhead.protocol.wire import split_task
+
+log = logging.getLogger(__name__)
+
+#: How many final states are kept in memory; older ones are read from the store.
+FINALS_KEPT = 20_000
+
+
+class Completions:
+    """Commits what has been completed; ``ended`` and ``withdrawn`` are told of the rest."""
+
+    def __init__(
+        self, term: Term, ended: Callable[[Job], None], withdrawn: Callable[[Job], None]
+    ) -> None:
+        self._term = term
+        self._ended = ended
+        self._withdrawn = withdrawn
+        self.finals: dict[str, FinalRecord] = {}
+        self._written_chunks: dict[str, set[int]] = {}
+        self.cancelling: dict[str, asyncio.Task[None]] = {}
+
+    def start(self) -> None:
+        """Begin the duties."""
+        self._term.duties.start("ends of jobs", self._finish_jobs)
+        self._term.duties.start("progress", self._commit_progress)
+
+    def load(self, job: Job, chunk: int, done: list[int]) -> None:
+        """Take up a chunk of progress read from the store."""
+        start = chunk * CHUNK_TASKS
+        job.load_committed([start + index for index in done])
+        self._written_chunks.setdefault(job.id, set()).add(chunk)
+
+    def remember_final(self, job_id: str, final: FinalRecord) -> None:
+        """Keep a final state, which never changes."""
+        self.finals[job_id] = final
+        while len(self.finals) > FINALS_KEPT:
+            del self.finals[next(iter(self.finals))]
+
+    def is_committed(self, task: str) -> bool:
+        """Whether a task's completion needs no more saving, so its attempt may go."""
+        try:
+            job_id, index = split_task(task)
+        except ValueError:
+            return True
+        job = self._term.cluster.jobs.get(job_id)
+        if job is None or index >= job.spec.tasks:
+            return True
+        return job.states[index] != TaskState.COMPLETED
+
+    # -- duties ----------------------------------------------------------------------------
+
+    async def _finish_jobs(self) -> None:
+        """Finish jobs that are over: their users wait for that."""
+        term = self._term
+        while True:
+            await term.flush.wait()
+            term.flush.clear()
+            # A moment's gathering makes one write of many ends.
+            await asyncio.sleep(to_seconds(term.tunables.commit_gather_us))
+            over = [job for job in term.cluster.jobs.values() if job.over and not job.finishing]
+            for job in over:
+                if job.saving:
+                    # Its end waits for that write, so that it leaves nothing behind.
+                    self._hasten(job)
+            over = [job for job in over if not job.saving]
+            if not over:
+                continue
+            wait_us = term.predecessor_over_us - now_us()
+            if wait_us > 0:
+                # An earlier leader could still tell users an older state.
+                asyncio.get_running_loop().call_later(to_seconds(wait_us), term.flush.set)
+                continue
+            await asyncio.gather(*(self._end(job) for job in over))
+
+    def _hasten(self, job: Job) -> None:
+        for chunk in range(-(-job.spec.tasks // CHUNK_TASKS)):
+            self._term.ledger.hasten(progress_key(job.id, chunk))
+
+    async def _commit_progress(self) -> None:
+        """Commit completions of jobs that go on: nobody waits, so many make one write."""
+        term = self._term
+        while True:
+            await asyncio.sleep(to_seconds(term.tunables.progress_gather_us))
+            dirty = [
+                job
+                for job in term.cluster.jobs.values()
+                if job.dirty and not job.over and not job.finishing
+            ]
+            await asyncio.gather(*(self._save(job) for job in dirty))
+
+    async def _save(self, job: Job) -> None:
+        job.saving = True
+        try:
+            for chunk in sorted(job.dirty):
+                await self._save_chunk(job, chunk)
+        except Deposed:
+            pass
+        finally:
+            job.saving = False
+            if job.over:
+                self._term.flush.set()
+
+    async def _save_chunk(self, job: Job, chunk: int) -> None:
+        fresh: list[int] = []
+
+        def build() -> str:
+            # Made when the write's turn comes: what has completed since goes with it.
+            flags, found = job.snapshot_chunk(chunk)
+            fresh[:] = found
+            job.dirty.discard(chunk)
+            return encode_progress(flags)
+
+        try:
+            await self._term.ledger.write_latest(progress_key(job.id, chunk), build)
+        except Deposed:
+            job.dirty.add(chunk)
+            raise
+        self._written_chunks.setdefault(job.id, set()).add(chunk)
+        job.mark_committed(fresh)
+
+    async def _end(self, job: Job) -> None:
+        job.finishing = True
+        try:
+            await self._finish(job)
+        except Deposed:
+            pass
+        finally:
+            job.finishing = False
+
+    async def _finish(self, job: Job) -> None:
+        term = self._term
+        final = FinalRecord("withdrawn" if job.cancelled else "done", job.done)
+        changes: dict[str, Any] = {final_key(job.id): final, job_key(job.id): None}
+        written = sorted(self._written_chunks.get(job.id, ()))
+        # What does not fit into one transaction is cleared away afterwards.
+        first = written[: max(0, term.state.max_writes - 2)]
+        changes.update({progress_key(job.id, chunk): None for chunk in first})
+        await term.ledger.write(changes, urgent=True)
+        self.remember_final(job.id, final)
+        term.cluster.jobs.pop(job.id, None)
+        self._written_chunks.pop(job.id, None)
+        job.dirty.clear()
+        self._ended(job)
+        log.info("%s %s", job.id, final.status)
+        for chunk in written[len(first) :]:
+            await term.ledger.write({progress_key(job.id, chunk): None})
+
+    # -- cancellations -----------------------------------------------------------------------
+
+    async def cancel(self, job: Job, patience_us: int) -> bool:
+        """Commit a cancellation; false if that has not come about in time.
+
+        One that the store cannot take now goes on without keeping the user waiting.
+        """
+        task = self.cancelling.get(job.id)
+        if task is None:
+            task = self._term.duties.once("cancellation", self._commit_cancel(job))
+            self.cancelling[job.id] = task
+        await asyncio.wait({task}, timeout=to_seconds(patience_us))
+        return job.cancelled
+
+    async def _commit_cancel(self, job: Job) -> None:
+        term = self._term
+        try:
+            # Another write of this job is under way: a matter of one transaction.
+            while job.finishing:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+            if term.cluster.jobs.get(job.id) is not job:
+                return
+            job.finishing = True
+            try:
+                record = JobRecord(job.spec, job.submitted_us, cancelled=True)
+                job.version = await term.ledger.write({job_key(job.id): record}, urgent=True)
+            finally:
+                job.finishing = False
+            job.cancelled = True
+            log.info("%s cancelled", job.id)
+            self._withdrawn(job)
+        except Deposed:
+            pass
+        finally:
+            self.cancelling.pop(job.id, None)
--- a/weldhead/coordination/estimates.py
+++ b/weldhead/coordination/estimates.py
@@ -20,22 +20,26 @@
 class Mean:
     """A fading mean of logarithms of ratios."""
 
-    __slots__ = ("total", "weight")
+    __slots__ = ("_cached", "total", "weight")
 
     def __init__(self) -> None:
         self.total = 0.0
         self.weight = 0.0
+        #: The last answer and what it was for: it is asked for far more often than it changes.
+        self._cached = (0.0, 0.0)
 
     def add(self, ratio: float, fading: float = 1.0) -> None:
         """Add an observation."""
         self.total = self.total * fading + math.log(ratio)
         self.weight = self.weight * fading + 1.0
+        self._cached = (0.0, 0.0)
 
     def ratio(self, prior: float) -> float:
         """Return the mean ratio, starting from a prior one."""
-        return math.exp(
-            (self.total + math.log(prior) * PRIOR_WEIGHT) / (self.weight + PRIOR_WEIGHT)
-        )
+        if self._cached[0] != prior:
+            total = self.total + math.log(prior) * PRIOR_WEIGHT
+            self._cached = (prior, math.exp(total / (self.weight + PRIOR_WEIGHT)))
+        return self._cached[1]
 
 
 class Estimates:
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -5,6 +5,7 @@
 
 import heapq
 from collections import defaultdict
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
@@ -31,7 +32,7 @@
     minimum_charge_us: int
     boot_patience: float
     boot_give_up: float
-    most_per_request: int
+    most_per_look: int
 
 
 @dataclass(frozen=True)
@@ -48,6 +49,14 @@
         return self.type.spot_price if self.spot else self.type.price
 
 
+@dataclass(frozen=True)
+class Coming:
+    """Machines that are being rented and have no names yet."""
+
+    type: MachineType
+    count: int
+
+
 @dataclass
 class Market:
     """What the cloud has said of late."""
@@ -88,9 +97,17 @@
     """A coarse forecast: waiting tasks take CPUs in order, as running ones give them back."""
 
     def __init__(
-        self, cluster: Cluster, estimates: Estimates, at_us: int, settings: FleetSettings
+        self,
+        cluster: Cluster,
+        coming: Iterable[Coming],
+        estimates: Estimates,
+        at_us: int,
+        settings: FleetSettings,
     ) -> None:
         self._heap: list[tuple[int, float]] = []
+        for item in coming:
+            ready_us = at_us + seconds_us(item.type.boot_s)
+            self._heap += [(ready_us, item.type.cpus)] * item.count
         for machine in cluster.machines.values():
             if machine.deleting or machine.draining:
                 continue
@@ -135,6 +152,7 @@
     goals: Goals,
     at_us: int,
     settings: FleetSettings,
+    coming: Sequence[Coming] = (),
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -144,7 +162,7 @@
     offers = market.offers(at_us)
     if not plan.unplaced or not offers:
         return {}
-    queue = _Queue(cluster, estimates, at_us, settings)
+    queue = _Queue(cluster, coming, estimates, at_us, settings)
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
     backlog_us = 0.0
     patient: list[tuple[Job, int]] = []
@@ -189,6 +207,7 @@
     # More dear machines than this would share the backlog so thinly that they are idle
     # before they have been paid for; one is always allowed.
     capacity = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
+    capacity += sum(item.type.cpus * item.count for item in coming)
     capacity += sum(offer.type.cpus * number for offer, number in hires.items())
     worthwhile = backlog_us / settings.payback_us - capacity
     _hire_for(pressing, offers, hires, rooms, settings, worthwhile)
@@ -214,7 +233,7 @@
                 break
             if offer_allows(offer, job):
                 count -= _fill(left, job, count)
-        while count > 0 and len(rooms) < settings.most_per_request * 4:
+        while count > 0 and len(rooms) < settings.most_per_look:
             best = _best_offer(job, count, missing, offers)
             if best is None:
                 break
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -120,7 +120,7 @@
         outcome = decode(bytes(final.value), FinalRecord)
         leader = self._node.leader
         if leader is not None:
-            leader.remember_final(job_id, outcome)
+            leader.completions.remember_final(job_id, outcome)
         return JobStatus(job_id, outcome.status, outcome.done, 0)
 
     async def poll(self, job_id: str, *, forwarded: bool = False) -> Response:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
-from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
+from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us, to_seconds
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import (
@@ -46,12 +46,14 @@
         self.tunables = tunables
         self.timing = default_timing(tunables.leadership.ttl_us)
         self.authority = Authority(self.timing, frozenset(p.name for p in settings.peers))
-        self.candidacy = Candidacy(self.timing, now_us())
+        self.candidacy = Candidacy(self.timing, PROCESS_STARTED_US)
         self.leader: Leader | None = None
         self.catalog: list[MachineType] = []
         self._known_leader: LeaderRecord | None = None
         self._known_token = 0
         self._leader_revision = 0
+        #: Nonces of this process's own records: any other under our name is a former life's.
+        self._nonces: set[str] = set()
         self._vacant = asyncio.Event()
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
@@ -59,8 +61,11 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        # Users and workers need the rest.
-        self._http = HttpClient(max(16, self.settings.facts.limits.sockets // 3))
+        # Users' and workers' own connections need the rest. Direct commands have a pool of
+        # their own, so that they never keep a call to the store waiting.
+        sockets = self.settings.facts.limits.sockets
+        self._http = HttpClient(max(8, sockets // 16))
+        self._worker_http = HttpClient(max(8, sockets // 10), keepalive_s=5.0)
         self._state = StateClient(
             self._http, self.settings.services.state, self.settings.facts.state
         )
@@ -89,6 +94,7 @@
             await peer_server.close()
             await server.close()
             await self._http.close()
+            await self._worker_http.close()
 
     # -- leadership -------------------------------------------------------------------
 
@@ -96,7 +102,7 @@
         while True:
             self.catalog = await self._cloud.catalog()
             if self.leader is not None:
-                self.leader.market.types = self.catalog
+                self.leader.new_catalog(self.catalog)
             await asyncio.sleep(60.0)
 
     async def _watch_leader(self) -> None:
@@ -124,6 +130,23 @@
         self._known_token = entry.version
         self._leader_revision = max(self._leader_revision, entry.version)
         self._vacant.clear()
+        if self._known_leader.name == self.settings.name:
+            self._duties.once("return", self._come_back(self._known_leader, entry.version))
+
+    async def _come_back(self, record: LeaderRecord, token: int) -> None:
+        """Replace the key of this node's own former life, which surely commands nothing.
+
+        Without this all controllers, ending at once, waited for a dead leader's lease: up
+        to its whole length after an outage, when every lease has its full time again.
+        """
+        if record.nonce in self._nonces:
+            return
+        await asyncio.sleep(to_seconds(self.candidacy.wait_us(now_us())))
+        while not self.catalog:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+        if self.leader is None and self._known_token == token:
+            log.info("%s led until it ended: taking up again", record.name)
+            await self._stand(token, 0)
 
     def _peer_lost(self, name: str) -> None:
         """The leader's process looks dead: do not wait for its lease to run out."""
@@ -166,6 +189,7 @@
         sent_us = now_us()
         lease = await self._state.grant(self.timing.ttl_us)
         record = LeaderRecord(self.settings.name, secrets.token_hex(8), self.timing.ttl_us)
+        self._nonces.add(record.nonce)
         try:
             token = await self._state.transact(
                 [Condition(LEADER_KEY, replaced)], [Put(LEADER_KEY, record, lease)], urgent=True
@@ -195,7 +219,7 @@
         log.info("%s leads with token %d", self.settings.name, token)
         self.leader = Leader(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
-            self._http, self.catalog, over_us, self._step_down,
+            self._worker_http, self.catalog, over_us, self._step_down,
         )  # fmt: skip
         self.leader.start()
         self._duties.once("lease renewal", self._renew(self.leader))
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -9,10 +9,11 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
-from weldhead.bookkeeping.machines import Machine, how_many
+from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals, Press
@@ -46,7 +47,7 @@
 class Room:
     """A machine's free amounts while a plan is made."""
 
-    __slots__ = ("cpus", "gpus", "machine", "memory_gb", "planned_images", "used")
+    __slots__ = ("_pulls", "cpus", "gpus", "images", "machine", "memory_gb", "used")
 
     def __init__(self, machine: Machine) -> None:
         self.machine = machine
@@ -54,7 +55,9 @@
         self.gpus = machine.gpus
         self.memory_gb = machine.memory_gb
         self.used = bool(machine.attempts)
-        self.planned_images: set[str] = set()
+        #: Images that tasks there use or wait for; looked up when first asked for.
+        self.images: set[str] | None = None
+        self._pulls = 0
 
     def fits(self, job: Job) -> int:
         """How many tasks of the job fit."""
@@ -66,7 +69,74 @@
         self.gpus -= job.spec.gpus * count
         self.memory_gb -= job.spec.memory_gb * count
         self.used = True
-        self.planned_images.add(job.spec.image)
+        self.wanted_images().add(job.spec.image)
+
+    def wanted_images(self) -> set[str]:
+        """Return the images that tasks there use or wait for."""
+        if self.images is None:
+            self.images = {a.job.spec.image for a in self.machine.attempts.values()}
+            self._pulls = self.machine.pulls()
+        return self.images
+
+    def pulls(self) -> int:
+        """How many images are being fetched there."""
+        self.wanted_images()
+        return self._pulls
+
+
+class Shape(NamedTuple):
+    """What decides where a task fits, whoever's it is."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    types: tuple[str, ...] | None
+    zone: str | None
+    spot: bool
+
+    @classmethod
+    def of(cls, job: Job) -> "Shape":
+        """Return the shape of a job's tasks."""
+        spec = job.spec
+        return cls(spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+
+
+class Rooms:
+    """The machines that may take work in this pass.
+
+    Only those that have room for the smallest waiting task are looked at, and a shape that
+    found no room is not looked for again: in a pass room only shrinks.
+    """
+
+    def __init__(self, cluster: Cluster, waiting: list[Job], at_us: int, silence_us: int) -> None:
+        self._least_cpus = min(job.spec.cpus for job in waiting) - EPSILON
+        self._least_memory_gb = min(job.spec.memory_gb for job in waiting) - EPSILON
+        self.open = [
+            Room(machine)
+            for machine in cluster.machines.values()
+            if machine.cpus >= self._least_cpus
+            and machine.memory_gb >= self._least_memory_gb
+            and usable(machine, at_us, silence_us)
+        ]
+        self._hopeless: set[Shape] = set()
+
+    def for_job(self, job: Job) -> list[Room]:
+        """Return the machines with room for the job's tasks."""
+        shape = Shape.of(job)
+        if not self.open or shape in self._hopeless:
+            return []
+        fitting = [r for r in self.open if r.fits(job) > 0 and r.machine.allows(job)]
+        if not fitting:
+            self._hopeless.add(shape)
+        return fitting
+
+    def close_full(self) -> None:
+        """Forget machines that have no room for any waiting task."""
+        self.open = [
+            room
+            for room in self.open
+            if room.cpus >= self._least_cpus and room.memory_gb >= self._least_memory_gb
+        ]
 
 
 def usable(machine: Machine, at_us: int, silence_us: int) -> bool:
@@ -110,11 +180,9 @@
         return 0
     rate = machine.type.fetch_gb_per_s or 1.0
     alone_us = seconds_us(spec.image_gb / rate)
-    if spec.image in room.planned_images or any(
-        a.job.spec.image == spec.image for a in machine.attempts.values()
-    ):
+    if spec.image in room.wanted_images():
         return alone_us // 2
-    return alone_us * (1 + machine.pulls())
+    return alone_us * (1 + room.pulls())
 
 
 def score(job: Job, room: Room, fetch_weight: float) -> float:
@@ -140,7 +208,6 @@
 ) -> Plan:
     """Decide which waiting tasks start where."""
     plan = Plan()
-    rooms = [Room(m) for m in cluster.machines.values() if usable(m, at_us, silence_us)]
     reserved: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
     planned_zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
     planned: dict[str, int] = defaultdict(int)
@@ -149,6 +216,9 @@
         for job in cluster.waiting_jobs()
         if job.not_before_us <= at_us and job.team in cluster.teams
     ]
+    if not waiting:
+        return plan
+    rooms = Rooms(cluster, waiting, at_us, silence_us)
     waiting.sort(key=lambda job: order_key(job, estimates, goals, at_us, patience_us))
     # Two rounds: first what each team is guaranteed, then what it borrows.
     for guaranteed in (True, False):
@@ -178,18 +248,20 @@
     plan: Plan,
     job: Job,
     most: int,
-    rooms: list[Room],
+    rooms: Rooms,
     skip: int,
     zones: dict[str, int],
     fetch_weight: float,
 ) -> int:
     """Place up to ``most`` tasks of a job; return how many were placed."""
-    fitting = [r for r in rooms if r.machine.allows(job) and r.fits(job) > 0]
+    fitting = rooms.for_job(job)
     if job.failed_on:
         # A task that failed somewhere is first tried elsewhere.
         fitting = [r for r in fitting if r.machine.name not in job.failed_on] or fitting
     if not fitting:
         return 0
+    # No more tasks are looked up than there is room for.
+    most = min(most, sum(r.fits(job) for r in fitting))
     indexes = job.waiting_indexes(most + skip)[skip:]
     count = 0
     by_name = {r.machine.name: r for r in fitting}
@@ -211,6 +283,7 @@
         else:
             rest.append(index)
     if not rest:
+        rooms.close_full()
         return count
     fitting.sort(key=lambda room: score(job, room, fetch_weight))
     if job.spec.one_zone and not any(zones.values()):
@@ -232,4 +305,6 @@
         plan.starts += [Start(job, index, room.machine) for index in rest[:number]]
         rest = rest[number:]
         count += number
+    if count:
+        rooms.close_full()
     return count
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -63,6 +63,24 @@
     return (1, attempt.elapsed_us(at_us))
 
 
+class _Claim:
+    """How far the claimants of one kind have looked in this pass.
+
+    Within a pass room for a claimant only shrinks (but where victims leave more than was
+    asked for), and whoever may not be stopped now may not be stopped later either. So
+    nothing is looked at twice: without this, a full fleet was searched anew for each task.
+    """
+
+    __slots__ = ("attempt", "job", "rooms")
+
+    def __init__(self, rooms: list[str]) -> None:
+        #: Machines that may have room, the next one last.
+        self.rooms = rooms
+        #: Position in the order of victims: job, and attempt within it.
+        self.job = 0
+        self.attempt = 0
+
+
 class _Pass:
     """One run of the reclaim algorithm."""
 
@@ -77,20 +95,21 @@
         self.cluster = cluster
         self.estimates = estimates
         self.at_us = at_us
-        self.machines = {
-            m.name: m for m in cluster.machines.values() if usable(m, at_us, settings.silence_us)
-        }
+        self.machines: dict[str, Machine] = {}
         self.taken: set[int] = set()
         #: Room that is free or being freed on each machine, less what is promised already.
         self.free: dict[str, list[float]] = {}
-        for machine in self.machines.values():
+        self.freed: dict[str, float] = defaultdict(float)
+        self.claimed: dict[str, float] = defaultdict(float)
+        for machine in cluster.machines.values():
             room = [machine.cpus, machine.gpus, machine.memory_gb]
             for attempt in machine.attempts.values():
                 if attempt.stop is not Stop.NO:
                     self._add(room, attempt.job, 1)
-            self.free[machine.name] = room
-        self.freed: dict[str, float] = defaultdict(float)
-        self.claimed: dict[str, float] = defaultdict(float)
+                    self.freed[attempt.job.team] += attempt.job.spec.cpus
+            if usable(machine, at_us, settings.silence_us):
+                self.machines[machine.name] = machine
+                self.free[machine.name] = room
         for entry in lists.entries():
             job = cluster.jobs.get(entry.job_id)
             if job is None:
@@ -98,10 +117,19 @@
             if entry.machine in self.free:
                 self._add(self.free[entry.machine], job, -1)
             self.claimed[job.team] += job.spec.cpus
-        for machine in cluster.machines.values():
-            for attempt in machine.attempts.values():
-                if attempt.stop is not Stop.NO:
-                    self.freed[attempt.job.team] += attempt.job.spec.cpus
+        #: Jobs that hold room: the lowest level first, in it the one that holds most.
+        self.order = sorted(
+            (job for job in cluster.jobs.values() if job.active),
+            key=lambda job: (
+                job.spec.level,
+                job.spec.is_service,
+                -len(job.active) * job.spec.cpus,
+                -job.first_seen_us,
+            ),
+        )
+        self._rank = {job.id: number for number, job in enumerate(self.order)}
+        self._attempts: dict[str, list[Attempt]] = {}
+        self._claims: dict[tuple[object, ...], _Claim] = {}
 
     @staticmethod
     def _add(room: list[float], job: Job, sign: int) -> None:
@@ -117,59 +145,91 @@
             and room[2] + EPSILON >= job.spec.memory_gb
         )
 
-    def may_stop(self, claimant: Job, victim: Attempt, guaranteed: bool) -> bool:
-        """Whether the rules let the claimant stop this task."""
-        job = victim.job
-        if victim.stop is not Stop.NO or id(victim) in self.taken or job is claimant:
+    def victims_of(self, job: Job) -> list[Attempt]:
+        """Return a job's tasks, the first one stops first."""
+        attempts = self._attempts.get(job.id)
+        if attempts is None:
+            attempts = sorted(
+                job.active.values(), key=lambda a: victim_key(a, self.estimates, self.at_us)
+            )
+            self._attempts[job.id] = attempts
+        return attempts
+
+    def may_stop_of(self, claimant: Job, job: Job, guaranteed: bool) -> bool:
+        """Whether the rules let the claimant stop tasks of this job."""
+        if job is claimant:
             return False
         borrowed = over_guarantee(self.cluster, job, self.freed)
         if job.spec.level < claimant.spec.level:
             return job.team == claimant.team or borrowed or guaranteed
         return guaranteed and borrowed and job.team != claimant.team
 
+    def may_stop(self, claimant: Job, victim: Attempt, guaranteed: bool) -> bool:
+        """Whether the rules let the claimant stop this task."""
+        return (
+            victim.stop is Stop.NO
+            and id(victim) not in self.taken
+            and self.may_stop_of(claimant, victim.job, guaranteed)
+        )
+
     def may_claim(self, claimant: Job, goals: Goals, patience_us: int) -> bool:
         """Whether the claimant cannot simply wait: it presses, or it is guaranteed room."""
         task_us = self.estimates.task_us(claimant)
         press = goals.press(claimant, task_us, self.at_us, patience_us)
         return press is not Press.PATIENT or within_guarantee(self.cluster, claimant, self.claimed)
 
+    def _claim(self, claimant: Job) -> _Claim:
+        """Return what claimants of the same kind share."""
+        spec = claimant.spec
+        kind = (
+            claimant.team, spec.level, spec.cpus, spec.gpus, spec.memory_gb, spec.types,
+            spec.zone, spec.spot,
+            # Its own tasks limit where it may go.
+            claimant.id if spec.one_zone or spec.spread else None,
+        )  # fmt: skip
+        claim = self._claims.get(kind)
+        if claim is None:
+            rooms = [name for name, room in self.free.items() if self._fits(room, claimant)]
+            rooms.reverse()
+            claim = self._claims[kind] = _Claim(rooms)
+        return claim
+
+    def _may_be_on(self, claimant: Job, machine: Machine) -> bool:
+        return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
+
     def choose(self, claimant: Job) -> Reclaim | None:
         """Choose victims for one task of the claimant; None if nobody may be stopped."""
-        guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
-        allowed = {
-            name: m
-            for name, m in self.machines.items()
-            if m.allows(claimant) and claimant.room_in_zone(m.zone) > 0
-        }
-        for name in allowed:
-            # A victim larger than its claimant leaves room for others: without this, a
-            # job of six small tasks stopped six large ones (found on the bench).
+        claim = self._claim(claimant)
+        # A victim larger than its claimant leaves room for others: without this, a
+        # job of six small tasks stopped six large ones (found on the bench).
+        while claim.rooms:
+            name = claim.rooms[-1]
             if self._fits(self.free[name], claimant):
-                return self._take(claimant, name, [])
-        by_job: dict[str, list[Attempt]] = defaultdict(list)
-        for machine in allowed.values():
-            for attempt in machine.attempts.values():
-                if self.may_stop(claimant, attempt, guaranteed):
-                    by_job[attempt.job.id].append(attempt)
-        order = sorted(
-            by_job.values(),
-            key=lambda attempts: (
-                attempts[0].job.spec.level,
-                attempts[0].job.spec.is_service,
-                -sum(1 for _ in attempts[0].job.active) * attempts[0].job.spec.cpus,
-                -attempts[0].job.first_seen_us,
-            ),
-        )
-        for attempts in order:
-            attempts.sort(key=lambda a: victim_key(a, self.estimates, self.at_us))
-            for attempt in attempts:
-                victims = self._complete(claimant, attempt, allowed[attempt.machine], order)
-                if victims:
-                    return self._take(claimant, attempt.machine, victims)
+                if self._may_be_on(claimant, self.machines[name]):
+                    return self._take(claimant, name, [])
+            claim.rooms.pop()
+        guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
+        while claim.job < len(self.order):
+            job = self.order[claim.job]
+            if self.may_stop_of(claimant, job, guaranteed):
+                attempts = self.victims_of(job)
+                while claim.attempt < len(attempts):
+                    attempt = attempts[claim.attempt]
+                    claim.attempt += 1
+                    machine = self.machines.get(attempt.machine)
+                    if machine is None or attempt.stop is not Stop.NO or id(attempt) in self.taken:
+                        continue
+                    if not self._may_be_on(claimant, machine):
+                        continue
+                    victims = self._complete(claimant, attempt, machine, guaranteed)
+                    if victims:
+                        return self._take(claimant, attempt.machine, victims)
+            claim.job += 1
+            claim.attempt = 0
         return None
 
     def _complete(
-        self, claimant: Job, first: Attempt, machine: Machine, order: list[list[Attempt]]
+        self, claimant: Job, first: Attempt, machine: Machine, guaranteed: bool
     ) -> list[Attempt]:
         """Return the victim and what else must go on its machine, or nothing."""
         room = list(self.free[machine.name])
@@ -177,14 +237,17 @@
         self._add(room, first.job, 1)
         if self._fits(room, claimant):
             return victims
-        for attempts in order:
-            for attempt in attempts:
-                if attempt.machine != machine.name or attempt is first:
-                    continue
-                victims.append(attempt)
-                self._add(room, attempt.job, 1)
-                if self._fits(room, claimant):
-                    return victims
+        others = [
+            attempt
+            for attempt in machine.attempts.values()
+            if attempt is not first and self.may_stop(claimant, attempt, guaranteed)
+        ]
+        others.sort(key=lambda a: (self._rank[a.job.id], victim_key(a, self.estimates, self.at_us)))
+        for attempt in others:
+            victims.append(attempt)
+            self._add(room, attempt.job, 1)
+            if self._fits(room, claimant):
+                return victims
         return []
 
     def _take(self, claimant: Job, machine: str, victims: list[Attempt]) -> Reclaim:
@@ -195,6 +258,9 @@
             self.freed[victim.job.team] += victim.job.spec.cpus
         self._add(room, claimant, -1)
         self.claimed[claimant.team] += claimant.spec.cpus
+        if victims and room[0] > EPSILON:
+            for claim in self._claims.values():
+                claim.rooms.append(machine)
         return Reclaim(claimant.id, machine, victims, self.at_us)
 
 
--- /dev/null
+++ b/weldhead/coordination/rentals.py
@@ -0,0 +1,316 @@
+"""Machines of ours: renting, entering, marking, adopting and returning them.
+
+A rental is recorded before it is asked for, under a name that is never used again, and
+asked for under that name until it is known what came of it. Its record then holds its
+machines; each is marked there with its address before anything is started on it.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from weldhead.bookkeeping.ledger import Deposed
+from weldhead.bookkeeping.machines import Machine
+from weldhead.bookkeeping.records import HIRES, HireRecord, hire_size
+from weldhead.clock import now_us, seconds_us, to_seconds, wall_us
+from weldhead.coordination.fleet import Coming, Offer
+from weldhead.coordination.term import Term
+from weldhead.protocol.wire import ListedMachine, MachineType, RentalRequest, Report
+from weldhead.transport.cloud import BadRental, NoCapacity
+from weldhead.transport.http import CallFailed
+
+log = logging.getLogger(__name__)
+
+#: The cloud's own limits: machines in one rental, names in one deletion, machines on a page.
+MOST_RENTED = 50
+MOST_DELETED = 100
+PAGE = 500
+
+#: Deletions asked for within this time go out in one call.
+DELETE_GATHER_S = 0.1
+
+
+class Rentals:
+    """The term's rentals; ``gone`` is told of machines that are gone for good."""
+
+    def __init__(self, term: Term, gone: Callable[[Machine], None]) -> None:
+        self._term = term
+        self._gone = gone
+        self._records: dict[str, HireRecord] = {}
+        self._count = 0
+        self._adopting: set[str] = set()
+        #: Names that are gone for good, though the cloud's list may show them for a while.
+        self._returned: set[str] = set()
+        self._doomed: dict[str, Machine] = {}
+        self._deletion = asyncio.Event()
+        state = term.settings.facts.state
+        self._most = min(MOST_RENTED, hire_size(state.value_kb))
+
+    # -- the books -----------------------------------------------------------------------
+
+    def load(self, name: str, record: HireRecord, at_us: int, wall: int) -> None:
+        """Take up a rental read from the store, at the start of a term."""
+        self._records[name] = record
+        for machine_name, address in record.machines.items():
+            machine = self._add_machine(machine_name, name, at_us, wall)
+            machine.up = address is not None
+            machine.address = address or ""
+            machine.idle_since_us = at_us
+
+    def start(self) -> None:
+        """Begin the duties, and find out what became of an earlier leader's rentals."""
+        self._term.duties.start("deletions", self._delete)
+        self._term.duties.start("machine list", self._list_machines)
+        for name in self._open():
+            self._term.duties.once("hire", self._settle(name))
+
+    def _open(self) -> list[str]:
+        """Return the rentals of which it is not known what came of them."""
+        return [name for name, record in self._records.items() if not record.settled]
+
+    def coming(self) -> list[Coming]:
+        """Return what is being rented and not entered yet."""
+        found = []
+        for name in self._open():
+            record = self._records[name]
+            known = self._term.types.get(record.type)
+            if known is not None:
+                found.append(Coming(known, record.count))
+        return found
+
+    def _add_machine(self, name: str, hire: str, at_us: int, wall: int) -> Machine:
+        record = self._records[hire]
+        known = self._term.types.get(record.type)
+        if known is None:
+            # A type that left the catalog: nothing is placed there, but it is watched.
+            known = MachineType(record.type, 0, 0, 0, 0, 0, 0, 0, 60.0, ())
+        hired_us = at_us - max(0, wall - record.hired_us)
+        machine = Machine(name, known, record.zone, record.spot, hired_us)
+        machine.hire = hire
+        self._term.cluster.machines[name] = machine
+        return machine
+
+    async def _write(self, name: str, *, urgent: bool = False) -> None:
+        """Commit a rental's record as it is when its turn comes; drop it once it is empty."""
+
+        def build() -> HireRecord | None:
+            record = self._records[name]
+            if record.settled and not record.machines:
+                return None
+            return HireRecord(
+                record.type, record.zone, record.spot, record.count, record.hired_us,
+                record.settled, dict(record.machines),
+            )  # fmt: skip
+
+        await self._term.ledger.write_latest(HIRES + name, build, urgent=urgent)
+
+    async def mark_up(self, machine: Machine) -> None:
+        """Record that something may run on a machine, before anything is started there."""
+        try:
+            record = self._records[machine.hire]
+            if machine.name in record.machines:
+                record.machines[machine.name] = machine.address
+                await self._write(machine.hire, urgent=True)
+                machine.up = True
+                self._term.place.set()
+        except Deposed:
+            pass
+        finally:
+            machine.up_pending = False
+
+    # -- renting -------------------------------------------------------------------------
+
+    def hire(self, offer: Offer, count: int) -> None:
+        """Rent machines, in as many requests as it takes."""
+        while count > 0:
+            part = min(count, self._most)
+            count -= part
+            self._count += 1
+            name = f"{self._term.settings.name}-{self._term.token}-{self._count}"
+            self._records[name] = HireRecord(
+                offer.type.name, offer.zone, offer.spot, part, wall_us()
+            )
+            self._term.duties.once("hire", self._rent(name))
+
+    @property
+    def busy(self) -> bool:
+        """Whether so many requests are under way that more would only wait for the cloud."""
+        return len(self._open()) > max(2, self._term.settings.facts.cloud.rps * 2)
+
+    async def _rent(self, name: str) -> None:
+        """Record a rental's name, then ask for it."""
+        try:
+            await self._write(name, urgent=True)
+        except Deposed:
+            return
+        await self._settle(name)
+
+    async def _settle(self, name: str) -> None:
+        """Ask for a rental until it is known what came of it, and enter its machines."""
+        term = self._term
+        record = self._records[name]
+        offer = (record.type, record.zone, record.spot)
+        request = RentalRequest(name, record.type, record.zone, record.spot, record.count)
+        names: list[str] | None = None
+        while names is None:
+            if not term.valid:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                names = await term.cloud.rent(request)
+                log.info("rented %s in %s (spot: %s): %s", *offer, ", ".join(names))
+            except NoCapacity:
+                names = []
+                log.info("no capacity for %s in %s (spot: %s)", *offer)
+            except BadRental as error:
+                names = []
+                log.error("rental called malformed: %s", error)
+            except CallFailed as error:
+                log.info("rental unanswered: %s", error)
+                await asyncio.sleep(0.5)
+        at_us = now_us()
+        if len(names) < record.count:
+            backoff_us = term.tunables.fleet.refusal_backoff_us
+            term.market.refused_until_us[offer] = at_us + backoff_us
+        fresh = [n for n in names if n not in term.cluster.machines and n not in self._adopting]
+        record.settled = True
+        record.machines = dict.fromkeys(fresh)
+        # Known from here on, and in the store before anything is started on them: a machine
+        # is marked there first, and these writes are made in this order.
+        for machine_name in fresh:
+            self._add_machine(machine_name, name, at_us, wall_us())
+        await self._write_or_drop(name, urgent=True)
+
+    async def _write_or_drop(self, name: str, *, urgent: bool = False) -> None:
+        try:
+            await self._write(name, urgent=urgent)
+        except Deposed:
+            return
+        record = self._records.get(name)
+        if record is not None and record.settled and not record.machines:
+            del self._records[name]
+
+    # -- machines that nobody expected -----------------------------------------------------
+
+    def unexpected(self, report: Report) -> None:
+        """A machine that is not in the books: enter it, then use or return it."""
+        name = report.machine
+        if name in self._adopting or name in self._returned:
+            return
+        if self._may_be_ours(report.type, report.zone, report.spot):
+            # Up before the answer to its rental: it will be entered in a moment.
+            return
+        self._adopt_soon(name, HireRecord(report.type, report.zone, report.spot, 1, wall_us()))
+
+    def _may_be_ours(self, type_name: str, zone: str, spot: bool) -> bool:
+        """Whether a rental is open that such a machine could have come of."""
+        offer = (type_name, zone, spot)
+        return any(
+            (record.type, record.zone, record.spot) == offer
+            for record in self._records.values()
+            if not record.settled
+        )
+
+    def _adopt_soon(self, name: str, record: HireRecord) -> None:
+        self._adopting.add(name)
+        self._term.duties.once("adoption", self._adopt(name, record))
+
+    async def _adopt(self, name: str, record: HireRecord) -> None:
+        self._count += 1
+        hire = f"{self._term.settings.name}-{self._term.token}-{self._count}"
+        record.settled = True
+        record.machines = {name: None}
+        self._records[hire] = record
+        try:
+            await self._write(hire)
+            self._add_machine(name, hire, now_us(), wall_us())
+            log.info("machine %s was not expected; adopted", name)
+        except Deposed:
+            pass
+        finally:
+            self._adopting.discard(name)
+
+    # -- returning -------------------------------------------------------------------------
+
+    def delete(self, machines: dict[str, Machine]) -> None:
+        """Return machines; what runs there counts until the deletion is answered."""
+        if not machines:
+            return
+        for machine in machines.values():
+            machine.deleting = True
+        self._returned.update(machines)
+        self._doomed.update(machines)
+        self._deletion.set()
+        log.info("returning %s", ", ".join(machines))
+
+    async def _delete(self) -> None:
+        """Return machines, many in a call."""
+        while True:
+            await self._deletion.wait()
+            self._deletion.clear()
+            await asyncio.sleep(DELETE_GATHER_S)
+            while self._doomed:
+                # What holds work up goes first.
+                order = sorted(self._doomed.values(), key=lambda m: m.synced and not m.attempts)
+                batch = order[:MOST_DELETED]
+                try:
+                    await self._term.cloud.delete([m.name for m in batch])
+                except CallFailed as error:
+                    log.info("deletion failed: %s", error)
+                    await asyncio.sleep(0.5)
+                    continue
+                self._deleted(batch)
+
+    def _deleted(self, machines: list[Machine]) -> None:
+        """Answered, so the machines and everything on them are gone."""
+        hires = set()
+        for machine in machines:
+            self._doomed.pop(machine.name, None)
+            self._gone(machine)
+            record = self._records.get(machine.hire)
+            if record is not None and machine.name in record.machines:
+                del record.machines[machine.name]
+                hires.add(machine.hire)
+        for hire in hires:
+            self._term.duties.once("rental record", self._write_or_drop(hire))
+
+    # -- the cloud's list ------------------------------------------------------------------
+
+    async def _list_machines(self) -> None:
+        """Compare the cloud's list with the books."""
+        term = self._term
+        lag_s = term.settings.facts.cloud.list_lag_s
+        while True:
+            # Each page is a call, and calls are few.
+            pages = 1 + len(term.cluster.machines) // PAGE
+            await asyncio.sleep(max(2.0, lag_s * pages / 2))
+            if term.valid:
+                self._compare(await term.cloud.machines(), now_us())
+
+    def _compare(self, listed: list[ListedMachine], at_us: int) -> None:
+        doomed: dict[str, Machine] = {}
+        machines = self._term.cluster.machines
+        lag_s = self._term.settings.facts.cloud.list_lag_s
+        for item in listed:
+            machine = machines.get(item.id)
+            if machine is not None:
+                machine.listed = True
+                if item.state == "failed" and not machine.deleting:
+                    doomed[machine.name] = machine
+            elif item.id in self._returned or item.id in self._adopting:
+                continue
+            elif item.age_s > 4 * lag_s and not self._may_be_ours(item.type, item.zone, item.spot):
+                # Gone ones are still listed for a while, new ones may be about to be entered.
+                hired_wall = wall_us() - seconds_us(item.age_s)
+                self._adopt_soon(
+                    item.id, HireRecord(item.type, item.zone, item.spot, 1, hired_wall)
+                )
+        names = {item.id for item in listed}
+        for machine in machines.values():
+            # Listed once, and not any more: the cloud has taken it.
+            if machine.listed and machine.name not in names and not machine.deleting:
+                if at_us - max(machine.heard_us, machine.hired_us) > self._term.silence_us:
+                    doomed[machine.name] = machine
+        if doomed:
+            log.info("%d machines gone by the list, %.1f s", len(doomed), to_seconds(at_us))
+        self.delete(doomed)
--- /dev/null
+++ b/weldhead/coordination/term.py
@@ -0,0 +1,76 @@
+"""What the parts of a leader's term share."""
+
+import asyncio
+from collections.abc import Callable
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.ledger import Ledger
+from weldhead.clock import SECOND_US, now_us, seconds_us
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.fleet import Market
+from weldhead.coordination.goals import Goals
+from weldhead.coordination.leadership import Authority
+from weldhead.duties import Duties
+from weldhead.protocol.settings import Settings
+from weldhead.protocol.wire import MachineType
+from weldhead.transport.cloud import CloudClient
+from weldhead.transport.http import HttpClient
+from weldhead.transport.state import StateClient
+from weldhead.tunables.defaults import Tunables
+
+
+class Term:
+    """One term: the authority to lead, the picture, the store, and the clients."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        tunables: Tunables,
+        authority: Authority,
+        state: StateClient,
+        cloud: CloudClient,
+        worker_http: HttpClient,
+        types: list[MachineType],
+        predecessor_over_us: int,
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self.settings = settings
+        self.tunables = tunables
+        self._authority = authority
+        self.state = state
+        self.cloud = cloud
+        self.worker_http = worker_http
+        self.types = {machine_type.name: machine_type for machine_type in types}
+        #: Until then an earlier leader may still answer users and workers.
+        self.predecessor_over_us = predecessor_over_us
+        self.on_deposed = on_deposed
+        self.token = authority.token
+        self.cluster = Cluster(settings.facts.teams, self.token)
+        self.ledger = Ledger(state, self.token)
+        self.estimates = Estimates()
+        self.goals = Goals(settings.facts.objectives)
+        self.market = Market(types=types)
+        self.duties = Duties()
+        workers = settings.facts.workers
+        self.lease_us = seconds_us(workers.lease_s)
+        self.cancel_us = seconds_us(workers.cancel_s)
+        self.report_us = seconds_us(workers.report_s)
+        self.silence_us = 2 * self.report_us + SECOND_US
+        #: The store has been read; since when (0: not yet).
+        self.loaded = False
+        self.loaded_us = 0
+        #: Recovery is over: work may be started and evicted.
+        self.ready = False
+        #: Something that placement should look at.
+        self.place = asyncio.Event()
+        #: Jobs may be over, or have completions to commit.
+        self.flush = asyncio.Event()
+
+    @property
+    def valid(self) -> bool:
+        """Whether this node may command now."""
+        return self._authority.token == self.token and self._authority.valid(now_us())
+
+    def floor_us(self) -> int:
+        """Return when an earlier leader may last have answered a worker."""
+        return max(self.predecessor_over_us, self.loaded_us)
--- a/weldhead/transport/http.py
+++ b/weldhead/transport/http.py
@@ -6,6 +6,8 @@
 
 from weldhead.clock import SECOND_US
 
+_CLOSE = {"Connection": "close"}
+
 
 class CallFailed(Exception):
     """No usable answer; the request may or may not have been executed."""
@@ -16,12 +18,16 @@
 
 
 class HttpClient:
-    """One pool of connections; every call has a time limit."""
+    """One pool of connections; every call has a time limit.
+
+    The limit counts connections in use; idle ones, to any number of hosts, are kept for
+    ``keepalive_s`` besides.
+    """
 
-    def __init__(self, connections: int) -> None:
+    def __init__(self, connections: int, keepalive_s: float = 30.0) -> None:
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=connections, limit_per_host=0, keepalive_timeout=30.0
+                limit=connections, limit_per_host=0, keepalive_timeout=keepalive_s
             ),
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None),
@@ -30,15 +36,28 @@
         )
 
     async def call(
-        self, method: str, url: str, body: bytes | None, timeout_us: int, connect_us: int = 0
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        timeout_us: int,
+        connect_us: int = 0,
+        *,
+        close: bool = False,
     ) -> tuple[int, bytes]:
-        """Return status and body; CallFailed if none came in time."""
+        """Return status and body; CallFailed if none came in time.
+
+        ``close`` asks the other side not to keep the connection.
+        """
         timeout = aiohttp.ClientTimeout(
             total=timeout_us / SECOND_US,
             sock_connect=connect_us / SECOND_US if connect_us else None,
         )
         try:
-            async with self._session.request(method, url, data=body, timeout=timeout) as answer:
+            headers = _CLOSE if close else None
+            async with self._session.request(
+                method, url, data=body, timeout=timeout, headers=headers
+            ) as answer:
                 return answer.status, await answer.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotConnected(f"{method} {url}: {error!r}") from error
--- a/weldhead/transport/workers.py
+++ b/weldhead/transport/workers.py
@@ -14,14 +14,17 @@
     session: int,
     commands: list[Command],
     timeout_us: int,
+    *,
+    close: bool = False,
 ) -> tuple[bool, Report]:
     """Send commands; return whether they were executed, and the worker's report.
 
     CallFailed leaves open whether, and when, they are executed; NotConnected does not.
+    ``close``: the connection is not kept for later.
     """
     body = msgspec.json.encode(DirectCommands(token, session, commands))
     status, answer = await http.call(
-        "POST", f"http://{address}/commands", body, timeout_us, connect_us=2_000_000
+        "POST", f"http://{address}/commands", body, timeout_us, connect_us=2_000_000, close=close
     )
     if status not in (200, 409):
         raise CallFailed(f"worker: {status}")
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -48,7 +48,7 @@
     boot_patience: float = 2.0
     boot_give_up: float = 4.0
     refusal_backoff_us: int = 15 * SECOND_US
-    most_per_request: int = 20
+    most_per_look: int = 300
 
     def settings(self) -> FleetSettings:
         """Return what one run needs."""
@@ -63,7 +63,7 @@
             minimum_charge_us=self.minimum_charge_us,
             boot_patience=self.boot_patience,
             boot_give_up=self.boot_give_up,
-            most_per_request=self.most_per_request,
+            most_per_look=self.most_per_look,
         )
 
 
@@ -75,6 +75,7 @@
     fetch_weight: float = 1.0
     placement_pause_us: int = 50 * MILLISECOND_US
     commit_gather_us: int = 100 * MILLISECOND_US
+    progress_gather_us: int = 1 * SECOND_US
     forecast_period_us: int = 1 * SECOND_US
     leadership: LeadershipTunables = field(default_factory=LeadershipTunables)
     preemptor: PreemptorTunables = field(default_factory=PreemptorTunables)
