--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -170,7 +170,7 @@
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
     for job, count in plan.unplaced:
         task_us = estimates.task_us(job)
-        target_us = goals.target_us(job, task_us)
+        target_us = goals.target_us(job, task_us, at_us + boot_us)
         # No money brings in time what is late already; it only must not wait for ever.
         lost = at_us + boot_us + task_us > target_us
         hopeless_us = at_us + boot_us + settings.overdue_patience_us
--- a/weldhead/coordination/goals.py
+++ b/weldhead/coordination/goals.py
@@ -1,6 +1,8 @@
 """When each job ought to be finished, from its deadline or what is expected of its class."""
 
 import enum
+from bisect import insort
+from collections import defaultdict
 from collections.abc import Iterable
 
 from weldhead.bookkeeping.jobs import Job
@@ -17,31 +19,38 @@
 
 
 class Goals:
-    """The users' expectations, as the settings state them."""
+    """The users' expectations, as the settings state them.
+
+    Several may be stated of a class: a share of it by one bound, and more by a later one.
+    A job goes for the nearest bound that it can still keep; when it has clearly missed one
+    there is time until the next.
+    """
 
     def __init__(self, objectives: Iterable[Objective]) -> None:
-        objectives = list(objectives)
-        self._within_us: dict[str, int] = {}
-        #: Classes whose tasks are expected to start soon.
-        self._wait_us: dict[str, int] = {}
+        #: Per class, sorted: within what time jobs are to be finished, tasks to be started,
+        #: and by how many times their deadline jobs are to be finished.
+        self._finish_us: dict[str, list[int]] = defaultdict(list)
+        self._wait_us: dict[str, list[int]] = defaultdict(list)
+        self._times: dict[str, list[float]] = defaultdict(list)
         for objective in objectives:
-            if objective.kind == "wait" and objective.job_class and objective.within_s:
-                wait_us = seconds_us(objective.within_s)
-                known_us = self._wait_us.get(objective.job_class, wait_us)
-                self._wait_us[objective.job_class] = min(known_us, wait_us)
-            if objective.kind == "finished" and objective.job_class and objective.within_s:
-                within_us = seconds_us(objective.within_s)
-                known_us = self._within_us.get(objective.job_class, within_us)
-                # Of several, the tightest: whoever meets it meets the others.
-                self._within_us[objective.job_class] = min(known_us, within_us)
+            name = objective.job_class
+            within_us = seconds_us(objective.within_s) if objective.within_s else None
+            match objective.kind:
+                case "wait" if name and within_us:
+                    insort(self._wait_us[name], within_us)
+                case "finished" if name and within_us:
+                    insort(self._finish_us[name], within_us)
+                case "deadline" if name:
+                    insort(self._times[name], objective.times or 1.0)
 
     def wait_us(self, job: Job) -> int | None:
         """Return within what time the job's tasks are expected to start, if any is stated."""
-        return self._wait_us.get(job.spec.job_class)
+        bounds = self._wait_us.get(job.spec.job_class)
+        return bounds[0] if bounds else None
 
     def laxity_us(self, job: Job, task_us: int, at_us: int) -> int:
         """Return how long the job's tasks could still wait and be in time."""
-        return self.target_us(job, task_us) - at_us - task_us
+        return self.target_us(job, task_us, at_us) - at_us - task_us
 
     def press(self, job: Job, task_us: int, at_us: int, patience_us: int) -> Press:
         """Say how urgent it is that the job's tasks get room.
@@ -49,23 +58,35 @@
         The paper's laxity (Natjam-R), used by placement and preemptor alike: if one gave
         room by a rule that contradicts the other's, jobs would start and stop in a circle.
         """
-        if job.spec.job_class in self._wait_us:
+        wait_us = self.wait_us(job)
+        if wait_us is not None and wait_us <= patience_us:
             return Press.PRESSING
         laxity_us = self.laxity_us(job, task_us, at_us)
         if laxity_us >= patience_us:
             return Press.PATIENT
         # Estimates are rough: only what is clearly late gives way to what can be in time.
-        return Press.PRESSING if laxity_us >= -task_us // 3 else Press.LATE
+        return Press.PRESSING if laxity_us >= -slack_us(task_us) else Press.LATE
 
-    def target_us(self, job: Job, task_us: int) -> int:
+    def target_us(self, job: Job, task_us: int, at_us: int) -> int:
         """Return when the job ought to be finished, on the steady clock.
 
-        A job that nobody expects anything of ought not to wait much longer than it runs.
+        Of several bounds the nearest that can still be kept; the last if none can. A job
+        that nobody expects anything of ought not to wait much longer than it runs.
         """
-        start_us = job.first_seen_us
-        if job.spec.deadline_s is not None:
-            return start_us + seconds_us(job.spec.deadline_s)
-        within_us = self._within_us.get(job.spec.job_class)
-        if within_us is not None:
-            return start_us + within_us
-        return start_us + 3 * task_us + 60 * SECOND_US
+        spec = job.spec
+        bounds = [wait_us + task_us for wait_us in self._wait_us.get(spec.job_class, ())]
+        bounds += self._finish_us.get(spec.job_class, ())
+        if spec.deadline_s is not None:
+            deadline_us = seconds_us(spec.deadline_s)
+            times = self._times.get(spec.job_class) or (1.0,)
+            bounds += [round(deadline_us * factor) for factor in times]
+        if not bounds:
+            bounds = [3 * task_us + 60 * SECOND_US]
+        least_us = at_us + task_us - slack_us(task_us) - job.first_seen_us
+        kept = [bound for bound in bounds if bound >= least_us]
+        return job.first_seen_us + (min(kept) if kept else max(bounds))
+
+
+def slack_us(task_us: int) -> int:
+    """By how much a task may look late and still be in time, as estimates are rough."""
+    return task_us // 3
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -603,11 +603,12 @@
                 cpus[attempt.phase.value] += attempt.job.spec.cpus
         waiting = sum(job.waiting * job.spec.cpus for job in self.cluster.jobs.values())
         log.info(
-            "fleet: %d machines at %.2f an hour; cpus: %s, waiting %.0f",
+            "fleet: %d machines at %.2f an hour; cpus: %s, waiting %.0f, allowed %.0f",
             len(self.cluster.machines),
             cost,
             ", ".join(f"{name} {amount:.0f}" for name, amount in cpus.items()),
             waiting,
+            sum(count * job.spec.cpus for job, count in self.last_plan.unplaced),
         )
 
     async def _forecast(self) -> None:
