--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,6 +13,7 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
+from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.fleet import Market, Offer, plan_closings, plan_hires, plan_returns
 from weldhead.coordination.forecast import forecast_us
@@ -484,3 +485,50 @@
     worker.tasks["run-000001/0"] = StandInTask(77, "ended", "done")
     outcome = apply_report(into, machine, worker.report(), 105 * S, direct=False)
     assert (outcome.completed, outcome.run_times) == ([job], [])
+
+
+def test_work_that_keeps_arriving_above_stretches_the_wait() -> None:
+    """Idle work seemed to start in time by what waited; each moment more came before it."""
+    demand = Demand()
+    for at in range(300):
+        demand.arrived(2, 50.0 * S, at * S)
+    # 50 CPU seconds a second are 50 CPUs; the memory has filled to 95 % of that.
+    assert demand.above(1, 300 * S) == pytest.approx(47, rel=0.05)
+    assert demand.above(2, 300 * S) == 0
+    assert demand.stretch(1, 100, 300 * S) == pytest.approx(1.9, rel=0.1)
+    assert demand.stretch(2, 100, 300 * S) == 1.0
+    assert demand.stretch(1, 10, 300 * S) == demand.stretch(1, 0.1, 300 * S) == 4.0
+    assert demand.stretch(1, 0, 300 * S) == 1.0
+    assert demand.above(1, 900 * S) < 1
+
+    into = cluster(Team("red", 0, 1_000))
+    fill = add_job(into, job_spec(1, tasks=50, cpus=4.0, priority="high"))
+    for index in range(50):
+        run_on(into, fill, index, add_machine(into, f"vm-{index:06}", spot=True), 0)
+    add_job(into, job_spec(2, tasks=90, cpus=4.0, job_class="steady", priority="idle"))
+    dear = Market([machine_type()], {("m4", zone, True): 9_999 * S for zone in "ab"})
+    plan = starts(into)
+
+    def rented(demand: Demand | None) -> int:
+        found = plan_hires(
+            into, plan, dear, Estimates(), GOALS, S, TUNABLES.fleet.settings(), (), demand
+        )
+        return sum(found.values())
+
+    busy = Demand()
+    busy.arrived(2, 12_000.0 * S, S)
+    assert rented(None) == rented(Demand()) == 0
+    assert rented(busy) > 0
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.floats(0, 1e12), st.integers(0, 500 * S))))
+def test_demand_does_not_depend_on_the_order_in_which_it_is_read(
+    arrivals: list[tuple[int, float, int]],
+) -> None:
+    """A new leader reads jobs in the order of their names."""
+    one, other = Demand(), Demand()
+    for arrival in arrivals:
+        one.arrived(*arrival)
+    for arrival in reversed(arrivals):
+        other.arrived(*arrival)
+    assert one.above(-1, 500 * S) == pytest.approx(other.above(-1, 500 * S))
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -12,6 +12,7 @@
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.clock import seconds_us
+from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.placement import Plan, guaranteed_tasks
@@ -153,6 +154,7 @@
     at_us: int,
     settings: FleetSettings,
     coming: Sequence[Coming] = (),
+    demand: Demand | None = None,
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -167,6 +169,8 @@
     backlog_us = 0.0
     patient: list[tuple[Job, int]] = []
     pressing: list[tuple[Job, int]] = []
+    owned = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
+    owned += sum(item.type.cpus * item.count for item in coming)
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
     for job, count in plan.unplaced:
         task_us = estimates.task_us(job)
@@ -179,9 +183,12 @@
         # What a team is guaranteed need not wait for others, however patient the job is.
         guaranteed = guaranteed_tasks(cluster, job, held[job.team], 0.0) >= count
         held[job.team] += job.spec.cpus * count
+        stretch = demand.stretch(job.spec.level, owned, at_us) if demand is not None else 1.0
         slow = late = 0
         for _ in range(count):
             start_us = queue.take(job.spec.cpus, task_us)
+            if start_us is not None:
+                start_us = at_us + round((start_us - at_us) * stretch)
             # A machine rented now is up only after its boot: it helps only what would
             # start later than that, however long it has to wait until then.
             if start_us is None or start_us > at_us + boot_us:
@@ -206,9 +213,7 @@
     rooms = _hire_for(patient, cheap, hires, [], settings)
     # More dear machines than this would share the backlog so thinly that they are idle
     # before they have been paid for; one is always allowed.
-    capacity = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
-    capacity += sum(item.type.cpus * item.count for item in coming)
-    capacity += sum(offer.type.cpus * number for offer, number in hires.items())
+    capacity = owned + sum(offer.type.cpus * number for offer, number in hires.items())
     worthwhile = backlog_us / settings.payback_us - capacity
     _hire_for(pressing, offers, hires, rooms, settings, worthwhile)
     return dict(hires)
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -27,6 +27,7 @@
 )
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
+from weldhead.coordination.demand import Demand
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.fleet import plan_closings, plan_hires, plan_returns
 from weldhead.coordination.forecast import due_us, forecast_us
@@ -183,6 +184,7 @@
         hires, _ = await term.state.scan(HIRES)
         at_us, wall = now_us(), wall_us()
         term.cluster = Cluster(term.settings.facts.teams, self.token)
+        term.demand = Demand()
         for entry in jobs:
             record = decode(bytes(entry.value), JobRecord)
             self._add_job(record, entry.version, at_us, wall)
@@ -211,6 +213,9 @@
         job.cancelled = record.cancelled
         self.cluster.jobs[job.id] = job
         self.ledger.learn(job_key(job.id), version)
+        if not job.cancelled:
+            work = job.spec.tasks * job.spec.cpus * self.term.estimates.task_us(job)
+            self.term.demand.arrived(job.spec.level, work, job.first_seen_us)
         return job
 
     def _check_known(self) -> None:
@@ -588,6 +593,7 @@
                 at_us,
                 settings,
                 self.rentals.coming(),
+                self.term.demand,
             )
             for offer, count in hires.items():
                 self.rentals.hire(offer, count)
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -6,6 +6,7 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.ledger import Ledger
 from weldhead.clock import SECOND_US, now_us, seconds_us
+from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.fleet import Market
 from weldhead.coordination.goals import Goals
@@ -48,6 +49,7 @@
         self.cluster = Cluster(settings.facts.teams, self.token)
         self.ledger = Ledger(state, self.token)
         self.estimates = Estimates()
+        self.demand = Demand()
         self.goals = Goals(settings.facts.objectives)
         self.market = Market(types=types)
         self.duties = Duties()
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -41,7 +41,7 @@
     keep_idle_spot_us: int = 25 * SECOND_US
     spot_patience_us: int = 10 * SECOND_US
     overdue_patience_us: int = 60 * SECOND_US
-    payback_us: int = 45 * SECOND_US
+    payback_us: int = 25 * SECOND_US
     goal_margin: float = 0.1
     reserve: float = 0.15
     minimum_charge_us: int = 60 * SECOND_US
