Tasks that save are moved off closing machines, to machines that have their image

Earlier tries paid their images again; now only machines that have the image are gone to, only while nothing waits, and only where the machine can go 30 s sooner.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,7 +15,14 @@
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Market, Offer, plan_closings, plan_hires, plan_returns
+from weldhead.coordination.fleet import (
+    Market,
+    Offer,
+    plan_closings,
+    plan_hires,
+    plan_moves,
+    plan_returns,
+)
 from weldhead.coordination.forecast import forecast_us
 from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.placement import Plan, plan_starts
@@ -532,3 +539,46 @@
     for arrival in reversed(arrivals):
         other.arrived(*arrival)
     assert one.above(-1, 500 * S) == pytest.approx(other.above(-1, 500 * S))
+
+
+def moves(into: Cluster, plan: Plan | None = None) -> list[str]:
+    fleet = TUNABLES.fleet.settings()
+    chosen = plan_moves(into, plan or Plan(), Estimates(), 2 * S, fleet, SILENCE)
+    return [machine.name for machine in chosen]
+
+
+def test_a_closing_machine_is_emptied_only_if_that_pays() -> None:
+    """After a backlog a few long tasks held machines that were otherwise empty."""
+    into = cluster(Team("red", 0, 1_000))
+    saves = add_job(into, job_spec(1, tasks=9, cpus=2.0, checkpoint_s=30.0, save_s=3.0))
+    plain = add_job(into, job_spec(2, tasks=9, cpus=1.0, estimate_s=20.0))
+    closing, stays = add_machine(into, "vm-000001"), add_machine(into, "vm-000002")
+    closing.closing = True
+    run_on(into, saves, 0, closing, S)
+    assert moves(into) == []  # Its image would have to be fetched.
+    stays.note_image("img", 1.0)
+    assert moves(into) == ["vm-000001"]
+    run_on(into, plain, 0, closing, S)
+    assert moves(into) == ["vm-000001"]
+    assert moves(into, Plan(unplaced=[(plain, 1)])) == []
+    # What cannot be moved holds the machine for nearly as long.
+    long = add_job(into, job_spec(3, tasks=9, cpus=1.0, estimate_s=50.0))
+    held = run_on(into, long, 0, closing, S)
+    assert moves(into) == []
+    into.release(held)
+    run_on(into, plain, 1, stays, S)
+    run_on(into, plain, 2, stays, S)
+    assert moves(into) == ["vm-000001"]
+    run_on(into, plain, 3, stays, S)
+    assert moves(into) == []  # No room for it.
+
+
+def test_two_machines_are_not_emptied_into_the_same_room() -> None:
+    into = cluster(Team("red", 0, 1_000))
+    saves = add_job(into, job_spec(1, tasks=9, cpus=4.0, checkpoint_s=30.0, save_s=3.0))
+    for index in range(3):
+        machine = add_machine(into, f"vm-{index:06}", spot=index == 0)
+        machine.closing = True
+        run_on(into, saves, index, machine, S)
+    add_machine(into, "vm-000009").note_image("img", 1.0)
+    assert moves(into) == ["vm-000001"]
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -9,13 +9,13 @@
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.clock import seconds_us
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import Plan, guaranteed_tasks
+from weldhead.coordination.placement import Plan, guaranteed_tasks, usable
 from weldhead.protocol.wire import MachineType
 
 
@@ -34,6 +34,8 @@
     boot_patience: float
     boot_give_up: float
     most_per_look: int
+    move_worth_us: int
+    most_moves: int
 
 
 @dataclass(frozen=True)
@@ -311,6 +313,84 @@
     return closing
 
 
+def plan_moves(
+    cluster: Cluster,
+    plan: Plan,
+    estimates: Estimates,
+    at_us: int,
+    settings: FleetSettings,
+    silence_us: int,
+) -> list[Machine]:
+    """Choose closing machines to be emptied by moving their tasks, the dearest first.
+
+    Only while nothing waits; only tasks that save, to machines that stay and have the image
+    already, so that a move costs no more than the saving; and only if the machine can go
+    ``move_worth`` sooner for it. After a backlog long tasks hold machines that are
+    otherwise empty: without moves a seventh of a day's money went there (found at size).
+    """
+    if plan.unplaced:
+        return []
+    closing: list[tuple[float, Machine]] = []
+    targets: list[tuple[Machine, list[float]]] = []
+    for machine in cluster.machines.values():
+        if not usable(machine, at_us, silence_us):
+            continue
+        if not machine.closing:
+            if machine.cpus > EPSILON:
+                targets.append((machine, [machine.cpus, machine.gpus, machine.memory_gb]))
+        elif machine.attempts:
+            gain_us = _gain_us(machine, estimates, at_us)
+            if gain_us >= settings.move_worth_us:
+                price = machine.type.spot_price if machine.spot else machine.type.price
+                closing.append((price * gain_us, machine))
+    closing.sort(key=lambda item: (-item[0], item[1].name))
+    # Fullest first, so that others stay empty.
+    targets.sort(key=lambda item: item[1][0])
+    return [m for _, m in closing[: settings.most_moves] if _find_places(m, targets)]
+
+
+def movable(attempt: Attempt) -> bool:
+    """Whether a task may go on elsewhere at little cost, whatever its job's other tasks do."""
+    spec = attempt.job.spec
+    return spec.checkpoint_s > 0 and not spec.is_service and not spec.one_zone and not spec.spread
+
+
+def _gain_us(machine: Machine, estimates: Estimates, at_us: int) -> int:
+    """How much sooner a machine falls idle if what can be moved is moved; 0: not at all."""
+    movable_us = staying_us = 0
+    for attempt in machine.attempts.values():
+        if attempt.phase is not Phase.RUNNING or attempt.stop is not Stop.NO:
+            return 0
+        remaining_us = estimates.remaining_us(attempt, at_us)
+        if movable(attempt):
+            movable_us = max(movable_us, remaining_us)
+            staying_us = max(staying_us, seconds_us(attempt.job.spec.save_s))
+        else:
+            staying_us = max(staying_us, remaining_us)
+    return movable_us - staying_us
+
+
+def _find_places(machine: Machine, targets: list[tuple[Machine, list[float]]]) -> bool:
+    """Whether all that can be moved fits elsewhere; if so its room is taken there."""
+    taken: list[tuple[list[float], Job]] = []
+    for attempt in machine.attempts.values():
+        if not movable(attempt):
+            continue
+        job = attempt.job
+        for target, room in targets:
+            fits = job.spec.image in target.images and target.allows(job)
+            if fits and _fill(room, job, 1):
+                taken.append((room, job))
+                break
+        else:
+            for room, other in taken:
+                room[0] += other.spec.cpus
+                room[1] += other.spec.gpus
+                room[2] += other.spec.memory_gb
+            return False
+    return True
+
+
 def plan_returns(cluster: Cluster, at_us: int, settings: FleetSettings) -> list[Machine]:
     """Decide which machines to return: idle ones, and those that never came up."""
     found = []
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -29,7 +29,7 @@
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.fleet import plan_closings, plan_hires, plan_returns
+from weldhead.coordination.fleet import movable, plan_closings, plan_hires, plan_moves, plan_returns
 from weldhead.coordination.forecast import due_us, forecast_us
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.placement import Plan, plan_starts
@@ -581,6 +581,11 @@
             closing = plan_closings(self.cluster, self.last_plan, settings)
             for machine in self.cluster.machines.values():
                 machine.closing = machine.name in closing
+            for machine in plan_moves(
+                self.cluster, self.last_plan, self.term.estimates, at_us, settings,
+                self.term.silence_us,
+            ):  # fmt: skip
+                self._empty(machine, at_us)
             self.rentals.delete({m.name: m for m in plan_returns(self.cluster, at_us, settings)})
             if self.rentals.busy:
                 continue
@@ -598,6 +603,14 @@
             for offer, count in hires.items():
                 self.rentals.hire(offer, count)
 
+    def _empty(self, machine: Machine, at_us: int) -> None:
+        """Have a machine's tasks that save go on elsewhere; it is returned when it is empty."""
+        log.info("machine %s is emptied: %d tasks", machine.name, len(machine.attempts))
+        machine.draining = True
+        for attempt in list(machine.attempts.values()):
+            if movable(attempt):
+                self._stop(attempt, Stop.SOFT, at_us, "moved")
+
     def _log_fleet(self) -> None:
         """Say how the fleet's CPUs are used, for operators and for measured rounds."""
         cpus = dict.fromkeys(("booting", "free", "assigned", "pulling", "running", "saving"), 0.0)
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -49,6 +49,8 @@
     boot_give_up: float = 4.0
     refusal_backoff_us: int = 15 * SECOND_US
     most_per_look: int = 300
+    move_worth_us: int = 30 * SECOND_US
+    most_moves: int = 20
 
     def settings(self) -> FleetSettings:
         """Return what one run needs."""
@@ -64,6 +66,8 @@
             boot_patience=self.boot_patience,
             boot_give_up=self.boot_give_up,
             most_per_look=self.most_per_look,
+            move_worth_us=self.move_worth_us,
+            most_moves=self.most_moves,
         )
 
 
