Moves also to machines without the image, where that pays; hires and watch split

Kept: a fetch must be worth four times its time. Besides, with no change of behaviour: plan_hires is split into a forecast of what is missing and the hiring, and the machine watch by its rules.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -555,8 +555,15 @@
     closing, stays = add_machine(into, "vm-000001"), add_machine(into, "vm-000002")
     closing.closing = True
     run_on(into, saves, 0, closing, S)
-    assert moves(into) == []  # Its image would have to be fetched.
-    stays.note_image("img", 1.0)
+    assert moves(into) == ["vm-000001"]  # The image takes only a second to fetch.
+    big = add_job(
+        into, job_spec(4, cpus=2.0, checkpoint_s=30.0, save_s=3.0, image="big", image_gb=9.0)
+    )
+    fetches = run_on(into, big, 0, closing, S)
+    assert moves(into) == []  # This one takes too long.
+    stays.note_image("big", 9.0)
+    assert moves(into) == ["vm-000001"]
+    into.release(fetches)
     assert moves(into) == ["vm-000001"]
     run_on(into, plain, 0, closing, S)
     assert moves(into) == ["vm-000001"]
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -5,7 +5,7 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
@@ -96,6 +96,10 @@
     return machine.booting and at_us - machine.hired_us > limit_us
 
 
+#: How much sooner, in times of the fetch, a machine must go for a move that costs a fetch.
+FETCH_WEIGHT = 4
+
+
 class _Queue:
     """A coarse forecast: waiting tasks take CPUs in order, as running ones give them back."""
 
@@ -147,77 +151,107 @@
         return start_us
 
 
-def plan_hires(
+@dataclass
+class Missing:
+    """Waiting tasks that want machines, as many of each job as are to run side by side."""
+
+    #: Those that would wait for long.
+    patient: list[tuple[Job, int]] = field(default_factory=list)
+    #: Those that would be late.
+    pressing: list[tuple[Job, int]] = field(default_factory=list)
+    #: All work that would start later than a machine that is rented now.
+    backlog_us: float = 0.0
+
+
+def forecast_missing(
     cluster: Cluster,
     plan: Plan,
-    market: Market,
+    queue: _Queue,
     estimates: Estimates,
     goals: Goals,
     at_us: int,
+    boot_us: int,
+    stretches: Callable[[Job], float],
     settings: FleetSettings,
-    coming: Sequence[Coming] = (),
-    demand: Demand | None = None,
-) -> dict[Offer, int]:
-    """Decide how many of which machines to rent.
-
-    Two patiences: cheap machines are rented as soon as work would wait longer than
-    ``spot_patience``; dear ones only for work that would otherwise miss its goal.
-    """
-    offers = market.offers(at_us)
-    if not plan.unplaced or not offers:
-        return {}
-    queue = _Queue(cluster, coming, estimates, at_us, settings)
-    boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
-    backlog_us = 0.0
-    patient: list[tuple[Job, int]] = []
-    pressing: list[tuple[Job, int]] = []
-    owned = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
-    owned += sum(item.type.cpus * item.count for item in coming)
+) -> Missing:
+    """Forecast what waits too long if nothing more is rented."""
+    missing = Missing()
+    up_us = at_us + boot_us
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
     for job, count in plan.unplaced:
         task_us = estimates.task_us(job)
-        target_us = goals.target_us(job, task_us, at_us + boot_us)
+        target_us = goals.target_us(job, task_us, up_us)
         # No money brings in time what is late already; it only must not wait for ever.
-        lost = at_us + boot_us + task_us > target_us
-        hopeless_us = at_us + boot_us + settings.overdue_patience_us
+        lost = up_us + task_us > target_us
         # The forecast is hopeful: it knows neither preemption nor leftover room.
         target_us -= round((target_us - job.first_seen_us) * settings.goal_margin)
         # What a team is guaranteed need not wait for others, however patient the job is.
         guaranteed = guaranteed_tasks(cluster, job, held[job.team], 0.0) >= count
         held[job.team] += job.spec.cpus * count
-        stretch = demand.stretch(job.spec.level, owned, at_us) if demand is not None else 1.0
+        late_us = settings.overdue_patience_us if lost else max(0, target_us - task_us - up_us)
+        bound_us = up_us if guaranteed else up_us + late_us
+        stretch = stretches(job)
         slow = late = 0
         for _ in range(count):
             start_us = queue.take(job.spec.cpus, task_us)
-            if start_us is not None:
-                start_us = at_us + round((start_us - at_us) * stretch)
+            never = start_us is None
+            start_us = 0 if start_us is None else at_us + round((start_us - at_us) * stretch)
             # A machine rented now is up only after its boot: it helps only what would
             # start later than that, however long it has to wait until then.
-            if start_us is None or start_us > at_us + boot_us:
-                backlog_us += job.spec.cpus * task_us
-            if start_us is None or start_us > at_us + boot_us + settings.spot_patience_us:
+            if never or start_us > up_us:
+                missing.backlog_us += job.spec.cpus * task_us
+            if never or start_us > up_us + settings.spot_patience_us:
                 slow += 1
-            if guaranteed and start_us is not None and start_us > at_us + boot_us:
-                late += 1
-            elif lost:
-                late += start_us is None or start_us > hopeless_us
-            elif start_us is None or start_us > max(at_us + boot_us, target_us - task_us):
+            if never or start_us > bound_us:
                 late += 1
         # Tasks that a new machine can run one after the other and still be in time.
-        turns = max(1, (target_us - at_us - boot_us) // max(1, task_us))
+        turns = max(1, (target_us - up_us) // max(1, task_us))
         if slow:
             short = max(1, settings.spot_patience_us // max(1, task_us))
-            patient.append((job, -(-slow // short)))
+            missing.patient.append((job, -(-slow // short)))
         if late:
-            pressing.append((job, -(-late // turns)))
+            missing.pressing.append((job, -(-late // turns)))
+    return missing
+
+
+def plan_hires(
+    cluster: Cluster,
+    plan: Plan,
+    market: Market,
+    estimates: Estimates,
+    goals: Goals,
+    at_us: int,
+    settings: FleetSettings,
+    coming: Sequence[Coming] = (),
+    demand: Demand | None = None,
+) -> dict[Offer, int]:
+    """Decide how many of which machines to rent.
+
+    Two patiences: cheap machines are rented as soon as work would wait longer than
+    ``spot_patience``; dear ones only for work that would otherwise miss its goal.
+    """
+    offers = market.offers(at_us)
+    if not plan.unplaced or not offers:
+        return {}
+    owned = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
+    owned += sum(item.type.cpus * item.count for item in coming)
+
+    def stretches(job: Job) -> float:
+        return demand.stretch(job.spec.level, owned, at_us) if demand is not None else 1.0
+
+    boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
+    queue = _Queue(cluster, coming, estimates, at_us, settings)
+    missing = forecast_missing(
+        cluster, plan, queue, estimates, goals, at_us, boot_us, stretches, settings
+    )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
-    rooms = _hire_for(patient, cheap, hires, [], settings)
+    rooms = _hire_for(missing.patient, cheap, hires, [], settings)
     # More dear machines than this would share the backlog so thinly that they are idle
     # before they have been paid for; one is always allowed.
     capacity = owned + sum(offer.type.cpus * number for offer, number in hires.items())
-    worthwhile = backlog_us / settings.payback_us - capacity
-    _hire_for(pressing, offers, hires, rooms, settings, worthwhile)
+    worthwhile = missing.backlog_us / settings.payback_us - capacity
+    _hire_for(missing.pressing, offers, hires, rooms, settings, worthwhile)
     return dict(hires)
 
 
@@ -323,14 +357,15 @@
 ) -> list[Machine]:
     """Choose closing machines to be emptied by moving their tasks, the dearest first.
 
-    Only while nothing waits; only tasks that save, to machines that stay and have the image
-    already, so that a move costs no more than the saving; and only if the machine can go
-    ``move_worth`` sooner for it. After a backlog long tasks hold machines that are
-    otherwise empty: without moves a seventh of a day's money went there (found at size).
+    Only while nothing waits; only tasks that save, to machines that stay; and only if the
+    machine can go ``move_worth`` sooner for it. Machines that have the image come first; to
+    fetch it must be worth FETCH_WEIGHT times its time. After a backlog long tasks hold
+    machines that are otherwise empty: without moves a seventh of a day's money went there
+    (found at size).
     """
     if plan.unplaced:
         return []
-    closing: list[tuple[float, Machine]] = []
+    closing: list[tuple[float, int, Machine]] = []
     targets: list[tuple[Machine, list[float]]] = []
     for machine in cluster.machines.values():
         if not usable(machine, at_us, silence_us):
@@ -342,11 +377,15 @@
             gain_us = _gain_us(machine, estimates, at_us)
             if gain_us >= settings.move_worth_us:
                 price = machine.type.spot_price if machine.spot else machine.type.price
-                closing.append((price * gain_us, machine))
-    closing.sort(key=lambda item: (-item[0], item[1].name))
+                closing.append((price * gain_us, gain_us, machine))
+    closing.sort(key=lambda item: (-item[0], item[2].name))
     # Fullest first, so that others stay empty.
     targets.sort(key=lambda item: item[1][0])
-    return [m for _, m in closing[: settings.most_moves] if _find_places(m, targets)]
+    return [
+        machine
+        for _, gain_us, machine in closing[: settings.most_moves]
+        if _find_places(machine, targets, gain_us, settings.move_worth_us)
+    ]
 
 
 def movable(attempt: Attempt) -> bool:
@@ -370,24 +409,36 @@
     return movable_us - staying_us
 
 
-def _find_places(machine: Machine, targets: list[tuple[Machine, list[float]]]) -> bool:
+def _find_places(
+    machine: Machine, targets: list[tuple[Machine, list[float]]], gain_us: int, worth_us: int
+) -> bool:
     """Whether all that can be moved fits elsewhere; if so its room is taken there."""
     taken: list[tuple[list[float], Job]] = []
     for attempt in machine.attempts.values():
         if not movable(attempt):
             continue
         job = attempt.job
-        for target, room in targets:
-            fits = job.spec.image in target.images and target.allows(job)
-            if fits and _fill(room, job, 1):
-                taken.append((room, job))
+        best: tuple[int, int] | None = None
+        for number, (target, room) in enumerate(targets):
+            if not target.allows(job) or how_many(job.spec, *room) < 1:
+                continue
+            if job.spec.image in target.images:
+                best = (0, number)
                 break
-        else:
+            fetch_us = seconds_us(job.spec.image_gb / (target.type.fetch_gb_per_s or 1.0))
+            if gain_us - FETCH_WEIGHT * fetch_us >= worth_us and (
+                best is None or fetch_us < best[0]
+            ):
+                best = (fetch_us, number)
+        if best is None:
             for room, other in taken:
                 room[0] += other.spec.cpus
                 room[1] += other.spec.gpus
                 room[2] += other.spec.memory_gb
             return False
+        room = targets[best[1]][1]
+        _fill(room, job, 1)
+        taken.append((room, job))
     return True
 
 
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -513,30 +513,38 @@
             at_us = now_us()
             machines = list(self.cluster.machines.values())
             live = [m for m in machines if m.up and not m.deleting]
-            floor_us = self.term.floor_us()
-            silent = [m for m in live if at_us - max(m.heard_us, floor_us) > self.term.silence_us]
-            gone = look_gone(silent, live)
-            doomed: list[Machine] = []
-            for machine in live:
-                quiet_us = at_us - max(machine.heard_us, floor_us)
-                if at_us > machine.lease_over_us(self.term.lease_us, floor_us):
-                    self._expire(machine)
-                    doomed.append(machine)
-                elif (quiet_us > self.term.lease_us * 2 // 3 and gone) or self._in_trouble(
-                    machine, at_us
-                ):
-                    doomed.append(machine)
+            doomed = self._expired_or_silent(live, at_us)
             if not self.term.ready and at_us - self.term.loaded_us > UNKNOWN_PATIENCE_US:
                 # Recovery waits for them; most are gone already and only still on record.
                 unknown = [m for m in live if not m.synced]
                 if all(m.asked_in_vain for m in unknown) and look_gone(unknown, live):
                     doomed += unknown
-            for machine in machines:
-                if machine.notice_until_us and at_us > machine.notice_until_us + SECOND_US:
-                    if at_us - machine.heard_us > self.term.report_us * 2:
-                        doomed.append(machine)
+            doomed += [m for m in live if self._in_trouble(m, at_us)]
+            doomed += [m for m in machines if self._taken(m, at_us)]
             self.rentals.delete({m.name: m for m in doomed if not m.deleting})
 
+    def _expired_or_silent(self, live: list[Machine], at_us: int) -> list[Machine]:
+        """Return machines whose leases are over, or that are silent and look gone."""
+        floor_us = self.term.floor_us()
+        silent = [m for m in live if at_us - max(m.heard_us, floor_us) > self.term.silence_us]
+        limit_us = at_us - self.term.lease_us * 2 // 3
+        gone = look_gone(silent, live)
+        found = []
+        for machine in silent:
+            if at_us > machine.lease_over_us(self.term.lease_us, floor_us):
+                self._expire(machine)
+                found.append(machine)
+            elif gone and max(machine.heard_us, floor_us) < limit_us:
+                found.append(machine)
+        return found
+
+    def _taken(self, machine: Machine, at_us: int) -> bool:
+        """Whether a notice has run out, and the machine is silent since."""
+        return (
+            0 < machine.notice_until_us < at_us - SECOND_US
+            and at_us - machine.heard_us > self.term.report_us * 2
+        )
+
     def _in_trouble(self, machine: Machine, at_us: int) -> bool:
         """Whether something there must be ended by deleting the machine."""
         for attempt in machine.attempts.values():
