Successors that reach all other controllers go first; arriving work's memory is a tunable

Excluded: spot machines taken before (all answered for by then). Each controller out of reach now costs a candidate 0.1 s.

Besides, the leader is given its term, instead of taking all of the term's parts.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -496,7 +496,7 @@
 
 def test_work_that_keeps_arriving_above_stretches_the_wait() -> None:
     """Idle work seemed to start in time by what waited; each moment more came before it."""
-    demand = Demand()
+    demand = Demand(100 * S)
     for at in range(300):
         demand.arrived(2, 50.0 * S, at * S)
     # 50 CPU seconds a second are 50 CPUs; the memory has filled to 95 % of that.
@@ -522,9 +522,9 @@
         )
         return sum(found.values())
 
-    busy = Demand()
+    busy = Demand(100 * S)
     busy.arrived(2, 12_000.0 * S, S)
-    assert rented(None) == rented(Demand()) == 0
+    assert rented(None) == rented(Demand(100 * S)) == 0
     assert rented(busy) > 0
 
 
@@ -533,7 +533,7 @@
     arrivals: list[tuple[int, float, int]],
 ) -> None:
     """A new leader reads jobs in the order of their names."""
-    one, other = Demand(), Demand()
+    one, other = Demand(100 * S), Demand(100 * S)
     for arrival in arrivals:
         one.arrived(*arrival)
     for arrival in reversed(arrivals):
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -4,6 +4,7 @@
 from typing import cast
 
 import msgspec
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -17,10 +18,13 @@
     Authority,
     Candidacy,
     default_timing,
+    handicap_us,
     predecessor_over_us,
 )
 from weldhead.coordination.node import Node
+from weldhead.protocol.settings import Node as PeerNode
 from weldhead.protocol.settings import parse_settings
+from weldhead.transport.peers import PeerLink
 from weldhead.transport.state import StateClient
 from weldhead.tunables.defaults import Tunables
 
@@ -211,3 +215,35 @@
 
     asyncio.run(read())
     assert stood == []
+
+
+def test_a_node_that_a_cut_keeps_from_others_lets_them_go_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A successor inside a cut zone lost the other zone's workers (found at size)."""
+    node, stood = restarted_node(LeaderRecord("n-1", "x", 3 * S))
+    waited: list[float] = []
+
+    async def no_pause(seconds: float) -> None:
+        waited.append(seconds)
+        if taken:
+            node._known_token += 1
+
+    async def take_over() -> None:
+        await node._read_leader()
+        record = node._known_leader
+        assert record is not None
+        await node._take_over(record, node._known_token)
+
+    monkeypatch.setattr("weldhead.coordination.node.asyncio.sleep", no_pause)
+    # Its only peer is the leader that looks dead: there is nobody to wait for.
+    taken = False
+    asyncio.run(take_over())
+    assert (waited, stood) == ([0.0], [(2, 3 * S)])
+    node._links["n-2"] = PeerLink(PeerNode("n-2", "b", "10.0.0.3:1"), "n-0")
+    asyncio.run(take_over())
+    assert (waited[1:], len(stood)) == ([0.1], 2)
+    taken = True
+    asyncio.run(take_over())
+    assert len(stood) == 2
+    assert handicap_us(9) == handicap_us(4) > handicap_us(1)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -27,6 +27,7 @@
 )
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.coordination.leadership import Authority, default_timing
+from weldhead.coordination.term import Term
 from weldhead.protocol.settings import parse_settings
 from weldhead.protocol.wire import JobSpec
 from weldhead.transport.cloud import CloudClient
@@ -76,10 +77,11 @@
     token = state.put(LEADER_KEY, {"name": "n-0", "nonce": "x", "ttl_us": 3 * S})
     authority = Authority(default_timing(1_000 * S), frozenset())
     authority.begin(token, 1, at_us)
-    leader = Leader(
+    term = Term(
         settings, Tunables(), authority, cast(StateClient, state), cast(CloudClient, None),
         cast(HttpClient, None), [machine_type()], predecessor_over_us, lambda reason: None,
     )  # fmt: skip
+    leader = Leader(term)
     asyncio.run(leader._load())
     leader._check_known()
     return leader
--- a/weldhead/coordination/demand.py
+++ b/weldhead/coordination/demand.py
@@ -6,8 +6,6 @@
 
 import math
 
-#: Arrivals fade with this time constant.
-MEMORY_US = 100_000_000
 #: Arrivals above are taken to leave at least this share of the fleet.
 LEAST_SHARE = 0.25
 
@@ -15,24 +13,26 @@
 class Demand:
     """Fading rates of arriving work, in CPUs that it would keep busy."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory_us: int) -> None:
+        #: Arrivals fade with this time constant.
+        self._memory_us = memory_us
         self._levels: dict[int, tuple[float, int]] = {}
 
     def arrived(self, level: int, cpu_us: float, at_us: int) -> None:
         """Note work that arrived."""
         total, since_us = self._levels.get(level, (0.0, at_us))
         if at_us >= since_us:
-            total = total * math.exp((since_us - at_us) / MEMORY_US) + cpu_us
+            total = total * math.exp((since_us - at_us) / self._memory_us) + cpu_us
             self._levels[level] = (total, at_us)
         else:
             # Read from the store out of order, at the start of a term.
-            total += cpu_us * math.exp((at_us - since_us) / MEMORY_US)
+            total += cpu_us * math.exp((at_us - since_us) / self._memory_us)
             self._levels[level] = (total, since_us)
 
     def above(self, level: int, at_us: int) -> float:
         """Return how many CPUs the work that arrives above a level would keep busy."""
         return sum(
-            total * math.exp(min(0, since_us - at_us) / MEMORY_US) / MEMORY_US
+            total * math.exp(min(0, since_us - at_us) / self._memory_us) / self._memory_us
             for other, (total, since_us) in self._levels.items()
             if other > level
         )
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 import msgspec
 
@@ -31,7 +30,6 @@
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.fleet import movable, plan_closings, plan_hires, plan_moves, plan_returns
 from weldhead.coordination.forecast import due_us, forecast_us
-from weldhead.coordination.leadership import Authority
 from weldhead.coordination.placement import Plan, plan_starts
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.rentals import Rentals
@@ -44,12 +42,9 @@
 )
 from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term
-from weldhead.protocol.settings import Settings
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
-from weldhead.transport.cloud import CloudClient
-from weldhead.transport.http import CallFailed, HttpClient
-from weldhead.transport.state import Compacted, StateClient, decode
-from weldhead.tunables.defaults import Tunables
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Compacted, decode
 
 log = logging.getLogger(__name__)
 
@@ -77,29 +72,15 @@
 class Leader:
     """One term of leadership."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        tunables: Tunables,
-        authority: Authority,
-        state: StateClient,
-        cloud: CloudClient,
-        worker_http: HttpClient,
-        types: list[MachineType],
-        predecessor_over_us: int,
-        on_deposed: Callable[[str], None],
-    ) -> None:
-        self.term = Term(
-            settings, tunables, authority, state, cloud, worker_http, types,
-            predecessor_over_us, on_deposed,
-        )  # fmt: skip
-        self.token = self.term.token
-        self._tunables = tunables
-        self._duties = self.term.duties
+    def __init__(self, term: Term) -> None:
+        self.term = term
+        self.token = term.token
+        self._tunables = term.tunables
+        self._duties = term.duties
         self.reclaims = ReclaimLists()
-        self.rentals = Rentals(self.term, self._gone)
-        self.completions = Completions(self.term, self._ended, self._withdraw)
-        self._dispatcher = Dispatcher(self.term, self._answered)
+        self.rentals = Rentals(term, self._gone)
+        self.completions = Completions(term, self._ended, self._withdraw)
+        self._dispatcher = Dispatcher(term, self._answered)
         self._jobs_revision = 0
         #: Set when nothing can run anywhere that this leader does not know of.
         self._known = asyncio.Event()
@@ -184,7 +165,7 @@
         hires, _ = await term.state.scan(HIRES)
         at_us, wall = now_us(), wall_us()
         term.cluster = Cluster(term.settings.facts.teams, self.token)
-        term.demand = Demand()
+        term.demand = Demand(self._tunables.fleet.demand_memory_us)
         for entry in jobs:
             record = decode(bytes(entry.value), JobRecord)
             self._add_job(record, entry.version, at_us, wall)
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -18,7 +18,7 @@
 import logging
 from dataclasses import dataclass
 
-from weldhead.clock import SECOND_US, surely_over_us, surely_valid_us
+from weldhead.clock import MILLISECOND_US, SECOND_US, surely_over_us, surely_valid_us
 
 log = logging.getLogger(__name__)
 
@@ -112,6 +112,16 @@
     return surely_over_us(taken_us, believes_us) if believes_us else taken_us
 
 
+def handicap_us(unreached: int) -> int:
+    """Return for how long a node lets others go first that reach more controllers.
+
+    A successor that a zone cut keeps from some controllers is also kept from that zone's
+    workers, whose leases then run out; one that reaches everybody is a few milliseconds
+    away (found at size, where both kinds compete for a dead leader's key).
+    """
+    return min(unreached, 4) * 100 * MILLISECOND_US
+
+
 def default_timing(ttl_us: int = 3 * SECOND_US) -> Timing:
     """Return the times that follow from the lease's length."""
     return Timing(ttl_us=ttl_us, renew_us=ttl_us // 4, promise_us=ttl_us // 2)
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -15,9 +15,11 @@
     Authority,
     Candidacy,
     default_timing,
+    handicap_us,
     predecessor_over_us,
 )
 from weldhead.coordination.relays import Relays
+from weldhead.coordination.term import Term
 from weldhead.duties import Duties
 from weldhead.protocol.peer import Answer, Ask, Held, Hold, Message, Ping, Pong, Resigned
 from weldhead.protocol.settings import Settings
@@ -160,6 +162,12 @@
         Replacing its key at once, instead of ending its lease, leaves no moment in which a
         third node could take a leader that was pushed out for one whose lease ran out.
         """
+        at_us = now_us()
+        others = (link for link in self._links.values() if link.name != record.name)
+        unreached = sum(1 for link in others if not link.alive(at_us))
+        await asyncio.sleep(to_seconds(handicap_us(unreached)))
+        if self._known_token != token:
+            return
         if self.leader is None and self.candidacy.may_lead(now_us()):
             log.info("%s looks dead: taking over", record.name)
             await self._stand(token, record.ttl_us)
@@ -217,10 +225,11 @@
         self._vacant.clear()
         over_us = predecessor_over_us(at_us, believes_us)
         log.info("%s leads with token %d", self.settings.name, token)
-        self.leader = Leader(
+        term = Term(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
             self._worker_http, self.catalog, over_us, self._step_down,
         )  # fmt: skip
+        self.leader = Leader(term)
         self.leader.start()
         self._duties.once("lease renewal", self._renew(self.leader))
 
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -49,7 +49,7 @@
         self.cluster = Cluster(settings.facts.teams, self.token)
         self.ledger = Ledger(state, self.token)
         self.estimates = Estimates()
-        self.demand = Demand()
+        self.demand = Demand(tunables.fleet.demand_memory_us)
         self.goals = Goals(settings.facts.objectives)
         self.market = Market(types=types)
         self.duties = Duties()
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -43,6 +43,7 @@
     overdue_patience_us: int = 60 * SECOND_US
     payback_us: int = 25 * SECOND_US
     goal_margin: float = 0.1
+    demand_memory_us: int = 100 * SECOND_US
     reserve: float = 0.15
     minimum_charge_us: int = 60 * SECOND_US
     boot_patience: float = 2.0
