--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -259,7 +259,7 @@
     @property
     def over(self) -> bool:
         """Whether nothing more is to come: all completed, or cancelled and all gone."""
-        return self.done == self.spec.tasks or (self.cancelled and not self.active)
+        return self.complete or (self.cancelled and not self.active)
 
     def zone_limit(self) -> int:
         """How many of the tasks may be in one zone."""
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -116,6 +116,11 @@
         """The worker's session."""
         return self.order[0]
 
+    @property
+    def price(self) -> float:
+        """What it costs per hour, by the catalog's prices."""
+        return self.type.spot_price if self.spot else self.type.price
+
     @property
     def booting(self) -> bool:
         """Whether its worker has never been heard of."""
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -335,8 +335,7 @@
     reserve = settings.reserve * sum(used.values())
 
     def waste(machine: Machine) -> float:
-        price = machine.type.spot_price if machine.spot else machine.type.price
-        return price / (used[machine.name] + 0.1 * machine.type.cpus)
+        return machine.price / (used[machine.name] + 0.1 * machine.type.cpus)
 
     closing: set[str] = set()
     for machine in sorted(open_machines, key=waste, reverse=True):
@@ -376,8 +375,7 @@
         elif machine.attempts:
             gain_us = _gain_us(machine, estimates, at_us)
             if gain_us >= settings.move_worth_us:
-                price = machine.type.spot_price if machine.spot else machine.type.price
-                closing.append((price * gain_us, gain_us, machine))
+                closing.append((machine.price * gain_us, gain_us, machine))
     closing.sort(key=lambda item: (-item[0], item[2].name))
     # Fullest first, so that others stay empty.
     targets.sort(key=lambda item: item[1][0])
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -61,9 +61,6 @@
 #: How many silent machines are named to the other nodes at once.
 SILENT_NAMED = 1_000
 
-#: How long a pass over many jobs goes on before others get a turn.
-TURN_US = 5_000
-
 
 class NotReady(Exception):
     """The leader cannot answer this yet; ask again later."""
@@ -320,8 +317,7 @@
             self._evacuate(machine, at_us)
 
     def _digest(self, machine: Machine, outcome: Outcome, at_us: int) -> None:
-        if not self.term.ready:
-            self._check_known()
+        self._check_known()
         if outcome.completed:
             self.term.flush.set()
         for job, run_us in outcome.run_times:
@@ -605,7 +601,7 @@
         cpus = dict.fromkeys(("booting", "free", "assigned", "pulling", "running", "saving"), 0.0)
         cost = 0.0
         for machine in self.cluster.machines.values():
-            cost += machine.type.spot_price if machine.spot else machine.type.price
+            cost += machine.price
             cpus["booting" if machine.booting else "free"] += machine.cpus
             for attempt in machine.attempts.values():
                 cpus[attempt.phase.value] += attempt.job.spec.cpus
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -125,13 +125,17 @@
         while count > 0:
             part = min(count, self._most)
             count -= part
-            self._count += 1
-            name = f"{self._term.settings.name}-{self._term.token}-{self._count}"
+            name = self._new_name()
             self._records[name] = HireRecord(
                 offer.type.name, offer.zone, offer.spot, part, wall_us()
             )
             self._term.duties.once("hire", self._rent(name))
 
+    def _new_name(self) -> str:
+        """Return a name that no rental ever had: tokens are unique."""
+        self._count += 1
+        return f"{self._term.settings.name}-{self._term.token}-{self._count}"
+
     @property
     def busy(self) -> bool:
         """Whether so many requests are under way that more would only wait for the cloud."""
@@ -216,8 +220,7 @@
         self._term.duties.once("adoption", self._adopt(name, record))
 
     async def _adopt(self, name: str, record: HireRecord) -> None:
-        self._count += 1
-        hire = f"{self._term.settings.name}-{self._term.token}-{self._count}"
+        hire = self._new_name()
         record.settled = True
         record.machines = {name: None}
         self._records[hire] = record
