--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -21,7 +21,7 @@
     TaskReport,
 )
 from weldhead.transport.http import CallFailed
-from weldhead.transport.state import Conflict, Refused
+from weldhead.transport.state import Conflict, Refused, Rejected
 
 
 @dataclass
@@ -100,14 +100,15 @@
         self.keys: dict[str, tuple[Any, int]] = {}
         self.revision = 1
         self.max_writes = 12
+        self.value_bytes = 8192
         #: What happens to the next transactions: ok, refused, lost, unanswered or late.
         self.fates: list[str] = []
         self.late: list[tuple[list[Condition], list[Put | Delete]]] = []
         self.calls = itertools.count()
 
-    @staticmethod
-    def limits() -> StateLimits:
-        return StateLimits(1e6, 1e6, 8.0, 12)
+    @property
+    def limits(self) -> StateLimits:
+        return StateLimits(1e6, 1e6, self.value_bytes / 1024, self.max_writes)
 
     def put(self, key: str, value: Any) -> int:
         self.revision += 1
@@ -118,6 +119,9 @@
         for condition in conditions:
             if self.keys.get(condition.key, (None, 0))[1] != condition.version:
                 raise Conflict(condition.key)
+        puts = [msgspec.json.encode(write.value) for write in writes if isinstance(write, Put)]
+        if len(writes) > self.max_writes or any(len(p) > self.value_bytes for p in puts):
+            raise Rejected("over the limit")
         self.revision += 1
         for write in writes:
             if isinstance(write, Put):
@@ -132,7 +136,7 @@
         for conditions, writes in self.late:
             try:
                 self.apply(conditions, writes)
-            except Conflict:
+            except (Conflict, Rejected):
                 continue
         self.late.clear()
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -19,7 +19,7 @@
 from weldhead.bookkeeping.ledger import Ledger
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import ReclaimLists
-from weldhead.bookkeeping.records import HIRES, LEADER_KEY, HireRecord, hire_size
+from weldhead.bookkeeping.records import HIRES, LEADER_KEY, HireRecord, divide_machines
 from weldhead.clock import now_us
 from weldhead.coordination import placement, preemptor
 from weldhead.coordination.estimates import Estimates
@@ -238,18 +238,19 @@
     asyncio.run(scenario())
 
 
-def test_a_rentals_record_fits_into_a_value() -> None:
-    for value_kb in (4.0, 8.0, 64.0):
-        most = hire_size(value_kb)
-        machines: dict[str, str | None] = {
-            f"vm-{n:012}": "255.255.255.255:65535" for n in range(most)
-        }
-        record = HireRecord(
-            "a-rather-long-type-name", "zone-name", True, most, 2**52, True, machines
-        )
-        state = StandInState()
-        state.put("h/x", record)
-        assert len(msgspec.json.encode(record)) <= value_kb * 1024
+def test_a_rentals_machines_are_divided_so_that_each_record_fits_with_all_addresses() -> None:
+    for limit in (1024, 2048, 8192):
+        names: dict[str, str | None] = {f"vm-{n:012}": None for n in range(50)}
+        record = HireRecord("a-rather-long-type-name", "zone-name", True, 50, 2**52, True, names)
+        parts = divide_machines(record, limit)
+        assert [name for part in parts for name in part] == list(names)
+        for part in parts:
+            record.machines = dict.fromkeys(part, "255.255.255.255:65535")
+            assert len(msgspec.json.encode(record)) <= limit
+            # What fits stays as it is.
+            assert divide_machines(record, limit) == [record.machines]
+        # No more of them than it takes.
+        assert len(parts) <= 1 + 50 * 45 // (limit - 200)
 
 
 def test_a_wave_of_taken_spot_machines_is_told_from_a_cut() -> None:
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -29,14 +29,20 @@
 
     def __init__(self) -> None:
         self.leader: Leader | None = None
+        self.all_know_chains = True
         self.catalog: list[MachineType] = [machine_type()]
 
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
         return None
 
-    async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
+    async def ask_served_peer(
+        self, kind: str, job_id: str, body: bytes, *, chained: bool = False
+    ) -> Response | None:
         return None
 
+    def peers_know_chains(self) -> bool:
+        return self.all_know_chains
+
 
 def desk(state: StandInState, node: StandInNode | None = None) -> FrontDesk:
     return FrontDesk(node or StandInNode(), cast(StateClient, state), [Team("red", 8, 16)])
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -92,7 +92,9 @@
     __slots__ = (
         "_fresh",
         "active",
+        "blockers",
         "cancelled",
+        "chain_due_us",
         "committed",
         "dirty",
         "done",
@@ -104,11 +106,14 @@
         "id",
         "last_machine",
         "late",
+        "level",
         "not_before_us",
+        "ready_us",
         "restarts",
         "saved_us",
         "saving",
         "spec",
+        "starts_us",
         "states",
         "submitted_us",
         "team",
@@ -124,6 +129,14 @@
         self.submitted_us = submitted_us
         self.first_seen_us = at_us
         self.version = version
+        #: When its last needed job was done: users' times but the deadline count from then.
+        self.ready_us = at_us
+        #: Needed jobs that are not known to be committed as done.
+        self.blockers: set[str] = set()
+        #: Its priority, or that of a job that needs it; and by when it has to be done for
+        #: the jobs that need it to be in time, the nearest bound first (``urgency.py``).
+        self.level = spec.level
+        self.chain_due_us: tuple[int, ...] = ()
         self.cancelled = False
         #: Its end or its cancellation is being committed, or its progress.
         self.finishing = False
@@ -143,13 +156,15 @@
         self.failures = 0
         self.not_before_us = 0
         self.late = False
+        #: When the jobs that it waits for are expected to be done; None: cannot be told.
+        self.starts_us: int | None = None
         #: Expected finish on the steady clock; None: cannot be told.
         self.forecast_us: int | None = None
 
     @property
     def waiting(self) -> int:
-        """How many tasks wait for a place."""
-        if self.cancelled:
+        """How many tasks wait for a place; none while the job waits for others."""
+        if self.cancelled or self.blockers:
             return 0
         return self.spec.tasks - self.done - len(self.active)
 
--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -17,7 +17,7 @@
 from weldhead.bookkeeping.records import LEADER_KEY
 from weldhead.protocol.wire import Condition, Delete, Put
 from weldhead.transport.http import CallFailed
-from weldhead.transport.state import Conflict, Refused, StateClient
+from weldhead.transport.state import Conflict, Refused, Rejected, StateClient
 
 log = logging.getLogger(__name__)
 
@@ -27,22 +27,23 @@
 
 
 class _Write:
-    __slots__ = ("build", "changes", "future")
+    __slots__ = ("changes", "future", "latest")
 
     def __init__(
-        self,
-        changes: dict[str, Any],
-        future: "asyncio.Future[int]",
-        build: Callable[[], Any] | None = None,
+        self, changes: dict[str, Any], future: "asyncio.Future[int]", *, latest: bool = False
     ) -> None:
         self.changes = changes
         self.future = future
-        #: Makes the value of the only key when the write's turn comes.
-        self.build = build
+        #: Whoever wants the only key's newest value shares this write.
+        self.latest = latest
+
+    def values(self) -> dict[str, Any]:
+        """Return the changes, with values made now where they are made in turn."""
+        return {key: made() if callable(made) else made for key, made in self.changes.items()}
 
 
 class Ledger:
-    """A queue of changes; a value of None deletes a key."""
+    """A queue of changes; a value of None deletes a key, a callable makes the value in turn."""
 
     def __init__(self, state: StateClient, token: int) -> None:
         self._state = state
@@ -65,7 +66,10 @@
         return self._versions.get(key, 0)
 
     async def write(self, changes: dict[str, Any], *, urgent: bool = False) -> int:
-        """Commit changes that belong together; return the revision. Deposed if we are."""
+        """Commit changes that belong together; return the revision.
+
+        Deposed if we are, Rejected if the store will never take them.
+        """
         if self._closed:
             raise Deposed
         if len(changes) > self._state.max_writes:
@@ -87,7 +91,7 @@
             raise Deposed
         write = self._latest.get(key)
         if write is None:
-            write = _Write({key: None}, asyncio.get_running_loop().create_future(), build)
+            write = _Write({key: build}, asyncio.get_running_loop().create_future(), latest=True)
             self._latest[key] = write
             (self._urgent if urgent else self._queue).append(write)
             self._wake.set()
@@ -102,25 +106,26 @@
             self._queue.remove(write)
             self._urgent.append(write)
 
-    def _batch(self) -> list[_Write]:
-        """Take writes from the queue: urgent ones first, no key twice."""
-        batch: list[_Write] = []
+    def _batch(self) -> list[tuple[_Write, dict[str, Any]]]:
+        """Take writes from the queue, with their values: urgent ones first, no key twice."""
+        batch: list[tuple[_Write, dict[str, Any]]] = []
         keys: set[str] = set()
         size = 0
         for queue in (self._urgent, self._queue):
             while queue:
                 write = queue[0]
-                if write.build is not None:
-                    write.changes = dict.fromkeys(write.changes, write.build())
-                added = len(msgspec.json.encode(write.changes))
                 if len(keys) + len(write.changes) > self._state.max_writes:
                     return batch
-                if not keys.isdisjoint(write.changes) or (batch and size + added > 48 * 1024):
+                if not keys.isdisjoint(write.changes):
+                    return batch
+                values = write.values()
+                added = len(msgspec.json.encode(values))
+                if batch and size + added > 48 * 1024:
                     return batch
                 keys |= write.changes.keys()
                 size += added
-                batch.append(queue.popleft())
-                if write.build is not None:
+                batch.append((queue.popleft(), values))
+                if write.latest:
                     del self._latest[next(iter(write.changes))]
         return batch
 
@@ -132,19 +137,41 @@
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            changes = {key: value for write in batch for key, value in write.changes.items()}
             try:
-                revision = await self._commit(changes)
+                await self._commit_batch(batch)
             except BaseException as error:
                 cause = error if isinstance(error, Exception) else Deposed()
-                for write in batch:
-                    if not write.future.done():
-                        write.future.set_exception(cause)
-                        write.future.exception()
+                for write, _ in batch:
+                    self._fail(write, cause)
                 raise
-            for write in batch:
-                if not write.future.done():
-                    write.future.set_result(revision)
+
+    @staticmethod
+    def _fail(write: _Write, cause: Exception) -> None:
+        if not write.future.done():
+            write.future.set_exception(cause)
+            # Whoever asked may be gone; that it failed has been logged.
+            write.future.exception()
+
+    async def _commit_batch(self, batch: list[tuple[_Write, dict[str, Any]]]) -> None:
+        """Commit writes together; if the store takes them not, each by itself.
+
+        A write that it will never take fails alone. Retried unchanged, as any other failure
+        is, one value over the limit stopped the whole queue for good.
+        """
+        try:
+            revision = await self._commit({k: v for _, values in batch for k, v in values.items()})
+        except Rejected as error:
+            if len(batch) > 1:
+                for one in batch:
+                    await self._commit_batch([one])
+                return
+            write, values = batch[0]
+            log.error("write of %s is never taken: %s", ", ".join(values), error)
+            self._fail(write, error)
+            return
+        for write, _ in batch:
+            if not write.future.done():
+                write.future.set_result(revision)
 
     async def _commit(self, changes: dict[str, Any]) -> int:
         pause_s = 0.05
@@ -168,6 +195,8 @@
                     return max(self.version(key) for key in changes)
             except Refused as refused:
                 log.debug("write refused: %s", refused)
+            except Rejected:
+                raise
             except CallFailed as failure:
                 log.info("write unanswered: %s", failure)
             await asyncio.sleep(pause_s)
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -30,9 +30,8 @@
 #: Tasks in one chunk of progress: 1 KiB of bits, well inside any value limit.
 CHUNK_TASKS = 8192
 
-#: Room for a rental's own fields, and for each machine's name and address, generously.
-HIRE_HEAD_BYTES = 400
-HIRE_MACHINE_BYTES = 96
+#: Room for a machine's address, "255.255.255.255:65535", with what stands around it.
+ADDRESS_BYTES = 25
 
 
 class LeaderRecord(msgspec.Struct):
@@ -54,11 +53,17 @@
     cancelled: bool = False
 
 
-class FinalRecord(msgspec.Struct):
-    """How a job ended."""
+class FinalRecord(msgspec.Struct, omit_defaults=True):
+    """How a job ended.
+
+    The last two fields came with job chains (see ``protocol/versions.py``).
+    """
 
     status: Literal["done", "withdrawn"]
     done: int
+    #: Time of day of its end; 0: an earlier version did not say, so it was long ago.
+    ended_us: int = 0
+    service: bool = False
 
 
 class HireRecord(msgspec.Struct, omit_defaults=True):
@@ -79,9 +84,35 @@
     machines: dict[str, str | None] = {}
 
 
-def hire_size(value_kb: float) -> int:
-    """How many machines a rental's record can hold."""
-    return max(1, int((value_kb * 1024 - HIRE_HEAD_BYTES) / HIRE_MACHINE_BYTES))
+def divide_machines(record: HireRecord, limit: int) -> list[dict[str, str | None]]:
+    """Divide a rental's machines so that a record holds each part, with their addresses."""
+    head = msgspec.structs.replace(record, settled=True, machines={"": None})
+    room = limit - len(msgspec.json.encode(head))
+    parts: list[dict[str, str | None]] = [{}]
+    left = room
+    for name, address in record.machines.items():
+        size = len(msgspec.json.encode(name)) + max(ADDRESS_BYTES, len(address or "") + 4)
+        if parts[-1] and size > left:
+            parts.append({})
+            left = room
+        parts[-1][name] = address
+        left -= size
+    return parts
+
+
+def cancelled_record(spec: JobSpec, submitted_us: int, limit: int) -> JobRecord:
+    """Return the record of a cancelled job; it fits the limit even if it did not before.
+
+    Nothing of a cancelled job is started any more, so what only says where it may start can
+    go: an earlier version accepted submissions under a larger limit, and to cancel such a
+    job its record has to be written once more. Every version reads the shorter one.
+    """
+    record = JobRecord(spec, submitted_us, cancelled=True)
+    if len(msgspec.json.encode(record)) > limit:
+        record.spec = msgspec.structs.replace(
+            spec, job_class="-", image="-", types=None, zone=None, needs=None
+        )
+    return record
 
 
 def job_key(job_id: str) -> str:
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -10,15 +10,16 @@
 from weldhead.bookkeeping.records import (
     CHUNK_TASKS,
     FinalRecord,
-    JobRecord,
+    cancelled_record,
     encode_progress,
     final_key,
     job_key,
     progress_key,
 )
-from weldhead.clock import now_us, to_seconds
+from weldhead.clock import now_us, to_seconds, wall_us
 from weldhead.coordination.term import Term
 from weldhead.protocol.wire import split_task
+from weldhead.transport.state import Rejected
 
 log = logging.getLogger(__name__)
 
@@ -30,19 +31,24 @@
     """Commits what has been completed; ``ended`` and ``withdrawn`` are told of the rest."""
 
     def __init__(
-        self, term: Term, ended: Callable[[Job], None], withdrawn: Callable[[Job], None]
+        self,
+        term: Term,
+        ended: Callable[[Job, FinalRecord], None],
+        withdrawn: Callable[[Job], None],
     ) -> None:
         self._term = term
         self._ended = ended
         self._withdrawn = withdrawn
         self.finals: dict[str, FinalRecord] = {}
         self._written_chunks: dict[str, set[int]] = {}
+        self._leftovers: list[str] = []
         self.cancelling: dict[str, asyncio.Task[None]] = {}
 
     def start(self) -> None:
         """Begin the duties."""
         self._term.duties.start("ends of jobs", self._finish_jobs)
         self._term.duties.start("progress", self._commit_progress)
+        self._term.duties.once("leftovers", self._clear(self._leftovers))
 
     def load(self, job: Job, chunk: int, done: list[int]) -> None:
         """Take up a chunk of progress read from the store."""
@@ -50,6 +56,18 @@
         job.load_committed([start + index for index in done])
         self._written_chunks.setdefault(job.id, set()).add(chunk)
 
+    def load_leftover(self, key: str) -> None:
+        """Note progress of a job that is over: its leader ended before clearing it away."""
+        self._leftovers.append(key)
+
+    async def _clear(self, keys: list[str]) -> None:
+        """Delete keys that mean nothing any more, one by one as there is time."""
+        try:
+            for key in keys:
+                await self._term.ledger.write({key: None})
+        except (Deposed, Rejected):
+            pass
+
     def remember_final(self, job_id: str, final: FinalRecord) -> None:
         """Keep a final state, which never changes."""
         self.finals[job_id] = final
@@ -113,7 +131,8 @@
         try:
             for chunk in sorted(job.dirty):
                 await self._save_chunk(job, chunk)
-        except Deposed:
+        except (Deposed, Rejected):
+            # What was rejected is on the workers until the job ends, or goes with the next.
             pass
         finally:
             job.saving = False
@@ -142,14 +161,16 @@
         job.finishing = True
         try:
             await self._finish(job)
-        except Deposed:
+        except (Deposed, Rejected):
             pass
         finally:
             job.finishing = False
 
     async def _finish(self, job: Job) -> None:
         term = self._term
-        final = FinalRecord("withdrawn" if job.cancelled else "done", job.done)
+        final = FinalRecord(
+            "withdrawn" if job.cancelled else "done", job.done, wall_us(), job.spec.is_service
+        )
         changes: dict[str, Any] = {final_key(job.id): final, job_key(job.id): None}
         written = sorted(self._written_chunks.get(job.id, ()))
         # What does not fit into one transaction is cleared away afterwards.
@@ -160,10 +181,9 @@
         term.cluster.jobs.pop(job.id, None)
         self._written_chunks.pop(job.id, None)
         job.dirty.clear()
-        self._ended(job)
+        self._ended(job, final)
         log.info("%s %s", job.id, final.status)
-        for chunk in written[len(first) :]:
-            await term.ledger.write({progress_key(job.id, chunk): None})
+        await self._clear([progress_key(job.id, chunk) for chunk in written[len(first) :]])
 
     # -- cancellations -----------------------------------------------------------------------
 
@@ -189,7 +209,8 @@
                 return
             job.finishing = True
             try:
-                record = JobRecord(job.spec, job.submitted_us, cancelled=True)
+                limit = term.state.limits.value_bytes
+                record = cancelled_record(job.spec, job.submitted_us, limit)
                 job.version = await term.ledger.write({job_key(job.id): record}, urgent=True)
             finally:
                 job.finishing = False
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -36,6 +36,7 @@
     most_per_look: int
     move_worth_us: int
     most_moves: int
+    foresight_us: int
 
 
 @dataclass(frozen=True)
@@ -60,6 +61,19 @@
     count: int
 
 
+@dataclass(frozen=True)
+class Upcoming:
+    """A job that waits for others, and when those are expected to be done."""
+
+    job: Job
+    starts_us: int
+
+    def tasks(self, cluster: Cluster) -> int:
+        """How many of its tasks its team's limit will allow at once."""
+        team = cluster.teams[self.job.team]
+        return how_many(self.job.spec, team.cpus_max, team.gpus_max)
+
+
 @dataclass
 class Market:
     """What the cloud has said of late."""
@@ -131,8 +145,12 @@
                     self._heap.append((at_us + remaining_us, attempt.job.spec.cpus))
         heapq.heapify(self._heap)
 
-    def take(self, cpus: float, run_us: int) -> int | None:
-        """Let one task run as early as it can; return its start, None if it never can."""
+    def take(self, cpus: float, run_us: int, ready_us: int = 0) -> int | None:
+        """Let one task run as early as it can; return its start, None if it never can.
+
+        One that becomes ready later leaves what it takes to nobody until then: room for the
+        next stage of a chain is there when it is released.
+        """
         taken: list[tuple[int, float]] = []
         found = 0.0
         while found + EPSILON < cpus:
@@ -143,10 +161,10 @@
             item = heapq.heappop(self._heap)
             taken.append(item)
             found += item[1]
-        start_us = taken[-1][0] if taken else 0
+        start_us = max(ready_us, taken[-1][0] if taken else 0)
         rest = found - cpus
         if rest > EPSILON:
-            heapq.heappush(self._heap, (start_us, rest))
+            heapq.heappush(self._heap, (taken[-1][0], rest))
         heapq.heappush(self._heap, (start_us + run_us, cpus))
         return start_us
 
@@ -173,18 +191,23 @@
     boot_us: int,
     stretches: Callable[[Job], float],
     settings: FleetSettings,
+    upcoming: Sequence[Upcoming] = (),
 ) -> Missing:
     """Forecast what waits too long if nothing more is rented."""
     missing = Missing()
-    up_us = at_us + boot_us
+    boot_up_us = at_us + boot_us
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
-    for job, count in plan.unplaced:
+    wanted = [(job, count, at_us) for job, count in plan.unplaced]
+    wanted += [(item.job, item.tasks(cluster), item.starts_us) for item in upcoming]
+    for job, count, ready_us in wanted:
+        # Nothing can be too late for a job before it is released.
+        up_us = max(boot_up_us, ready_us)
         task_us = estimates.task_us(job)
         target_us = goals.target_us(job, task_us, up_us)
         # No money brings in time what is late already; it only must not wait for ever.
         lost = up_us + task_us > target_us
         # The forecast is hopeful: it knows neither preemption nor leftover room.
-        target_us -= round((target_us - job.first_seen_us) * settings.goal_margin)
+        target_us -= round((target_us - job.ready_us) * settings.goal_margin)
         # What a team is guaranteed need not wait for others, however patient the job is.
         guaranteed = guaranteed_tasks(cluster, job, held[job.team], 0.0) >= count
         held[job.team] += job.spec.cpus * count
@@ -193,9 +216,9 @@
         stretch = stretches(job)
         slow = late = 0
         for _ in range(count):
-            start_us = queue.take(job.spec.cpus, task_us)
+            start_us = queue.take(job.spec.cpus, task_us, ready_us)
             never = start_us is None
-            start_us = 0 if start_us is None else at_us + round((start_us - at_us) * stretch)
+            start_us = 0 if start_us is None else ready_us + round((start_us - ready_us) * stretch)
             # A machine rented now is up only after its boot: it helps only what would
             # start later than that, however long it has to wait until then.
             if never or start_us > up_us:
@@ -224,6 +247,7 @@
     settings: FleetSettings,
     coming: Sequence[Coming] = (),
     demand: Demand | None = None,
+    upcoming: Sequence[Upcoming] = (),
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -231,18 +255,18 @@
     ``spot_patience``; dear ones only for work that would otherwise miss its goal.
     """
     offers = market.offers(at_us)
-    if not plan.unplaced or not offers:
+    if not (plan.unplaced or upcoming) or not offers:
         return {}
     owned = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
     owned += sum(item.type.cpus * item.count for item in coming)
 
     def stretches(job: Job) -> float:
-        return demand.stretch(job.spec.level, owned, at_us) if demand is not None else 1.0
+        return demand.stretch(job.level, owned, at_us) if demand is not None else 1.0
 
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
     queue = _Queue(cluster, coming, estimates, at_us, settings)
     missing = forecast_missing(
-        cluster, plan, queue, estimates, goals, at_us, boot_us, stretches, settings
+        cluster, plan, queue, estimates, goals, at_us, boot_us, stretches, settings, upcoming
     )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
@@ -319,11 +343,16 @@
     return best[2] if best else None
 
 
-def plan_closings(cluster: Cluster, plan: Plan, settings: FleetSettings) -> set[str]:
+def plan_closings(
+    cluster: Cluster,
+    plan: Plan,
+    settings: FleetSettings,
+    upcoming: Sequence[Upcoming] = (),
+) -> set[str]:
     """Choose machines that are no longer needed, so that they are filled last.
 
-    The rest must have room for what runs on them and a reserve besides. Those that cost
-    most for what runs on them go first.
+    The rest must have room for what runs on them, for what is about to become runnable, and
+    a reserve besides. Those that cost most for what runs on them go first.
     """
     open_machines = [
         m for m in cluster.machines.values() if m.synced and not m.draining and not m.deleting
@@ -333,6 +362,7 @@
     used = {m.name: m.type.cpus - m.cpus for m in open_machines}
     free = sum(m.cpus for m in open_machines)
     reserve = settings.reserve * sum(used.values())
+    reserve += sum(item.tasks(cluster) * item.job.spec.cpus for item in upcoming)
 
     def waste(machine: Machine) -> float:
         return machine.price / (used[machine.name] + 0.1 * machine.type.cpus)
--- a/weldhead/coordination/forecast.py
+++ b/weldhead/coordination/forecast.py
@@ -1,5 +1,9 @@
 """Forecasts: when each job will be finished, and whether that is too late."""
 
+import math
+from collections.abc import Callable
+
+from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.clock import seconds_us
@@ -38,8 +42,34 @@
     return finish_us
 
 
+def forecast_chains(
+    chains: Chains, cluster: Cluster, stage_us: Callable[[Job], int], at_us: int
+) -> None:
+    """Forecast the jobs that wait for others, from the forecasts of those; in place.
+
+    Those that are needed come first, so each edge is looked at once.
+    """
+    for job in chains.waiting_order():
+        ends = [cluster.jobs[n].forecast_us if n in cluster.jobs else None for n in job.blockers]
+        known = [end_us for end_us in ends if end_us is not None]
+        job.starts_us = max(at_us, *known) if len(known) == len(ends) else None
+        if job.starts_us is None or job.spec.is_service:
+            job.forecast_us = None
+        else:
+            job.forecast_us = job.starts_us + stage_us(job)
+
+
+def holding_up(cluster: Cluster, job: Job) -> Job:
+    """Return the job that makes a chain's job wait longest: one that waits for none itself."""
+    while True:
+        needs = [cluster.jobs[name] for name in job.blockers if name in cluster.jobs]
+        if not needs:
+            return job
+        job = max(needs, key=lambda need: (need.forecast_us or math.inf, need.id))
+
+
 def due_us(job: Job) -> int | None:
-    """Return the job's deadline on the steady clock."""
-    if job.spec.deadline_s is None:
-        return None
-    return job.first_seen_us + seconds_us(job.spec.deadline_s)
+    """Return when the job is due on the steady clock, for itself or for those that need it."""
+    if job.spec.deadline_s is not None:
+        return job.first_seen_us + seconds_us(job.spec.deadline_s)
+    return job.chain_due_us[0] if job.chain_due_us else None
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -5,6 +5,7 @@
 otherwise the store itself is read, so that no answer is older than one already given.
 """
 
+import asyncio
 import logging
 from typing import Protocol
 
@@ -19,11 +20,18 @@
 from weldhead.clock import wall_us
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.protocol.settings import Team
-from weldhead.protocol.validation import Refusal, check_feasible, is_job_id, parse_submission
+from weldhead.protocol.validation import (
+    Refusal,
+    check_feasible,
+    check_size,
+    is_job_id,
+    parse_submission,
+    refuse_need,
+)
 from weldhead.protocol.wire import Condition, JobSpec, JobStatus, MachineType, Put
 from weldhead.transport.http import CallFailed
 from weldhead.transport.server import Response, refusal
-from weldhead.transport.state import Conflict, StateClient, decode
+from weldhead.transport.state import Conflict, Rejected, StateClient, decode
 
 log = logging.getLogger(__name__)
 
@@ -39,9 +47,14 @@
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
         """Have the leader answer; None if it cannot be reached."""
 
-    async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
+    async def ask_served_peer(
+        self, kind: str, job_id: str, body: bytes, *, chained: bool = False
+    ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
 
+    def peers_know_chains(self) -> bool:
+        """Whether no peer is known to run a version that would start jobs that wait."""
+
 
 class FrontDesk:
     """Answers users."""
@@ -63,33 +76,75 @@
         if not self._node.catalog:
             return refusal(503, "machine types not known yet", retry_after_s=1)
         try:
-            check_feasible(spec, self._teams, self._node.catalog)
-        except Refusal as error:
-            # An accepted job stays accepted, whatever has changed since.
-            try:
-                stored = await self._from_store(spec.id)
-            except CallFailed:
-                return refusal(503, "state service unavailable", retry_after_s=1)
-            if stored is not None:
-                return Response(200, _encode(stored))
-            return refusal(error.status, error.reason, error.field)
-        try:
-            return await self._create(spec)
+            return await self._accept(spec)
         except CallFailed as error:
             log.info("submission of %s not committed: %s", spec.id, error)
             if not forwarded:
-                answer = await self._node.ask_served_peer("submit", spec.id, body)
+                answer = await self._node.ask_served_peer(
+                    "submit", spec.id, body, chained=bool(spec.needs)
+                )
                 if answer is not None:
                     return answer
             return refusal(503, "state service unavailable", retry_after_s=1)
 
-    async def _create(self, spec: JobSpec) -> Response:
+    async def _accept(self, spec: JobSpec) -> Response:
+        """Judge a job by what the store says, and create it."""
         record = JobRecord(spec, wall_us())
+        try:
+            check_feasible(spec, self._teams, self._node.catalog)
+            size = len(_encode(record))
+            check_size(spec, size, self._state.limits.value_bytes)
+            await self._check_needs(spec)
+            return await self._create(record, size)
+        except Refusal as error:
+            # An accepted job stays accepted, whatever has changed since.
+            stored = await self._from_store(spec.id)
+            if stored is not None:
+                return Response(200, _encode(stored))
+            return refusal(error.status, error.reason, error.field)
+
+    async def _check_needs(self, spec: JobSpec) -> None:
+        """Refusal(422) if a job is named that cannot be waited for.
+
+        Accepted jobs stay accepted, so what the store said a moment ago still holds when
+        the job is created; and as only accepted ones can be named, there are no circles.
+        """
+        if not spec.needs:
+            return
+        if spec.id in spec.needs:
+            raise refuse_need(spec.id, "cannot wait for itself")
+        if not self._node.peers_know_chains():
+            raise CallFailed("a peer's version does not know job chains yet")
+        found = await asyncio.gather(*(self._is_service(name) for name in spec.needs))
+        for name, service in zip(spec.needs, found, strict=True):
+            if service is None:
+                raise refuse_need(name, "was never accepted")
+            if service:
+                raise refuse_need(name, "is a service, which is never done")
+
+    async def _is_service(self, job_id: str) -> bool | None:
+        """Whether an accepted job is a service; None if it was never accepted."""
+        leader = self._node.leader
+        known = leader.is_service(job_id) if leader is not None else None
+        if known is not None:
+            return known
+        entry = await self._state.get(job_key(job_id))
+        if entry is not None:
+            return decode(bytes(entry.value), JobRecord).spec.is_service
+        final = await self._state.get(final_key(job_id))
+        return decode(bytes(final.value), FinalRecord).service if final is not None else None
+
+    async def _create(self, record: JobRecord, size: int) -> Response:
+        spec = record.spec
         conditions = [Condition(job_key(spec.id), 0), Condition(final_key(spec.id), 0)]
         try:
             version = await self._state.transact(
-                conditions, [Put(job_key(spec.id), record)], timeout_us=1_000_000
+                conditions, [Put(job_key(spec.id), record)], urgent=True, timeout_us=1_000_000
             )
+        except Rejected as error:
+            # Lower limits than were announced: no promise that cannot be kept.
+            log.error("submission of %s is never taken: %s", spec.id, error)
+            raise Refusal(422, f"the state service takes no record of {size} bytes") from error
         except Conflict:
             stored = self._in_memory(spec.id) or await self._from_store(spec.id)
             if stored is None:
@@ -107,21 +162,52 @@
 
     async def _from_store(self, job_id: str) -> JobStatus | None:
         """Read a job's status; it moves from j/ to f/ only, so that order is safe."""
+        stored = await self._read(job_id)
+        if isinstance(stored, FinalRecord):
+            return JobStatus(job_id, stored.status, stored.done, 0)
+        if stored is None:
+            return None
+        withdrawn = stored.cancelled or await self._withdrawn_with(stored)
+        return JobStatus(job_id, "withdrawn" if withdrawn else "pending")
+
+    async def _read(self, job_id: str) -> JobRecord | FinalRecord | None:
+        """Read a job's record."""
+        leader = self._node.leader
         entry = await self._state.get(job_key(job_id))
         if entry is not None:
             record = decode(bytes(entry.value), JobRecord)
-            leader = self._node.leader
             if leader is not None and not record.cancelled:
                 leader.job_created(record, entry.version)
-            return JobStatus(job_id, "withdrawn" if record.cancelled else "pending")
+            return record
         final = await self._state.get(final_key(job_id))
         if final is None:
             return None
         outcome = decode(bytes(final.value), FinalRecord)
-        leader = self._node.leader
         if leader is not None:
             leader.completions.remember_final(job_id, outcome)
-        return JobStatus(job_id, outcome.status, outcome.done, 0)
+        return outcome
+
+    async def _withdrawn_with(self, record: JobRecord) -> bool:
+        """Whether a job that the record's needs, directly or through others, is withdrawn.
+
+        The leader calls a job withdrawn as soon as that follows from what is stored, and the
+        store may say so later only for the job itself: so the same is followed here. Each
+        job is read once.
+        """
+        seen = set(record.spec.needs or ())
+        names = list(seen)
+        while names:
+            need = await self._read(names.pop())
+            if isinstance(need, FinalRecord):
+                if need.status == "withdrawn":
+                    return True
+            elif need is not None:
+                if need.cancelled:
+                    return True
+                fresh = set(need.spec.needs or ()) - seen
+                seen |= fresh
+                names += fresh
+        return False
 
     async def poll(self, job_id: str, *, forwarded: bool = False) -> Response:
         """Tell a job's state."""
--- a/weldhead/coordination/goals.py
+++ b/weldhead/coordination/goals.py
@@ -71,20 +71,28 @@
         """Return when the job ought to be finished, on the steady clock.
 
         Of several bounds the nearest that can still be kept; the last if none can. A job
-        that nobody expects anything of ought not to wait much longer than it runs.
+        that nobody expects anything of ought not to wait much longer than it runs. What is
+        expected of the jobs that need it counts as well.
         """
-        spec = job.spec
-        bounds = [wait_us + task_us for wait_us in self._wait_us.get(spec.job_class, ())]
-        bounds += self._finish_us.get(spec.job_class, ())
-        if spec.deadline_s is not None:
-            deadline_us = seconds_us(spec.deadline_s)
-            times = self._times.get(spec.job_class) or (1.0,)
-            bounds += [round(deadline_us * factor) for factor in times]
+        name = job.spec.job_class
+        since_us = job.ready_us
+        bounds = [since_us + wait_us + task_us for wait_us in self._wait_us.get(name, ())]
+        bounds += [since_us + finish_us for finish_us in self._finish_us.get(name, ())]
+        bounds += self.deadlines_us(job)
+        bounds += job.chain_due_us
         if not bounds:
-            bounds = [3 * task_us + 60 * SECOND_US]
-        least_us = at_us + task_us - slack_us(task_us) - job.first_seen_us
+            bounds = [since_us + 3 * task_us + 60 * SECOND_US]
+        least_us = at_us + task_us - slack_us(task_us)
         kept = [bound for bound in bounds if bound >= least_us]
-        return job.first_seen_us + (min(kept) if kept else max(bounds))
+        return min(kept) if kept else max(bounds)
+
+    def deadlines_us(self, job: Job) -> list[int]:
+        """Return the times of the job's own deadline that count; it runs from submission."""
+        if job.spec.deadline_s is None:
+            return []
+        deadline_us = seconds_us(job.spec.deadline_s)
+        times = self._times.get(job.spec.job_class) or (1.0,)
+        return [job.first_seen_us + round(deadline_us * factor) for factor in times]
 
 
 def slack_us(task_us: int) -> int:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 import msgspec
 
+from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.ledger import Deposed, Ledger
@@ -19,17 +21,26 @@
     HIRES,
     JOBS,
     PROGRESS,
+    FinalRecord,
     HireRecord,
     JobRecord,
     decode_progress,
+    final_key,
     job_key,
 )
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.fleet import movable, plan_closings, plan_hires, plan_moves, plan_returns
-from weldhead.coordination.forecast import due_us, forecast_us
+from weldhead.coordination.fleet import (
+    Upcoming,
+    movable,
+    plan_closings,
+    plan_hires,
+    plan_moves,
+    plan_returns,
+)
+from weldhead.coordination.forecast import due_us, forecast_chains, forecast_us, holding_up
 from weldhead.coordination.placement import Plan, plan_starts
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.rentals import Rentals
@@ -42,6 +53,7 @@
 )
 from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term
+from weldhead.coordination.urgency import fetch_rate, refresh, stage_us
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import Compacted, decode
@@ -58,6 +70,9 @@
 #: How often the fleet's use is logged.
 FLEET_LOG_US = 10 * SECOND_US
 
+#: How many needed jobs are looked up in the store at once.
+NEEDS_AT_ONCE = 8
+
 #: How many silent machines are named to the other nodes at once.
 SILENT_NAMED = 1_000
 
@@ -81,6 +96,8 @@
         self._jobs_revision = 0
         #: Set when nothing can run anywhere that this leader does not know of.
         self._known = asyncio.Event()
+        #: Set when jobs are needed of which only the store knows what became of them.
+        self._needs = asyncio.Event()
         self.last_plan = Plan()
 
     # -- the term's life ------------------------------------------------------------
@@ -141,6 +158,7 @@
         duties = self._duties
         duties.start("job watch", self._watch_jobs)
         duties.start("machine watch", self._watch_machines)
+        duties.start("needed jobs", self._learn_needs, 0.2)
         duties.start("forecasts", self._forecast)
         self.completions.start()
         self.rentals.start()
@@ -162,15 +180,20 @@
         hires, _ = await term.state.scan(HIRES)
         at_us, wall = now_us(), wall_us()
         term.cluster = Cluster(term.settings.facts.teams, self.token)
+        term.chains = Chains(term.cluster.jobs)
         term.demand = Demand(self._tunables.fleet.demand_memory_us)
         for entry in jobs:
             record = decode(bytes(entry.value), JobRecord)
             self._add_job(record, entry.version, at_us, wall)
+        for loaded in list(self.cluster.jobs.values()):
+            self._link(loaded)
+        self._refresh(self.cluster.jobs.values())
         for entry in progress:
             job_id, _, chunk = entry.key.removeprefix(PROGRESS).rpartition("/")
             self.ledger.learn(entry.key, entry.version)
             job = self.cluster.jobs.get(job_id)
             if job is None:
+                self.completions.load_leftover(entry.key)
                 continue
             tasks = min(CHUNK_TASKS, job.spec.tasks - int(chunk) * CHUNK_TASKS)
             done = decode_progress(msgspec.json.decode(entry.value, type=str), tasks)
@@ -187,15 +210,116 @@
         job = Job(record.spec, record.submitted_us, version, at_us)
         # The same moment on the steady clock; a time of day that is off must not put it
         # into the future.
-        job.first_seen_us = at_us - max(0, wall - record.submitted_us)
+        job.first_seen_us = job.ready_us = at_us - max(0, wall - record.submitted_us)
         job.cancelled = record.cancelled
         self.cluster.jobs[job.id] = job
         self.ledger.learn(job_key(job.id), version)
-        if not job.cancelled:
-            work = job.spec.tasks * job.spec.cpus * self.term.estimates.task_us(job)
-            self.term.demand.arrived(job.spec.level, work, job.first_seen_us)
         return job
 
+    # -- chains ---------------------------------------------------------------------------
+
+    @property
+    def chains(self) -> Chains:
+        """Which jobs wait for which."""
+        return self.term.chains
+
+    def _link(self, job: Job) -> None:
+        """Enter what a job waits for, and draw what follows from it."""
+        needs = job.spec.needs or ()
+        if not job.cancelled:
+            self.chains.add(job, needs)
+            for name in needs:
+                self._learned(name)
+        # Others may have named it before this node had heard of it.
+        self.chains.unknown.discard(job.id)
+        if job.cancelled:
+            self._withdraw_followers(job)
+        elif not job.blockers and not needs:
+            self._runnable(job)
+        if self.chains.unknown:
+            self._needs.set()
+
+    def _learned(self, job_id: str) -> None:
+        """Draw what follows from a needed job that is over or cancelled, as far as is known."""
+        final = self.completions.finals.get(job_id)
+        if final is not None:
+            self._over(job_id, final)
+            return
+        need = self.cluster.jobs.get(job_id)
+        if need is not None and need.cancelled:
+            self._withdraw_followers(need)
+
+    def _over(self, job_id: str, final: FinalRecord) -> None:
+        """A job is over, and that is committed: those that wait for it go on, or go too."""
+        if final.status == "done":
+            ended_us = now_us() - max(0, wall_us() - final.ended_us)
+            for follower in self.chains.done(job_id, ended_us):
+                log.debug("%s waits for nothing more", follower.id)
+                self._runnable(follower)
+            self.term.place.set()
+        else:
+            self._withdraw_all(self.chains.withdrawn(job_id))
+
+    def _runnable(self, job: Job) -> None:
+        """A job's tasks may start from now on: from here on it counts as demand."""
+        work = job.spec.tasks * job.spec.cpus * self.term.estimates.task_us(job)
+        self.term.demand.arrived(job.level, work, job.ready_us)
+
+    def _withdraw_followers(self, job: Job) -> None:
+        """A job's cancellation is committed: all that need it are withdrawn by that alone.
+
+        So they are called withdrawn at once, by every leader, though it takes several
+        transactions to write down how each of them ended.
+        """
+        self._withdraw_all([job, *self.chains.withdrawn(job.id)])
+
+    def _withdraw_all(self, jobs: list[Job]) -> None:
+        needed: dict[str, Job] = {}
+        for job in jobs:
+            for name in job.blockers:
+                if name in self.cluster.jobs:
+                    needed[name] = self.cluster.jobs[name]
+            self.chains.remove(job)
+            self._stop_all(job)
+        if needed:
+            # What they gave to the jobs that they need goes with them.
+            self._refresh(needed.values())
+
+    def _refresh(self, jobs: Iterable[Job]) -> None:
+        """Bring up to date what these jobs and those that they need inherit."""
+        refresh(
+            self.chains, jobs, self.cluster, self.term.estimates, self.term.goals, now_us(),
+            fetch_rate(self.term.market.types), self._tunables.chain_margin,
+        )  # fmt: skip
+
+    async def _learn_needs(self) -> None:
+        """Read what became of needed jobs that were over before this term began."""
+        while True:
+            await self._needs.wait()
+            self._needs.clear()
+            while self.chains.unknown:
+                names = list(self.chains.unknown)[:NEEDS_AT_ONCE]
+                await asyncio.gather(*(self._learn_need(name) for name in names))
+
+    async def _learn_need(self, job_id: str) -> None:
+        try:
+            final = await self.term.state.get(final_key(job_id))
+            if final is not None:
+                outcome = decode(bytes(final.value), FinalRecord)
+                self.completions.remember_final(job_id, outcome)
+                self._over(job_id, outcome)
+                return
+            entry = await self.term.state.get(job_key(job_id))
+        except CallFailed as error:
+            log.info("needed job %s: %s", job_id, error)
+            await asyncio.sleep(0.2)
+            return
+        if entry is not None:
+            self.job_created(decode(bytes(entry.value), JobRecord), entry.version)
+        else:
+            # On its way from one key to the other, or named by a record that is nonsense.
+            await asyncio.sleep(0.5)
+
     def _check_known(self) -> None:
         """See whether every machine on which something may run has been heard or is gone."""
         if self._known.is_set() or not self.loaded:
@@ -210,7 +334,10 @@
         job_id = record.spec.id
         if not self.loaded or job_id in self.cluster.jobs or job_id in self.completions.finals:
             return
-        self._add_job(record, version, now_us(), wall_us())
+        job = self._add_job(record, version, now_us(), wall_us())
+        self._link(job)
+        if not job.cancelled:
+            self._refresh([job])
         self.term.place.set()
 
     def status(self, job_id: str) -> JobStatus | None:
@@ -219,12 +346,21 @@
             return None
         job = self.cluster.jobs.get(job_id)
         if job is not None:
-            return self._status_of(job)
+            # What only the store knows could have withdrawn it, and have been told so.
+            return self._status_of(job) if self.chains.settled(job) else None
         final = self.completions.finals.get(job_id)
         if final is not None:
             return JobStatus(job_id, final.status, final.done, 0)
         return None
 
+    def is_service(self, job_id: str) -> bool | None:
+        """Whether an accepted job is a service; None: not known here."""
+        job = self.cluster.jobs.get(job_id)
+        if job is not None:
+            return job.spec.is_service
+        final = self.completions.finals.get(job_id)
+        return final.service if final is not None else None
+
     def _status_of(self, job: Job) -> JobStatus:
         answer = JobStatus(job.id, job.status, job.done, job.running)
         if job.cancelled or job.forecast_us is None:
@@ -249,6 +385,11 @@
         return JobStatus(job_id, "withdrawn")
 
     def _withdraw(self, job: Job) -> None:
+        """A cancellation is committed."""
+        self._withdraw_followers(job)
+
+    def _stop_all(self, job: Job) -> None:
+        """Stop what runs of a job that is withdrawn."""
         at_us = now_us()
         for attempt in list(job.active.values()):
             machine = self.cluster.machines[attempt.machine]
@@ -391,10 +532,12 @@
                         self.job_created(record, event.version)
             self._jobs_revision = max(self._jobs_revision, changes.revision)
 
-    def _ended(self, job: Job) -> None:
+    def _ended(self, job: Job, final: FinalRecord) -> None:
         """A job is over, and that is committed."""
         self.term.estimates.forget(job.id)
         self.reclaims.trim(job.id, 0)
+        self.chains.remove(job)
+        self._over(job.id, final)
 
     async def _place_tasks(self) -> None:
         while True:
@@ -563,7 +706,8 @@
                 said_us = at_us
                 self._log_fleet()
             settings = self._tunables.fleet.settings()
-            closing = plan_closings(self.cluster, self.last_plan, settings)
+            upcoming = self._upcoming(at_us + settings.foresight_us)
+            closing = plan_closings(self.cluster, self.last_plan, settings, upcoming)
             for machine in self.cluster.machines.values():
                 machine.closing = machine.name in closing
             for machine in plan_moves(
@@ -584,10 +728,21 @@
                 settings,
                 self.rentals.coming(),
                 self.term.demand,
+                upcoming,
             )
             for offer, count in hires.items():
                 self.rentals.hire(offer, count)
 
+    def _upcoming(self, until_us: int) -> list[Upcoming]:
+        """Return the jobs that are expected to wait for nothing more by then."""
+        return [
+            Upcoming(job, job.starts_us)
+            for job in self.chains.blocked.values()
+            if job.starts_us is not None
+            and job.starts_us <= until_us
+            and job.team in self.cluster.teams
+        ]
+
     def _empty(self, machine: Machine, at_us: int) -> None:
         """Have a machine's tasks that save go on elsewhere; it is returned when it is empty."""
         log.info("machine %s is emptied: %d tasks", machine.name, len(machine.attempts))
@@ -620,22 +775,40 @@
         while True:
             await asyncio.sleep(to_seconds(self._tunables.forecast_period_us))
             at_us = now_us()
-            for job in list(self.cluster.jobs.values()):
-                job.forecast_us = forecast_us(self.cluster, job, self.term.estimates, at_us)
-                due = due_us(job)
-                late = due is not None and (
-                    at_us > due or (job.forecast_us is not None and job.forecast_us > due)
-                )
-                stuck = job.forecast_us is None and not job.spec.is_service and not job.cancelled
-                if (late or stuck) and not job.late:
-                    if stuck:
-                        log.warning("%s looks unable to finish: it fails everywhere", job.id)
-                    else:
-                        finish = job.forecast_us or at_us
-                        log.warning(
-                            "%s will be late: %d of %d tasks done, due in %.0f s, "
-                            "forecast in %.0f s",
-                            job.id, job.done, job.spec.tasks,
-                            to_seconds((due or at_us) - at_us), to_seconds(finish - at_us),
-                        )  # fmt: skip
-                job.late = late or stuck
+            for job in self.cluster.jobs.values():
+                if not job.blockers:
+                    job.forecast_us = forecast_us(self.cluster, job, self.term.estimates, at_us)
+            forecast_chains(self.chains, self.cluster, self._stage_us, at_us)
+            for job in self.cluster.jobs.values():
+                self._say_if_late(job, at_us)
+
+    def _stage_us(self, job: Job) -> int:
+        rate = fetch_rate(self.term.market.types)
+        return stage_us(self.cluster, job, self.term.estimates, rate, self._tunables.chain_margin)
+
+    def _say_if_late(self, job: Job, at_us: int) -> None:
+        """Log a job that turns late; of a chain, that whose users set the deadline."""
+        if job.cancelled:
+            return
+        due = due_us(job)
+        late = due is not None and (
+            at_us > due or (job.forecast_us is not None and job.forecast_us > due)
+        )
+        stuck = job.forecast_us is None and not job.spec.is_service and not job.blockers
+        turned = (late or stuck) and not job.late
+        # Forecasts of a whole chain waver: said once.
+        job.late = late or stuck or (job.late and bool(job.spec.needs))
+        if not turned:
+            return
+        if stuck:
+            log.warning("%s looks unable to finish: it fails everywhere", job.id)
+        elif job.spec.deadline_s is not None:
+            stage = holding_up(self.cluster, job)
+            finish_us = job.forecast_us or at_us
+            log.warning(
+                "%s will be late: due in %.0f s, forecast in %.0f s; %s%s (%s) has %d of %d "
+                "tasks done",
+                job.id, to_seconds((due or at_us) - at_us), to_seconds(finish_us - at_us),
+                "" if stage is job else "it waits for ", stage.id, stage.spec.job_class,
+                stage.done, stage.spec.tasks,
+            )  # fmt: skip
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -23,6 +23,7 @@
 from weldhead.duties import Duties
 from weldhead.protocol.peer import Answer, Ask, Held, Hold, Message, Ping, Pong, Resigned
 from weldhead.protocol.settings import Settings
+from weldhead.protocol.versions import CHAINS_FORMAT, FIRST_FORMAT, FORMAT
 from weldhead.protocol.wire import Condition, MachineType, Put, Redirect, Report
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.http import CallFailed, HttpClient
@@ -335,7 +336,7 @@
                 if message.token:
                     self._hear_leader(name, message.token)
                     self._relays.leader_misses(message.silent, at_us)
-                return Pong(message.id, self._state.ok)
+                return Pong(message.id, self._state.ok, FORMAT)
             case Ask():
                 answer = await self._answer_peer(message)
                 return Answer(message.id, answer.status, answer.body)
@@ -384,14 +385,24 @@
         link = self._leader_link()
         return await self._forward(link, kind, job_id, body) if link is not None else None
 
-    async def ask_served_peer(self, kind: str, job_id: str, body: bytes) -> Response | None:
+    async def ask_served_peer(
+        self, kind: str, job_id: str, body: bytes, *, chained: bool = False
+    ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
-        link = self._served_peer(now_us())
+        link = self._served_peer(now_us(), CHAINS_FORMAT if chained else FIRST_FORMAT)
         return await self._forward(link, kind, job_id, body) if link is not None else None
 
-    def _served_peer(self, at_us: int) -> PeerLink | None:
-        """Return a live peer that the state service serves."""
-        served = (link for link in self._links.values() if link.alive(at_us) and link.state_ok)
+    def peers_know_chains(self) -> bool:
+        """Whether no peer is known to run a version that would start jobs that wait."""
+        return all(not 0 < link.format < CHAINS_FORMAT for link in self._links.values())
+
+    def _served_peer(self, at_us: int, least_format: int = FIRST_FORMAT) -> PeerLink | None:
+        """Return a live peer of that format or a later one that the state service serves."""
+        served = (
+            link
+            for link in self._links.values()
+            if link.alive(at_us) and link.state_ok and link.format >= least_format
+        )
         return next(served, None)
 
     async def _forward(
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -159,7 +159,7 @@
     press = goals.press(job, task_us, at_us, patience_us)
     return (
         press,
-        -job.spec.level if press is not Press.PATIENT else 0,
+        -job.level if press is not Press.PATIENT else 0,
         1 if job.spec.is_service else 0,
         goals.laxity_us(job, task_us, at_us),
         job.first_seen_us,
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -121,7 +121,7 @@
         self.order = sorted(
             (job for job in cluster.jobs.values() if job.active),
             key=lambda job: (
-                job.spec.level,
+                job.level,
                 job.spec.is_service,
                 -len(job.active) * job.spec.cpus,
                 -job.first_seen_us,
@@ -160,7 +160,7 @@
         if job is claimant:
             return False
         borrowed = over_guarantee(self.cluster, job, self.freed)
-        if job.spec.level < claimant.spec.level:
+        if job.level < claimant.level:
             return job.team == claimant.team or borrowed or guaranteed
         return guaranteed and borrowed and job.team != claimant.team
 
@@ -182,7 +182,7 @@
         """Return what claimants of the same kind share."""
         spec = claimant.spec
         kind = (
-            claimant.team, spec.level, spec.cpus, spec.gpus, spec.memory_gb, spec.types,
+            claimant.team, claimant.level, spec.cpus, spec.gpus, spec.memory_gb, spec.types,
             spec.zone, spec.spot,
             # Its own tasks limit where it may go.
             claimant.id if spec.one_zone or spec.spread else None,
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -8,10 +8,11 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.machines import Machine
-from weldhead.bookkeeping.records import HIRES, HireRecord, hire_size
+from weldhead.bookkeeping.records import HIRES, HireRecord, divide_machines
 from weldhead.clock import now_us, seconds_us, wall_us
 from weldhead.coordination.fleet import Coming, Offer
 from weldhead.coordination.term import Term
@@ -38,20 +39,31 @@
         self._gone = gone
         self._records: dict[str, HireRecord] = {}
         self._count = 0
+        #: Read with machines that another record holds as well.
+        self._untidy: set[str] = set()
         self._adopting: set[str] = set()
         #: Names that are gone for good, though the cloud's list may show them for a while.
         self._returned: set[str] = set()
         self._doomed: dict[str, Machine] = {}
+        self._limit = term.settings.facts.state.tightest().value_bytes
         self._deletion = asyncio.Event()
-        state = term.settings.facts.state
-        self._most = min(MOST_RENTED, hire_size(state.value_kb))
 
     # -- the books -----------------------------------------------------------------------
 
     def load(self, name: str, record: HireRecord, at_us: int, wall: int) -> None:
         """Take up a rental read from the store, at the start of a term."""
         self._records[name] = record
-        for machine_name, address in record.machines.items():
+        for machine_name, address in list(record.machines.items()):
+            known = self._term.cluster.machines.get(machine_name)
+            if known is not None:
+                # Its record was being divided when the last term ended: one entry is enough,
+                # and what either says may run there may run there.
+                known.up = known.up or address is not None
+                known.address = known.address or address or ""
+                self._records[known.hire].machines[machine_name] = known.address or None
+                del record.machines[machine_name]
+                self._untidy.add(name)
+                continue
             machine = self._add_machine(machine_name, name, at_us, wall)
             machine.up = address is not None
             machine.address = address or ""
@@ -61,9 +73,49 @@
         """Begin the duties, and find out what became of an earlier leader's rentals."""
         self._term.duties.start("deletions", self._delete)
         self._term.duties.start("machine list", self._list_machines)
+        for name in list(self._records):
+            # Larger than a value may become: divided before anything has to be changed in it.
+            if name in self._untidy or len(self._parts(name)) > 1:
+                log.info("rental %s: its record is divided", name)
+                self._term.duties.once("rental record", self._enter(name))
+        self._untidy.clear()
         for name in self._open():
             self._term.duties.once("hire", self._settle(name))
 
+    def _parts(self, name: str) -> list[dict[str, str | None]]:
+        """Divide a rental's machines so that a value holds each part."""
+        return divide_machines(self._records[name], self._limit)
+
+    async def _enter(self, name: str) -> None:
+        """Write a rental's record; machines for which it has no room go to new ones first.
+
+        Whenever the leader ends in between, each machine is in one record or in two, and in
+        none never: the next leader, of whichever version, waits for what may run there.
+        """
+        record = self._records[name]
+        _, *rest = self._parts(name)
+        parts: dict[str, dict[str, str | None]] = {}
+        for machines in rest:
+            part = self._new_name()
+            parts[part] = machines
+            self._records[part] = HireRecord(
+                record.type, record.zone, record.spot, len(machines), record.hired_us, True,
+                dict(machines),
+            )  # fmt: skip
+            for machine_name in machines:
+                self._term.cluster.machines[machine_name].hire = part
+        try:
+            for part in parts:
+                await self._write(part, urgent=True)
+            for machines in parts.values():
+                for machine_name in machines:
+                    record.machines.pop(machine_name, None)
+            await self._write(name, urgent=True)
+        except Deposed:
+            return
+        for written in (*parts, name):
+            self._drop_if_empty(written)
+
     def _open(self) -> list[str]:
         """Return the rentals of which it is not known what came of them."""
         return [name for name, record in self._records.items() if not record.settled]
@@ -92,18 +144,19 @@
 
     async def _write(self, name: str, *, urgent: bool = False) -> None:
         """Commit a rental's record as it is when its turn comes; drop it once it is empty."""
-
-        def build() -> HireRecord | None:
-            record = self._records[name]
-            if record.settled and not record.machines:
-                return None
-            return HireRecord(
-                record.type, record.zone, record.spot, record.count, record.hired_us,
-                record.settled, dict(record.machines),
-            )  # fmt: skip
-
+        build = partial(self._value, name)
         await self._term.ledger.write_latest(HIRES + name, build, urgent=urgent)
 
+    def _value(self, name: str) -> HireRecord | None:
+        """Return a rental's record as it is now; None once it holds nothing more."""
+        record = self._records.get(name)
+        if record is None or (record.settled and not record.machines):
+            return None
+        return HireRecord(
+            record.type, record.zone, record.spot, record.count, record.hired_us,
+            record.settled, dict(record.machines),
+        )  # fmt: skip
+
     async def mark_up(self, machine: Machine) -> None:
         """Record that something may run on a machine, before anything is started there."""
         try:
@@ -123,7 +176,7 @@
     def hire(self, offer: Offer, count: int) -> None:
         """Rent machines, in as many requests as it takes."""
         while count > 0:
-            part = min(count, self._most)
+            part = min(count, MOST_RENTED)
             count -= part
             name = self._new_name()
             self._records[name] = HireRecord(
@@ -183,13 +236,16 @@
         # is marked there first, and these writes are made in this order.
         for machine_name in fresh:
             self._add_machine(machine_name, name, at_us, wall_us())
-        await self._write_or_drop(name, urgent=True)
+        await self._enter(name)
 
-    async def _write_or_drop(self, name: str, *, urgent: bool = False) -> None:
+    async def _write_or_drop(self, name: str) -> None:
         try:
-            await self._write(name, urgent=urgent)
+            await self._write(name)
         except Deposed:
             return
+        self._drop_if_empty(name)
+
+    def _drop_if_empty(self, name: str) -> None:
         record = self._records.get(name)
         if record is not None and record.settled and not record.machines:
             del self._records[name]
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.ledger import Ledger
 from weldhead.clock import SECOND_US, now_us, seconds_us
@@ -47,6 +48,7 @@
         self.on_deposed = on_deposed
         self.token = authority.token
         self.cluster = Cluster(settings.facts.teams, self.token)
+        self.chains = Chains(self.cluster.jobs)
         self.ledger = Ledger(state, self.token)
         self.estimates = Estimates()
         self.demand = Demand(tunables.fleet.demand_memory_us)
--- /dev/null
+++ b/weldhead/coordination/urgency.py
@@ -0,0 +1,77 @@
+"""What a job inherits from those that need it: their priority, and their deadline.
+
+Users set both on the last job of a chain only. A job that others need counts with the
+highest priority among its own and theirs, and has to be done so early that the rest of the
+path can still be in time. The paper's order by priority and laxity is then applied as it
+is, by placement and preemptor alike; inherited values go with the follower that gave them.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from weldhead.bookkeeping.chains import Chains
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import how_many
+from weldhead.clock import SECOND_US, seconds_us
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.goals import Goals
+from weldhead.protocol.wire import MachineType
+
+#: How many inherited bounds a job keeps.
+MOST_BOUNDS = 4
+
+#: What committing an end and starting what waited for it takes, generously.
+HANDOVER_US = SECOND_US
+
+
+def stage_us(
+    cluster: Cluster, job: Job, estimates: Estimates, fetch_gb_per_s: float, margin: float
+) -> int:
+    """Estimate how long a waiting job takes from its release to its end.
+
+    Of many tasks the last one takes longer than the mean: that is the margin.
+    """
+    spec = job.spec
+    team = cluster.teams.get(job.team)
+    at_once = how_many(spec, team.cpus_max, team.gpus_max) if team is not None else spec.tasks
+    waves = -(-spec.tasks // max(1, at_once))
+    run_us = round(waves * estimates.task_us(job) * (1 + margin))
+    return HANDOVER_US + seconds_us(spec.image_gb / fetch_gb_per_s) + run_us
+
+
+def fetch_rate(types: Sequence[MachineType]) -> float:
+    """Return how many GB a second most images arrive at."""
+    return max((t.fetch_gb_per_s for t in types if t.fetch_gb_per_s > 0), default=1.0)
+
+
+def refresh(
+    chains: Chains,
+    jobs: Iterable[Job],
+    cluster: Cluster,
+    estimates: Estimates,
+    goals: Goals,
+    at_us: int,
+    fetch_gb_per_s: float,
+    margin: float,
+) -> None:
+    """Bring up to date what these jobs and those that they need inherit.
+
+    Followers come first, so each edge upstream of the change is looked at once.
+    """
+    paths_us: dict[str, int] = {}
+    for job in chains.upstream(jobs):
+        level = job.spec.level
+        bounds: set[int] = set()
+        for follower in chains.followers(job.id):
+            level = max(level, follower.level)
+            ends = (*goals.deadlines_us(follower), *follower.chain_due_us)
+            if ends:
+                path_us = paths_us.get(follower.id)
+                if path_us is None:
+                    path_us = stage_us(cluster, follower, estimates, fetch_gb_per_s, margin)
+                    paths_us[follower.id] = path_us
+                bounds.update(end_us - path_us for end_us in ends)
+        job.level = level
+        # Those that can still be kept; of bounds that are all missed the last one.
+        kept = sorted(bound for bound in bounds if bound > at_us) or sorted(bounds)[-1:]
+        job.chain_due_us = tuple(kept[:MOST_BOUNDS])
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from weldhead.protocol.versions import FIRST_FORMAT
+
 FRAME_LIMIT = 256 * 1024
 
 
@@ -31,10 +33,11 @@
 
 
 class Pong(msgspec.Struct, array_like=True, tag="pong"):
-    """The answer to a ping, with the answerer's own view."""
+    """The answer to a ping, with the answerer's own view and format (``versions.py``)."""
 
     id: int
     state_ok: bool
+    format: int = FIRST_FORMAT
 
 
 class Ask(msgspec.Struct, array_like=True, tag="ask"):
--- a/weldhead/protocol/settings.py
+++ b/weldhead/protocol/settings.py
@@ -55,6 +55,15 @@
     cancel_s: float
 
 
+class ComingLimits(msgspec.Struct):
+    """Limits that the state service will have from some moment on; None: unchanged."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class StateLimits(msgspec.Struct):
     """Limits of the state service."""
 
@@ -62,6 +71,23 @@
     write_rps: float
     value_kb: float
     txn_ops: int
+    #: They come without notice, so whoever calls the service keeps to ``tightest``.
+    next: ComingLimits | None = None
+
+    def tightest(self) -> "StateLimits":
+        """Return the limits that hold now and after the change alike."""
+        coming = self.next or ComingLimits()
+        return StateLimits(
+            rps=min(self.rps, coming.rps or self.rps),
+            write_rps=min(self.write_rps, coming.write_rps or self.write_rps),
+            value_kb=min(self.value_kb, coming.value_kb or self.value_kb),
+            txn_ops=min(self.txn_ops, coming.txn_ops or self.txn_ops),
+        )
+
+    @property
+    def value_bytes(self) -> int:
+        """How long a value may be."""
+        return int(self.value_kb * 1024)
 
 
 class CloudLimits(msgspec.Struct):
@@ -153,10 +179,13 @@
     _positive("facts.state.rps", facts.state.rps)
     _positive("facts.state.write_rps", facts.state.write_rps)
     _positive("facts.cloud.rps", facts.cloud.rps)
-    if facts.state.txn_ops < 4:
+    tightest = facts.state.tightest()
+    _positive("facts.state.next.rps", tightest.rps)
+    _positive("facts.state.next.write_rps", tightest.write_rps)
+    if tightest.txn_ops < 4:
         raise SettingsError("facts.state.txn_ops: at least 4 are needed to finish a job")
-    if facts.state.value_kb < 4:
-        raise SettingsError("facts.state.value_kb: at least 4 are needed for a job's progress")
+    if tightest.value_kb < 2:
+        raise SettingsError("facts.state.value_kb: at least 2 are needed for a job's progress")
     names = [settings.name, *(peer.name for peer in settings.peers)]
     if len(set(names)) != len(names):
         raise SettingsError("seeds: two nodes have the same label")
--- a/weldhead/protocol/validation.py
+++ b/weldhead/protocol/validation.py
@@ -73,9 +73,31 @@
         raise _malformed("types", "must be null or 1 to 100 names")
     if spec.zone is not None and not 1 <= len(spec.zone) <= MAX_NAME:
         raise _malformed("zone", "must be null or a zone's name")
+    if spec.needs is not None:
+        if not all(is_job_id(name) for name in spec.needs):
+            raise _malformed("needs", "must be null or a list of job ids")
+        # Repeats count once; an empty list is none.
+        spec = msgspec.structs.replace(spec, needs=tuple(dict.fromkeys(spec.needs)) or None)
     return spec
 
 
+def refuse_need(job_id: str, reason: str) -> Refusal:
+    """Return the refusal of a submission for one of the jobs that it names."""
+    wire = _WIRE_NAMES["needs"]
+    return Refusal(422, f"{wire}: {job_id} {reason}", wire)
+
+
+def check_size(spec: JobSpec, size: int, limit: int) -> None:
+    """Refusal(422) if a job's record cannot be stored within the limit, in bytes.
+
+    No promise is made that could not be kept: such a job could never be written down.
+    """
+    if size > limit:
+        field = _WIRE_NAMES["needs"] if spec.needs else _WIRE_NAMES["id"]
+        reason = f"the job's record takes {size} bytes, and a value has at most {limit}"
+        raise Refusal(422, f"{field}: {reason}", field)
+
+
 def check_feasible(
     spec: JobSpec, teams: Mapping[str, Team], catalog: Sequence[MachineType]
 ) -> None:
--- /dev/null
+++ b/weldhead/protocol/versions.py
@@ -0,0 +1,37 @@
+"""Which formats of records and messages exist, and what may be sent to whom.
+
+Controllers of neighbouring versions serve side by side during an upgrade, and either may
+lead at any moment. So every record and message of a format is read by the ones next to it:
+
+======  =============================================================================
+format  what it has
+======  =============================================================================
+1       weldhead 0.2: records ``leader``, ``j/``, ``p/``, ``f/``, ``h/`` and peer messages
+        hello, ping, pong, ask, answer, hold, held, resigned, as their modules state them
+        without the fields below
+2       job chains. A submission, and so the ``spec`` of a ``j/`` record, may have the
+        list of needed jobs; an ``f/`` record may have ``ended_us`` and ``service``; a pong
+        ends with the answerer's format. Keys and messages are the same
+======  =============================================================================
+
+Rules that keep it so:
+
+* A new field is optional, and its absence means what the older format meant. Both formats
+  ignore fields, and trailing elements of messages, that they do not know.
+* An older leader that rewrites a record drops the newer fields. It rewrites a ``j/`` record
+  only to cancel it, after which nobody asks what the job needed; it writes ``f/`` records
+  without ``ended_us`` (a job that needs that one was submitted later, and its times count
+  from its submission) and rewrites ``h/`` records, which are the same.
+* A peer's format is what its last pong said; format 1 says nothing. A link that knows no
+  such message drops the connection, so a message of a newer format goes only to peers that
+  have said that format.
+* Whoever knows format 1 only would start the tasks of a job that waits. So a submission
+  that names needed jobs is neither passed to such a peer nor accepted beside one.
+"""
+
+#: What a peer has that says nothing.
+FIRST_FORMAT = 1
+#: The format of this version.
+FORMAT = 2
+#: The first that knows job chains.
+CHAINS_FORMAT = 2
--- a/weldhead/protocol/wire.py
+++ b/weldhead/protocol/wire.py
@@ -41,6 +41,7 @@
     "checkpoint_s": "tack_s",
     "save_s": "weld_s",
     "deadline_s": "due_s",
+    "needs": "waits_on",
 }
 
 
@@ -67,6 +68,8 @@
     types: tuple[str, ...] | None = None
     zone: str | None = None
     deadline_s: float | None = None
+    #: Jobs that have to be done before any task of this one starts.
+    needs: tuple[str, ...] | None = None
 
     @property
     def is_service(self) -> bool:
--- a/weldhead/transport/budget.py
+++ b/weldhead/transport/budget.py
@@ -33,6 +33,11 @@
         self._level -= amount
         return True
 
+    def drain(self) -> None:
+        """Empty the bucket: the service says that the rate is used up."""
+        self._fill(now_us())
+        self._level = min(self._level, 0.0)
+
     def wait_us(self, amount: float, *, urgent: bool = False) -> int:
         """Return how long until the amount will be there, if nobody else takes it."""
         floor = 0.0 if urgent else self._reserve
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -55,6 +55,8 @@
         self.heard_us = 0
         self.refused = False
         self.state_ok = False
+        #: The format that the peer's process has said to know; 0: it has not answered yet.
+        self.format = 0
         #: Called with the peer's name when its process seems to be gone.
         self.on_lost: Callable[[str], None] = lambda name: None
 
@@ -104,6 +106,9 @@
                 self.heard_us = now_us()
                 if isinstance(message, Pong):
                     self.state_ok = message.state_ok
+                    if message.format != self.format:
+                        log.info("peer %s has format %d", self.name, message.format)
+                        self.format = message.format
                 waiting = self._pending.pop(getattr(message, "id", -1), None)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(message)
@@ -114,6 +119,7 @@
         finally:
             self._writer = None
             self.state_ok = False
+            self.format = 0
             writer.transport.abort()
             for future in self._pending.values():
                 if not future.done():
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -31,6 +31,10 @@
     """The service said that it did not execute the request (503, 429)."""
 
 
+class Rejected(CallFailed):
+    """The service takes no such transaction (400): the same one again is as useless."""
+
+
 class Conflict(Exception):
     """A condition of a transaction did not hold."""
 
@@ -57,6 +61,9 @@
     def __init__(self, http: HttpClient, address: str, limits: StateLimits) -> None:
         self._http = http
         self._base = f"http://{address}"
+        # What comes without notice is kept to from the start.
+        limits = limits.tightest()
+        self.limits = limits
         # Every controller calls the same service, and each gets an equal claim on most of
         # the rate: the leader writes most, so it may use what the others rarely need.
         self.requests = Budget(limits.rps * 0.6, limits.rps * 0.4, limits.rps * 0.1)
@@ -98,6 +105,9 @@
         if status in (429, 503):
             if status == 503:
                 self.failed_us = now_us()
+            else:
+                # Others use the same rate: what this node had saved up is not there.
+                (self.writes if writes else self.requests).drain()
             raise Refused(f"state service: {status}")
         if status not in (200, 400, 404, 409, 410):
             raise CallFailed(f"state service: {status}")
@@ -153,7 +163,7 @@
         """Apply a transaction and return its revision.
 
         Conflict if a condition failed, LeaseGone if a lease is over, Refused if it was
-        surely not executed, CallFailed if that is not known.
+        surely not executed, Rejected if it never will be, CallFailed if that is not known.
         """
         body = msgspec.json.encode(Transaction(conditions, writes))
         status, answer = await self._call(
@@ -165,6 +175,8 @@
             raise Conflict(answer.decode("utf-8", "replace"))
         if status == 400 and b"no such lease" in answer:
             raise LeaseGone
+        if status == 400:
+            raise Rejected(f"state service: 400 {answer[:200]!r}")
         raise CallFailed(f"state service: {status} {answer[:200]!r}")
 
     async def grant(self, ttl_us: int) -> int:
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -52,6 +52,7 @@
     most_per_look: int = 300
     move_worth_us: int = 30 * SECOND_US
     most_moves: int = 20
+    foresight_us: int = 45 * SECOND_US
 
     def settings(self) -> FleetSettings:
         """Return what one run needs."""
@@ -69,6 +70,7 @@
             most_per_look=self.most_per_look,
             move_worth_us=self.move_worth_us,
             most_moves=self.most_moves,
+            foresight_us=self.foresight_us,
         )
 
 
@@ -82,6 +84,7 @@
     commit_gather_us: int = 100 * MILLISECOND_US
     progress_gather_us: int = 1 * SECOND_US
     forecast_period_us: int = 1 * SECOND_US
+    chain_margin: float = 0.25
     leadership: LeadershipTunables = field(default_factory=LeadershipTunables)
     preemptor: PreemptorTunables = field(default_factory=PreemptorTunables)
     fleet: FleetTunables = field(default_factory=FleetTunables)
