Tests of chains, of both formats side by side, and of the coming limits

Found by them: a peer that had not answered yet was left out of all forwarding (none was, in practice: it counts as served only once it has answered).

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,7 +10,9 @@
 from tests.stand_ins import StandInState
 from weldhead.bookkeeping.ledger import Deposed, Ledger
 from weldhead.bookkeeping.records import LEADER_KEY
-from weldhead.transport.state import StateClient
+from weldhead.clock import now_us
+from weldhead.transport.budget import Budget
+from weldhead.transport.state import Rejected, StateClient
 
 FATES = st.lists(st.sampled_from(["ok", "refused", "lost", "unanswered", "late"]), max_size=12)
 
@@ -84,3 +86,58 @@
         await asyncio.gather(duty, return_exceptions=True)
 
     run(scenario())
+
+
+def test_a_write_that_the_store_never_takes_fails_alone() -> None:
+    """Retried unchanged for ever, one value over the limit stopped the whole queue."""
+
+    async def scenario() -> None:
+        state = StandInState()
+        token = state.put(LEADER_KEY, {"name": "n-0"})
+        state.value_bytes = 100
+        ledger = Ledger(cast(StateClient, state), token)
+        writes = [
+            asyncio.create_task(ledger.write({f"p/{n}": "x" * (200 if n == 2 else 20)}))
+            for n in range(5)
+        ]
+        later = asyncio.create_task(ledger.write_latest("p/2", lambda: "short"))
+        await asyncio.sleep(0)
+        duty = asyncio.create_task(ledger.run())
+        answers = await asyncio.gather(*writes, return_exceptions=True)
+        assert [type(answer) for answer in answers] == [int, int, Rejected, int, int]
+        # The same key goes on with a value that fits.
+        await later
+        assert state.keys["p/2"][0] == "short"
+        ledger.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    run(scenario())
+
+
+def test_values_are_made_in_turn_also_for_changes_that_belong_together() -> None:
+    async def scenario() -> None:
+        state = StandInState()
+        token = state.put(LEADER_KEY, {"name": "n-0"})
+        ledger = Ledger(cast(StateClient, state), token)
+        value = ["old"]
+        write = asyncio.create_task(ledger.write({"h/1": lambda: value[0], "h/2": None}))
+        await asyncio.sleep(0)
+        value[0] = "new"
+        duty = asyncio.create_task(ledger.run())
+        await write
+        assert state.keys["h/1"][0] == "new"
+        ledger.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    run(scenario())
+
+
+def test_a_429_empties_the_budget_so_that_the_next_try_waits() -> None:
+    budget = Budget(10.0, 5.0)
+    assert budget.try_take(1, now_us())
+    budget.drain()
+    at_us = now_us()
+    assert not budget.try_take(1, at_us)
+    assert 0 < budget.wait_us(1) <= 100_000
+    # It slows down and drops nothing: the rate itself goes on.
+    assert budget.try_take(1, at_us + 110_000)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -28,7 +28,7 @@
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.coordination.leadership import Authority, default_timing
 from weldhead.coordination.term import Term
-from weldhead.protocol.settings import parse_settings
+from weldhead.protocol.settings import Settings
 from weldhead.protocol.wire import JobSpec
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.http import HttpClient
@@ -61,7 +61,7 @@
     def __enter__(self) -> Clock:
         self.patch = pytest.MonkeyPatch()
         clock = Clock()
-        for module in ("leader", "term", "rentals", "completions", "dispatch"):
+        for module in ("leader", "term", "rentals", "completions", "dispatch", "frontdesk"):
             for name in ("now_us", "wall_us"):
                 self.patch.setattr(f"weldhead.coordination.{module}.{name}", clock, raising=False)
         return clock
@@ -70,10 +70,17 @@
         self.patch.undo()
 
 
-def new_leader(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
+def new_leader(
+    state: StandInState,
+    at_us: int,
+    predecessor_over_us: int = 0,
+    next_limits: dict[str, Any] | None = None,
+) -> Leader:
     document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
     document["facts"]["teams"] = [{"name": "red", "cpus": 8, "cpus_max": 100}]
-    settings = parse_settings(msgspec.json.encode(document))
+    if next_limits is not None:
+        document["facts"]["state"]["next"] = next_limits
+    settings = msgspec.json.decode(msgspec.json.encode(document), type=Settings)
     token = state.put(LEADER_KEY, {"name": "n-0", "nonce": "x", "ttl_us": 3 * S})
     authority = Authority(default_timing(1_000 * S), frozenset())
     authority.begin(token, 1, at_us)
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -122,3 +122,27 @@
 )
 def test_possible_jobs_pass(changes: dict[str, Any]) -> None:
     check_feasible(job_spec(**changes), TEAMS, CATALOG)
+
+
+@pytest.mark.parametrize(
+    "needs", ["run-000001", 7, {}, [7], [None], ["run-1", "x"], ["run-"], [""], ["run-1/0"]]
+)
+def test_a_list_of_needed_jobs_that_is_none_is_malformed(needs: object) -> None:
+    with pytest.raises(Refusal) as refusal:
+        parse_submission(msgspec.json.encode(GOOD | {"waits_on": needs}))
+    assert (refusal.value.status, refusal.value.field) == (400, "waits_on")
+
+
+@pytest.mark.parametrize(
+    ("needs", "read"),
+    [
+        (None, None),
+        ([], None),
+        (["run-000001"], ("run-000001",)),
+        (["run-2", "run-1", "run-2"], ("run-2", "run-1")),
+    ],
+)
+def test_needed_jobs_are_read_once_each(needs: object, read: object) -> None:
+    spec = parse_submission(msgspec.json.encode(GOOD | {"waits_on": needs}))
+    assert spec.needs == read
+    assert parse_submission(msgspec.json.encode(GOOD)).needs is None
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,7 @@
 """Formats: the wire's names, records, peer frames."""
 
+from typing import cast
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -8,7 +10,7 @@
 from tests.builders import job_spec
 from weldhead.bookkeeping.records import decode_progress, encode_progress
 from weldhead.protocol import peer
-from weldhead.protocol.settings import SettingsError, parse_settings
+from weldhead.protocol.settings import SettingsError, StateLimits, parse_settings
 from weldhead.protocol.wire import (
     Command,
     Condition,
@@ -21,6 +23,8 @@
     split_task,
     task_name,
 )
+from weldhead.transport.http import HttpClient
+from weldhead.transport.state import StateClient
 
 REPORT = b"""{"welder":"vm-000231","endpoint":"10.1.0.232:9000","frame":"g8","yard":"a",
  "loaners":true,"shift":1,"stamp":88,"torch":41,"recall_s":null,"novel":{"x":[1]},
@@ -64,6 +68,7 @@
         zone=st.none() | st.text(min_size=1, max_size=5),
         types=st.none() | st.lists(st.text(max_size=5), max_size=3).map(tuple),
         deadline_s=st.none() | st.floats(0, 1e6),
+        needs=st.none() | st.lists(st.text(max_size=5), min_size=1, max_size=3).map(tuple),
     )
 )
 def test_job_specs_survive_the_store(spec: JobSpec) -> None:
@@ -109,6 +114,7 @@
     ),
     st.builds(peer.Hold, st.integers(0, 99), st.integers(0, 99), st.integers(0, 10**7)),
     st.builds(peer.Held, st.integers(0, 99), st.booleans()),
+    st.builds(peer.Pong, st.integers(0, 99), st.booleans(), st.integers(1, 9)),
 )
 
 
@@ -160,6 +166,23 @@
     assert settings.facts.objectives[0].job_class == "x"
 
 
+def test_the_tighter_of_present_and_coming_limits_is_kept_to() -> None:
+    """The change comes without notice: there is no moment to learn of it in time."""
+    document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
+    state = document["facts"]["state"]
+    now = parse_settings(msgspec.json.encode(document)).facts.state
+    assert now.tightest() == now
+    state["next"] = {"write_rps": 18.0, "value_kb": 2.0, "txn_ops": 4, "novel": 1}
+    limits = parse_settings(msgspec.json.encode(document)).facts.state
+    assert limits.tightest() == StateLimits(100.0, 18.0, 2.0, 4)
+    assert limits.tightest().value_bytes == 2048
+    client = StateClient(cast(HttpClient, None), "10.0.0.1:1", limits)
+    assert (client.max_writes, client.limits.value_kb) == (4, 2.0)
+    # A wider limit to come is no reason to wait for it.
+    state["next"] = {"value_kb": 64.0}
+    assert parse_settings(msgspec.json.encode(document)).facts.state.tightest().value_kb == 8.0
+
+
 @pytest.mark.parametrize(
     ("path", "value", "named"),
     [
@@ -167,6 +190,8 @@
         (("external", "state"), "10.0.0.1:99999", "external.state"),
         (("facts", "workers", "lease_s"), 0, "facts.workers.lease_s"),
         (("facts", "state", "txn_ops"), 2, "facts.state.txn_ops"),
+        (("facts", "state", "next"), {"txn_ops": 3}, "facts.state.txn_ops"),
+        (("facts", "state", "next"), {"value_kb": 1.0}, "facts.state.value_kb"),
         (("facts", "teams"), None, "teams"),
         (("label",), 7, "label"),
     ],
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -23,7 +23,7 @@
 from weldhead.duties import Duties
 from weldhead.protocol.peer import Answer, Ask, Held, Hold, Message, Ping, Pong, Resigned
 from weldhead.protocol.settings import Settings
-from weldhead.protocol.versions import CHAINS_FORMAT, FIRST_FORMAT, FORMAT
+from weldhead.protocol.versions import CHAINS_FORMAT, FORMAT
 from weldhead.protocol.wire import Condition, MachineType, Put, Redirect, Report
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.http import CallFailed, HttpClient
@@ -389,14 +389,14 @@
         self, kind: str, job_id: str, body: bytes, *, chained: bool = False
     ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
-        link = self._served_peer(now_us(), CHAINS_FORMAT if chained else FIRST_FORMAT)
+        link = self._served_peer(now_us(), CHAINS_FORMAT if chained else 0)
         return await self._forward(link, kind, job_id, body) if link is not None else None
 
     def peers_know_chains(self) -> bool:
         """Whether no peer is known to run a version that would start jobs that wait."""
         return all(not 0 < link.format < CHAINS_FORMAT for link in self._links.values())
 
-    def _served_peer(self, at_us: int, least_format: int = FIRST_FORMAT) -> PeerLink | None:
+    def _served_peer(self, at_us: int, least_format: int = 0) -> PeerLink | None:
         """Return a live peer of that format or a later one that the state service serves."""
         served = (
             link
