--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -28,7 +28,7 @@
     """Times of the preemptor."""
 
     kill_timeout_us: int
-    patience_us: int
+    claim_patience_us: int
     expiry_us: int
     silence_us: int
 
@@ -280,7 +280,7 @@
     run = _Pass(cluster, lists, estimates, at_us, settings)
     reclaims: list[Reclaim] = []
     for job, unplaced in plan.unplaced:
-        if not run.may_claim(job, goals, settings.patience_us):
+        if not run.may_claim(job, goals, settings.claim_patience_us):
             continue
         for _ in range(max(0, unplaced - lists.count(job.id))):
             if len(reclaims) >= most:
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -25,11 +25,14 @@
     period_us: int = 250 * MILLISECOND_US
     kill_timeout_us: int = 12 * SECOND_US
     patience_us: int = 45 * SECOND_US
+    claim_patience_us: int = 20 * SECOND_US
     expiry_us: int = 2 * SECOND_US
 
     def settings(self, silence_us: int) -> PreemptorSettings:
         """Return what one run needs."""
-        return PreemptorSettings(self.kill_timeout_us, self.patience_us, self.expiry_us, silence_us)
+        return PreemptorSettings(
+            self.kill_timeout_us, self.claim_patience_us, self.expiry_us, silence_us
+        )
 
 
 @dataclass
