Guaranteed claims give room 1.5 s to fall free by itself

Cause: evictions for guaranteed work that would have been placed a moment later anyway. Excluded: delaying starts (placement is untouched).

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -589,3 +589,25 @@
         run_on(into, saves, index, machine, S)
     add_machine(into, "vm-000009").note_image("img", 1.0)
     assert moves(into) == ["vm-000001"]
+
+
+def test_claims_wait_while_there_is_time_to_spare_and_a_moment_even_if_guaranteed() -> None:
+    """Stages of chains, placed by an inherited priority, stopped work that was about to end."""
+    into = cluster(Team("red", 0, 100), Team("blue", 8, 100))
+    machine = add_machine(into)
+    victim = run_on(
+        into, add_job(into, job_spec(1, priority="idle", tasks=1, cpus=4.0)), 0, machine
+    )
+    patient = add_job(into, job_spec(2, tasks=1, cpus=4.0, estimate_s=10.0, deadline_s=100.0))
+
+    def victims(at_us: int) -> list[list[Attempt]]:
+        machine.heard_us = at_us
+        return [entry.victims for entry in reclaims(into, starts(into, at_us), at_us)]
+
+    # In time if it starts by 90 s: it presses in placement from 45 s, and claims from 70 s on.
+    assert victims(60 * S) == []
+    assert victims(71 * S) == [[victim]]
+    del into.jobs[patient.id]
+    add_job(into, job_spec(3, team="blue", tasks=1, cpus=4.0, estimate_s=10.0, deadline_s=900.0))
+    assert victims(S) == []
+    assert victims(2 * S) == [[victim]]
