--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -690,3 +690,35 @@
 
     assert hires(Team("red", 8, 100)) == 1
     assert hires(Team("red", 4, 100)) == 0
+
+
+def test_a_new_leader_says_nothing_of_jobs_behind_one_whose_end_it_has_not_read(
+    world: World,
+) -> None:
+    """Any node that reads the store may have called them withdrawn already."""
+    for number in (1, 2, 3):
+        needs = (name(number - 1),) if number > 1 else None
+        world.submit(job_spec(number, needs=needs))
+    world.cancel(1)
+    world.run(world.leader.completions._end(world.leader.cluster.jobs[name(1)]))
+    world.take_over()
+    assert world.leader.chains.unknown == {name(1)}
+    for number in (2, 3):
+        assert world.leader.status(name(number)) is None
+        assert world.poll(name(number)) == "withdrawn"
+    world.hear()
+    for number in (2, 3):
+        status = world.leader.status(name(number))
+        assert status is not None and status.state == "withdrawn"
+
+
+def test_what_a_follower_gave_falls_back_when_it_is_withdrawn(world: World) -> None:
+    world.submit(job_spec(1, priority="idle"))
+    world.submit(job_spec(2, priority="normal", needs=(name(1),)))
+    world.submit(job_spec(3, priority="production", needs=(name(2),), deadline_s=99.0))
+    first = world.job(1)
+    assert first is not None and first.level == 3 and first.chain_due_us
+    world.cancel(3)
+    assert (first.level, first.chain_due_us) == (1, ())
+    world.cancel(2)
+    assert first.level == 0
