--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -29,7 +29,6 @@
 
     kill_timeout_us: int
     claim_patience_us: int
-    guarantee_patience_us: int
     expiry_us: int
     silence_us: int
 
@@ -173,19 +172,11 @@
             and self.may_stop_of(claimant, victim.job, guaranteed)
         )
 
-    def may_claim(self, claimant: Job, goals: Goals, settings: PreemptorSettings) -> bool:
-        """Whether the claimant cannot simply wait: it presses, or it is guaranteed room.
-
-        Even that is given a moment in which room falls free by itself.
-        """
+    def may_claim(self, claimant: Job, goals: Goals, patience_us: int) -> bool:
+        """Whether the claimant cannot simply wait: it presses, or it is guaranteed room."""
         task_us = self.estimates.task_us(claimant)
-        press = goals.press(claimant, task_us, self.at_us, settings.claim_patience_us)
-        if press is not Press.PATIENT:
-            return True
-        waited_us = self.at_us - claimant.ready_us
-        return waited_us >= settings.guarantee_patience_us and within_guarantee(
-            self.cluster, claimant, self.claimed
-        )
+        press = goals.press(claimant, task_us, self.at_us, patience_us)
+        return press is not Press.PATIENT or within_guarantee(self.cluster, claimant, self.claimed)
 
     def _claim(self, claimant: Job) -> _Claim:
         """Return what claimants of the same kind share."""
@@ -289,7 +280,7 @@
     run = _Pass(cluster, lists, estimates, at_us, settings)
     reclaims: list[Reclaim] = []
     for job, unplaced in plan.unplaced:
-        if not run.may_claim(job, goals, settings):
+        if not run.may_claim(job, goals, settings.claim_patience_us):
             continue
         for _ in range(max(0, unplaced - lists.count(job.id))):
             if len(reclaims) >= most:
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -26,7 +26,6 @@
     kill_timeout_us: int = 12 * SECOND_US
     patience_us: int = 45 * SECOND_US
     claim_patience_us: int = 20 * SECOND_US
-    guarantee_patience_us: int = 1500 * MILLISECOND_US
     expiry_us: int = 2 * SECOND_US
 
     def settings(self, silence_us: int) -> PreemptorSettings:
@@ -34,7 +33,6 @@
         return PreemptorSettings(
             self.kill_timeout_us,
             self.claim_patience_us,
-            self.guarantee_patience_us,
             self.expiry_us,
             silence_us,
         )
