--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import logging
+from types import SimpleNamespace
 from typing import Any, Literal, cast
 
 import msgspec
@@ -308,3 +310,42 @@
     old_fleet(state, 50)
     leader = new_leader(state, clock())
     assert len(leader.rentals._parts("welder-0-7-1")) == 1
+
+
+def test_a_pong_says_the_format_and_a_link_remembers_it_while_it_is_up(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A peer that comes back may be another version: nothing is assumed of a new connection."""
+    node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables())
+    node._state = cast(Any, SimpleNamespace(ok=True))
+    pong = asyncio.run(node._peer_request("n-1", peer.Ping(7, 0, True)))
+    assert pong == peer.Pong(7, True, FORMAT)
+
+    class Writer:
+        transport = SimpleNamespace(abort=lambda: None)
+
+        def write(self, _: bytes) -> None:
+            pass
+
+    frames = [bytes.fromhex("0000000893a4706f6e6707c3"), peer.encode_frame(pong)]
+
+    async def connect() -> None:
+        reader = asyncio.StreamReader()
+        for frame in frames:
+            reader.feed_data(frame)
+        reader.feed_eof()
+
+        async def open_connection(*_: Any) -> Any:
+            return reader, Writer()
+
+        monkeypatch.setattr("weldhead.transport.peers.asyncio.open_connection", open_connection)
+        await node._links["n-1"]._connect()
+
+    with caplog.at_level(logging.INFO):
+        asyncio.run(connect())
+    said = [record.getMessage() for record in caplog.records]
+    assert [line for line in said if "format" in line] == [
+        "peer n-1 has format 1",
+        "peer n-1 has format 2",
+    ]
+    assert node._links["n-1"].format == 0
