Tidy: a job's record is read, a stage estimated and a limit taken in one place each

The front desk read records twice over, once for statuses and once for what may be named; what is inherited and what is forecast each put together the same estimate of a stage; rentals worked the tighter limit out anew beside the store's client; a method only called another. Tests' imports moved to the top, and a test's limits are the store's own. No change of behaviour, no assertion changed.

--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from tests.builders import add_job, cluster, job_spec
+from tests.builders import add_job, add_machine, cluster, job_spec, machine_type
 from tests.stand_ins import StandInState
 from tests.test_recovery import START, Clock, clock, fixed_clock, new_leader  # noqa: F401
 from tests.test_users import StandInNode, desk
@@ -23,6 +23,7 @@
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.reclaim import ReclaimLists
 from weldhead.bookkeeping.records import (
     CHUNK_TASKS,
     FinalRecord,
@@ -478,7 +479,10 @@
 
 
 def inherit(chains: Chains, into: Cluster, jobs: list[Job], at_us: int = 0) -> None:
-    urgency.refresh(chains, jobs, into, Estimates(), Goals([]), at_us, 1.0, 0.25)
+    def path_us(job: Job) -> int:
+        return urgency.stage_us(into, job, Estimates(), 1.0, 0.25)
+
+    urgency.refresh(chains, jobs, Goals([]), path_us, at_us)
 
 
 def test_a_change_costs_each_edge_once_however_many_paths_there_are() -> None:
@@ -562,9 +566,6 @@
     goals = Goals([])
     order = [order_key(job, Estimates(), goals, S, 45 * S) for job in (upstream, rival)]
     assert order[0] < order[1]
-    from tests.builders import add_machine
-    from weldhead.bookkeeping.reclaim import ReclaimLists
-
     machine = add_machine(into)
     attempt = into.start(rival, 0, machine, S)
     plan = plan_starts(into, Estimates(), goals, S, 10 * S, 45 * S)
@@ -637,8 +638,6 @@
 
 
 def test_the_fleet_counts_work_that_is_about_to_become_runnable() -> None:
-    from tests.builders import add_machine, machine_type
-
     into = cluster(Team("red", 0, 100))
     for number in range(4):
         add_machine(into, f"vm-{number:06}", spot=True)
@@ -667,8 +666,6 @@
 
 def test_guaranteed_work_that_is_about_to_become_runnable_does_not_wait_for_a_boot() -> None:
     """It has no waiting tasks yet, and was taken for work beyond the guarantee."""
-    from tests.builders import add_machine, machine_type
-
     settings = TUNABLES.fleet.settings()
 
     def hires(team: Team) -> int:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -28,7 +28,7 @@
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.coordination.leadership import Authority, default_timing
 from weldhead.coordination.term import Term
-from weldhead.protocol.settings import Settings
+from weldhead.protocol.settings import parse_settings
 from weldhead.protocol.wire import JobSpec
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.http import HttpClient
@@ -70,17 +70,10 @@
         self.patch.undo()
 
 
-def new_leader(
-    state: StandInState,
-    at_us: int,
-    predecessor_over_us: int = 0,
-    next_limits: dict[str, Any] | None = None,
-) -> Leader:
+def new_leader(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
     document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
     document["facts"]["teams"] = [{"name": "red", "cpus": 8, "cpus_max": 100}]
-    if next_limits is not None:
-        document["facts"]["state"]["next"] = next_limits
-    settings = msgspec.json.decode(msgspec.json.encode(document), type=Settings)
+    settings = parse_settings(msgspec.json.encode(document))
     token = state.put(LEADER_KEY, {"name": "n-0", "nonce": "x", "ttl_us": 3 * S})
     authority = Authority(default_timing(1_000 * S), frozenset())
     authority.begin(token, 1, at_us)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -274,7 +274,7 @@
     old_fleet(state, 50)
     everything = recorded(state)
     state.value_bytes, state.max_writes = 1024, 4
-    leader = new_leader(state, clock(), next_limits={"value_kb": 1.0, "txn_ops": 4})
+    leader = new_leader(state, clock())
 
     async def divide(leader: Any, ends_after: int | None) -> None:
         duty = asyncio.create_task(leader.ledger.run())
@@ -292,7 +292,7 @@
     asyncio.run(divide(leader, ends_after))
     if ends_after is not None:
         state.fates.clear()
-        leader = new_leader(state, clock(), next_limits={"value_kb": 1.0, "txn_ops": 4})
+        leader = new_leader(state, clock())
         assert sorted(leader.cluster.machines) == sorted(everything)
         assert all(machine.up for machine in leader.cluster.machines.values())
         asyncio.run(divide(leader, None))
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -128,11 +128,10 @@
         known = leader.is_service(job_id) if leader is not None else None
         if known is not None:
             return known
-        entry = await self._state.get(job_key(job_id))
-        if entry is not None:
-            return decode(bytes(entry.value), JobRecord).spec.is_service
-        final = await self._state.get(final_key(job_id))
-        return decode(bytes(final.value), FinalRecord).service if final is not None else None
+        stored = await self._read(job_id)
+        if isinstance(stored, JobRecord):
+            return stored.spec.is_service
+        return stored.service if stored is not None else None
 
     async def _create(self, record: JobRecord, size: int) -> Response:
         spec = record.spec
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -91,7 +91,7 @@
         self._duties = term.duties
         self.reclaims = ReclaimLists()
         self.rentals = Rentals(term, self._gone)
-        self.completions = Completions(term, self._ended, self._withdraw)
+        self.completions = Completions(term, self._ended, self._withdraw_with_followers)
         self._dispatcher = Dispatcher(term, self._answered)
         self._jobs_revision = 0
         #: Set when nothing can run anywhere that this leader does not know of.
@@ -233,7 +233,7 @@
         # Others may have named it before this node had heard of it.
         self.chains.unknown.discard(job.id)
         if job.cancelled:
-            self._withdraw_followers(job)
+            self._withdraw_with_followers(job)
         elif not job.blockers and not needs:
             self._runnable(job)
         if self.chains.unknown:
@@ -247,7 +247,7 @@
             return
         need = self.cluster.jobs.get(job_id)
         if need is not None and need.cancelled:
-            self._withdraw_followers(need)
+            self._withdraw_with_followers(need)
 
     def _over(self, job_id: str, final: FinalRecord) -> None:
         """A job is over, and that is committed: those that wait for it go on, or go too."""
@@ -265,7 +265,7 @@
         work = job.spec.tasks * job.spec.cpus * self.term.estimates.task_us(job)
         self.term.demand.arrived(job.level, work, job.ready_us)
 
-    def _withdraw_followers(self, job: Job) -> None:
+    def _withdraw_with_followers(self, job: Job) -> None:
         """A job's cancellation is committed: all that need it are withdrawn by that alone.
 
         So they are called withdrawn at once, by every leader, though it takes several
@@ -287,10 +287,7 @@
 
     def _refresh(self, jobs: Iterable[Job]) -> None:
         """Bring up to date what these jobs and those that they need inherit."""
-        refresh(
-            self.chains, jobs, self.cluster, self.term.estimates, self.term.goals, now_us(),
-            fetch_rate(self.term.market.types), self._tunables.chain_margin,
-        )  # fmt: skip
+        refresh(self.chains, jobs, self.term.goals, self._stage_us, now_us())
 
     async def _learn_needs(self) -> None:
         """Read what became of needed jobs that were over before this term began."""
@@ -384,10 +381,6 @@
             raise NotReady
         return JobStatus(job_id, "withdrawn")
 
-    def _withdraw(self, job: Job) -> None:
-        """A cancellation is committed."""
-        self._withdraw_followers(job)
-
     def _stop_all(self, job: Job) -> None:
         """Stop what runs of a job that is withdrawn."""
         at_us = now_us()
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -45,7 +45,7 @@
         #: Names that are gone for good, though the cloud's list may show them for a while.
         self._returned: set[str] = set()
         self._doomed: dict[str, Machine] = {}
-        self._limit = term.settings.facts.state.tightest().value_bytes
+        self._limit = term.state.limits.value_bytes
         self._deletion = asyncio.Event()
 
     # -- the books -----------------------------------------------------------------------
--- a/weldhead/coordination/urgency.py
+++ b/weldhead/coordination/urgency.py
@@ -6,7 +6,7 @@
 is, by placement and preemptor alike; inherited values go with the follower that gave them.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -47,16 +47,14 @@
 def refresh(
     chains: Chains,
     jobs: Iterable[Job],
-    cluster: Cluster,
-    estimates: Estimates,
     goals: Goals,
+    path_us: Callable[[Job], int],
     at_us: int,
-    fetch_gb_per_s: float,
-    margin: float,
 ) -> None:
     """Bring up to date what these jobs and those that they need inherit.
 
-    Followers come first, so each edge upstream of the change is looked at once.
+    ``path_us`` estimates how long a job takes from its release to its end. Followers come
+    first, so each edge upstream of the change is looked at once.
     """
     paths_us: dict[str, int] = {}
     for job in chains.upstream(jobs):
@@ -66,11 +64,9 @@
             level = max(level, follower.level)
             ends = (*goals.deadlines_us(follower), *follower.chain_due_us)
             if ends:
-                path_us = paths_us.get(follower.id)
-                if path_us is None:
-                    path_us = stage_us(cluster, follower, estimates, fetch_gb_per_s, margin)
-                    paths_us[follower.id] = path_us
-                bounds.update(end_us - path_us for end_us in ends)
+                if follower.id not in paths_us:
+                    paths_us[follower.id] = path_us(follower)
+                bounds.update(end_us - paths_us[follower.id] for end_us in ends)
         job.level = level
         # Those that can still be kept; of bounds that are all missed the last one.
         kept = sorted(bound for bound in bounds if bound > at_us) or sorted(bounds)[-1:]
