cli: a package with one module a group of verbs, each imported when it is called

Need: verbs of a client and a site are coming, and a controller must not pay for them. serve and check are as they were; a lazy group imports a verb's module when the verb is asked for.

Extras in pyproject.toml are installed under target/ by make.

--- a/run.py
+++ b/run.py
@@ -10,6 +10,8 @@
 ROOT = Path(__file__).resolve().parent
 sys.path.insert(0, str(ROOT / "target" / "deps"))
 sys.path.insert(0, str(ROOT))
+# Libraries of the extras in pyproject.toml, which no controller needs.
+sys.path.append(str(ROOT / "target" / "extras"))
 
 # The path must be set first; the clock notes the start before all else is loaded.
 import weldhead.clock  # noqa: E402, F401
--- /dev/null
+++ b/weldhead/cli/jobs.py
@@ -0,0 +1,382 @@
+"""The verbs about jobs: submit, wait, status, cancel, jobs.
+
+Exit codes: 0 done (or accepted, where nothing is waited for), 1 withdrawn or failed,
+2 usage, 3 refused, 4 no answer within the time limit, 5 the journal cannot be used.
+"""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+import msgspec
+
+from weldhead.cli.progress import Reporter
+from weldhead.client.answers import Answer, Outcome
+from weldhead.client.client import Client, ClientSettings
+from weldhead.client.config import ConfigProblem, client_settings, journal_path, read_config
+from weldhead.client.job import Job, JobProblem, check_job, parse_job
+from weldhead.client.journal import Entry, Journal, JournalError, KeyConflict
+from weldhead.protocol.validation import is_job_id
+from weldhead.tomlfiles import FileProblem
+
+EXIT_WITHDRAWN = 1
+EXIT_REFUSED = 3
+EXIT_NO_ANSWER = 4
+EXIT_JOURNAL = 5
+
+_server = click.option("--server", help="HOST:PORT of the service, several with commas.")
+_journal = click.option("--journal", type=click.Path(path_type=Path), help="The journal's file.")
+_json = click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+
+
+def _timeout(default: float | None) -> Callable[[Any], Any]:
+    shown = f"{default:g}" if default else "none"
+    return click.option(
+        "--timeout",
+        type=click.FloatRange(0, min_open=True),
+        default=default,
+        help=f"Seconds after which no more is waited for [default: {shown}].",
+    )
+
+
+def _fail(code: int, text: str) -> NoReturn:
+    click.echo(f"weldhead: {text}", err=True)
+    sys.exit(code)
+
+
+def _settings(server: str | None, journal: Path | None, policies: Path | None) -> ClientSettings:
+    try:
+        return client_settings(server, journal, policies)
+    except (ConfigProblem, FileProblem) as problem:
+        _fail(2, str(problem))
+
+
+def _run(work: Awaitable[int]) -> NoReturn:
+    async def run() -> int:
+        return await work
+
+    try:
+        code = asyncio.run(run())
+    except JournalError as error:
+        _fail(EXIT_JOURNAL, f"{error}; nothing was sent because of that")
+    except KeyConflict as conflict:
+        _fail(2, str(conflict))
+    except KeyboardInterrupt:
+        _fail(130, "interrupted; `weldhead wait` goes on with what the journal has")
+    sys.exit(code)
+
+
+def _exit_code(answer: Answer, *, waited: bool) -> int:
+    match answer.outcome:
+        case Outcome.DONE:
+            return 0
+        case Outcome.WITHDRAWN:
+            return EXIT_WITHDRAWN
+        case Outcome.REFUSED:
+            return EXIT_REFUSED
+    return 0 if answer.accepted and not waited else EXIT_NO_ANSWER
+
+
+async def _follow(
+    client: Client, key: str, reporter: Reporter, timeout: float | None, *, accepted_only: bool
+) -> Answer:
+    """Show what becomes of a submission until it is over, accepted, or the time is."""
+    loop = asyncio.get_running_loop()
+    end = None if timeout is None else loop.time() + timeout
+    while True:
+        left = 3600.0 if end is None else end - loop.time()
+        if accepted_only:
+            answer = await client.accepted(key, max(0.0, min(left, 1.0)))
+        else:
+            answer = await client.wait(key, max(0.0, min(left, 0.5)))
+        if answer.final or left <= 0 or (accepted_only and answer.accepted):
+            return answer
+        reporter.show(answer)
+
+
+@click.command()
+@click.argument(
+    "arguments", nargs=-1, type=click.UNPROCESSED, metavar="[JOB.toml|-] [-- COMMAND ...]"
+)
+@click.option("--key", help="A name of your own: the same key is the same submission.")
+@click.option("--team")
+@click.option("--class", "job_class")
+@click.option("--tasks", type=int)
+@click.option("--cpus", type=float, help="Per task.")
+@click.option("--gpus", type=float, help="Per task.")
+@click.option("--memory-gb", type=float, help="Per task.")
+@click.option("--priority", type=click.Choice(["production", "high", "normal", "idle"]))
+@click.option("--deadline", "deadline_s", type=float, help="Seconds from now.")
+@click.option("--estimate", "estimate_s", type=float, help="Seconds a task runs, about.")
+@click.option("--waits-on", multiple=True, metavar="ID", help="A job that has to be done before.")
+@click.option("--env", multiple=True, metavar="NAME=VALUE", help="Environment of the tasks.")
+@click.option("--directory", type=click.Path(), help="Where tasks start [default: their own].")
+@click.option("--wait", "wait_for", is_flag=True, help="Wait for the final answer.")
+@click.option("--policies", type=click.Path(path_type=Path), help="Which classes are repeated.")
+@_server
+@_journal
+@_timeout(None)
+@_json
+def submit(
+    arguments: tuple[str, ...],
+    key: str | None,
+    wait_for: bool,
+    policies: Path | None,
+    server: str | None,
+    journal: Path | None,
+    timeout: float | None,
+    as_json: bool,
+    **flags: Any,
+) -> None:
+    """Submit a job from a file, or from flags and a command behind `--`.
+
+    Without --wait it ends when the job is accepted, after 60 s at the latest.
+    """
+    job, file_key = _job(arguments, flags)
+    settings = _settings(server, journal, policies)
+    if not wait_for and timeout is None:
+        timeout = 60.0
+
+    async def run() -> int:
+        async with Client(settings) as client:
+            try:
+                used = await client.submit(job, key or file_key)
+            except JobProblem as problem:
+                _fail(2, str(problem))
+            with Reporter(as_json=as_json) as reporter:
+                answer = await _follow(client, used, reporter, timeout, accepted_only=not wait_for)
+                reporter.close(answer, waited=wait_for)
+            return _exit_code(answer, waited=wait_for)
+
+    _run(run())
+
+
+def _job(arguments: tuple[str, ...], flags: dict[str, Any]) -> tuple[Job, str | None]:
+    """Put the job together: the config's defaults, the file or command, the flags."""
+    context = click.get_current_context()
+    command: tuple[str, ...] = arguments
+    key: str | None = None
+    job: Job | None = None
+    separator = "--" in sys.argv
+    try:
+        if arguments and not (separator and _behind_separator() == arguments):
+            source, *rest = arguments
+            command = tuple(rest)
+            if source == "-":
+                text, source = sys.stdin.read(), "<stdin>"
+            else:
+                text = Path(source).read_text(encoding="utf-8")
+            job, key = parse_job(source, text)
+        defaults = read_config().defaults
+        if job is None:
+            job = msgspec.convert(defaults, Job)
+    except (OSError, UnicodeDecodeError) as error:
+        _fail(2, str(error))
+    except FileProblem as problem:
+        _fail(2, str(problem))
+    except msgspec.ValidationError as error:
+        _fail(2, f"config file: defaults: {error}")
+    changes: dict[str, Any] = {
+        name: value
+        for name, value in flags.items()
+        if name not in ("waits_on", "env") and value is not None
+    }
+    if command:
+        changes["command"] = command
+    if flags["waits_on"]:
+        changes["waits_on"] = flags["waits_on"]
+    if flags["env"]:
+        pairs = [pair.partition("=") for pair in flags["env"]]
+        if any(not sign for _, sign, _ in pairs):
+            raise click.BadParameter("must be NAME=VALUE", ctx=context, param_hint="--env")
+        changes["environment"] = job.environment | {name: value for name, _, value in pairs}
+    job = msgspec.structs.replace(job, **changes)
+    if not job.command:
+        raise click.UsageError("a job file with a command, or a command behind `--`, is needed")
+    try:
+        check_job(job)
+    except JobProblem as problem:
+        _fail(2, str(problem))
+    return job, key
+
+
+def _behind_separator() -> tuple[str, ...]:
+    return tuple(sys.argv[sys.argv.index("--") + 1 :])
+
+
+async def _key(client: Client, journal: Journal, name: str) -> str | None:
+    """Return the key of what was named by key or id."""
+    if await journal.find(name) is not None:
+        return name
+    return await journal.key_of(name)
+
+
+@click.command()
+@click.argument("names", nargs=-1, metavar="KEY|ID...")
+@_server
+@_journal
+@_timeout(None)
+@_json
+def wait(
+    names: tuple[str, ...],
+    server: str | None,
+    journal: Path | None,
+    timeout: float | None,
+    as_json: bool,
+) -> None:
+    """Wait for the final answers of submissions of the journal; without names, of all."""
+    settings = _settings(server, journal, None)
+
+    async def run() -> int:
+        book = Journal(settings.journal)
+        code = 0
+        try:
+            async with Client(settings, book) as client:
+                keys = [await _known_key(client, book, name) for name in names]
+                if not names:
+                    keys = await client.resume()
+                with Reporter(as_json=as_json, many=len(keys) > 1) as reporter:
+                    async for answer in client.wait_many(keys, timeout):
+                        reporter.close(answer, waited=True)
+                        code = max(code, _exit_code(answer, waited=True))
+        finally:
+            await asyncio.to_thread(book.close)
+        return code
+
+    _run(run())
+
+
+async def _known_key(client: Client, book: Journal, name: str) -> str:
+    key = await _key(client, book, name)
+    if key is None:
+        _fail(2, f"{name}: not in the journal")
+    return key
+
+
+async def _by_id(
+    client: Client, name: str, *, cancel: bool, timeout: float, reporter: Reporter
+) -> int:
+    """Ask about a job that is not of this journal, by its id."""
+    if not is_job_id(name):
+        _fail(2, f"{name}: neither a key of the journal nor a job id")
+    answer = await client.ask_id(name, cancel=cancel, timeout_s=timeout)
+    reporter.close(answer, waited=False)
+    return 0 if answer.accepted else EXIT_NO_ANSWER
+
+
+def _ask(
+    names: tuple[str, ...],
+    server: str | None,
+    journal: Path | None,
+    timeout: float,
+    as_json: bool,
+    *,
+    cancel: bool,
+) -> NoReturn:
+    settings = _settings(server, journal, None)
+
+    async def run() -> int:
+        book = Journal(settings.journal)
+        code = 0
+        try:
+            async with Client(settings, book) as client:
+                with Reporter(as_json=as_json, many=len(names) > 1) as reporter:
+                    for name in names:
+                        key = await _key(client, book, name)
+                        if key is None:
+                            code = max(code, await _by_id(
+                                client, name, cancel=cancel, timeout=timeout, reporter=reporter
+                            ))  # fmt: skip
+                            continue
+                        if cancel:
+                            answer = await client.cancel(key, timeout)
+                            wrong = not answer.final
+                        else:
+                            answer = await client.poll(key)
+                            wrong = bool(client.trouble(key))
+                        reporter.close(answer, waited=False)
+                        code = max(code, EXIT_NO_ANSWER if wrong else 0)
+        finally:
+            await asyncio.to_thread(book.close)
+        return code
+
+    _run(run())
+
+
+@click.command()
+@click.argument("names", nargs=-1, required=True, metavar="KEY|ID...")
+@_server
+@_journal
+@_timeout(10.0)
+@_json
+def status(
+    names: tuple[str, ...],
+    server: str | None,
+    journal: Path | None,
+    timeout: float,
+    as_json: bool,
+) -> None:
+    """Say what is known of jobs now."""
+    _ask(names, server, journal, timeout, as_json, cancel=False)
+
+
+@click.command()
+@click.argument("names", nargs=-1, required=True, metavar="KEY|ID...")
+@_server
+@_journal
+@_timeout(60.0)
+@_json
+def cancel(
+    names: tuple[str, ...],
+    server: str | None,
+    journal: Path | None,
+    timeout: float,
+    as_json: bool,
+) -> None:
+    """Withdraw jobs; exit code 0 means that each has its final answer."""
+    _ask(names, server, journal, timeout, as_json, cancel=True)
+
+
+@click.command()
+@click.option("--all", "everything", is_flag=True, help="Also those that have a final answer.")
+@click.option("--most", type=click.IntRange(1), default=200, help="How many, the newest.")
+@click.option("--compact", is_flag=True, help="Drop what old final answers do not need.")
+@_journal
+@_json
+def jobs(everything: bool, most: int, compact: bool, journal: Path | None, as_json: bool) -> None:
+    """List the journal's submissions; the service is not asked."""
+    try:
+        path = journal or journal_path(read_config())
+    except FileProblem as problem:
+        _fail(2, str(problem))
+
+    async def run() -> int:
+        book = Journal(path)
+        try:
+            if compact:
+                touched = await book.compact()
+                click.echo(f"{touched} submissions compacted", err=True)
+            for entry in await book.entries(unfinished=not everything, most=most):
+                click.echo(_line(entry, as_json))
+        finally:
+            await asyncio.to_thread(book.close)
+        return 0
+
+    _run(run())
+
+
+def _line(entry: Entry, as_json: bool) -> str:
+    if as_json:
+        value: dict[str, Any] = {"key": entry.key, "created_us": entry.created_us}
+        if entry.runs:
+            value |= {"id": entry.runs[-1].id, "phase": entry.runs[-1].phase.name.lower()}
+        if entry.answer is not None:
+            value["answer"] = entry.answer
+        return msgspec.json.encode(value).decode()
+    if entry.answer is not None:
+        return f"{entry.key}  {entry.answer.id}  {entry.answer.known}"
+    run = entry.runs[-1]
+    return f"{entry.key}  {run.id}  {run.phase.name.lower()}, sent {run.sends} times"
--- /dev/null
+++ b/weldhead/cli/logs.py
@@ -0,0 +1,115 @@
+"""The verb that shows what tasks wrote."""
+
+import asyncio
+import contextlib
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from weldhead.client.config import ConfigProblem, client_settings
+from weldhead.client.decisions import Failed
+from weldhead.client.endpoints import Endpoints
+from weldhead.client.journal import Journal, JournalError
+from weldhead.client.transport import Transport
+from weldhead.clock import SECOND_US, now_us, seconds_us
+from weldhead.tomlfiles import FileProblem
+
+
+class _Failure(Exception):
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+@click.command()
+@click.argument("task", metavar="JOB/TASK")
+@click.option("--attempt", type=int, help="Which attempt [default: the last].")
+@click.option("--attempts", is_flag=True, help="List the attempts instead, with exit codes.")
+@click.option("--server", help="HOST:PORT of the service.")
+@click.option("--journal", type=click.Path(path_type=Path), help="The journal's file.")
+@click.option("--timeout", type=click.FloatRange(0, min_open=True), default=10.0)
+def logs(
+    task: str,
+    attempt: int | None,
+    attempts: bool,
+    server: str | None,
+    journal: Path | None,
+    timeout: float,
+) -> None:
+    """Show a task's output; JOB is an id, or a key of the journal."""
+    name, _, index = task.rpartition("/")
+    if not name or not index.isdecimal():
+        raise click.UsageError("JOB/TASK: as in run-000000000000000000000001/0")
+    try:
+        settings = client_settings(server, journal, None)
+    except (ConfigProblem, FileProblem) as problem:
+        raise click.UsageError(str(problem)) from problem
+    end_us = now_us() + seconds_us(timeout)
+
+    book: Journal | None = None
+    if settings.journal.exists():
+        with contextlib.suppress(JournalError):
+            book = Journal(settings.journal)
+
+    async def run() -> None:
+        job = await _id_of(book, name)
+        transport = Transport(Endpoints(settings.servers), 4)
+        try:
+            found = await _get(transport, f"/attempts/{job}/{index}", end_us)
+            records: list[dict[str, Any]] = msgspec.json.decode(found)
+            if not records:
+                raise _Failure(1, f"{task}: no attempt yet")
+            if attempts:
+                for record in records:
+                    click.echo(msgspec.json.encode(record).decode())
+                return
+            chosen = attempt if attempt is not None else records[-1]["attempt"]
+            at = 0
+            while True:
+                path = f"/output/{job}/{index}/{chosen}?from={at}"
+                piece = await _get(transport, path, end_us)
+                if not piece:
+                    return
+                sys.stdout.buffer.write(piece)
+                sys.stdout.buffer.flush()
+                at += len(piece)
+        finally:
+            await transport.close()
+
+    try:
+        asyncio.run(run())
+    except _Failure as failure:
+        click.echo(f"weldhead: {failure}", err=True)
+        sys.exit(failure.code)
+
+
+async def _id_of(book: Journal | None, name: str) -> str:
+    """Return the id that a key of the journal stands for; other names are ids."""
+    if book is None:
+        return name
+    try:
+        entry = await book.find(name)
+    finally:
+        await asyncio.to_thread(book.close)
+    if entry is None:
+        return name
+    return entry.answer.id if entry.answer is not None else entry.runs[-1].id
+
+
+async def _get(transport: Transport, path: str, end_us: int) -> bytes:
+    pause_s = 0.2
+    while True:
+        answer = await transport.call("GET", path, None, 2 * SECOND_US)
+        if not isinstance(answer, Failed):
+            if answer[0] == 200:
+                return answer[1]
+            if answer[0] in (400, 404):
+                raise _Failure(1, f"{path.split('?')[0]}: not there")
+        if now_us() + seconds_us(pause_s) > end_us:
+            reason = answer.reason if isinstance(answer, Failed) else f"status {answer[0]}"
+            raise _Failure(4, f"no answer in time: {reason}")
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, 2.0)
--- /dev/null
+++ b/weldhead/cli/serve.py
@@ -0,0 +1,50 @@
+"""The verb of the controllers."""
+
+import asyncio
+import gc
+from pathlib import Path
+
+import click
+
+from weldhead.cli.common import configure_logging, read_text
+
+
+@click.command()
+@click.option("--config", required=True, type=click.Path(path_type=Path), help="Settings (JSON).")
+@click.option(
+    "--tunables",
+    "tunables_file",
+    type=click.Path(path_type=Path),
+    envvar="WELDHEAD_TUNABLES",
+    help="Operators' own settings; see docs/operations.md.",
+)
+def serve(config: Path, tunables_file: Path | None) -> None:
+    """Run a controller with the platform's settings file."""
+    configure_logging()
+    import uvloop
+
+    from weldhead.coordination.node import Node
+    from weldhead.protocol.settings import SettingsError, load_settings
+    from weldhead.tunables.defaults import Tunables
+
+    try:
+        settings = load_settings(config)
+    except SettingsError as error:
+        raise click.ClickException(str(error)) from error
+    tunables = Tunables()
+    if tunables_file is not None:
+        # The language's parser costs memory and start time: only who uses it pays.
+        from weldhead.tunables.language import LanguageError, evaluate, facts_of
+
+        try:
+            tunables = evaluate(read_text(tunables_file), facts_of(settings))
+        except LanguageError as error:
+            raise click.ClickException(f"{tunables_file}:\n{error}") from error
+
+    async def run() -> None:
+        # What was loaded so far lives for ever; the collector need not look at it again.
+        gc.freeze()
+        await Node(settings, tunables).run()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
--- /dev/null
+++ b/weldhead/site/store/__init__.py
@@ -0,0 +1,1 @@
+"""The site's state service: the model, its record on disk, and its HTTP side."""
