--- /dev/null
+++ b/tests/test_lean.py
@@ -0,0 +1,57 @@
+"""A controller loads what it needs and nothing of the parts beside it."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+#: What `serve` loads, without the tunables' language; the packages of weldhead it may use.
+ALLOWED = {"bookkeeping", "cli", "clock", "coordination", "duties", "protocol", "transport"}
+LIBRARIES = {"aiohttp", "click", "msgspec", "uvloop"}
+FOREIGN = {
+    "sqlite3",
+    "sortedcontainers",
+    "hdrh",
+    "opentelemetry",
+    "rich",
+    "lark",
+    "tomllib",
+    "grpc",
+}
+
+PROGRAM = """
+import json, sys
+sys.path[:0] = [{root!r}, {deps!r}]
+sys.path.append({extras!r})
+import weldhead.clock
+from weldhead.cli import main
+# The whole of what serve imports happens before it reads its settings.
+try:
+    main(["serve", "--config", "/nonexistent"], prog_name="weldhead", standalone_mode=False)
+except Exception:
+    pass
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+def test_serve_imports_nothing_of_the_new_parts() -> None:
+    program = PROGRAM.format(
+        root=str(ROOT), deps=str(ROOT / "target/deps"), extras=str(ROOT / "target/extras")
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, timeout=60, check=True
+    )
+    modules = json.loads(done.stdout)
+    assert "weldhead.coordination.node" in modules
+    own = {name.split(".")[1] for name in modules if name.startswith("weldhead.")}
+    assert own == ALLOWED | {"tunables"}
+    assert [name for name in modules if name.startswith("weldhead.cli.")] == [
+        "weldhead.cli.common",
+        "weldhead.cli.serve",
+    ]
+    assert "weldhead.tunables.language" not in modules
+    tops = {name.split(".")[0] for name in modules}
+    assert not tops & FOREIGN
+    assert tops >= LIBRARIES
--- a/weldhead/site/guard.py
+++ b/weldhead/site/guard.py
@@ -31,6 +31,8 @@
 from typing import Any
 
 MARK = "WELDHEAD_MACHINE_MARK"
+#: Only the end of its input ends a guard.
+IGNORED = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 _PR_SET_PDEATHSIG = 1
 _PR_SET_CHILD_SUBREAPER = 36
 
@@ -132,6 +134,9 @@
         self.pids[key] = process.pid
 
     def _bind(self) -> None:
+        # What the guard ignores its commands would inherit, and never hear a SIGTERM.
+        for number in IGNORED:
+            signal.signal(number, signal.SIG_DFL)
         _prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
         if os.getppid() != self.parent:
             os._exit(70)
@@ -233,7 +238,7 @@
 def main() -> None:
     """Run as a program: the one argument is the machine's mark."""
     _prctl(_PR_SET_CHILD_SUBREAPER, 1)
-    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+    for number in IGNORED:
         signal.signal(number, signal.SIG_IGN)
     Guard(sys.argv[1]).serve()
 
--- a/weldhead/site/routing.py
+++ b/weldhead/site/routing.py
@@ -45,6 +45,8 @@
                 self._remove(now_us)
         elif not self.ever:
             self.healthy = self.ever = ok
+            if ok:
+                self.last.clear()
         elif recent[-2:] == [True, True] and now_us - self.removed_us >= self.pause_us:
             self.healthy = True
             self.last.clear()
