--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -560,8 +560,8 @@
                 return "done"
             case Phase.WITHDRAWN if repeated:
                 return f"withdrawn ({run.failed or 'not by this client'}); it will be repeated"
-            case Phase.WITHDRAWN if not run.sends:
-                return "withdrawn before it was sent"
+            case Phase.WITHDRAWN if not active.told:
+                return "withdrawn before anything was sent"
             case Phase.WITHDRAWN:
                 return f"withdrawn: {run.failed}" if run.failed else "withdrawn"
             case Phase.REFUSED:
@@ -574,7 +574,7 @@
                 text = f"accepted, {state}"
                 if told and told.done is not None:
                     text += f", {told.done} of {active.job.tasks} tasks done"
-            case Phase.SENT:
+            case Phase.SENT if run.loose:
                 text = f"sent {run.sends} times, not known yet whether it was accepted"
                 if is_undecided(run, active.policy, wall_us()) or run.cancel:
                     text += "; it is being withdrawn"
--- a/weldhead/client/decisions.py
+++ b/weldhead/client/decisions.py
@@ -10,7 +10,7 @@
 * the same id is used until the service has said what became of it;
 * a 404 proves nothing about a run of which a try may still be under way: to withdraw it, it
   is made accepted first, and then withdrawn for good;
-* only a run of which nothing was ever sent is withdrawn without the service.
+* only a run of which surely nothing was ever sent is withdrawn without the service.
 
 Times are microseconds; those that outlive the process are the time of day.
 """
@@ -83,7 +83,7 @@
 
 
 class News(msgspec.Struct, frozen=True):
-    """What is added to a run's record; ``unsent``: only if nothing was ever sent."""
+    """What is added to a run's record; ``unsent``: only if surely nothing was ever sent."""
 
     phase: Phase = Phase.NEW
     sends: int = 0
@@ -106,7 +106,7 @@
 
 def advance(run: Run, news: News) -> Run:
     """Add news to a record: nothing final changes, nothing moves back."""
-    if news.unsent and run.sends:
+    if news.unsent and (run.loose or run.phase > Phase.SENT):
         return run
     final = run.phase.final
     return Run(
@@ -188,7 +188,7 @@
     if run.phase.final:
         return Step.END
     if run.cancel or is_undecided(run, policy, wall_us):
-        if not run.sends:
+        if run.phase <= Phase.SENT and not run.loose:
             return Step.CLOSE
         if run.phase is Phase.ACCEPTED or not missed:
             return Step.CANCEL
