Client: a refusal and an acceptance that cross

Cause: two processes that try at once while the service changes its mind could end with a job that was accepted and an answer that says refused, unwatched. Found by taking the guard against moved final states out and seeing no test fail. Change: accepted is for good; what was told as refused and is accepted after all is withdrawn as a stray. Result: each of ten guards of the decisions, taken out in turn, fails a test.

--- a/weldhead/client/decisions.py
+++ b/weldhead/client/decisions.py
@@ -108,6 +108,12 @@
     """Add news to a record: nothing final changes, nothing moves back."""
     if news.unsent and (run.loose or run.phase > Phase.SENT):
         return run
+    if run.phase is Phase.ACCEPTED and news.phase is Phase.REFUSED:
+        # A refusal that was given before another try was accepted: accepted is for good.
+        news = News(settled=news.settled)
+    if run.phase is Phase.REFUSED and news.phase is Phase.ACCEPTED:
+        # The other way round: its caller was told that it is refused, so it must not run.
+        news = News(stray=True)
     final = run.phase.final
     return Run(
         id=run.id,
