--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -425,6 +425,7 @@
         if isinstance(reply, Failed):
             active.failures += 1
             active.trouble = reply.reason
+            self.telemetry.count("failures")
             span.event(f"{step.value} failed", reason=reply.reason)
             return
         self.telemetry.count("answers")
--- a/weldhead/site/keeper.py
+++ b/weldhead/site/keeper.py
@@ -209,6 +209,7 @@
                 bound=True,
             )
             part.starts += 1
+            write_whole(self._layout.pid(part.name), f"{part.process.pid}\n".encode())
             await part.process.ended()
             if self._ending.is_set():
                 return
--- a/weldhead/site/layout.py
+++ b/weldhead/site/layout.py
@@ -46,6 +46,10 @@
         """Return where a part's settings are written."""
         return self.root / "settings" / f"{name}.json"
 
+    def pid(self, name: str) -> Path:
+        """Return where a part's process number is written at each of its starts."""
+        return self.root / "pids" / name
+
     def log(self, name: str) -> Path:
         """Return where a part's log is written."""
         return self.root / "log" / f"{name}.log"
