--- a/tests/test_site_worker.py
+++ b/tests/test_site_worker.py
@@ -305,10 +305,12 @@
 
 def test_exit_codes_and_results_are_recorded_before_they_are_told(real: RealGuard) -> None:
     real.run("good", "sh", "-c", "echo out; echo err >&2")
+    assert real.hear()[:2] == ["started", "good"]
     assert real.hear() == ["exited", "good", 0]
     assert (real.folder / "good/output").read_text() == "out\nerr\n"
     assert json.loads((real.folder / "good.result").read_text())["code"] == 0
     real.run("bad", "sh", "-c", "exit 3")
+    assert real.hear()[:2] == ["started", "bad"]
     assert real.hear() == ["exited", "bad", 3]
     assert not (real.folder / "bad.result").exists()
     real.run("none", "/no/such/program")
@@ -322,10 +324,10 @@
     real.run("tree", "sh", "-c", "sleep 300 & exec sleep 300")
     up(real, 2)
     real.say("signal", "tree", int(signal.SIGTERM))
-    assert real.hear() == ["exited", "tree", None]
+    assert [real.hear(), real.hear()][1] == ["exited", "tree", None]
     wait_for(lambda: not guard.marked(real.mark))
     real.run("leaves", "sh", "-c", "sleep 300 & exit 0")
-    assert real.hear() == ["exited", "leaves", 0]
+    assert [real.hear(), real.hear()][1] == ["exited", "leaves", 0]
     wait_for(lambda: not guard.marked(real.mark))
 
 
@@ -343,8 +345,7 @@
         real.say("lease", time.monotonic_ns() // 1000 + 300_000)
     else:
         real.say("killall")
-        assert real.hear()[0] == "exited"
-        assert real.hear() == ["killed"]
+        assert [real.hear()[0] for _ in range(3)] == ["started", "exited", "killed"]
         assert guard.marked(real.mark) == []
     wait_for(lambda: not guard.marked(real.mark))
 
@@ -356,3 +357,31 @@
     real.process.wait()
     assert guard.sweep(real.mark)
     assert guard.marked(real.mark) == []
+
+
+def test_a_command_that_had_ended_when_its_guard_was_killed_is_inherited(
+    tmp_path: Path,
+) -> None:
+    """A complete task whose end nobody has written down yet would run a second time."""
+    program = f"""
+import os, signal, sys, time
+sys.path.insert(0, {str(Path(guard.__file__).parent)!r})
+import guard
+guard.become_reaper()
+parent = os.fork()
+if parent == 0:
+    # The guard, killed between the command's end and its notice.
+    if os.fork() == 0:
+        os._exit(0)
+    time.sleep(0.3)
+    os.kill(os.getpid(), signal.SIGKILL)
+os.waitpid(parent, 0)
+pid, status = os.waitpid(-1, 0)
+code = os.waitstatus_to_exitcode(status)
+print(guard.write_end(code, {str(tmp_path / "exit")!r}, {str(tmp_path / "result")!r}, None))
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, timeout=20, check=True
+    )
+    assert done.stdout == "0\n"
+    assert json.loads((tmp_path / "result").read_text())["code"] == 0
--- a/tools/measure_client.py
+++ b/tools/measure_client.py
@@ -67,7 +67,7 @@
         self.process.wait(60)
 
 
-async def _load(site: Site, count: int, kills: int, seed: int) -> dict[str, float]:
+async def _load(site: Site, count: int, window: int, kills: int, seed: int) -> dict[str, float]:
     runs = site.root.parent / f"{site.root.name}.runs"
     runs.touch()
     job = Job(
@@ -120,15 +120,16 @@
 @main.command()
 @click.option("--jobs", default=20_000)
 @click.option("--kills", default=15, help="Of controllers, in turn, 1 to 4 s apart.")
+@click.option("--window", default=1_000, help="How many are under way at once.")
 @click.option("--seed", default=1)
-def load(jobs: int, kills: int, seed: int) -> None:
+def load(jobs: int, kills: int, window: int, seed: int) -> None:
     """Small jobs through three controllers, without and with kills."""
     with tempfile.TemporaryDirectory(dir=ROOT / "target") as folder:
         results = []
         for name, times in (("calm", 0), ("killed", kills)):
             site = Site(Path(folder) / name)
             try:
-                results.append(asyncio.run(_load(site, jobs, times, seed)))
+                results.append(asyncio.run(_load(site, jobs, window, times, seed)))
             finally:
                 site.end()
             click.echo(f"{name}: {results[-1]}")
--- a/weldhead/site/guard.py
+++ b/weldhead/site/guard.py
@@ -4,7 +4,8 @@
 is gone, however it ended) or the lease that the worker last told it is over (the worker
 hangs), it ends every process that it started and leaves. Should the guard itself be killed,
 the kernel ends the commands that it started (``PR_SET_PDEATHSIG``); what those had started
-is found by a mark in the environment (:func:`sweep`), before the machine is used again.
+is found by a mark in the environment (:func:`sweep`), before the machine is used again. A
+command that had ended by then, but was not written down, is inherited by the worker.
 
 Lines of JSON, each a tagged tuple. To the guard::
 
@@ -13,7 +14,7 @@
 
 and from it::
 
-    ["exited", KEY, CODE_OR_NULL]     ["killed"]
+    ["started", KEY, PID]     ["exited", KEY, CODE_OR_NULL]     ["killed"]
 
 ``KEY`` names an attempt. How a command ended is written to ``RECORD``, and to ``RESULT`` if
 its code is 0, before it is told.
@@ -41,6 +42,11 @@
     ctypes.CDLL(None, use_errno=True).prctl(option, value, 0, 0, 0)
 
 
+def become_reaper() -> None:
+    """Inherit the processes whose parents below this one are gone."""
+    _prctl(_PR_SET_CHILD_SUBREAPER, 1)
+
+
 def marked(mark: str) -> list[int]:
     """Return the processes whose environment has the mark, other than the caller."""
     wanted = f"{MARK}={mark}".encode()
@@ -82,6 +88,27 @@
     os.replace(fresh, path)
 
 
+def write_end(code: int, record: str, result: str, began: float | None) -> int | None:
+    """Write down how a command ended, and return the exit code to tell of it.
+
+    ``code`` is negative for a signal, as ``subprocess`` has it; that is told as None.
+    """
+    entry: dict[str, object] = {"code": code if code >= 0 else None, "ended": time.time()}
+    if began is not None:
+        entry["began"] = began
+    if code < 0:
+        entry["reason"] = f"ended by signal {-code}"
+    try:
+        if code == 0:
+            _write(result, entry)
+        _write(record, entry)
+    except OSError as error:
+        # A result that cannot be kept is none: the task runs again elsewhere.
+        sys.stderr.write(f"guard: {error}\n")
+        return 1
+    return code if code >= 0 else None
+
+
 class Guard:
     """Commands by their keys, and when the lease is over."""
 
@@ -132,6 +159,7 @@
         process.returncode = 0
         self.commands[process.pid] = (key, record, result, started)
         self.pids[key] = process.pid
+        self._say(["started", key, process.pid])
 
     def _bind(self) -> None:
         # What the guard ignores its commands would inherit, and never hear a SIGTERM.
@@ -145,33 +173,24 @@
         """Tell of every command that has ended."""
         while True:
             try:
-                pid, status = os.waitpid(-1, os.WNOHANG)
+                # Looked at first and reaped when all is written: should the guard be killed
+                # in between, the worker inherits the ended command and writes it down.
+                seen = os.waitid(os.P_ALL, 0, os.WEXITED | os.WNOHANG | os.WNOWAIT)
             except ChildProcessError:
                 return
-            if pid == 0:
+            if seen is None:
                 return
-            known = self.commands.pop(pid, None)
-            if known is None:
-                continue
-            key, record, result, began = known
-            # What a command leaves behind ends with it.
-            _kill(-pid, signal.SIGKILL)
-            if self.pids.get(key) == pid:
-                del self.pids[key]
-            code = os.waitstatus_to_exitcode(status)
-            entry: dict[str, object] = {"code": code if code >= 0 else None, "began": began}
-            if code < 0:
-                entry["reason"] = f"ended by signal {-code}"
-            entry["ended"] = time.time()
-            try:
-                if code == 0:
-                    _write(result, entry)
-                _write(record, entry)
-            except OSError as error:
-                # A result that cannot be kept is none: the task runs again elsewhere.
-                sys.stderr.write(f"guard: {error}\n")
-                code = 1
-            self._say(["exited", key, code if code >= 0 else None])
+            code = seen.si_status if seen.si_code == os.CLD_EXITED else -seen.si_status
+            known = self.commands.pop(seen.si_pid, None)
+            if known is not None:
+                key, record, result, began = known
+                # What a command leaves behind ends with it.
+                _kill(-seen.si_pid, signal.SIGKILL)
+                if self.pids.get(key) == seen.si_pid:
+                    del self.pids[key]
+                told = write_end(code, record, result, began)
+                self._say(["exited", key, told])
+            os.waitpid(seen.si_pid, 0)
 
     def kill_all(self) -> None:
         """End everything, and return when it is gone."""
@@ -237,7 +256,7 @@
 
 def main() -> None:
     """Run as a program: the one argument is the machine's mark."""
-    _prctl(_PR_SET_CHILD_SUBREAPER, 1)
+    become_reaper()
     for number in IGNORED:
         signal.signal(number, signal.SIG_IGN)
     Guard(sys.argv[1]).serve()
--- a/weldhead/site/worker_process.py
+++ b/weldhead/site/worker_process.py
@@ -140,11 +140,14 @@
         #: nobody may hear of the next one.
         self._clear = asyncio.Event()
         self._poke = asyncio.Event()
+        #: Commands that run, by their processes.
+        self._running: dict[int, str] = {}
         self._works: OrderedDict[str, Work] = OrderedDict()
         self._node = random.randrange(len(settings.nodes))
 
     async def run(self) -> None:
         """Serve until cancelled; everything started is gone when this returns."""
+        guard_program.become_reaper()
         await self._begin()
         server = SiteServer(self._handle)
         await server.start(self._listening)
@@ -196,7 +199,10 @@
                 continue
             self._do(self._worker.check_lease(now_us()))
             match message:
+                case ["started", str(key), int(pid)]:
+                    self._running[pid] = key
                 case ["exited", str(key), int() | None as code]:
+                    self._running = {p: k for p, k in self._running.items() if k != key}
                     session, task, attempt = key.split(":")
                     if int(session) == self._worker.session:
                         self._worker.exited(task, int(attempt), code)
@@ -213,10 +219,37 @@
         self._clear.clear()
         while not await asyncio.to_thread(guard_program.sweep, self._settings.mark):
             log.error("processes of the guard are still there")
+        self._inherit()
         actions = self._worker.lose_all(now_us())
         self._do([action for action in actions if isinstance(action, Remember)])
         self._poke.set()
 
+    def _inherit(self) -> None:
+        """Write down how the dead guard's commands ended: they are this process's now.
+
+        A task that was complete when its guard was killed must not run a second time.
+        """
+        while True:
+            try:
+                pid, status = os.waitpid(-1, os.WNOHANG)
+            except ChildProcessError:
+                break
+            if pid == 0:
+                break
+            key = self._running.get(pid)
+            if key is not None:
+                _, task, attempt = key.split(":")
+                place, result = self._paths(task, int(attempt))
+                code = os.waitstatus_to_exitcode(status)
+                guard_program.write_end(code, str(place / "exit"), str(result), None)
+        self._running.clear()
+
+    def _paths(self, task: str, attempt: int) -> tuple[Path, Path]:
+        """Return an attempt's directory, and the file of its task's result."""
+        job, index = split_task(task)
+        folder = self._layout.task(job, index)
+        return folder / str(attempt), self._layout.result(job, index)
+
     async def _watch_lease(self) -> None:
         while True:
             pause_us = max(MILLISECOND_US, self._worker.wake_us() - now_us())
@@ -299,10 +332,9 @@
 
     def _start(self, task: str, attempt: int, work: Work) -> None:
         job, index = split_task(task)
-        folder = self._layout.task(job, index)
-        place = folder / str(attempt)
+        place, result = self._paths(task, attempt)
         place.mkdir(parents=True, exist_ok=True)
-        save = folder / "save"
+        save = place.parent / "save"
         save.mkdir(exist_ok=True)
         base = {key: value for key, value in os.environ.items() if not key.startswith("WELDHEAD_")}
         environment = base | work.environment
@@ -320,7 +352,7 @@
             work.directory or str(place / "work"),
             str(place / "output"),
             str(place / "exit"),
-            str(self._layout.result(job, index)),
+            str(result),
         )
 
     # Reports
