Client: what is over is let go; command behind --; a wrong key of a table is named

Cause: finished submissions stayed in memory and counted as waiting, so that polls came ever more rarely: 2,000 jobs took 25 s at first and 85 s after 8,000 others. The command behind -- was looked for in the process's arguments, which are not the verb's. Errors in tables with free keys had the table's line. Change: a submission leaves the client when it is over; a command class splits the arguments; each key is tried by itself.

--- a/tests/test_client_loopback.py
+++ b/tests/test_client_loopback.py
@@ -294,6 +294,8 @@
                 outcomes = Counter([a.outcome async for a in one.wait_many(keys, 30)])
                 assert outcomes == {Outcome.DONE: 50}
                 assert time.monotonic() - began < 10
+                # What is over is not kept: neither memory nor the polls' pace grow by it.
+                await eventually(lambda: not one._active)
         assert len(service.accepted) == 50
 
     asyncio.run(asyncio.wait_for(run(), 60))
--- a/weldhead/cli/jobs.py
+++ b/weldhead/cli/jobs.py
@@ -27,6 +27,8 @@
 EXIT_NO_ANSWER = 4
 EXIT_JOURNAL = 5
 
+_COMMAND = "weldhead.command"
+
 _server = click.option("--server", help="HOST:PORT of the service, several with commas.")
 _journal = click.option("--journal", type=click.Path(path_type=Path), help="The journal's file.")
 _json = click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
@@ -97,10 +99,19 @@
         reporter.show(answer)
 
 
-@click.command()
-@click.argument(
-    "arguments", nargs=-1, type=click.UNPROCESSED, metavar="[JOB.toml|-] [-- COMMAND ...]"
-)
+class _BeforeCommand(click.Command):
+    """A verb that leaves what stands behind ``--`` alone: it is a command of the user's."""
+
+    def parse_args(self, ctx: click.Context, args: list[str]) -> list[str]:
+        if "--" in args:
+            at = args.index("--")
+            ctx.meta[_COMMAND] = tuple(args[at + 1 :])
+            args = args[:at]
+        return super().parse_args(ctx, args)
+
+
+@click.command(cls=_BeforeCommand, options_metavar="[OPTIONS] [-- COMMAND ...]")
+@click.argument("file", required=False, metavar="[JOB.toml|-]")
 @click.option("--key", help="A name of your own: the same key is the same submission.")
 @click.option("--team")
 @click.option("--class", "job_class")
@@ -121,7 +132,7 @@
 @_timeout(None)
 @_json
 def submit(
-    arguments: tuple[str, ...],
+    file: str | None,
     key: str | None,
     wait_for: bool,
     policies: Path | None,
@@ -135,7 +146,7 @@
 
     Without --wait it ends when the job is accepted, after 60 s at the latest.
     """
-    job, file_key = _job(arguments, flags)
+    job, file_key = _job(file, flags)
     settings = _settings(server, journal, policies)
     if not wait_for and timeout is None:
         timeout = 60.0
@@ -154,25 +165,18 @@
     _run(run())
 
 
-def _job(arguments: tuple[str, ...], flags: dict[str, Any]) -> tuple[Job, str | None]:
-    """Put the job together: the config's defaults, the file or command, the flags."""
+def _job(file: str | None, flags: dict[str, Any]) -> tuple[Job, str | None]:
+    """Put the job together: a file, or the config's defaults; then command and flags."""
     context = click.get_current_context()
-    command: tuple[str, ...] = arguments
+    command: tuple[str, ...] = context.meta.get(_COMMAND, ())
     key: str | None = None
-    job: Job | None = None
-    separator = "--" in sys.argv
     try:
-        if arguments and not (separator and _behind_separator() == arguments):
-            source, *rest = arguments
-            command = tuple(rest)
-            if source == "-":
-                text, source = sys.stdin.read(), "<stdin>"
-            else:
-                text = Path(source).read_text(encoding="utf-8")
-            job, key = parse_job(source, text)
-        defaults = read_config().defaults
-        if job is None:
-            job = msgspec.convert(defaults, Job)
+        if file == "-":
+            job, key = parse_job("<stdin>", sys.stdin.read())
+        elif file is not None:
+            job, key = parse_job(file, Path(file).read_text(encoding="utf-8"))
+        else:
+            job = msgspec.convert(read_config().defaults, Job)
     except (OSError, UnicodeDecodeError) as error:
         _fail(2, str(error))
     except FileProblem as problem:
@@ -203,10 +207,6 @@
     return job, key
 
 
-def _behind_separator() -> tuple[str, ...]:
-    return tuple(sys.argv[sys.argv.index("--") + 1 :])
-
-
 async def _key(client: Client, journal: Journal, name: str) -> str | None:
     """Return the key of what was named by key or id."""
     if await journal.find(name) is not None:
--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -345,6 +345,8 @@
             while True:
                 try:
                     if await self._advance(active, span):
+                        # Whoever still asks gets the answer from the journal.
+                        self._active.pop(active.key, None)
                         return
                 except JournalError as error:
                     active.broken = error
--- a/weldhead/tomlfiles.py
+++ b/weldhead/tomlfiles.py
@@ -11,7 +11,7 @@
 
 _AT = re.compile(r" - at `\$([^`]*)`")
 _NAMED = re.compile(r"(?:unknown|required) field `([^`]+)`")
-_STEP = re.compile(r"\.([^.\[\]]+)|\[(\d+)\]|\[\.\.\.\]")
+_STEP = re.compile(r"\.([^.\[\]]+)|\[(\d+)\]|(\[\.\.\.\])")
 _SYNTAX = re.compile(r" \(at line (\d+), column (\d+)\)$")
 
 
@@ -93,8 +93,10 @@
         message = str(error)
         at = _AT.search(message)
         path: list[str | int] = []
-        for name, index in _STEP.findall(at.group(1) if at else ""):
-            if name or index:
+        for name, index, any_key in _STEP.findall(at.group(1) if at else ""):
+            if any_key:
+                path += _wrong_key(document, path, kind, message)
+            else:
                 path.append(name or int(index))
         named = _NAMED.search(message)
         if named:
@@ -103,6 +105,32 @@
         raise problem_at(source, text, path, reason[:1].lower() + reason[1:]) from error
 
 
+def _wrong_key(document: Any, path: list[str | int], kind: Any, message: str) -> list[str | int]:
+    """Return the key of the table at the path that makes the decoder say this.
+
+    The decoder names no keys of tables whose keys are free; each is tried by itself.
+    """
+    table = document
+    for step in path:
+        table = table[step]
+    if not isinstance(table, dict):
+        return []
+    rest = dict(table)
+    found: list[str | int] = []
+    for key, value in rest.items():
+        table.clear()
+        table[key] = value
+        try:
+            msgspec.convert(document, kind)
+        except msgspec.ValidationError as error:
+            if str(error) == message:
+                found = [key]
+                break
+    table.clear()
+    table.update(rest)
+    return found
+
+
 def read(path: Path, kind: type[T]) -> T:
     """Read and decode a file."""
     try:
