Client: a cancelled run under a foreign id is over; uploads cost no commit of their own

Cause: a submission cancelled while its id turned out to be somebody else's got a stored answer that said unknown, which is never final. An upload was written down by itself although it can only be repeated. Change: such a submission is withdrawn; the upload is written down with the first try. Result: one commit less a job with a command; a test of both ways.

--- a/tests/test_client_loopback.py
+++ b/tests/test_client_loopback.py
@@ -19,11 +19,13 @@
 from weldhead.client import client as client_module
 from weldhead.client.answers import Answer, Outcome
 from weldhead.client.client import Client, ClientSettings
+from weldhead.client.decisions import News, Phase
 from weldhead.client.job import Job, JobProblem
 from weldhead.client.journal import FORMAT, Journal, JournalError, KeyConflict
 from weldhead.client.policy import Policies, Policy
 from weldhead.client.sync import SyncClient
 from weldhead.clock import wall_us
+from weldhead.site.http import Reply
 
 ROOT = Path(__file__).resolve().parent.parent
 JOB = Job(tasks=1, memory_gb=0.5)
@@ -359,6 +361,33 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_an_id_of_somebody_else_is_left_alone(tmp_path: Path) -> None:
+    async def run() -> None:
+        service = StandInService()
+        execute = service.execute
+
+        def taken(verb: str, job_id: str, body: bytes) -> Reply:
+            if verb == "submit" and not service.jobs:
+                service.jobs[msgspec.json.decode(body)["uid"]] = "withdrawn"
+            return execute(verb, job_id, body)
+
+        service.execute = taken  # type: ignore[method-assign]
+        async with served(service.handle) as address, client(tmp_path, address) as one:
+            answer = await one.wait(await one.submit(JOB, "k"), 20)
+            assert answer.outcome is Outcome.DONE
+            assert service.accepted == [answer.id]
+            assert [run.id for run in answer.runs] == list(service.jobs)
+            # Cancelled at that moment, it is over, and over is final.
+            book = one._journal
+            await book.begin("late", JOB, Policy(), "run-7")
+            await book.change("run-7", News(Phase.FOREIGN, sends=1, settled=1, reason="not ours"))
+            await book.cancel("late")
+            assert (await one.wait("late", 20)).outcome is Outcome.WITHDRAWN
+            assert "run-7" not in service.jobs
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 # The journal
 
 
--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -77,6 +77,8 @@
     Phase.DONE: Outcome.DONE,
     Phase.WITHDRAWN: Outcome.WITHDRAWN,
     Phase.REFUSED: Outcome.REFUSED,
+    # Over only if the caller has cancelled it: nothing of it was ever accepted.
+    Phase.FOREIGN: Outcome.WITHDRAWN,
 }
 
 _outcomes = msgspec.json.Decoder(_Outcomes)
@@ -98,6 +100,7 @@
         self.failures = 0
         self.polls = 0
         self.missed = False
+        self.uploaded = False
         self.asked_us = 0
         self.tells_outcomes = bool(self.job.command)
         self.poke = asyncio.Event()
@@ -368,7 +371,7 @@
             self.telemetry.count(f"final {active.answer.outcome.value}")
             span.event("final", outcome=active.answer.outcome.value)
             active.move()
-        has_work = bool(active.job.command)
+        has_work = bool(active.job.command) and not active.uploaded
         step = next_step(run, active.policy, wall_us(), has_work=has_work, missed=active.missed)
         if step is Step.END:
             return True
@@ -402,7 +405,9 @@
         async with self._slots:
             if step is Step.SUBMIT:
                 before = run
-                run = await self._journal.change(run.id, before_send(wall_us()))
+                run = await self._journal.change(
+                    run.id, before_send(wall_us(), uploaded=active.uploaded)
+                )
                 active.replace(run)
                 if run.phase.final or run.cancel != before.cancel:
                     # Somebody else has ended it meanwhile: nothing is sent after all.
@@ -412,6 +417,9 @@
             reply = await self._transport.try_step(step, run.id, body)
         self._account(active, step, reply, now_us() - began_us, span)
         news = learn(run, step, reply, wall_us(), active.job.tasks)
+        if step is Step.UPLOAD and news.uploaded:
+            # Written down with the first try: until then it could only be repeated.
+            active.uploaded, news = True, NOTHING
         if news != NOTHING and advance_matters(active.run, news):
             active.replace(await self._journal.change(run.id, news))
         active.missed = step is Step.CANCEL and isinstance(reply, Missing)
@@ -485,6 +493,7 @@
         self.telemetry.count("repeats")
         active.replace(run)
         active.told, active.missed, active.polls, active.trouble = None, False, 0, ""
+        active.uploaded = False
         active.move()
         return True
 
@@ -570,6 +579,8 @@
             case Phase.REFUSED:
                 late = " (a try without an answer may still arrive: watched)" if run.loose else ""
                 return f"refused with {run.status}: {run.reason}{late}"
+            case Phase.FOREIGN if not repeated:
+                return f"withdrawn before it was accepted; {run.reason}"
             case Phase.FOREIGN:
                 return f"{run.reason}; it gets another id"
             case Phase.ACCEPTED:
--- a/weldhead/client/decisions.py
+++ b/weldhead/client/decisions.py
@@ -214,9 +214,9 @@
     )
 
 
-def before_send(wall_us: int) -> News:
+def before_send(wall_us: int, *, uploaded: bool = False) -> News:
     """Return what is recorded before the first byte of a try to submit leaves."""
-    return News(phase=Phase.SENT, sends=1, sent_us=wall_us)
+    return News(phase=Phase.SENT, sends=1, sent_us=wall_us, uploaded=uploaded)
 
 
 def learn(run: Run, step: Step, reply: Reply, wall_us: int, tasks: int) -> News:
