tools/measure_client.py: a kill that finds nobody is tried again, and kills are counted

Cause: the routine that kills died unnoticed on the first controller that was just being started again, so the number of kills of a run was not known.

--- a/tools/measure_client.py
+++ b/tools/measure_client.py
@@ -57,9 +57,13 @@
             time.sleep(0.05)
         self.address = (root / "address").read_text().strip()
 
-    def kill(self, part: str) -> None:
-        """Kill a part, as a crash does."""
-        os.kill(int((self.root / "pids" / part).read_text()), signal.SIGKILL)
+    def kill(self, part: str) -> bool:
+        """Kill a part, as a crash does; false if it is not there."""
+        try:
+            os.kill(int((self.root / "pids" / part).read_text()), signal.SIGKILL)
+        except ProcessLookupError:
+            return False
+        return True
 
     def end(self) -> None:
         """End the site in order."""
@@ -84,9 +88,11 @@
         killed = 0
         while killed < kills:
             await asyncio.sleep(chance.uniform(1.0, 4.0))
-            site.kill(f"controller-{killed % 3}")
+            # One that is just being started again is killed as soon as it is there.
+            while not site.kill(f"controller-{killed % 3}"):
+                await asyncio.sleep(0.1)
             killed += 1
-        done["kills"] = killed
+            done["kills"] = killed
 
     began = time.monotonic()
     async with Client(settings) as client:
@@ -106,6 +112,8 @@
         await asyncio.gather(*(one() for _ in range(count)))
         took = time.monotonic() - began
         killer.cancel()
+        if not killer.cancelled() and killer.done():
+            killer.result()
         counts = client.telemetry.counts
     lines = Counter(runs.read_text().split())
     return {
