--- a/tools/measure_client.py
+++ b/tools/measure_client.py
@@ -89,7 +89,7 @@
         while killed < kills:
             await asyncio.sleep(chance.uniform(1.0, 4.0))
             # One that is just being started again is killed as soon as it is there.
-            while not site.kill(f"controller-{killed % 3}"):
+            while not site.kill(f"controller-{killed % 3}"):  # noqa: ASYNC110 - a process
                 await asyncio.sleep(0.1)
             killed += 1
             done["kills"] = killed
