Client: a final answer is given when it is known, not after the poll's pause

Cause: the driver slept its poll's pause, up to 5 s, between hearing done and writing it down. Seen in the progress bar of the command line, full for seconds. Change: no pause once a run is over. Result: a test that counts the time from the last poll to the answer. The trace of a submission and its latencies have a test, too.

--- a/tests/test_client_loopback.py
+++ b/tests/test_client_loopback.py
@@ -13,6 +13,10 @@
 
 import msgspec
 import pytest
+from opentelemetry import trace
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
 from tests.loopback import eventually, served
 from tests.stand_in_service import CuttingProxy, StandInService, in_a_thread
@@ -337,6 +341,25 @@
     assert len(service.accepted) == 3
 
 
+def test_a_final_answer_is_given_at_once(tmp_path: Path) -> None:
+    async def run() -> None:
+        service = StandInService()
+        service.done_after = 6
+        told = 0.0
+
+        def before(verb: str) -> None:
+            nonlocal told
+            told = time.monotonic()
+
+        service.before = before
+        async with served(service.handle) as address, client(tmp_path, address) as one:
+            assert (await one.wait(await one.submit(JOB), 30)).outcome is Outcome.DONE
+            # The poll that said so was the last; a pause would have been 0.6 s and more.
+            assert time.monotonic() - told < 0.5
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_a_class_that_may_be_repeated_gets_a_new_job_and_one_answer(tmp_path: Path) -> None:
     async def run() -> None:
         service = StandInService()
@@ -388,6 +411,31 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_submission_is_a_span_and_each_try_an_event(tmp_path: Path) -> None:
+    exporter = InMemorySpanExporter()
+    provider = TracerProvider()
+    provider.add_span_processor(SimpleSpanProcessor(exporter))
+    trace.set_tracer_provider(provider)
+
+    async def run() -> None:
+        service = StandInService()
+        async with served(service.handle) as address, client(tmp_path, address) as one:
+            service.fates = ["503"]
+            await one.wait(await one.submit(JOB, "k"), 20)
+            await eventually(lambda: exporter.get_finished_spans())
+            counts = one.telemetry.counts
+            assert (counts["tries submit"], counts["retries"], counts["final done"]) == (2, 1, 1)
+            quantiles = one.telemetry.quantiles_ms("submit", 0.5, 1.0)
+            assert quantiles is not None and 1 <= quantiles[0] <= quantiles[1] < 5000
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+    (span,) = exporter.get_finished_spans()
+    assert span.attributes == {"weldhead.key": "k"}
+    names = [event.name for event in span.events]
+    assert names[:2] == ["submit failed", "submit"]
+    assert names[-1] == "final"
+
+
 # The journal
 
 
--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -387,6 +387,9 @@
         if active.failures:
             await self._allowed(active)
         reply = await self._try(active, step, span)
+        if active.run.phase.final and active.answer is None:
+            # It is over: whoever waits gets the answer now, not after a poll's pause.
+            return False
         if reply is not None:
             await self._pause(active, self._pause_us(active, step, reply))
         return False
