site: structured logs

Need: the house wants the logs of new parts structured; a part's end could be found by its text only. Controllers log as before. Result: the site's test reads from the log which parts were killed.

--- a/tests/test_local_site.py
+++ b/tests/test_local_site.py
@@ -315,4 +315,10 @@
     assert site.process.returncode == 0
     assert not (site.root / "address").exists()
     assert processes(str(site.root)) == []
-    assert "ending the site" in (site.folder / "out").read_text()
+    said = (site.folder / "out").read_text()
+    assert "ending the site" in said
+    # The keeper's log is structured: what was killed can be found by its field.
+    logged = [json.loads(line) for line in said.splitlines() if line.startswith("{")]
+    ended = [line for line in logged if "has ended" in line["event"]]
+    assert {"controller-0", "front", "pool", "state"} <= {line["part"] for line in ended}
+    assert all(line["level"] == "error" and line["pause_us"] > 0 for line in ended)
--- a/weldhead/cli/site.py
+++ b/weldhead/cli/site.py
@@ -11,7 +11,7 @@
 import msgspec
 import uvloop
 
-from weldhead.cli.common import configure_logging
+from weldhead.cli.structured import configure_structured_logging
 from weldhead.duties import Duties
 from weldhead.site.http import Handler, SiteServer
 from weldhead.site.processes import until_told
@@ -42,7 +42,7 @@
 )
 def local(root: Path, port: int, controllers: int | None, cores: float | None, file: Path) -> None:
     """Run a whole site on this machine, until Ctrl-C or SIGTERM."""
-    configure_logging()
+    configure_structured_logging()
     from weldhead.site.description import read_description
     from weldhead.site.keeper import Keeper, SiteError
     from weldhead.tomlfiles import FileProblem
@@ -89,7 +89,7 @@
 @_fd_option
 def site_state(path: Path, fd: int) -> None:
     """Run a site's state service."""
-    configure_logging()
+    configure_structured_logging()
     from weldhead.protocol.settings import StateLimits
     from weldhead.site.parts import StateSettings
     from weldhead.site.store.server import StateService
@@ -122,7 +122,7 @@
 @_fd_option
 def site_pool(path: Path, fd: int) -> None:
     """Run a site's pool."""
-    configure_logging()
+    configure_structured_logging()
     from weldhead.site.parts import PoolSettings
     from weldhead.site.pool_process import PoolProcess
 
@@ -142,7 +142,7 @@
 @_fd_option
 def site_front(path: Path, fd: int) -> None:
     """Run a site's front."""
-    configure_logging()
+    configure_structured_logging()
     from weldhead.site.front import Front
     from weldhead.site.parts import FrontSettings
 
@@ -164,7 +164,7 @@
 @_fd_option
 def site_worker(path: Path, fd: int) -> None:
     """Run the worker of one of a site's machines."""
-    configure_logging()
+    configure_structured_logging()
     from weldhead.site.parts import WorkerSettings
     from weldhead.site.worker_process import WorkerProcess
 
--- a/weldhead/site/keeper.py
+++ b/weldhead/site/keeper.py
@@ -213,8 +213,14 @@
             await part.process.ended()
             if self._ending.is_set():
                 return
-            pause_us = backoff.after(now_us() - began_us)
-            log.error("%s has ended; again in %d ms", part.name, pause_us // 1000)
+            lasted_us = now_us() - began_us
+            pause_us = backoff.after(lasted_us)
+            log.error(
+                "%s has ended; again in %d ms",
+                part.name,
+                pause_us // 1000,
+                extra={"part": part.name, "lasted_us": lasted_us, "pause_us": pause_us},
+            )
             await asyncio.sleep(pause_us / SECOND_US)
 
     async def _announce(self) -> None:
--- a/weldhead/site/pool_process.py
+++ b/weldhead/site/pool_process.py
@@ -132,8 +132,14 @@
             await process.ended()
             if machine.leaving:
                 return
-            pause_us = backoff.after(now_us() - began_us)
-            log.error("the worker of %s has ended; again in %d ms", machine.name, pause_us // 1000)
+            lasted_us = now_us() - began_us
+            pause_us = backoff.after(lasted_us)
+            log.error(
+                "the worker of %s has ended; again in %d ms",
+                machine.name,
+                pause_us // 1000,
+                extra={"machine": machine.name, "lasted_us": lasted_us, "pause_us": pause_us},
+            )
             await asyncio.sleep(pause_us / SECOND_US)
             process = self._launch(machine)
 
@@ -202,6 +208,6 @@
             except CallFailed as failed:
                 log.info("%s was not told: %s", machine.name, failed)
         await asyncio.sleep(max(0, recall.taken_us - wall_us()) / SECOND_US)
-        log.info("spot machine %s is taken back", machine.name)
+        log.info("spot machine %s is taken back", machine.name, extra={"machine": machine.name})
         for found in self.pool.leave([machine.name]):
             await self._stop(found)
--- a/weldhead/site/worker_process.py
+++ b/weldhead/site/worker_process.py
@@ -213,7 +213,11 @@
                     log.error("the guard says %r", message)
 
     async def _lost_guard(self, gone: GuardGone) -> None:
-        log.error("the guard is gone (%s): everything here is ended", gone)
+        log.error(
+            "the guard is gone (%s): everything here is ended",
+            gone,
+            extra={"machine": self._settings.machine, "session": self._worker.session},
+        )
         self._guard = None
         # First the processes, then the news: nobody hears of a next session before.
         self._clear.clear()
@@ -277,7 +281,10 @@
                     number = signal.SIGKILL if hard else signal.SIGTERM
                     self._tell("signal", self._key(task, attempt), int(number))
                 case KillAll():
-                    log.error("the lease is over: everything here is ended")
+                    log.error(
+                        "the lease is over: everything here is ended",
+                        extra={"machine": self._settings.machine, "session": self._worker.session},
+                    )
                     if self._guard is not None:
                         self._clear.clear()
                         self._tell("killall")
