Tidy: a file's text is read in one place; a count that nobody read is gone

Three readers of people's files and the command line each turned a failed read into a problem by themselves; tomlfiles.read_text does it for all. A part's number of starts was kept and never used.

--- a/weldhead/cli/jobs.py
+++ b/weldhead/cli/jobs.py
@@ -20,7 +20,7 @@
 from weldhead.client.job import Job, JobProblem, check_job, parse_job
 from weldhead.client.journal import Entry, Journal, JournalError, KeyConflict
 from weldhead.protocol.validation import is_job_id
-from weldhead.tomlfiles import FileProblem
+from weldhead.tomlfiles import FileProblem, read_text
 
 EXIT_WITHDRAWN = 1
 EXIT_REFUSED = 3
@@ -174,11 +174,9 @@
         if file == "-":
             job, key = parse_job("<stdin>", sys.stdin.read())
         elif file is not None:
-            job, key = parse_job(file, Path(file).read_text(encoding="utf-8"))
+            job, key = parse_job(file, read_text(Path(file)))
         else:
             job = msgspec.convert(read_config().defaults, Job)
-    except (OSError, UnicodeDecodeError) as error:
-        _fail(2, str(error))
     except FileProblem as problem:
         _fail(2, str(problem))
     except msgspec.ValidationError as error:
--- a/weldhead/client/policy.py
+++ b/weldhead/client/policy.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from weldhead.tomlfiles import FileProblem, parse, problem_at
+from weldhead.tomlfiles import parse, problem_at, read_text
 
 Cause = Literal["failed", "withdrawn"]
 
@@ -59,8 +59,4 @@
 
 def read_policies(path: Path) -> Policies:
     """Read a file of policies."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise FileProblem(str(path), None, "", str(error)) from error
-    return parse_policies(str(path), text)
+    return parse_policies(str(path), read_text(path))
--- a/weldhead/site/description.py
+++ b/weldhead/site/description.py
@@ -21,7 +21,7 @@
     parse_settings,
 )
 from weldhead.protocol.wire import MachineType
-from weldhead.tomlfiles import FileProblem, parse, problem_at
+from weldhead.tomlfiles import FileProblem, parse, problem_at, read_text
 
 #: What is written for "as many as this machine has".
 ALL = "all"
@@ -246,11 +246,7 @@
 
 def read_description(path: Path) -> Description:
     """Read a site's description."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise FileProblem(str(path), None, "", str(error)) from error
-    return parse_description(str(path), text)
+    return parse_description(str(path), read_text(path))
 
 
 def controller_settings(
--- a/weldhead/site/keeper.py
+++ b/weldhead/site/keeper.py
@@ -52,7 +52,6 @@
     fds: list[int] = field(default_factory=list)
     environment: dict[str, str] = field(default_factory=dict)
     process: Process | None = None
-    starts: int = 0
 
 
 class Keeper:
@@ -208,7 +207,6 @@
                 part.environment,
                 bound=True,
             )
-            part.starts += 1
             write_whole(self._layout.pid(part.name), f"{part.process.pid}\n".encode())
             await part.process.ended()
             if self._ending.is_set():
--- a/weldhead/tomlfiles.py
+++ b/weldhead/tomlfiles.py
@@ -131,10 +131,14 @@
     return found
 
 
-def read(path: Path, kind: type[T]) -> T:
-    """Read and decode a file."""
+def read_text(path: Path) -> str:
+    """Read a file's text; FileProblem if that fails."""
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise FileProblem(str(path), None, "", str(error)) from error
-    return parse(str(path), text, kind)
+
+
+def read(path: Path, kind: type[T]) -> T:
+    """Read and decode a file."""
+    return parse(str(path), read_text(path), kind)
