--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -3,7 +3,9 @@
 None of them sleeps or keeps real time: tests decide what is delivered, and when.
 """
 
+import asyncio
 import itertools
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -105,6 +107,8 @@
         self.fates: list[str] = []
         self.late: list[tuple[list[Condition], list[Put | Delete]]] = []
         self.calls = itertools.count()
+        #: How many keys a page has.
+        self.page = 100
 
     @property
     def limits(self) -> StateLimits:
@@ -157,13 +161,19 @@
                 raise CallFailed("the answer was lost")
         return self.apply(conditions, writes)
 
-    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
-        entries = [
-            Entry(key, msgspec.Raw(msgspec.json.encode(value)), version)
-            for key, (value, version) in sorted(self.keys.items())
-            if key.startswith(prefix)
-        ]
-        return entries, self.revision
+    async def pages(self, prefix: str) -> AsyncIterator[tuple[list[Entry], int]]:
+        revision, keys = self.revision, sorted(key for key in self.keys if key.startswith(prefix))
+        for start in range(0, len(keys) or 1, self.page):
+            await asyncio.sleep(0)
+            yield (
+                [
+                    Entry(
+                        key, msgspec.Raw(msgspec.json.encode(self.keys[key][0])), self.keys[key][1]
+                    )
+                    for key in keys[start : start + self.page]
+                ],
+                revision,
+            )
 
     async def get(self, key: str, **_: Any) -> Entry | None:
         if key not in self.keys:
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -34,12 +34,13 @@
     progress_key,
 )
 from weldhead.coordination import urgency
+from weldhead.coordination.backlog import entry_of
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.fleet import Market, Upcoming, plan_closings, plan_hires
-from weldhead.coordination.forecast import forecast_chains, forecast_us
+from weldhead.coordination.forecast import forecast_chains
 from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.leader import NotReady
-from weldhead.coordination.placement import Plan, order_key, plan_starts
+from weldhead.coordination.placement import Plan, plan_starts
 from weldhead.coordination.preemptor import plan_reclaims
 from weldhead.protocol.settings import Objective, Team
 from weldhead.protocol.wire import JobSpec
@@ -510,11 +511,11 @@
     ladder(into, Chains(into.jobs), 50)
     calls: list[str] = []
 
-    def key(job: Job, *_: Any) -> tuple[int, ...]:
+    def placed(job: Job, *rest: Any) -> Any:
         calls.append(job.id)
-        return (0,)
+        return entry_of(job, *rest)
 
-    monkeypatch.setattr("weldhead.coordination.placement.order_key", key)
+    monkeypatch.setattr("weldhead.coordination.backlog.entry_of", placed)
     plan_starts(into, Estimates(), Goals([]), S, 10 * S, 45 * S)
     assert sorted(calls) == [name(1), name(2)]
 
@@ -564,7 +565,7 @@
         job_spec(3, priority="normal", tasks=1, cpus=4.0, deadline_s=30.0),
     )
     goals = Goals([])
-    order = [order_key(job, Estimates(), goals, S, 45 * S) for job in (upstream, rival)]
+    order = [entry_of(job, Estimates(), goals, S, 45 * S)[0] for job in (upstream, rival)]
     assert order[0] < order[1]
     machine = add_machine(into)
     attempt = into.start(rival, 0, machine, S)
@@ -604,14 +605,7 @@
     with caplog.at_level(logging.WARNING):
         for _ in range(3):
             world.clock.us += S
-            for job in leader.cluster.jobs.values():
-                if not job.blockers:
-                    job.forecast_us = forecast_us(
-                        leader.cluster, job, leader.term.estimates, world.clock()
-                    )
-            forecast_chains(leader.chains, leader.cluster, leader._stage_us, world.clock())
-            for job in leader.cluster.jobs.values():
-                leader._say_if_late(job, world.clock())
+            leader._look_ahead(world.clock())
     said = [r.getMessage() for r in caplog.records if r.levelno >= logging.WARNING]
     assert len(said) == 1
     assert "run-000003 will be late" in said[0]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,6 +13,7 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
+from weldhead.coordination.backlog import Unplaced
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.fleet import (
@@ -23,7 +24,7 @@
     plan_moves,
     plan_returns,
 )
-from weldhead.coordination.forecast import forecast_us
+from weldhead.coordination.forecast import Boots, forecast_us
 from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.placement import Plan, plan_starts
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
@@ -34,6 +35,7 @@
 S = 1_000_000
 TUNABLES = Tunables()
 SILENCE = 10 * S
+NO_BOOTS = Boots(None, 0)
 PATIENCE = TUNABLES.preemptor.patience_us
 PREEMPTOR = TUNABLES.preemptor.settings(SILENCE)
 GOALS = Goals(
@@ -412,7 +414,7 @@
     run_on(into, add_job(into, job_spec()), 0, into.machines["vm-000000"])
     closing = plan_closings(into, Plan(), FLEET)
     assert closing == {"vm-000001", "vm-000002", "vm-000003"}
-    waiting = Plan(unplaced=[(add_job(into, job_spec(2)), 1)])
+    waiting = Plan(unplaced=Unplaced([(add_job(into, job_spec(2)), 1)]))
     assert plan_closings(into, waiting, FLEET) == set()
 
 
@@ -473,9 +475,9 @@
     machine = add_machine(into)
     run_on(into, job, 0, machine, since_us=0)
     run_on(into, job, 1, machine, since_us=0)
-    assert forecast_us(into, job, Estimates(), 10 * S) == pytest.approx(120 * S, abs=10)
+    assert forecast_us(into, job, Estimates(), 10 * S, NO_BOOTS) == pytest.approx(120 * S, abs=10)
     service = add_job(into, job_spec(2, kind="standing"))
-    assert forecast_us(into, service, Estimates(), 10 * S) is None
+    assert forecast_us(into, service, Estimates(), 10 * S, NO_BOOTS) is None
 
 
 def test_run_times_of_adopted_tasks_are_not_learned_from() -> None:
@@ -567,7 +569,7 @@
     assert moves(into) == ["vm-000001"]
     run_on(into, plain, 0, closing, S)
     assert moves(into) == ["vm-000001"]
-    assert moves(into, Plan(unplaced=[(plain, 1)])) == []
+    assert moves(into, Plan(unplaced=Unplaced([(plain, 1)]))) == []
     # What cannot be moved holds the machine for nearly as long.
     long = add_job(into, job_spec(3, tasks=9, cpus=1.0, estimate_s=50.0))
     held = run_on(into, long, 0, closing, S)
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -11,13 +11,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from tests.builders import TOKEN, add_job, job_spec, machine_type
+from tests.plain import plain_starts
 from tests.stand_ins import StandInWorker
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Stop, TaskState
 from weldhead.bookkeeping.machines import Machine
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import plan_starts
+from weldhead.coordination.placement import Scene, plan_pass
 from weldhead.coordination.reports import (
     apply_report,
     is_newer,
@@ -45,6 +46,7 @@
             self.cluster.machines[name] = machine
         add_job(self.cluster, job_spec(1, tasks=6))
         add_job(self.cluster, job_spec(2, tasks=3, cpus=1.0, checkpoint_s=10.0))
+        self.scene = Scene(self.cluster, Estimates(), Goals([]), 45_000_000)
         #: Reports and direct requests that the network holds back.
         self.held_reports: list[Report] = []
         self.held_direct: list[tuple[str, int, list[Command]]] = []
@@ -59,7 +61,8 @@
             _, fresh = job.snapshot_chunk(0)
             job.mark_committed(fresh)
         if not direct:
-            machine.heard_us = machine.lease_from_us = self.now
+            machine.hear(self.now, 10_000_000)
+            machine.lease_from_us = self.now
 
     def _committed(self, task: str) -> bool:
         job_id, index = split_task(task)
@@ -94,8 +97,11 @@
     @rule()
     def leader_places(self) -> None:
         for machine in self.cluster.machines.values():
-            machine.heard_us = self.now
-        plan = plan_starts(self.cluster, Estimates(), Goals([]), self.now, 10_000_000, 45_000_000)
+            machine.hear(self.now, 10_000_000)
+        # Kept over all steps: what it is not told of, it would not place.
+        plan = plan_pass(self.scene, self.now, 10_000_000)
+        plain = plain_starts(self.cluster, Estimates(), Goals([]), self.now, 10_000_000, 45_000_000)
+        assert plan.starts == plain.starts
         for start in plan.starts:
             self.cluster.start(start.job, start.index, start.machine, self.now)
 
@@ -119,7 +125,8 @@
                 return
         for attempt in started:
             if attempt.posted:
-                attempt.posted, attempt.limbo_us = False, self.now
+                attempt.posted = False
+                self.cluster.lose(attempt, self.now)
 
     @rule()
     def held_direct_arrives(self) -> None:
--- a/weldhead/bookkeeping/chains.py
+++ b/weldhead/bookkeeping/chains.py
@@ -38,6 +38,7 @@
                 self.unknown.add(name)
         if job.blockers:
             self.blocked[job.id] = job
+        job.touch()
 
     def remove(self, job: Job) -> None:
         """Take out a job that is over, or withdrawn: it waits for nothing any more."""
@@ -48,11 +49,16 @@
                 del self._followers[name]
                 self.unknown.discard(name)
         job.blockers = set()
+        job.touch()
 
     def followers(self, job_id: str) -> list[Job]:
         """Return the jobs that wait for a job."""
         return list(self._followers.get(job_id, {}).values())
 
+    def needed(self) -> list[Job]:
+        """Return the unfinished jobs that others wait for."""
+        return [self._jobs[name] for name in self._followers if name in self._jobs]
+
     def done(self, job_id: str, at_us: int) -> list[Job]:
         """A job is committed as done since then; return those that wait for nothing more."""
         self.unknown.discard(job_id)
@@ -61,6 +67,7 @@
             follower.blockers.discard(job_id)
             # The users' times count from here, whenever and by whomever it is noticed.
             follower.ready_us = max(follower.ready_us, at_us)
+            follower.touch()
             if not follower.blockers:
                 del self.blocked[follower.id]
                 released.append(follower)
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -6,7 +6,8 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
-from weldhead.bookkeeping.jobs import Attempt, Job, TaskState
+from weldhead.bookkeeping.feeds import Registry
+from weldhead.bookkeeping.jobs import Attempt, Job, Stop, TaskState
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.protocol.settings import Team
 
@@ -27,8 +28,14 @@
     def __init__(self, teams: Iterable[Team], token: int = 0) -> None:
         self.teams: dict[str, Team] = {team.name: team for team in teams}
         self.token = token
-        self.jobs: dict[str, Job] = {}
-        self.machines: dict[str, Machine] = {}
+        self.jobs: Registry[Job] = Registry()
+        self.machines: Registry[Machine] = Registry()
+        #: Jobs that hold room.
+        self.holders: dict[str, Job] = {}
+        #: Attempts that were asked to stop, and those whose direct request may be lost, by
+        #: what tells them apart: an attempt's number is unique within its task.
+        self.stopping: dict[tuple[str, int], Attempt] = {}
+        self.limbo: dict[tuple[str, int], Attempt] = {}
         self.usage: Mapping[str, Usage] = defaultdict(Usage)
         self._starts: dict[str, int] = defaultdict(int)
 
@@ -51,6 +58,7 @@
         """Count an attempt that exists or is about to."""
         attempt.job.begin(attempt, machine.zone)
         machine.add(attempt)
+        self.holders[attempt.job.id] = attempt.job
         usage = self.usage[attempt.job.team]
         usage.cpus += attempt.job.spec.cpus
         usage.gpus += attempt.job.spec.gpus
@@ -60,6 +68,12 @@
         machine = self.machines[attempt.machine]
         machine.remove(attempt)
         attempt.job.end(attempt, machine.zone, completed=completed)
+        if not attempt.job.active:
+            self.holders.pop(attempt.job.id, None)
+        if attempt.stop is not Stop.NO:
+            self.stopping.pop((attempt.task, attempt.number), None)
+        if self.limbo:
+            self.limbo.pop((attempt.task, attempt.number), None)
         usage = self.usage[attempt.job.team]
         usage.cpus -= attempt.job.spec.cpus
         usage.gpus -= attempt.job.spec.gpus
@@ -81,9 +95,24 @@
     def remove_machine(self, machine: Machine) -> list[Attempt]:
         """Record that a machine is gone, and everything on it."""
         gone = self.release_all(machine)
-        self.machines.pop(machine.name, None)
+        self.machines.remove(machine.name)
         return gone
 
+    def stop(self, attempt: Attempt, stop: Stop, at_us: int, reason: str) -> None:
+        """Ask an attempt to stop; a harder request replaces a softer one."""
+        if stop.value <= attempt.stop.value:
+            return
+        if attempt.stop is Stop.NO:
+            attempt.stop_us = at_us
+            attempt.reason = reason
+        attempt.stop = stop
+        self.stopping[attempt.task, attempt.number] = attempt
+
+    def lose(self, attempt: Attempt, at_us: int) -> None:
+        """A direct request with the attempt's ``run`` may be lost, and may be executed late."""
+        attempt.limbo_us = at_us
+        self.limbo[attempt.task, attempt.number] = attempt
+
     def within_limit(self, job: Job, reserved_cpus: float = 0.0, reserved_gpus: float = 0.0) -> int:
         """How many more tasks of the job its team's limit allows."""
         team = self.teams.get(job.team)
@@ -103,10 +132,15 @@
         cpus: dict[str, float] = defaultdict(float)
         for machine in self.machines.values():
             used = sum(a.job.spec.cpus for a in machine.attempts.values())
+            for attempt in machine.attempts.values():
+                key = (attempt.task, attempt.number)
+                assert (attempt.stop is not Stop.NO) == (key in self.stopping), attempt.task
+                assert not attempt.limbo_us or key in self.limbo, attempt.task
             assert abs(machine.cpus + used - machine.type.cpus) < EPSILON * 100, machine.name
             for attempt in machine.attempts.values():
                 assert attempt.job.active[attempt.index] is attempt, attempt.task
                 assert attempt.job.states[attempt.index] == TaskState.ACTIVE, attempt.task
                 cpus[attempt.job.team] += attempt.job.spec.cpus
+        assert set(self.holders) == {job.id for job in self.jobs.values() if job.active}
         for team, usage in self.usage.items():
             assert abs(usage.cpus - cpus[team]) < EPSILON * 100, team
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -3,6 +3,7 @@
 import enum
 from collections import Counter, deque
 
+from weldhead.bookkeeping.feeds import Feeds, Noted
 from weldhead.bookkeeping.records import CHUNK_TASKS
 from weldhead.protocol.wire import JobSpec
 
@@ -85,33 +86,48 @@
         """Return the run time so far, with what earlier attempts saved."""
         return self.prior_us + (at_us - self.running_us if self.running_us else 0)
 
+    def remaining_us(self, task_us: int, at_us: int) -> int:
+        """Return what remains of an estimated run time, at least 0.
+
+        A task that an earlier leader started is taken to have been half done when adopted.
+        """
+        if self.adopted:
+            task_us //= 2
+        task_us -= self.prior_us
+        if self.running_us:
+            task_us += self.running_us - at_us
+        return task_us if task_us > 0 else 0
+
 
 class Job:
     """A job that is not over."""
 
     __slots__ = (
+        "_cancelled",
+        "_chain_due_us",
+        "_finishing",
+        "_first_seen_us",
         "_fresh",
+        "_level",
+        "_not_before_us",
+        "_ready_us",
         "active",
         "blockers",
-        "cancelled",
-        "chain_due_us",
         "committed",
         "dirty",
         "done",
         "failed_on",
         "failures",
-        "finishing",
-        "first_seen_us",
+        "feeds",
+        "forecast_at_us",
         "forecast_us",
         "id",
         "last_machine",
         "late",
-        "level",
-        "not_before_us",
-        "ready_us",
         "restarts",
         "saved_us",
         "saving",
+        "serial",
         "spec",
         "starts_us",
         "states",
@@ -121,25 +137,36 @@
         "zones",
     )  # fmt: skip
 
+    #: What decides whether and when its tasks are placed tells of its changes.
+    cancelled = Noted[bool]("_cancelled")
+    finishing = Noted[bool]("_finishing")
+    first_seen_us = Noted[int]("_first_seen_us")
+    ready_us = Noted[int]("_ready_us")
+    not_before_us = Noted[int]("_not_before_us")
+    level = Noted[int]("_level")
+    chain_due_us = Noted[tuple[int, ...]]("_chain_due_us")
+
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
+        self.feeds: Feeds[Job] | None = None
+        self.serial = 0
         self.spec = spec
         self.id = spec.id
         self.team = spec.team
         #: Time of day; ``first_seen_us`` is the same moment on this node's steady clock.
         self.submitted_us = submitted_us
-        self.first_seen_us = at_us
+        self._first_seen_us = at_us
         self.version = version
         #: When its last needed job was done: users' times but the deadline count from then.
-        self.ready_us = at_us
+        self._ready_us = at_us
         #: Needed jobs that are not known to be committed as done.
         self.blockers: set[str] = set()
         #: Its priority, or that of a job that needs it; and by when it has to be done for
         #: the jobs that need it to be in time, the nearest bound first (``urgency.py``).
-        self.level = spec.level
-        self.chain_due_us: tuple[int, ...] = ()
-        self.cancelled = False
+        self._level = spec.level
+        self._chain_due_us: tuple[int, ...] = ()
+        self._cancelled = False
         #: Its end or its cancellation is being committed, or its progress.
-        self.finishing = False
+        self._finishing = False
         self.saving = False
         self.states = bytearray(spec.tasks)
         self.active: dict[int, Attempt] = {}
@@ -154,17 +181,24 @@
         self.saved_us: dict[int, int] = {}
         self.failed_on: set[str] = set()
         self.failures = 0
-        self.not_before_us = 0
+        self._not_before_us = 0
         self.late = False
         #: When the jobs that it waits for are expected to be done; None: cannot be told.
         self.starts_us: int | None = None
         #: Expected finish on the steady clock; None: cannot be told.
         self.forecast_us: int | None = None
+        #: When that was reckoned; 0: never.
+        self.forecast_at_us = 0
+
+    def touch(self) -> None:
+        """Something has changed by which decisions about the job are made."""
+        if self.feeds is not None:
+            self.feeds.note(self.id, self)
 
     @property
     def waiting(self) -> int:
         """How many tasks wait for a place; none while the job waits for others."""
-        if self.cancelled or self.blockers:
+        if self._cancelled or self.blockers:
             return 0
         return self.spec.tasks - self.done - len(self.active)
 
@@ -217,6 +251,7 @@
         self.active[index] = attempt
         self.zones[zone] += 1
         self.last_machine[index] = attempt.machine
+        self.touch()
 
     def end(self, attempt: Attempt, zone: str, *, completed: bool) -> None:
         """Record that an attempt is surely gone."""
@@ -232,6 +267,7 @@
         else:
             self.states[index] = TaskState.WAITING
             self.restarts.append(index)
+        self.touch()
 
     def complete_waiting(self, index: int) -> None:
         """Record that a task without an active attempt turned out to be completed."""
@@ -240,6 +276,7 @@
         self.states[index] = TaskState.COMPLETED
         self.done += 1
         self.dirty.add(index // CHUNK_TASKS)
+        self.touch()
 
     def load_committed(self, indexes: list[int]) -> None:
         """Record completions read from the store."""
@@ -250,6 +287,7 @@
                 continue
             self.states[index] = TaskState.COMMITTED
             self.committed += 1
+        self.touch()
 
     def snapshot_chunk(self, chunk: int) -> tuple[bytes, list[int]]:
         """Return a chunk's completed flags, and which of them are not committed yet."""
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -3,6 +3,7 @@
 import math
 from collections import OrderedDict
 
+from weldhead.bookkeeping.feeds import Feeds
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase
 from weldhead.clock import surely_over_us
 from weldhead.protocol.wire import JobSpec, MachineType
@@ -34,6 +35,7 @@
         "expired_session",
         "failed_jobs",
         "failures",
+        "feeds",
         "forget",
         "ghosts",
         "gpus",
@@ -51,6 +53,7 @@
         "posting",
         "relayed",
         "report_sequence",
+        "serial",
         "spot",
         "synced",
         "token",
@@ -63,6 +66,8 @@
     def __init__(
         self, name: str, machine_type: MachineType, zone: str, spot: bool, hired_us: int
     ) -> None:
+        self.feeds: Feeds[Machine] | None = None
+        self.serial = 0
         self.name = name
         self.type = machine_type
         self.zone = zone
@@ -111,6 +116,17 @@
         #: A new leader asked it directly what it runs, and got no answer.
         self.asked_in_vain = False
 
+    def touch(self) -> None:
+        """Its room has changed, or whether that may be used."""
+        if self.feeds is not None:
+            self.feeds.note(self.name, self)
+
+    def hear(self, at_us: int, silence_us: int) -> None:
+        """A report of it was answered."""
+        if at_us - self.heard_us >= silence_us:
+            self.touch()
+        self.heard_us = at_us
+
     @property
     def session(self) -> int:
         """The worker's session."""
@@ -135,6 +151,7 @@
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
+        self.touch()
 
     def remove(self, attempt: Attempt) -> None:
         """Give an attempt's room back."""
@@ -144,6 +161,7 @@
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory_gb += spec.memory_gb
+        self.touch()
 
     def fits(self, job: Job) -> int:
         """How many more tasks of the job fit by their amounts."""
--- /dev/null
+++ b/weldhead/coordination/backlog.py
@@ -0,0 +1,399 @@
+"""Waiting work, kept in the order in which room is given.
+
+A part of the snapshot that decisions are made of: the same order as sorting all waiting jobs
+by ``order_key`` at each look, but it costs what has changed since the last one. A job is put
+in its place anew when something about it changes, when the estimate of its class does, or
+when time carries it over a bound (its *standing* says until when it stays as it is).
+
+Jobs that differ in nothing by which room is looked for are of one *kind* and stand in one
+queue: where one of them finds no room, or is not let in by its team's limit, none behind it
+does either, and a pass leaves the whole queue at once.
+"""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+from heapq import heapify, heappop, heappush, heapreplace
+from itertools import islice
+from typing import NamedTuple
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import how_many
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.goals import FOR_EVER_US, Goals, Press
+
+#: How many jobs of a class whose estimate has changed are put in place anew in one look.
+#: Until its turn a job stands where the last estimate put it.
+MOST_RENEWED = 500
+
+
+class Shape(NamedTuple):
+    """What decides where a task fits, whoever's it is."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    types: tuple[str, ...] | None
+    zone: str | None
+    spot: bool
+
+    @classmethod
+    def of(cls, job: Job) -> "Shape":
+        """Return the shape of a job's tasks."""
+        spec = job.spec
+        return cls(spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+
+
+class Kind(NamedTuple):
+    """Jobs whose tasks are looked for room alike."""
+
+    team: str
+    level: int
+    job_class: str
+    service: bool
+    shape: Shape
+    #: The job alone, where its own tasks limit or move where others may go.
+    own: str
+
+    @classmethod
+    def of(cls, job: Job) -> "Kind":
+        """Return a job's kind."""
+        spec = job.spec
+        own = job.id if spec.one_zone or spec.spread or job.failed_on else ""
+        return cls(job.team, job.level, spec.job_class, spec.is_service, Shape.of(job), own)
+
+
+class Entry(NamedTuple):
+    """A job's place in the order; the first differing field decides, the serial at last."""
+
+    press: int
+    level: int
+    service: int
+    start_us: int
+    first_seen_us: int
+    serial: int
+    job: Job
+
+
+def entry_of(
+    job: Job, estimates: Estimates, goals: Goals, at_us: int, patience_us: int
+) -> tuple[Entry, int]:
+    """Return a job's place in the order, and until when it is that."""
+    task_us = estimates.order_us(job)
+    press, start_us, until_us = goals.standing(job, task_us, at_us, patience_us)
+    return Entry(
+        int(press),
+        -job.level if press is not Press.PATIENT else 0,
+        1 if job.spec.is_service else 0,
+        start_us,
+        job.first_seen_us,
+        job.serial,
+        job,
+    ), until_us
+
+
+class Backlog:
+    """The queues of waiting jobs, by kind."""
+
+    def __init__(
+        self, cluster: Cluster, estimates: Estimates, goals: Goals, patience_us: int
+    ) -> None:
+        self._cluster = cluster
+        self._estimates = estimates
+        self._goals = goals
+        self._patience_us = patience_us
+        self.queues: dict[Kind, list[Entry]] = {}
+        self._places: dict[str, tuple[Kind, Entry]] = {}
+        #: When a job's place has to be looked at again, and by which change of it.
+        self._timers: list[tuple[int, int, str]] = []
+        self._due: dict[str, tuple[int, int]] = {}
+        self._classes: dict[str, dict[str, Job]] = {}
+        self._editions: dict[str, int] = {}
+        self._stale: dict[str, Job] = {}
+        self._feed = cluster.jobs.feeds.subscribe()
+        self._fresh = list(cluster.jobs.values())
+        #: How often a job was put in place; for measurements.
+        self.placed = 0
+
+    def close(self) -> None:
+        """Stop following the jobs."""
+        self._feed.close()
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def refresh(self, at_us: int) -> None:
+        """Take up what has changed, and what time has brought."""
+        fresh, self._fresh = self._fresh, []
+        for job in (*fresh, *self._feed.take()):
+            self._put(job, at_us)
+        for name, edition in self._estimates.editions.items():
+            if self._editions.get(name) != edition:
+                self._editions[name] = edition
+                self._stale.update(self._classes.get(name, {}))
+        for job in list(islice(self._stale.values(), MOST_RENEWED)):
+            self._put(job, at_us)
+        while self._timers and self._timers[0][0] < at_us:
+            due_us, serial, job_id = heappop(self._timers)
+            if self._due.get(job_id) == (due_us, serial):
+                self._put(self._cluster.jobs[job_id], at_us)
+
+    def _remove(self, job: Job) -> None:
+        self._stale.pop(job.id, None)
+        self._due.pop(job.id, None)
+        place = self._places.pop(job.id, None)
+        if place is None:
+            return
+        kind, entry = place
+        queue = self.queues[kind]
+        del queue[bisect_left(queue, entry)]
+        if not queue:
+            del self.queues[kind]
+        of_class = self._classes[job.spec.job_class]
+        del of_class[job.id]
+        if not of_class:
+            del self._classes[job.spec.job_class]
+
+    def _put(self, job: Job, at_us: int) -> None:
+        """Bring a job's place up to date."""
+        self._remove(job)
+        if (
+            self._cluster.jobs.get(job.id) is not job
+            or job.waiting <= 0
+            or job.finishing
+            or job.team not in self._cluster.teams
+        ):
+            return
+        self.placed += 1
+        if job.not_before_us > at_us:
+            self._wake(job, job.not_before_us - 1)
+            return
+        entry, until_us = entry_of(job, self._estimates, self._goals, at_us, self._patience_us)
+        kind = Kind.of(job)
+        insort(self.queues.setdefault(kind, []), entry)
+        self._places[job.id] = kind, entry
+        self._classes.setdefault(job.spec.job_class, {})[job.id] = job
+        if until_us < FOR_EVER_US:
+            self._wake(job, until_us)
+
+    def _wake(self, job: Job, until_us: int) -> None:
+        """Look at a job again after that moment."""
+        self._due[job.id] = until_us, job.serial
+        heappush(self._timers, (until_us, job.serial, job.id))
+        if len(self._timers) > 64 + 4 * len(self._due):
+            # Mostly of jobs that have been put elsewhere since.
+            self._timers = [(due_us, serial, name) for name, (due_us, serial) in self._due.items()]
+            heapify(self._timers)
+
+    def place_of(self, job_id: str) -> tuple[Kind, Entry] | None:
+        """Return where a job stands; None: nothing of it waits for room."""
+        return self._places.get(job_id)
+
+    def __iter__(self) -> Iterator[Job]:
+        """Iterate over the waiting jobs in order."""
+        heap = [(queue[0], 0, queue) for queue in self.queues.values()]
+        heapify(heap)
+        while heap:
+            entry, number, queue = heap[0]
+            yield entry.job
+            if number + 1 < len(queue):
+                heapreplace(heap, (queue[number + 1], number + 1, queue))
+            else:
+                heappop(heap)
+
+
+class Reserve:
+    """What a plan has given to a team so far, and when in the order it was given."""
+
+    __slots__ = ("_cpus", "_gpus", "_marks", "cpus", "gpus", "most_cpus", "most_gpus")
+
+    def __init__(self, cluster: Cluster, team: str) -> None:
+        usage, limits = cluster.usage[team], cluster.teams[team]
+        self.most_cpus = limits.cpus_max - usage.cpus
+        self.most_gpus = limits.gpus_max - usage.gpus
+        self.cpus = 0.0
+        self.gpus = 0.0
+        self._marks: list[Entry] = []
+        self._cpus: list[float] = [0.0]
+        self._gpus: list[float] = [0.0]
+
+    def give(self, job: Job, count: int) -> None:
+        """Reserve room for tasks."""
+        self.cpus += job.spec.cpus * count
+        self.gpus += job.spec.gpus * count
+
+    def mark(self, entry: Entry | None) -> None:
+        """Note that all so far was given up to that place in the order (None: before it)."""
+        if entry is None:
+            self._cpus[0], self._gpus[0] = self.cpus, self.gpus
+            return
+        self._marks.append(entry)
+        self._cpus.append(self.cpus)
+        self._gpus.append(self.gpus)
+
+    def left_at(self, entry: Entry) -> int:
+        """How many tasks of a job the limit allows, by what was given before its place."""
+        number = bisect_left(self._marks, entry)
+        return how_many(
+            entry.job.spec,
+            self.most_cpus - self._cpus[number],
+            self.most_gpus - self._gpus[number],
+        )
+
+
+class Unplaced:
+    """Jobs whose tasks found no room, with how many of them the limits would allow.
+
+    In the order of placement. What a pass has left a whole queue of is not listed but
+    reckoned when it is asked for, so that leaving it costs nothing. It describes the moment
+    of the plan; what has been started or ended since is left out.
+    """
+
+    def __init__(self, listed: list[tuple[Job, int]] | None = None) -> None:
+        self._entries: list[Entry] = []
+        self._counts: list[int] = []
+        self._tails: list[tuple[list[Entry], Reserve]] = []
+        #: By kind: the tail of its queue.
+        self._kinds: dict[Kind, int] = {}
+        self._listed: dict[str, int] = {}
+        #: How many tasks of a job that was given room still wait.
+        self._waiting: dict[str, int] = {}
+        for number, (job, count) in enumerate(listed or ()):
+            self.add(Entry(0, 0, 0, 0, 0, number, job), count)
+
+    def add(self, entry: Entry, count: int) -> None:
+        """List a job; jobs are listed in order."""
+        self._entries.append(entry)
+        self._counts.append(count)
+        self._listed[entry.job.id] = count
+
+    def add_tail(self, kind: Kind, queue: list[Entry], number: int, reserve: Reserve) -> None:
+        """Enter what stands in a queue from that place on."""
+        self._kinds[kind] = len(self._tails)
+        self._tails.append((queue[number:], reserve))
+
+    def given(self, job: Job, count: int) -> None:
+        """Note that the plan gives room to so many tasks of a job."""
+        self._waiting[job.id] = job.waiting - count
+
+    def count_of(self, job: Job, place: tuple[Kind, Entry] | None) -> int:
+        """Return how many of a job's tasks found no room, by its place at the time."""
+        if job.id in self._listed:
+            return self._listed[job.id]
+        if place is None or place[0] not in self._kinds:
+            return 0
+        tail, reserve = self._tails[self._kinds[place[0]]]
+        if place[1] < tail[0]:
+            return 0
+        return self.count_at(place[1], reserve)
+
+    def count_at(self, entry: Entry, reserve: Reserve) -> int:
+        """Return how many tasks found no room of a job that a pass did not come to."""
+        job = entry.job
+        if job.finishing:
+            return 0
+        waiting = min(job.waiting, self._waiting.get(job.id, job.spec.tasks))
+        return max(0, min(waiting, reserve.left_at(entry)))
+
+    def walk(self) -> "Walk":
+        """Return a walk over them in order."""
+        return Walk(self, self._entries, self._counts, self._tails)
+
+    def __iter__(self) -> Iterator[tuple[Job, int]]:
+        walk = self.walk()
+        while (found := walk.next()) is not None:
+            yield found
+
+    def __bool__(self) -> bool:
+        return self.walk().next() is not None
+
+    def __len__(self) -> int:
+        return sum(1 for _ in self)
+
+
+class Walk:
+    """A walk over what found no room, in which queues can be left."""
+
+    def __init__(
+        self,
+        unplaced: Unplaced,
+        entries: list[Entry],
+        counts: list[int],
+        tails: list[tuple[list[Entry], Reserve]],
+    ) -> None:
+        self._unplaced = unplaced
+        self._counts = counts
+        self._tails = [entries, *(tail for tail, _ in tails)]
+        self._reserves = [reserve for _, reserve in tails]
+        self._heap = [(tail[0], 0, n) for n, tail in enumerate(self._tails) if tail]
+        heapify(self._heap)
+        #: The job that was given last: its place, and which queue's.
+        self._at: tuple[Entry, int] | None = None
+        self._left: dict[int, int] = {}
+
+    def next(self) -> tuple[Job, int] | None:
+        """Return the next job and how many of its tasks found no room."""
+        while self._heap:
+            entry, number, tail = self._heap[0]
+            self._advance(number + 1, tail)
+            if tail == 0:
+                count = self._counts[number]
+            else:
+                count = self._unplaced.count_at(entry, self._reserves[tail - 1])
+            if count > 0:
+                self._at = entry, tail
+                return entry.job, count
+        return None
+
+    def _advance(self, number: int, tail: int) -> None:
+        """Replace the foremost queue's head by another place in it."""
+        queue = self._tails[tail]
+        if number < len(queue):
+            heapreplace(self._heap, (queue[number], number, tail))
+        else:
+            heappop(self._heap)
+
+    def leave(self) -> None:
+        """Leave out what stands behind the last job in its queue, until it is revived."""
+        assert self._at is not None
+        _, tail = self._at
+        if tail:
+            for place, (_, number, other) in enumerate(self._heap):
+                if other == tail:
+                    self._left[tail] = number
+                    self._heap[place] = self._heap[-1]
+                    self._heap.pop()
+                    heapify(self._heap)
+                    return
+
+    def skip_to(self, press: Press) -> None:
+        """Leave out what stands behind the last job in its queue and presses otherwise.
+
+        ``press`` comes later in the order than the last job's own.
+        """
+        assert self._at is not None
+        _, tail = self._at
+        if not tail:
+            return
+        for place, (_, number, other) in enumerate(self._heap):
+            if other == tail:
+                queue = self._tails[tail]
+                number = bisect_left(queue, (int(press),), number)
+                self._heap[place] = self._heap[-1]
+                self._heap.pop()
+                if number < len(queue) and queue[number].press == press:
+                    self._heap.append((queue[number], number, tail))
+                heapify(self._heap)
+                return
+
+    def revive(self) -> None:
+        """Take up again the queues that were left, behind the last job."""
+        if not self._left or self._at is None:
+            return
+        at, _ = self._at
+        for tail, number in self._left.items():
+            queue = self._tails[tail]
+            number = bisect_left(queue, at, number)
+            if number < len(queue):
+                heappush(self._heap, (queue[number], number, tail))
+        self._left.clear()
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -43,9 +43,19 @@
         self._written_chunks: dict[str, set[int]] = {}
         self._leftovers: list[str] = []
         self.cancelling: dict[str, asyncio.Task[None]] = {}
+        #: Seen to be over, and seen to have unsaved progress; kept until that is dealt with,
+        #: also when a duty fails and is begun again.
+        self._over: dict[str, Job] = {}
+        self._unsaved: dict[str, Job] = {}
 
     def start(self) -> None:
         """Begin the duties."""
+        jobs = self._term.cluster.jobs
+        self._changed = jobs.feeds.subscribe()
+        self._progressed = jobs.feeds.subscribe()
+        # All that was loaded: what is over is ended, what was completed meanwhile is saved.
+        for job in jobs.values():
+            job.touch()
         self._term.duties.start("ends of jobs", self._finish_jobs)
         self._term.duties.start("progress", self._commit_progress)
         self._term.duties.once("leftovers", self._clear(self._leftovers))
@@ -95,7 +105,13 @@
             term.flush.clear()
             # A moment's gathering makes one write of many ends.
             await asyncio.sleep(to_seconds(term.tunables.commit_gather_us))
-            over = [job for job in term.cluster.jobs.values() if job.over and not job.finishing]
+            self._over.update((job.id, job) for job in self._changed.take())
+            self._over = {
+                job.id: job
+                for job in self._over.values()
+                if job.over and term.cluster.jobs.get(job.id) is job
+            }
+            over = [job for job in self._over.values() if not job.finishing]
             for job in over:
                 if job.saving:
                     # Its end waits for that write, so that it leaves nothing behind.
@@ -119,11 +135,13 @@
         term = self._term
         while True:
             await asyncio.sleep(to_seconds(term.tunables.progress_gather_us))
-            dirty = [
-                job
-                for job in term.cluster.jobs.values()
-                if job.dirty and not job.over and not job.finishing
-            ]
+            self._unsaved.update((job.id, job) for job in self._progressed.take())
+            self._unsaved = {
+                job.id: job
+                for job in self._unsaved.values()
+                if job.dirty and not job.over and term.cluster.jobs.get(job.id) is job
+            }
+            dirty = [job for job in self._unsaved.values() if not job.finishing]
             await asyncio.gather(*(self._save(job) for job in dirty))
 
     async def _save(self, job: Job) -> None:
@@ -178,7 +196,7 @@
         changes.update({progress_key(job.id, chunk): None for chunk in first})
         await term.ledger.write(changes, urgent=True)
         self.remember_final(job.id, final)
-        term.cluster.jobs.pop(job.id, None)
+        term.cluster.jobs.remove(job.id)
         self._written_chunks.pop(job.id, None)
         job.dirty.clear()
         self._ended(job, final)
--- a/weldhead/coordination/dispatch.py
+++ b/weldhead/coordination/dispatch.py
@@ -118,7 +118,7 @@
                     for attempt in started:
                         if attempt.posted:
                             attempt.posted = False
-                            attempt.limbo_us = at_us
+                            term.cluster.lose(attempt, at_us)
                     log.info("machine %s: direct commands unanswered: %s", machine.name, error)
                     return
                 # Answered: executed, or (409) surely not.
--- a/weldhead/coordination/estimates.py
+++ b/weldhead/coordination/estimates.py
@@ -13,6 +13,8 @@
 PRIOR_WEIGHT = 2.0
 #: Older observations of a class fade: this share of their weight is kept at each new one.
 FADING = 0.97
+#: The order of waiting jobs follows the mean of a class when it has moved by this share.
+TOLD_STEP = 0.02
 #: A single observation counts within these bounds (a sick machine, a clock step).
 LEAST_RATIO, MOST_RATIO = 0.1, 10.0
 
@@ -48,14 +50,26 @@
     def __init__(self) -> None:
         self._classes: dict[str, Mean] = {}
         self._jobs: dict[str, Mean] = {}
+        #: What is told of each class: its mean ratio, as it was when it last moved clearly.
+        self._told: dict[str, float] = {}
+        #: Counts the changes of what is told, per class.
+        self.editions: dict[str, int] = {}
 
     def observe(self, job: Job, run_us: int) -> None:
         """Learn from a completed task."""
         if job.spec.estimate_us <= 0 or run_us <= 0:
             return
         ratio = min(MOST_RATIO, max(LEAST_RATIO, run_us / job.spec.estimate_us))
-        self._classes.setdefault(job.spec.job_class, Mean()).add(ratio, FADING)
+        name = job.spec.job_class
+        of_class = self._classes.setdefault(name, Mean())
+        of_class.add(ratio, FADING)
         self._jobs.setdefault(job.id, Mean()).add(ratio)
+        fresh, told = of_class.ratio(1.0), self._told.get(name)
+        if told is None or abs(fresh - told) > TOLD_STEP * told:
+            # Every waiting job of the class has to be put in order anew: not at each task.
+            self._told[name] = fresh
+            self.editions[name] = self.editions.get(name, 0) + 1
+        job.touch()
 
     def forget(self, job_id: str) -> None:
         """Drop what was kept for a job that is over."""
@@ -64,18 +78,22 @@
     def task_us(self, job: Job) -> int:
         """Estimate the whole run time of one of the job's tasks."""
         of_class = self._classes.get(job.spec.job_class)
-        ratio = of_class.ratio(1.0) if of_class else 1.0
+        return self._by_job(job, of_class.ratio(1.0) if of_class else 1.0)
+
+    def order_us(self, job: Job) -> int:
+        """Return the same as it was when its class's mean last moved clearly.
+
+        Waiting jobs are put in order by this: else the end of each task would put all jobs
+        of its class in their places anew.
+        """
+        return self._by_job(job, self._told.get(job.spec.job_class, 1.0))
+
+    def _by_job(self, job: Job, ratio: float) -> int:
         of_job = self._jobs.get(job.id)
         if of_job is not None:
             ratio = of_job.ratio(ratio)
         return round(job.spec.estimate_us * ratio)
 
     def remaining_us(self, attempt: Attempt, at_us: int) -> int:
-        """Estimate the remaining run time: the estimate minus the elapsed run, at least 0.
-
-        A task that an earlier leader started is taken to have been half done when adopted.
-        """
-        task_us = self.task_us(attempt.job)
-        if attempt.adopted:
-            task_us //= 2
-        return max(0, task_us - attempt.elapsed_us(at_us))
+        """Estimate the remaining run time: the estimate minus the elapsed run, at least 0."""
+        return attempt.remaining_us(self.task_us(attempt.job), at_us)
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -5,8 +5,10 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
+from functools import cache
+from itertools import islice
 
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
@@ -37,6 +39,7 @@
     move_worth_us: int
     most_moves: int
     foresight_us: int
+    most_considered: int
 
 
 @dataclass(frozen=True)
@@ -125,48 +128,61 @@
         at_us: int,
         settings: FleetSettings,
     ) -> None:
-        self._heap: list[tuple[int, float]] = []
+        pools: dict[int, float] = defaultdict(float)
         for item in coming:
-            ready_us = at_us + seconds_us(item.type.boot_s)
-            self._heap += [(ready_us, item.type.cpus)] * item.count
+            pools[at_us + seconds_us(item.type.boot_s)] += item.type.cpus * item.count
+        away: set[str] = set()
         for machine in cluster.machines.values():
             if machine.deleting or machine.draining:
-                continue
-            if machine.booting:
+                away.add(machine.name)
+            elif machine.booting:
                 if not is_late(machine, at_us, settings.boot_patience):
                     ready_us = max(at_us, machine.hired_us + seconds_us(machine.type.boot_s))
-                    self._heap.append((ready_us, machine.cpus))
+                    pools[ready_us] += machine.cpus
+            elif machine.cpus > EPSILON:
+                pools[at_us] += machine.cpus
+        for job in cluster.holders.values():
+            if job.spec.is_service:
                 continue
-            if machine.cpus > EPSILON:
-                self._heap.append((at_us, machine.cpus))
-            for attempt in machine.attempts.values():
-                remaining_us = estimates.remaining_us(attempt, at_us)
-                if not attempt.job.spec.is_service:
-                    self._heap.append((at_us + remaining_us, attempt.job.spec.cpus))
+            task_us, cpus = estimates.task_us(job), job.spec.cpus
+            for attempt in job.active.values():
+                if attempt.machine not in away:
+                    pools[at_us + attempt.remaining_us(task_us, at_us)] += cpus
+        #: When how many CPUs are given back. What comes at one moment is one item, as are
+        #: tasks that start together: their number is not what this costs.
+        self._heap = list(pools.items())
         heapq.heapify(self._heap)
 
-    def take(self, cpus: float, run_us: int, ready_us: int = 0) -> int | None:
-        """Let one task run as early as it can; return its start, None if it never can.
+    def take(
+        self, cpus: float, run_us: int, ready_us: int = 0, count: int = 1
+    ) -> Iterator[tuple[int | None, int]]:
+        """Let tasks run as early as they can; yield when how many of them start.
 
-        One that becomes ready later leaves what it takes to nobody until then: room for the
-        next stage of a chain is there when it is released.
+        None: they never can. One that becomes ready later leaves what it takes to nobody
+        until then: room for the next stage of a chain is there when it is released.
         """
-        taken: list[tuple[int, float]] = []
-        found = 0.0
-        while found + EPSILON < cpus:
-            if not self._heap:
-                for item in taken:
-                    heapq.heappush(self._heap, item)
-                return None
-            item = heapq.heappop(self._heap)
-            taken.append(item)
-            found += item[1]
-        start_us = max(ready_us, taken[-1][0] if taken else 0)
-        rest = found - cpus
-        if rest > EPSILON:
-            heapq.heappush(self._heap, (taken[-1][0], rest))
-        heapq.heappush(self._heap, (start_us + run_us, cpus))
-        return start_us
+        heap = self._heap
+        while count > 0:
+            taken: list[tuple[int, float]] = []
+            found = 0.0
+            while found + EPSILON < cpus:
+                if not heap:
+                    for item in taken:
+                        heapq.heappush(heap, item)
+                    yield None, count
+                    return
+                item = heapq.heappop(heap)
+                taken.append(item)
+                found += item[1]
+            free_us = taken[-1][0] if taken else 0
+            start_us = max(ready_us, free_us)
+            together = min(count, int((found + EPSILON) / cpus)) if cpus > 0 else count
+            rest = found - cpus * together
+            if rest > EPSILON:
+                heapq.heappush(heap, (free_us, rest))
+            heapq.heappush(heap, (start_us + run_us, cpus * together))
+            yield start_us, together
+            count -= together
 
 
 @dataclass
@@ -192,12 +208,18 @@
     stretches: Callable[[Job], float],
     settings: FleetSettings,
     upcoming: Sequence[Upcoming] = (),
+    backlog: int = 0,
 ) -> Missing:
-    """Forecast what waits too long if nothing more is rented."""
+    """Forecast what waits too long if nothing more is rented.
+
+    ``backlog`` is how many jobs wait; of very many only the foremost are looked at.
+    """
     missing = Missing()
     boot_up_us = at_us + boot_us
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
-    wanted = [(job, count, at_us) for job, count in plan.unplaced]
+    waiting = ((job, count, at_us) for job, count in plan.unplaced)
+    wanted = list(islice(waiting, settings.most_considered))
+    more = any(True for _ in waiting)
     wanted += [(item.job, item.tasks(cluster), item.starts_us) for item in upcoming]
     for job, count, ready_us in wanted:
         # Nothing can be too late for a job before it is released.
@@ -217,18 +239,17 @@
         bound_us = up_us if guaranteed else up_us + late_us
         stretch = stretches(job)
         slow = late = 0
-        for _ in range(count):
-            start_us = queue.take(job.spec.cpus, task_us, ready_us)
+        for start_us, together in queue.take(job.spec.cpus, task_us, ready_us, count):
             never = start_us is None
             start_us = 0 if start_us is None else ready_us + round((start_us - ready_us) * stretch)
             # A machine rented now is up only after its boot: it helps only what would
             # start later than that, however long it has to wait until then.
             if never or start_us > up_us:
-                missing.backlog_us += job.spec.cpus * task_us
+                missing.backlog_us += job.spec.cpus * task_us * together
             if never or start_us > up_us + settings.spot_patience_us:
-                slow += 1
+                slow += together
             if never or start_us > bound_us:
-                late += 1
+                late += together
         # Tasks that a new machine can run one after the other and still be in time.
         turns = max(1, (target_us - up_us) // max(1, task_us))
         if slow:
@@ -236,6 +257,9 @@
             missing.patient.append((job, -(-slow // short)))
         if late:
             missing.pressing.append((job, -(-late // turns)))
+    if more:
+        # Those behind are taken to be like those that were looked at.
+        missing.backlog_us *= max(1.0, backlog / len(wanted))
     return missing
 
 
@@ -250,6 +274,7 @@
     coming: Sequence[Coming] = (),
     demand: Demand | None = None,
     upcoming: Sequence[Upcoming] = (),
+    backlog: int = 0,
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -262,13 +287,27 @@
     owned = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
     owned += sum(item.type.cpus * item.count for item in coming)
 
+    @cache
+    def stretch_at(level: int) -> float:
+        return demand.stretch(level, owned, at_us) if demand is not None else 1.0
+
     def stretches(job: Job) -> float:
-        return demand.stretch(job.level, owned, at_us) if demand is not None else 1.0
+        return stretch_at(job.level)
 
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
     queue = _Queue(cluster, coming, estimates, at_us, settings)
     missing = forecast_missing(
-        cluster, plan, queue, estimates, goals, at_us, boot_us, stretches, settings, upcoming
+        cluster,
+        plan,
+        queue,
+        estimates,
+        goals,
+        at_us,
+        boot_us,
+        stretches,
+        settings,
+        upcoming,
+        backlog,
     )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
--- a/weldhead/coordination/forecast.py
+++ b/weldhead/coordination/forecast.py
@@ -1,39 +1,60 @@
 """Forecasts: when each job will be finished, and whether that is too late."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
 
 
-def forecast_us(cluster: Cluster, job: Job, estimates: Estimates, at_us: int) -> int | None:
+@dataclass(frozen=True)
+class Boots:
+    """When the next machine comes up (None: none boots), and the longest usual boot."""
+
+    next_us: int | None
+    usual_us: int
+
+
+def boots_of(machines: Iterable[Machine]) -> Boots:
+    """Return what a forecast has to know of the machines."""
+    machines = list(machines)
+    boots = [m.hired_us + seconds_us(m.type.boot_s) for m in machines if m.booting]
+    usual_us = max((seconds_us(m.type.boot_s) for m in machines), default=0)
+    return Boots(min(boots, default=None), usual_us)
+
+
+def looks_unable(job: Job) -> bool:
+    """Whether a job's tasks fail wherever they run, so that its end cannot be told."""
+    return bool(job.failures) and not job.done and job.failures > 2 * job.spec.tasks
+
+
+def forecast_us(
+    cluster: Cluster, job: Job, estimates: Estimates, at_us: int, boots: Boots
+) -> int | None:
     """Return when the job is expected to finish, on the steady clock.
 
     None: it cannot be told (replicas never finish; a job whose tasks all fail has no end).
     """
-    if job.spec.is_service or job.cancelled:
-        return None
-    if job.failures and not job.done and job.failures > 2 * job.spec.tasks:
+    if job.spec.is_service or job.cancelled or looks_unable(job):
         return None
     task_us = estimates.task_us(job)
-    ends = sorted(at_us + estimates.remaining_us(a, at_us) for a in job.active.values())
     waiting = job.waiting
-    if waiting == 0:
-        return ends[-1] if ends else at_us
-    if not ends:
-        boots = [
-            m.hired_us + seconds_us(m.type.boot_s) for m in cluster.machines.values() if m.booting
-        ]
+    if not job.active:
+        if waiting == 0:
+            return at_us
         # Nothing runs yet: the next machine to come up, or else one that is still to be
         # rented, will take as many tasks as the team's limit allows at once.
-        usual_us = max((seconds_us(m.type.boot_s) for m in cluster.machines.values()), default=0)
-        start_us = max(at_us, min(boots, default=at_us + usual_us))
+        next_us = at_us + boots.usual_us if boots.next_us is None else boots.next_us
         slots = max(1, min(waiting, cluster.within_limit(job)))
-        return start_us + -(-waiting // slots) * task_us
+        return max(at_us, next_us) + -(-waiting // slots) * task_us
+    ends = sorted(at_us + a.remaining_us(task_us, at_us) for a in job.active.values())
+    if waiting == 0:
+        return ends[-1]
     # The places that the job holds now take the waiting tasks one after the other.
     waves, rest = divmod(waiting, len(ends))
     finish_us = ends[-1] + waves * task_us
--- a/weldhead/coordination/goals.py
+++ b/weldhead/coordination/goals.py
@@ -9,6 +9,9 @@
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.protocol.settings import Objective
 
+#: Later than any time that is reckoned with.
+FOR_EVER_US = 1 << 62
+
 
 class Press(enum.IntEnum):
     """How urgently a job's waiting tasks need room, most urgent first."""
@@ -67,6 +70,22 @@
         # Estimates are rough: only what is clearly late gives way to what can be in time.
         return Press.PRESSING if laxity_us >= -slack_us(task_us) else Press.LATE
 
+    def standing(
+        self, job: Job, task_us: int, at_us: int, patience_us: int
+    ) -> tuple[Press, int, int]:
+        """Return the press, the latest start that is in time, and until when both stay so.
+
+        While they do, the job's laxity shrinks as time passes, as everybody's does: so the
+        order of waiting jobs need not be drawn anew at each look.
+        """
+        target_us = self.target_us(job, task_us, at_us)
+        start_us = target_us - task_us
+        press = self.press(job, task_us, at_us, patience_us)
+        missed_us = start_us + slack_us(task_us)
+        if press is Press.PATIENT:
+            return press, start_us, min(start_us - patience_us, missed_us)
+        return press, start_us, missed_us if at_us <= missed_us else FOR_EVER_US
+
     def target_us(self, job: Job, task_us: int, at_us: int) -> int:
         """Return when the job ought to be finished, on the steady clock.
 
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -40,8 +41,10 @@
     plan_moves,
     plan_returns,
 )
-from weldhead.coordination.forecast import due_us, forecast_chains, forecast_us, holding_up
-from weldhead.coordination.placement import Plan, plan_starts
+from weldhead.coordination.forecast import due_us, holding_up, looks_unable
+from weldhead.coordination.outlook import Outlook
+from weldhead.coordination.pacing import Pacer, Rank
+from weldhead.coordination.placement import Plan, Scene, plan_pass
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.rentals import Rentals
 from weldhead.coordination.reports import (
@@ -54,12 +57,14 @@
 from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term
 from weldhead.coordination.urgency import fetch_rate, refresh, stage_us
-from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
+from weldhead.protocol.wire import Entry, JobStatus, MachineType, Report, ReportAnswer
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import Compacted, decode
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 #: A new leader returns machines that have not answered by then, if they are few: a deletion
 #: that is answered proves sooner than the end of their leases that nothing runs there.
 UNKNOWN_PATIENCE_US = 1 * SECOND_US
@@ -70,6 +75,9 @@
 #: How often the fleet's use is logged.
 FLEET_LOG_US = 10 * SECOND_US
 
+#: How many records are taken up before the loop gets its turn.
+LOADED_AT_ONCE = 250
+
 #: How many needed jobs are looked up in the store at once.
 NEEDS_AT_ONCE = 8
 
@@ -77,6 +85,11 @@
 SILENT_NAMED = 1_000
 
 
+def _parts(items: Sequence[T], size: int = LOADED_AT_ONCE) -> Iterator[Sequence[T]]:
+    """Cut a sequence into parts of that many."""
+    return (items[start : start + size] for start in range(0, len(items), size))
+
+
 class NotReady(Exception):
     """The leader cannot answer this yet; ask again later."""
 
@@ -99,6 +112,15 @@
         #: Set when jobs are needed of which only the store knows what became of them.
         self._needs = asyncio.Event()
         self.last_plan = Plan()
+        #: What placement and forecasts keep in order; made when first needed, and made anew
+        #: after a failure.
+        self._scene: Scene | None = None
+        self._outlook: Outlook | None = None
+        #: Machines by when they were last heard, the one that is silent longest first.
+        self._heard: dict[str, Machine] = {}
+        #: Those that the cloud has given notice of.
+        self._noticed: dict[str, Machine] = {}
+        self.pacer = Pacer(round(self._tunables.leadership.ttl_us * self._tunables.most_hold))
 
     # -- the term's life ------------------------------------------------------------
 
@@ -160,6 +182,7 @@
         duties.start("machine watch", self._watch_machines)
         duties.start("needed jobs", self._learn_needs, 0.2)
         duties.start("forecasts", self._forecast)
+        duties.start("loop watch", self.pacer.watch)
         self.completions.start()
         self.rentals.start()
         term.flush.set()
@@ -174,37 +197,53 @@
         term.place.set()
 
     async def _load(self) -> None:
+        """Read what is recorded, page by page, and let the loop live in between."""
         term = self.term
-        jobs, revision = await term.state.scan(JOBS)
-        progress, _ = await term.state.scan(PROGRESS)
-        hires, _ = await term.state.scan(HIRES)
         at_us, wall = now_us(), wall_us()
         term.cluster = Cluster(term.settings.facts.teams, self.token)
         term.chains = Chains(term.cluster.jobs)
         term.demand = Demand(self._tunables.fleet.demand_memory_us)
-        for entry in jobs:
-            record = decode(bytes(entry.value), JobRecord)
-            self._add_job(record, entry.version, at_us, wall)
-        for loaded in list(self.cluster.jobs.values()):
-            self._link(loaded)
-        self._refresh(self.cluster.jobs.values())
-        for entry in progress:
-            job_id, _, chunk = entry.key.removeprefix(PROGRESS).rpartition("/")
-            self.ledger.learn(entry.key, entry.version)
-            job = self.cluster.jobs.get(job_id)
-            if job is None:
-                self.completions.load_leftover(entry.key)
-                continue
-            tasks = min(CHUNK_TASKS, job.spec.tasks - int(chunk) * CHUNK_TASKS)
-            done = decode_progress(msgspec.json.decode(entry.value, type=str), tasks)
-            self.completions.load(job, int(chunk), done)
-        for entry in hires:
-            hire = decode(bytes(entry.value), HireRecord)
-            self.ledger.learn(entry.key, entry.version)
-            self.rentals.load(entry.key.removeprefix(HIRES), hire, at_us, wall)
+        revision = 0
+        async for entries, revision in term.state.pages(JOBS):  # noqa: B007
+            for part in _parts(entries):
+                for entry in part:
+                    record = decode(bytes(entry.value), JobRecord)
+                    self._add_job(record, entry.version, at_us, wall)
+                await asyncio.sleep(0)
+        jobs = list(self.cluster.jobs.values())
+        for loaded in _parts(jobs):
+            for job in loaded:
+                self._link(job)
+            await asyncio.sleep(0)
+        # All others have their own priority and deadline.
+        self._refresh(self.chains.blocked.values())
+        async for entries, _ in term.state.pages(PROGRESS):
+            for part in _parts(entries):
+                for entry in part:
+                    self._load_progress(entry)
+                await asyncio.sleep(0)
+        async for entries, _ in term.state.pages(HIRES):
+            for entry in entries:
+                hire = decode(bytes(entry.value), HireRecord)
+                self.ledger.learn(entry.key, entry.version)
+                self.rentals.load(entry.key.removeprefix(HIRES), hire, at_us, wall)
+            await asyncio.sleep(0)
+        self._machines_changed = self.cluster.machines.feeds.subscribe()
+        self._heard = dict(self.cluster.machines)
         self._jobs_revision = revision
         term.loaded = True
-        term.loaded_us = at_us
+        term.loaded_us = now_us()
+
+    def _load_progress(self, entry: Entry) -> None:
+        job_id, _, chunk = entry.key.removeprefix(PROGRESS).rpartition("/")
+        self.ledger.learn(entry.key, entry.version)
+        job = self.cluster.jobs.get(job_id)
+        if job is None:
+            self.completions.load_leftover(entry.key)
+            return
+        tasks = min(CHUNK_TASKS, job.spec.tasks - int(chunk) * CHUNK_TASKS)
+        done = decode_progress(msgspec.json.decode(entry.value, type=str), tasks)
+        self.completions.load(job, int(chunk), done)
 
     def _add_job(self, record: JobRecord, version: int, at_us: int, wall: int) -> Job:
         job = Job(record.spec, record.submitted_us, version, at_us)
@@ -358,8 +397,19 @@
         final = self.completions.finals.get(job_id)
         return final.service if final is not None else None
 
+    def _kept_outlook(self) -> Outlook:
+        if self._outlook is None:
+            tunables = self._tunables
+            self._outlook = Outlook(
+                self.cluster, self.chains, self.term.estimates, self._stage_us,
+                tunables.forecast_period_us, tunables.forecast_recheck_us, tunables.most_forecasts,
+            )  # fmt: skip
+        return self._outlook
+
     def _status_of(self, job: Job) -> JobStatus:
         answer = JobStatus(job.id, job.status, job.done, job.running)
+        if not job.cancelled:
+            self._kept_outlook().tell(job, now_us())
         if job.cancelled or job.forecast_us is None:
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
@@ -399,10 +449,26 @@
             return ()
         limit_us = self.term.report_us * 5 // 4 + SECOND_US
         return tuple(
-            machine.name
-            for machine in self.cluster.machines.values()
-            if machine.session and at_us - max(machine.heard_us, self.term.loaded_us) > limit_us
-        )[:SILENT_NAMED]
+            machine.name for machine in self._silent(at_us, limit_us, self.term.loaded_us)
+            if machine.session
+        )[:SILENT_NAMED]  # fmt: skip
+
+    def _silent(self, at_us: int, limit_us: int, floor_us: int) -> list[Machine]:
+        """Return machines not heard for longer than that; those that boot are among them."""
+        for machine in self._machines_changed.take():
+            if machine.name not in self.cluster.machines:
+                self._heard.pop(machine.name, None)
+                self._noticed.pop(machine.name, None)
+            elif machine.name not in self._heard:
+                self._heard[machine.name] = machine
+        found = []
+        for machine in self._heard.values():
+            if at_us - max(machine.heard_us, floor_us) > limit_us:
+                found.append(machine)
+            elif machine.heard_us:
+                # All behind were heard later.
+                break
+        return found
 
     def report(self, report: Report, at_us: int, *, relayed: bool) -> ReportAnswer | None:
         """Handle a worker's report; None: it must not be answered 200."""
@@ -422,7 +488,10 @@
         elif report.sequence < machine.report_sequence and report.session == machine.session:
             # Held back on the way: its sender has long given up waiting.
             return None
-        machine.heard_us = machine.lease_from_us = at_us
+        machine.hear(at_us, self.term.silence_us)
+        machine.lease_from_us = at_us
+        self._heard.pop(machine.name, None)
+        self._heard[machine.name] = machine
         machine.relayed = relayed
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
@@ -448,6 +517,7 @@
         self._digest(machine, outcome, at_us)
         if machine.notice_until_us and not had_notice:
             log.info("machine %s will be taken back", machine.name)
+            self._noticed[machine.name] = machine
             self._evacuate(machine, at_us)
 
     def _digest(self, machine: Machine, outcome: Outcome, at_us: int) -> None:
@@ -512,10 +582,12 @@
             try:
                 changes = await self.term.state.watch(JOBS, self._jobs_revision, 10 * SECOND_US)
             except Compacted:
-                entries, revision = await self.term.state.scan(JOBS)
-                for entry in entries:
-                    record = decode(bytes(entry.value), JobRecord)
-                    self.job_created(record, entry.version)
+                async for entries, revision in self.term.state.pages(JOBS):  # noqa: B007
+                    for part in _parts(entries):
+                        for entry in part:
+                            record = decode(bytes(entry.value), JobRecord)
+                            self.job_created(record, entry.version)
+                        await asyncio.sleep(0)
                 self._jobs_revision = revision
                 continue
             for event in changes.events:
@@ -537,21 +609,28 @@
             await self.term.place.wait()
             self.term.place.clear()
             self._place_now()
-            await asyncio.sleep(to_seconds(self._tunables.placement_pause_us))
+            await self.pacer.rest("placement", Rank.PLACEMENT, self._tunables.placement_pause_us)
 
     def _place_now(self) -> None:
+        with self.pacer.hold("placement"):
+            self._place()
+
+    def _place(self) -> None:
         if not self.valid:
             return
         at_us = now_us()
-        plan = plan_starts(
-            self.cluster,
-            self.term.estimates,
-            self.term.goals,
-            at_us,
-            self.term.silence_us,
-            self._tunables.preemptor.patience_us,
-            self._tunables.fetch_weight,
-        )
+        if self._scene is None:
+            self._scene = Scene(
+                self.cluster, self.term.estimates, self.term.goals,
+                self._tunables.preemptor.patience_us,
+            )  # fmt: skip
+        try:
+            plan = plan_pass(self._scene, at_us, self.term.silence_us, self._tunables.fetch_weight)
+        except Exception:
+            # What it had read of the feeds may be lost with it: made anew at the next pass.
+            self._scene.close()
+            self._scene = None
+            raise
         self.last_plan = plan
         touched: dict[str, Machine] = {}
         for start in plan.starts:
@@ -566,45 +645,58 @@
 
     async def _preempt(self) -> None:
         while True:
-            await asyncio.sleep(to_seconds(self._tunables.preemptor.period_us))
+            await self.pacer.rest("preemptor", Rank.PREEMPTOR, self._tunables.preemptor.period_us)
             if not self.valid:
                 continue
             self._place_now()
-            at_us = now_us()
-            settings = self._tunables.preemptor.settings(self.term.silence_us)
-            unplaced = {job.id: count for job, count in self.last_plan.unplaced}
-            for job_id in self.reclaims.jobs():
-                self.reclaims.trim(job_id, unplaced.get(job_id, 0))
-            hard, expired = overdue(self.reclaims, at_us, settings)
-            for entry in expired:
-                self.reclaims.remove(entry)
-            for entry in hard:
-                entry.hard_us = at_us
-                for victim in entry.victims:
-                    if victim.job.active.get(victim.index) is victim:
-                        self._stop(victim, Stop.HARD, at_us, "room, overdue")
-            for reclaim in plan_reclaims(
-                self.cluster,
-                self.reclaims,
-                self.last_plan,
-                self.term.estimates,
-                at_us,
-                settings,
-                self.term.goals,
-            ):
-                self.reclaims.add(reclaim)
-                for victim in reclaim.victims:
-                    log.info(
-                        "%s (%s, %s) stops for %s (%s)",
-                        victim.task,
-                        victim.job.spec.priority,
-                        victim.job.team,
-                        reclaim.job_id,
-                        self._who(reclaim.job_id),
-                    )
-                    claimant = self.cluster.jobs[reclaim.job_id]
-                    stop = stop_for(claimant, victim.job, self.term.goals)
-                    self._stop(victim, stop, at_us, "room")
+            with self.pacer.hold("preemptor"):
+                self._make_room(now_us())
+
+    def _make_room(self, at_us: int) -> None:
+        """Ask for room on behalf of those who found none."""
+        settings = self._tunables.preemptor.settings(self.term.silence_us)
+        self._trim_reclaims()
+        hard, expired = overdue(self.reclaims, at_us, settings)
+        for entry in expired:
+            self.reclaims.remove(entry)
+        for entry in hard:
+            entry.hard_us = at_us
+            for victim in entry.victims:
+                if victim.job.active.get(victim.index) is victim:
+                    self._stop(victim, Stop.HARD, at_us, "room, overdue")
+        for reclaim in plan_reclaims(
+            self.cluster,
+            self.reclaims,
+            self.last_plan,
+            self.term.estimates,
+            at_us,
+            settings,
+            self.term.goals,
+            free=self._scene.free if self._scene is not None else None,
+        ):
+            self.reclaims.add(reclaim)
+            for victim in reclaim.victims:
+                log.info(
+                    "%s (%s, %s) stops for %s (%s)",
+                    victim.task,
+                    victim.job.spec.priority,
+                    victim.job.team,
+                    reclaim.job_id,
+                    self._who(reclaim.job_id),
+                )
+                claimant = self.cluster.jobs[reclaim.job_id]
+                stop = stop_for(claimant, victim.job, self.term.goals)
+                self._stop(victim, stop, at_us, "room")
+
+    def _trim_reclaims(self) -> None:
+        """Drop requests on behalf of jobs that wait for less than they did."""
+        for job_id in self.reclaims.jobs():
+            job = self.cluster.jobs.get(job_id)
+            waiting = 0
+            if job is not None and self._scene is not None:
+                place = self._scene.backlog.place_of(job_id)
+                waiting = self.last_plan.unplaced.count_of(job, place)
+            self.reclaims.trim(job_id, waiting)
 
     def _who(self, job_id: str) -> str:
         job = self.cluster.jobs[job_id]
@@ -624,22 +716,31 @@
             if not self.valid:
                 continue
             at_us = now_us()
-            machines = list(self.cluster.machines.values())
-            live = [m for m in machines if m.up and not m.deleting]
-            doomed = self._expired_or_silent(live, at_us)
+            doomed = self._expired_or_silent(at_us)
             if not self.term.ready and at_us - self.term.loaded_us > UNKNOWN_PATIENCE_US:
                 # Recovery waits for them; most are gone already and only still on record.
+                live = self._live()
                 unknown = [m for m in live if not m.synced]
                 if all(m.asked_in_vain for m in unknown) and look_gone(unknown, live):
                     doomed += unknown
-            doomed += [m for m in live if self._in_trouble(m, at_us)]
-            doomed += [m for m in machines if self._taken(m, at_us)]
+            doomed += self._in_trouble(at_us)
+            doomed += [m for m in self._noticed.values() if self._taken(m, at_us)]
             self.rentals.delete({m.name: m for m in doomed if not m.deleting})
 
-    def _expired_or_silent(self, live: list[Machine], at_us: int) -> list[Machine]:
+    def _live(self) -> list[Machine]:
+        return [m for m in self.cluster.machines.values() if m.up and not m.deleting]
+
+    def _expired_or_silent(self, at_us: int) -> list[Machine]:
         """Return machines whose leases are over, or that are silent and look gone."""
         floor_us = self.term.floor_us()
-        silent = [m for m in live if at_us - max(m.heard_us, floor_us) > self.term.silence_us]
+        silent = [
+            machine
+            for machine in self._silent(at_us, self.term.silence_us, floor_us)
+            if machine.up and not machine.deleting
+        ]
+        if not silent:
+            return []
+        live = self._live()
         limit_us = at_us - self.term.lease_us * 2 // 3
         gone = look_gone(silent, live)
         found = []
@@ -658,14 +759,18 @@
             and at_us - machine.heard_us > self.term.report_us * 2
         )
 
-    def _in_trouble(self, machine: Machine, at_us: int) -> bool:
-        """Whether something there must be ended by deleting the machine."""
-        for attempt in machine.attempts.values():
-            if attempt.limbo_us and at_us - attempt.limbo_us > self.term.cancel_us // 4:
-                return True
-            if attempt.stop is Stop.HARD and at_us - attempt.stop_us > self.term.cancel_us // 2:
-                return True
-        return False
+    def _in_trouble(self, at_us: int) -> list[Machine]:
+        """Return machines on which something must be ended by deleting them."""
+        cluster = self.cluster
+        limbo_us, stop_us = self.term.cancel_us // 4, self.term.cancel_us // 2
+        found = [a for a in cluster.limbo.values() if a.limbo_us and at_us - a.limbo_us > limbo_us]
+        found += [
+            attempt
+            for attempt in cluster.stopping.values()
+            if attempt.stop is Stop.HARD and at_us - attempt.stop_us > stop_us
+        ]
+        machines = {a.machine: cluster.machines[a.machine] for a in found}
+        return [m for m in machines.values() if m.up and not m.deleting]
 
     def _expire(self, machine: Machine) -> None:
         """A worker's lease is surely over: all its tasks are gone."""
@@ -691,40 +796,46 @@
     async def _size_fleet(self) -> None:
         said_us = 0
         while True:
-            await asyncio.sleep(to_seconds(self._tunables.fleet.period_us))
+            await self.pacer.rest("fleet", Rank.FLEET, self._tunables.fleet.period_us)
             if not self.valid:
                 continue
             at_us = now_us()
-            if at_us >= said_us + FLEET_LOG_US:
-                said_us = at_us
-                self._log_fleet()
-            settings = self._tunables.fleet.settings()
-            upcoming = self._upcoming(at_us + settings.foresight_us)
-            closing = plan_closings(self.cluster, self.last_plan, settings, upcoming)
-            for machine in self.cluster.machines.values():
-                machine.closing = machine.name in closing
-            for machine in plan_moves(
-                self.cluster, self.last_plan, self.term.estimates, at_us, settings,
-                self.term.silence_us,
-            ):  # fmt: skip
-                self._empty(machine, at_us)
-            self.rentals.delete({m.name: m for m in plan_returns(self.cluster, at_us, settings)})
-            if self.rentals.busy:
-                continue
-            hires = plan_hires(
-                self.cluster,
-                self.last_plan,
-                self.term.market,
-                self.term.estimates,
-                self.term.goals,
-                at_us,
-                settings,
-                self.rentals.coming(),
-                self.term.demand,
-                upcoming,
-            )
-            for offer, count in hires.items():
-                self.rentals.hire(offer, count)
+            with self.pacer.hold("fleet"):
+                if at_us >= said_us + FLEET_LOG_US:
+                    said_us = at_us
+                    self._log_fleet()
+                self._size_now(at_us)
+
+    def _size_now(self, at_us: int) -> None:
+        """Look once at what to rent, what to return, and what to empty."""
+        settings = self._tunables.fleet.settings()
+        upcoming = self._upcoming(at_us + settings.foresight_us)
+        closing = plan_closings(self.cluster, self.last_plan, settings, upcoming)
+        for machine in self.cluster.machines.values():
+            machine.closing = machine.name in closing
+        for machine in plan_moves(
+            self.cluster, self.last_plan, self.term.estimates, at_us, settings,
+            self.term.silence_us,
+        ):  # fmt: skip
+            self._empty(machine, at_us)
+        self.rentals.delete({m.name: m for m in plan_returns(self.cluster, at_us, settings)})
+        if self.rentals.busy:
+            return
+        hires = plan_hires(
+            self.cluster,
+            self.last_plan,
+            self.term.market,
+            self.term.estimates,
+            self.term.goals,
+            at_us,
+            settings,
+            self.rentals.coming(),
+            self.term.demand,
+            upcoming,
+            len(self._scene.backlog) if self._scene is not None else 0,
+        )
+        for offer, count in hires.items():
+            self.rentals.hire(offer, count)
 
     def _upcoming(self, until_us: int) -> list[Upcoming]:
         """Return the jobs that are expected to wait for nothing more by then."""
@@ -766,14 +877,20 @@
     async def _forecast(self) -> None:
         """Forecast each job's finish, and say when one turns late."""
         while True:
-            await asyncio.sleep(to_seconds(self._tunables.forecast_period_us))
-            at_us = now_us()
-            for job in self.cluster.jobs.values():
-                if not job.blockers:
-                    job.forecast_us = forecast_us(self.cluster, job, self.term.estimates, at_us)
-            forecast_chains(self.chains, self.cluster, self._stage_us, at_us)
-            for job in self.cluster.jobs.values():
+            await self.pacer.rest("forecasts", Rank.FORECASTS, self._tunables.forecast_period_us)
+            with self.pacer.hold("forecasts"):
+                self._look_ahead(now_us())
+
+    def _look_ahead(self, at_us: int) -> None:
+        outlook = self._kept_outlook()
+        try:
+            for job in outlook.look(at_us):
                 self._say_if_late(job, at_us)
+        except Exception:
+            # It may have lost a job out of its sight: made anew at the next look.
+            outlook.close()
+            self._outlook = None
+            raise
 
     def _stage_us(self, job: Job) -> int:
         rate = fetch_rate(self.term.market.types)
@@ -787,7 +904,7 @@
         late = due is not None and (
             at_us > due or (job.forecast_us is not None and job.forecast_us > due)
         )
-        stuck = job.forecast_us is None and not job.spec.is_service and not job.blockers
+        stuck = looks_unable(job) and not job.spec.is_service and not job.blockers
         turned = (late or stuck) and not job.late
         # Forecasts of a whole chain waver: said once.
         job.late = late or stuck or (job.late and bool(job.spec.needs))
--- /dev/null
+++ b/weldhead/coordination/outlook.py
@@ -0,0 +1,188 @@
+"""What is to be expected of each job, looked at when it may have changed.
+
+A forecast is made when somebody asks (a poll) or when a deadline hangs on it. For the latter
+each job has a time at which it is looked at next: at once when something about it changed,
+otherwise the sooner the nearer its forecast is to what it is due, and never later than
+``recheck_us``, since a forecast also follows what others take and what boots. A look has a
+bound; who had to wait comes first in the next.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+
+from weldhead.bookkeeping.chains import Chains
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.feeds import Registry
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import Machine
+from weldhead.clock import SECOND_US, seconds_us
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.forecast import (
+    Boots,
+    due_us,
+    forecast_chains,
+    forecast_us,
+    looks_unable,
+)
+
+#: How old a forecast may be that a poll is answered with.
+FRESH_US = SECOND_US
+
+
+class BootWatch:
+    """When the next machine comes up, and how long boots take; follows the machines."""
+
+    def __init__(self, machines: Registry[Machine]) -> None:
+        self._machines = machines
+        self._feed = machines.feeds.subscribe()
+        self._types: Counter[float] = Counter()
+        self._known: dict[str, float] = {}
+        self._booting: dict[str, int] = {}
+        self._heap: list[tuple[int, str]] = []
+        for machine in machines.values():
+            self._enter(machine)
+
+    def close(self) -> None:
+        """Stop following the machines."""
+        self._feed.close()
+
+    def _enter(self, machine: Machine) -> None:
+        name = machine.name
+        known = self._known.pop(name, None)
+        if known is not None:
+            self._types[known] -= 1
+            if not self._types[known]:
+                del self._types[known]
+        self._booting.pop(name, None)
+        if self._machines.get(name) is not machine:
+            return
+        self._known[name] = machine.type.boot_s
+        self._types[machine.type.boot_s] += 1
+        if machine.booting:
+            up_us = machine.hired_us + seconds_us(machine.type.boot_s)
+            self._booting[name] = up_us
+            heappush(self._heap, (up_us, name))
+
+    def boots(self) -> Boots:
+        """Return what a forecast has to know of them."""
+        for machine in self._feed.take():
+            self._enter(machine)
+        while self._heap and self._booting.get(self._heap[0][1]) != self._heap[0][0]:
+            heappop(self._heap)
+        return Boots(
+            self._heap[0][0] if self._heap else None, seconds_us(max(self._types, default=0.0))
+        )
+
+
+class Outlook:
+    """Forecasts and lateness of all jobs; follows them."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        chains: Chains,
+        estimates: Estimates,
+        stage_us: Callable[[Job], int],
+        period_us: int,
+        recheck_us: int,
+        most: int,
+    ) -> None:
+        self._cluster = cluster
+        self._chains = chains
+        self._estimates = estimates
+        self._stage_us = stage_us
+        self._period_us = period_us
+        self._recheck_us = recheck_us
+        self._most = most
+        self._feed = cluster.jobs.feeds.subscribe()
+        self._boots = BootWatch(cluster.machines)
+        #: When each job is looked at next.
+        self._next: dict[str, int] = {}
+        self._heap: list[tuple[int, int, str]] = []
+        for job in cluster.jobs.values():
+            self._plan(job, 0)
+        #: How many forecasts were made, and looks cut short; for the log and measurements.
+        self.made = 0
+        self.cut_short = 0
+
+    def close(self) -> None:
+        """Stop following the cluster."""
+        self._feed.close()
+        self._boots.close()
+
+    def _plan(self, job: Job, at_us: int) -> None:
+        """Look at a job at that time, or earlier if that is planned already."""
+        if self._next.get(job.id, at_us + 1) <= at_us:
+            return
+        self._next[job.id] = at_us
+        heappush(self._heap, (at_us, job.serial, job.id))
+        if len(self._heap) > 64 + 4 * len(self._next):
+            self._heap = [
+                (next_us, self._cluster.jobs[name].serial, name)
+                for name, next_us in self._next.items()
+                if name in self._cluster.jobs
+            ]
+            heapify(self._heap)
+
+    def tell(self, job: Job, at_us: int) -> None:
+        """Bring a job's forecast up to date, if it waits for no others."""
+        if job.blockers or (job.forecast_at_us and at_us - job.forecast_at_us < FRESH_US):
+            return
+        self._forecast(job, at_us, self._boots.boots())
+
+    def _forecast(self, job: Job, at_us: int, boots: Boots) -> None:
+        self.made += 1
+        job.forecast_us = forecast_us(self._cluster, job, self._estimates, at_us, boots)
+        job.forecast_at_us = at_us
+
+    def look(self, at_us: int) -> list[Job]:
+        """Bring forecasts up to date; return the jobs that may have turned late, or not late."""
+        for job in self._feed.take():
+            if self._cluster.jobs.get(job.id) is job:
+                self._plan(job, at_us)
+            else:
+                self._next.pop(job.id, None)
+        boots = self._boots.boots()
+        if self._chains.blocked:
+            for job in self._chains.needed():
+                if not job.blockers:
+                    self._forecast(job, at_us, boots)
+            forecast_chains(self._chains, self._cluster, self._stage_us, at_us)
+        looked: list[Job] = []
+        while self._heap and self._heap[0][0] <= at_us:
+            if len(looked) >= self._most:
+                self.cut_short += 1
+                break
+            next_us, _, name = heappop(self._heap)
+            if self._next.get(name) != next_us:
+                continue
+            del self._next[name]
+            job = self._cluster.jobs[name]
+            looked.append(job)
+            if self._stays(job):
+                continue
+            due = due_us(job)
+            if due is None:
+                # Nothing hangs on its forecast; whether it is stuck only changes with it.
+                job.forecast_us = None if looks_unable(job) else job.forecast_us
+                continue
+            if not job.blockers:
+                self._forecast(job, at_us, boots)
+            self._plan(job, self._next_us(job, due, at_us))
+        return looked
+
+    @staticmethod
+    def _stays(job: Job) -> bool:
+        """Whether nothing more is to be expected of a job but its end."""
+        return job.cancelled or job.spec.is_service or job.complete
+
+    def _next_us(self, job: Job, due: int, at_us: int) -> int:
+        """Return when a job with a deadline is looked at next if nothing happens to it."""
+        soon_us = at_us + self._period_us
+        if job.blockers:
+            return soon_us
+        left_us = due - (job.forecast_us if job.forecast_us is not None else at_us)
+        # Half of what is left: a forecast moves away with time at most as fast as it passes.
+        pause_us = abs(left_us) // 2
+        return max(soon_us, min(at_us + pause_us, at_us + self._recheck_us))
--- /dev/null
+++ b/weldhead/coordination/pacing.py
@@ -0,0 +1,129 @@
+"""How much of the loop each duty may take, and who waits when it is short.
+
+A leader's process does everything on one loop. In this order it is given away when there is
+not enough of it, the last being put off first:
+
+1. renewing the lease, answering workers and users, committing what they wait for: never
+   put off, they run as messages come in;
+2. placement; 3. the preemptor; 4. the fleet's size; 5. forecasts.
+
+Each of 2 to 5 gets a share of the time and pauses as long as its last run demands; 3 to 5
+are put off while the loop is late, though never for longer than ``MOST_PUT_OFF_US``.
+"""
+
+import asyncio
+import enum
+import logging
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
+
+log = logging.getLogger(__name__)
+
+#: How often it is looked how late the loop is.
+TICK_US = 200 * MILLISECOND_US
+#: Nothing is put off for longer.
+MOST_PUT_OFF_US = 5 * SECOND_US
+#: Said at most so often of each duty.
+SAID_EVERY_US = 10 * SECOND_US
+
+
+class Rank(enum.IntEnum):
+    """What is put off first has the highest rank."""
+
+    PLACEMENT = 0
+    PREEMPTOR = 1
+    FLEET = 2
+    FORECASTS = 3
+
+
+#: The share of the time that a duty may take, by rank.
+SHARES = {
+    Rank.PLACEMENT: 0.5,
+    Rank.PREEMPTOR: 0.25,
+    Rank.FLEET: 0.15,
+    Rank.FORECASTS: 0.1,
+}
+
+#: How late the loop is when a rank is put off, as a share of the longest hold that is allowed.
+LATE_SHARES = {Rank.PREEMPTOR: 1.0, Rank.FLEET: 0.5, Rank.FORECASTS: 0.25}
+
+
+class Pacer:
+    """Watches the loop and the duties on it. ``most_hold_us``: a longer hold is logged."""
+
+    def __init__(
+        self,
+        most_hold_us: int,
+        clock: Callable[[], int] = now_us,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._most_hold_us = most_hold_us
+        self._clock = clock
+        self._sleep = sleep
+        #: How late the loop was at the last tick.
+        self.late_us = 0
+        #: By duty: how long its last run and its longest took, and how many were too long.
+        self.last_us: dict[str, int] = {}
+        self.longest_us: dict[str, int] = {}
+        self.held: dict[str, int] = {}
+        #: How often a duty was put off.
+        self.put_off: dict[str, int] = {}
+        self._said_us: dict[str, int] = {}
+
+    @contextmanager
+    def hold(self, duty: str) -> Iterator[None]:
+        """Measure a run of a duty, which does not wait for anything."""
+        began_us = self._clock()
+        try:
+            yield
+        finally:
+            at_us = self._clock()
+            self._took(duty, at_us - began_us, at_us)
+
+    def _took(self, duty: str, took_us: int, at_us: int) -> None:
+        self.last_us[duty] = took_us
+        self.longest_us[duty] = max(took_us, self.longest_us.get(duty, 0))
+        if took_us <= self._most_hold_us:
+            return
+        self.held[duty] = self.held.get(duty, 0) + 1
+        said_us = self._said_us.get(duty)
+        if said_us is None or at_us - said_us >= SAID_EVERY_US:
+            self._said_us[duty] = at_us
+            log.warning(
+                "duty %s held the loop for %.3f s (over %.3f s; %d times so far)",
+                duty, to_seconds(took_us), to_seconds(self._most_hold_us), self.held[duty],
+            )  # fmt: skip
+
+    def pause_us(self, duty: str, rank: Rank, period_us: int) -> int:
+        """Return how long a duty pauses, so that it takes no more than its share."""
+        took_us = self.last_us.get(duty, 0)
+        return max(period_us, round(took_us * (1 / SHARES[rank] - 1)))
+
+    def must_wait(self, rank: Rank) -> bool:
+        """Whether the loop is too late for duties of that rank."""
+        share = LATE_SHARES.get(rank)
+        return share is not None and self.late_us > share * self._most_hold_us
+
+    async def rest(self, duty: str, rank: Rank, period_us: int) -> None:
+        """Pause between two runs of a duty, longer while the loop is late."""
+        await self._sleep(to_seconds(self.pause_us(duty, rank, period_us)))
+        since_us = self._clock()
+        if self.must_wait(rank):
+            self.put_off[duty] = self.put_off.get(duty, 0) + 1
+        while self.must_wait(rank) and self._clock() - since_us < MOST_PUT_OFF_US:
+            await self._sleep(to_seconds(TICK_US))
+
+    async def watch(self) -> None:
+        """See how late the loop is; a duty."""
+        while True:
+            due_us = self._clock() + TICK_US
+            await self._sleep(to_seconds(TICK_US))
+            self.late_us = max(0, self._clock() - due_us)
+
+    def summary(self) -> str:
+        """Return what was too long and what was put off, in one line; "" if nothing."""
+        parts = [f"{duty} held {count} times" for duty, count in sorted(self.held.items())]
+        parts += [f"{duty} put off {count} times" for duty, count in sorted(self.put_off.items())]
+        return ", ".join(parts)
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -9,14 +9,16 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from heapq import heapify, heappop, heapreplace
 
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
-from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
+from weldhead.bookkeeping.machines import Machine, how_many
+from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import SECOND_US, seconds_us
+from weldhead.coordination.backlog import Backlog, Reserve, Shape, Unplaced
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals, Press
+from weldhead.coordination.goals import Goals
 
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
 #: is rented at the ordinary price: those are to fall idle and be returned.
@@ -41,7 +43,7 @@
 
     starts: list[Start] = field(default_factory=list)
     #: Jobs whose tasks found no room, with how many of them the limits would allow.
-    unplaced: list[tuple[Job, int]] = field(default_factory=list)
+    unplaced: Unplaced = field(default_factory=Unplaced)
 
 
 class Room:
@@ -84,60 +86,43 @@
         return self._pulls
 
 
-class Shape(NamedTuple):
-    """What decides where a task fits, whoever's it is."""
-
-    cpus: float
-    gpus: float
-    memory_gb: float
-    types: tuple[str, ...] | None
-    zone: str | None
-    spot: bool
-
-    @classmethod
-    def of(cls, job: Job) -> "Shape":
-        """Return the shape of a job's tasks."""
-        spec = job.spec
-        return cls(spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
-
-
 class Rooms:
     """The machines that may take work in this pass.
 
-    Only those that have room for the smallest waiting task are looked at, and a shape that
-    found no room is not looked for again: in a pass room only shrinks.
+    In a pass room only shrinks, so a shape that found none is not looked for again, and
+    between passes not before some appears (``FreeRooms``).
     """
 
-    def __init__(self, cluster: Cluster, waiting: list[Job], at_us: int, silence_us: int) -> None:
-        self._least_cpus = min(job.spec.cpus for job in waiting) - EPSILON
-        self._least_memory_gb = min(job.spec.memory_gb for job in waiting) - EPSILON
-        self.open = [
-            Room(machine)
-            for machine in cluster.machines.values()
-            if machine.cpus >= self._least_cpus
-            and machine.memory_gb >= self._least_memory_gb
-            and usable(machine, at_us, silence_us)
-        ]
+    def __init__(self, free: FreeRooms, at_us: int, silence_us: int) -> None:
+        self._free = free
+        self._at_us = at_us
+        self._silence_us = silence_us
+        self._rooms: dict[str, Room] = {}
         self._hopeless: set[Shape] = set()
 
+    def hopeless(self, job: Job) -> bool:
+        """Whether it is known that no machine has room for the job's tasks."""
+        return Shape.of(job) in self._hopeless
+
     def for_job(self, job: Job) -> list[Room]:
         """Return the machines with room for the job's tasks."""
         shape = Shape.of(job)
-        if not self.open or shape in self._hopeless:
+        if shape in self._hopeless:
             return []
-        fitting = [r for r in self.open if r.fits(job) > 0 and r.machine.allows(job)]
+        fitting = []
+        for machine in self._free.candidates(shape, job.spec.cpus, job.spec.memory_gb):
+            if not machine.allows(job) or not usable(machine, self._at_us, self._silence_us):
+                continue
+            room = self._rooms.get(machine.name)
+            if room is None:
+                room = self._rooms[machine.name] = Room(machine)
+            if room.fits(job) > 0:
+                fitting.append(room)
+        self._free.found(shape, bool(fitting))
         if not fitting:
             self._hopeless.add(shape)
         return fitting
 
-    def close_full(self) -> None:
-        """Forget machines that have no room for any waiting task."""
-        self.open = [
-            room
-            for room in self.open
-            if room.cpus >= self._least_cpus and room.memory_gb >= self._least_memory_gb
-        ]
-
 
 def usable(machine: Machine, at_us: int, silence_us: int) -> bool:
     """Whether new work may be placed on a machine."""
@@ -151,27 +136,6 @@
     )
 
 
-def order_key(
-    job: Job, estimates: Estimates, goals: Goals, at_us: int, patience_us: int
-) -> tuple[int, ...]:
-    """Sort waiting jobs: by need, then priority; those with time to spare by laxity alone."""
-    task_us = estimates.task_us(job)
-    press = goals.press(job, task_us, at_us, patience_us)
-    return (
-        press,
-        -job.level if press is not Press.PATIENT else 0,
-        1 if job.spec.is_service else 0,
-        goals.laxity_us(job, task_us, at_us),
-        job.first_seen_us,
-    )
-
-
-def guaranteed_tasks(cluster: Cluster, job: Job, cpus: float, gpus: float) -> int:
-    """How many more tasks fit inside the team's guarantee, given its use."""
-    team = cluster.teams[job.team]
-    return min(job.waiting, how_many(job.spec, team.cpus - cpus, team.gpus - gpus))
-
-
 def fetch_delay_us(job: Job, room: Room) -> int:
     """Estimate how long the image takes to arrive on a machine."""
     spec = job.spec
@@ -197,6 +161,27 @@
     return delay_s + idle + dear + left
 
 
+class Scene:
+    """What placement is decided by: the cluster, and what is kept in order about it."""
+
+    def __init__(
+        self, cluster: Cluster, estimates: Estimates, goals: Goals, patience_us: int
+    ) -> None:
+        self.cluster = cluster
+        self.backlog = Backlog(cluster, estimates, goals, patience_us)
+        self.free = FreeRooms(cluster.machines)
+
+    def refresh(self, at_us: int) -> None:
+        """Take up what has changed, and what time has brought."""
+        self.backlog.refresh(at_us)
+        self.free.refresh()
+
+    def close(self) -> None:
+        """Stop following the cluster."""
+        self.backlog.close()
+        self.free.close()
+
+
 def plan_starts(
     cluster: Cluster,
     estimates: Estimates,
@@ -206,44 +191,104 @@
     patience_us: int,
     fetch_weight: float = 1.0,
 ) -> Plan:
-    """Decide which waiting tasks start where."""
+    """Decide which waiting tasks start where, of a cluster that nobody follows yet."""
+    scene = Scene(cluster, estimates, goals, patience_us)
+    try:
+        return plan_pass(scene, at_us, silence_us, fetch_weight)
+    finally:
+        scene.close()
+
+
+def plan_pass(scene: Scene, at_us: int, silence_us: int, fetch_weight: float = 1.0) -> Plan:
+    """Decide which waiting tasks start where.
+
+    The same plan as one that looks at all waiting jobs, each in its turn; but a queue of
+    jobs of one kind is left at the first that finds no room, or for which the limit or the
+    guarantee of its team has none.
+    """
+    scene.refresh(at_us)
     plan = Plan()
-    reserved: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
-    planned_zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
-    planned: dict[str, int] = defaultdict(int)
-    waiting = [
-        job
-        for job in cluster.waiting_jobs()
-        if job.not_before_us <= at_us and job.team in cluster.teams
-    ]
-    if not waiting:
+    if not scene.backlog.queues:
         return plan
-    rooms = Rooms(cluster, waiting, at_us, silence_us)
-    waiting.sort(key=lambda job: order_key(job, estimates, goals, at_us, patience_us))
+    run = _PlacementPass(scene, plan, Rooms(scene.free, at_us, silence_us), fetch_weight)
     # Two rounds: first what each team is guaranteed, then what it borrows.
-    for guaranteed in (True, False):
-        for job in waiting:
-            held = reserved[job.team]
-            usage = cluster.usage[job.team]
-            allowed = min(
-                job.waiting - planned[job.id], cluster.within_limit(job, held[0], held[1])
-            )
-            if guaranteed:
-                most = guaranteed_tasks(cluster, job, usage.cpus + held[0], usage.gpus + held[1])
-                allowed = min(allowed, most)
-            if allowed <= 0:
-                continue
-            placed = _place(
-                plan, job, allowed, rooms, planned[job.id], planned_zones[job.id], fetch_weight
-            )
-            planned[job.id] += placed
-            held[0] += job.spec.cpus * placed
-            held[1] += job.spec.gpus * placed
-            if not guaranteed and allowed > placed:
-                plan.unplaced.append((job, allowed - placed))
+    run.give(guaranteed=True)
+    run.give(guaranteed=False)
     return plan
 
 
+class _PlacementPass:
+    """One pass over the queues."""
+
+    def __init__(self, scene: Scene, plan: Plan, rooms: Rooms, fetch_weight: float) -> None:
+        self._cluster = scene.cluster
+        self._queues = scene.backlog.queues
+        self._plan = plan
+        self._rooms = rooms
+        self._fetch_weight = fetch_weight
+        self._reserves = {
+            team: Reserve(scene.cluster, team) for team in {kind.team for kind in self._queues}
+        }
+        self._planned: dict[str, int] = defaultdict(int)
+        self._zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+
+    def give(self, *, guaranteed: bool) -> None:
+        """Go through the queues in one order, and leave those where no more is to be had."""
+        if not guaranteed:
+            for reserve in self._reserves.values():
+                reserve.mark(None)
+        heap = [(queue[0], 0, kind) for kind, queue in self._queues.items()]
+        heapify(heap)
+        while heap:
+            entry, number, kind = heap[0]
+            job, reserve = entry.job, self._reserves[kind.team]
+            most = self._most(job, reserve, guaranteed=guaranteed)
+            if most <= 0:
+                # Neither is there any for those behind it: the team only gets more.
+                heappop(heap)
+                continue
+            if self._rooms.hopeless(job):
+                heappop(heap)
+                if not guaranteed:
+                    self._plan.unplaced.add_tail(kind, self._queues[kind], number, reserve)
+                continue
+            allowed = min(job.waiting - self._planned[job.id], most)
+            if allowed > 0:
+                placed = self._place(job, allowed, reserve)
+                if not guaranteed:
+                    if placed:
+                        reserve.mark(entry)
+                    if allowed > placed:
+                        self._plan.unplaced.add(entry, allowed - placed)
+            if number + 1 < len(self._queues[kind]):
+                heapreplace(heap, (self._queues[kind][number + 1], number + 1, kind))
+            else:
+                heappop(heap)
+
+    def _most(self, job: Job, reserve: Reserve, *, guaranteed: bool) -> int:
+        """How many tasks of a job its team may be given more."""
+        most = how_many(
+            job.spec, reserve.most_cpus - reserve.cpus, reserve.most_gpus - reserve.gpus
+        )
+        if guaranteed:
+            team, usage = self._cluster.teams[job.team], self._cluster.usage[job.team]
+            cpus = team.cpus - (usage.cpus + reserve.cpus)
+            gpus = team.gpus - (usage.gpus + reserve.gpus)
+            most = min(most, how_many(job.spec, cpus, gpus))
+        return most
+
+    def _place(self, job: Job, allowed: int, reserve: Reserve) -> int:
+        placed = _place(
+            self._plan, job, allowed, self._rooms, self._planned[job.id], self._zones[job.id],
+            self._fetch_weight,
+        )  # fmt: skip
+        if placed:
+            self._planned[job.id] += placed
+            self._plan.unplaced.given(job, self._planned[job.id])
+            reserve.give(job, placed)
+        return placed
+
+
 def _place(
     plan: Plan,
     job: Job,
@@ -283,7 +328,6 @@
         else:
             rest.append(index)
     if not rest:
-        rooms.close_full()
         return count
     fitting.sort(key=lambda room: score(job, room, fetch_weight))
     if job.spec.one_zone and not any(zones.values()):
@@ -305,6 +349,4 @@
         plan.starts += [Start(job, index, room.machine) for index in rest[:number]]
         rest = rest[number:]
         count += number
-    if count:
-        rooms.close_full()
     return count
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/coordination/preemptor.py
@@ -17,7 +17,9 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
+from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import seconds_us
+from weldhead.coordination.backlog import Walk
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.placement import Plan, usable
@@ -33,13 +35,13 @@
     silence_us: int
 
 
-def over_guarantee(cluster: Cluster, job: Job, freed: dict[str, float]) -> bool:
-    """Whether the job's team runs more than it is guaranteed."""
-    team = cluster.teams.get(job.team)
+def over_guarantee(cluster: Cluster, name: str, freed: dict[str, float]) -> bool:
+    """Whether a team runs more than it is guaranteed."""
+    team = cluster.teams.get(name)
     if team is None:
         return True
-    usage = cluster.usage[job.team]
-    return usage.cpus - freed[job.team] > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
+    usage = cluster.usage[name]
+    return usage.cpus - freed[name] > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
 
 
 def within_guarantee(cluster: Cluster, job: Job, claimed: dict[str, float]) -> bool:
@@ -91,45 +93,78 @@
         estimates: Estimates,
         at_us: int,
         settings: PreemptorSettings,
+        free: FreeRooms,
     ) -> None:
         self.cluster = cluster
         self.estimates = estimates
         self.at_us = at_us
-        self.machines: dict[str, Machine] = {}
+        self._settings = settings
+        self._index = free
         self.taken: set[int] = set()
-        #: Room that is free or being freed on each machine, less what is promised already.
-        self.free: dict[str, list[float]] = {}
+        #: Room that is free or being freed on a machine, less what is promised already; as
+        #: far as it has been looked at. None: the machine takes no new work.
+        self._free: dict[str, list[float] | None] = {}
+        #: How that differs from what is free, where it does.
+        self._moved: dict[str, list[float]] = {}
         self.freed: dict[str, float] = defaultdict(float)
         self.claimed: dict[str, float] = defaultdict(float)
-        for machine in cluster.machines.values():
-            room = [machine.cpus, machine.gpus, machine.memory_gb]
-            for attempt in machine.attempts.values():
-                if attempt.stop is not Stop.NO:
-                    self._add(room, attempt.job, 1)
-                    self.freed[attempt.job.team] += attempt.job.spec.cpus
-            if usable(machine, at_us, settings.silence_us):
-                self.machines[machine.name] = machine
-                self.free[machine.name] = room
+        for attempt in cluster.stopping.values():
+            self._move(attempt.machine, attempt.job, 1)
+            self.freed[attempt.job.team] += attempt.job.spec.cpus
         for entry in lists.entries():
             job = cluster.jobs.get(entry.job_id)
             if job is None:
                 continue
-            if entry.machine in self.free:
-                self._add(self.free[entry.machine], job, -1)
+            self._move(entry.machine, job, -1)
             self.claimed[job.team] += job.spec.cpus
-        #: Jobs that hold room: the lowest level first, in it the one that holds most.
-        self.order = sorted(
-            (job for job in cluster.jobs.values() if job.active),
-            key=lambda job: (
-                job.level,
-                job.spec.is_service,
-                -len(job.active) * job.spec.cpus,
-                -job.first_seen_us,
-            ),
-        )
-        self._rank = {job.id: number for number, job in enumerate(self.order)}
+        self._order: list[Job] | None = None
+        self._rank: dict[str, int] = {}
+        self._holders: set[tuple[int, str]] | None = None
         self._attempts: dict[str, list[Attempt]] = {}
         self._claims: dict[tuple[object, ...], _Claim] = {}
+        #: Room beyond what was asked for has appeared: claimants that found none look again.
+        self.reopened = False
+
+    def _move(self, machine: str, job: Job, sign: int) -> None:
+        self._add(self._moved.setdefault(machine, [0.0, 0.0, 0.0]), job, sign)
+
+    def room(self, name: str) -> list[float] | None:
+        """Return what is free or being freed on a machine; None: nothing may be put there."""
+        if name in self._free:
+            return self._free[name]
+        machine = self.cluster.machines.get(name)
+        found: list[float] | None = None
+        if machine is not None and usable(machine, self.at_us, self._settings.silence_us):
+            found = [machine.cpus, machine.gpus, machine.memory_gb]
+            for number, amount in enumerate(self._moved.get(name, ())):
+                found[number] += amount
+        self._free[name] = found
+        return found
+
+    @property
+    def order(self) -> list[Job]:
+        """Jobs that hold room: the lowest level first, in it the one that holds most."""
+        if self._order is None:
+            self._order = sorted(
+                self.cluster.holders.values(),
+                key=lambda job: (
+                    job.level,
+                    job.spec.is_service,
+                    -len(job.active) * job.spec.cpus,
+                    -job.first_seen_us,
+                    job.serial,
+                ),
+            )
+            self._rank = {job.id: number for number, job in enumerate(self._order)}
+        return self._order
+
+    def nobody_to_stop(self, claimant: Job, guaranteed: bool) -> bool:
+        """Whether no job that holds room is one that the claimant may stop tasks of."""
+        if self._holders is None:
+            self._holders = {(job.level, job.team) for job in self.cluster.holders.values()}
+        return not any(
+            self.may_stop_work(claimant, level, team, guaranteed) for level, team in self._holders
+        )
 
     @staticmethod
     def _add(room: list[float], job: Job, sign: int) -> None:
@@ -157,12 +192,14 @@
 
     def may_stop_of(self, claimant: Job, job: Job, guaranteed: bool) -> bool:
         """Whether the rules let the claimant stop tasks of this job."""
-        if job is claimant:
-            return False
-        borrowed = over_guarantee(self.cluster, job, self.freed)
-        if job.level < claimant.level:
-            return job.team == claimant.team or borrowed or guaranteed
-        return guaranteed and borrowed and job.team != claimant.team
+        return job is not claimant and self.may_stop_work(claimant, job.level, job.team, guaranteed)
+
+    def may_stop_work(self, claimant: Job, level: int, team: str, guaranteed: bool) -> bool:
+        """Whether the rules let the claimant stop a team's work of a level."""
+        borrowed = over_guarantee(self.cluster, team, self.freed)
+        if level < claimant.level:
+            return team == claimant.team or borrowed or guaranteed
+        return guaranteed and borrowed and team != claimant.team
 
     def may_stop(self, claimant: Job, victim: Attempt, guaranteed: bool) -> bool:
         """Whether the rules let the claimant stop this task."""
@@ -172,11 +209,10 @@
             and self.may_stop_of(claimant, victim.job, guaranteed)
         )
 
-    def may_claim(self, claimant: Job, goals: Goals, patience_us: int) -> bool:
-        """Whether the claimant cannot simply wait: it presses, or it is guaranteed room."""
-        task_us = self.estimates.task_us(claimant)
-        press = goals.press(claimant, task_us, self.at_us, patience_us)
-        return press is not Press.PATIENT or within_guarantee(self.cluster, claimant, self.claimed)
+    def press(self, claimant: Job, goals: Goals) -> Press:
+        """Say how urgently a claimant needs room: the patient claim none by themselves."""
+        task_us = self.estimates.order_us(claimant)
+        return goals.press(claimant, task_us, self.at_us, self._settings.claim_patience_us)
 
     def _claim(self, claimant: Job) -> _Claim:
         """Return what claimants of the same kind share."""
@@ -189,11 +225,24 @@
         )  # fmt: skip
         claim = self._claims.get(kind)
         if claim is None:
-            rooms = [name for name, room in self.free.items() if self._fits(room, claimant)]
-            rooms.reverse()
+            rooms = self._rooms_for(claimant)
             claim = self._claims[kind] = _Claim(rooms)
         return claim
 
+    def _rooms_for(self, claimant: Job) -> list[str]:
+        """Return the machines where room for the claimant is free or being freed, last first."""
+        spec = claimant.spec
+        names = {machine.name for machine in self._index.with_room(spec.cpus, spec.memory_gb)}
+        names.update(self._moved)
+        names.update(self._free)
+        found = []
+        for name in names:
+            room = self.room(name)
+            if room is not None and self._fits(room, claimant):
+                found.append(self.cluster.machines[name])
+        found.sort(key=lambda machine: machine.serial, reverse=True)
+        return [machine.name for machine in found]
+
     def _may_be_on(self, claimant: Job, machine: Machine) -> bool:
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
 
@@ -204,11 +253,14 @@
         # job of six small tasks stopped six large ones (found on the bench).
         while claim.rooms:
             name = claim.rooms[-1]
-            if self._fits(self.free[name], claimant):
-                if self._may_be_on(claimant, self.machines[name]):
-                    return self._take(claimant, name, [])
+            room = self.room(name)
+            if room is not None and self._fits(room, claimant):
+                if self._may_be_on(claimant, self.cluster.machines[name]):
+                    return self._take(claimant, name, room, [])
             claim.rooms.pop()
         guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
+        if self._order is None and self.nobody_to_stop(claimant, guaranteed):
+            return None
         while claim.job < len(self.order):
             job = self.order[claim.job]
             if self.may_stop_of(claimant, job, guaranteed):
@@ -216,23 +268,29 @@
                 while claim.attempt < len(attempts):
                     attempt = attempts[claim.attempt]
                     claim.attempt += 1
-                    machine = self.machines.get(attempt.machine)
-                    if machine is None or attempt.stop is not Stop.NO or id(attempt) in self.taken:
+                    if attempt.stop is not Stop.NO or id(attempt) in self.taken:
                         continue
-                    if not self._may_be_on(claimant, machine):
+                    machine = self.cluster.machines[attempt.machine]
+                    room = self.room(attempt.machine)
+                    if room is None or not self._may_be_on(claimant, machine):
                         continue
-                    victims = self._complete(claimant, attempt, machine, guaranteed)
+                    victims = self._complete(claimant, attempt, machine, room, guaranteed)
                     if victims:
-                        return self._take(claimant, attempt.machine, victims)
+                        return self._take(claimant, attempt.machine, room, victims)
             claim.job += 1
             claim.attempt = 0
         return None
 
     def _complete(
-        self, claimant: Job, first: Attempt, machine: Machine, guaranteed: bool
+        self,
+        claimant: Job,
+        first: Attempt,
+        machine: Machine,
+        free: list[float],
+        guaranteed: bool,
     ) -> list[Attempt]:
         """Return the victim and what else must go on its machine, or nothing."""
-        room = list(self.free[machine.name])
+        room = list(free)
         victims = [first]
         self._add(room, first.job, 1)
         if self._fits(room, claimant):
@@ -250,8 +308,9 @@
                 return victims
         return []
 
-    def _take(self, claimant: Job, machine: str, victims: list[Attempt]) -> Reclaim:
-        room = self.free[machine]
+    def _take(
+        self, claimant: Job, machine: str, room: list[float], victims: list[Attempt]
+    ) -> Reclaim:
         for victim in victims:
             self.taken.add(id(victim))
             self._add(room, victim.job, 1)
@@ -261,6 +320,7 @@
         if victims and room[0] > EPSILON:
             for claim in self._claims.values():
                 claim.rooms.append(machine)
+            self.reopened = True
         return Reclaim(claimant.id, machine, victims, self.at_us)
 
 
@@ -273,22 +333,49 @@
     settings: PreemptorSettings,
     goals: Goals,
     most: int = 64,
+    free: FreeRooms | None = None,
 ) -> list[Reclaim]:
     """Return the new requests of one run; ``plan`` says who found no room."""
-    if not plan.unplaced:
-        return []
-    run = _Pass(cluster, lists, estimates, at_us, settings)
+    walk = plan.unplaced.walk()
+    following = free if free is not None else FreeRooms(cluster.machines)
+    try:
+        following.refresh()
+        return _reclaims(
+            _Pass(cluster, lists, estimates, at_us, settings, following), walk, lists, goals, most
+        )
+    finally:
+        if free is None:
+            following.close()
+
+
+def _reclaims(
+    run: _Pass, walk: Walk, lists: ReclaimLists, goals: Goals, most: int
+) -> list[Reclaim]:
+    """Choose victims for those who found no room, in order.
+
+    A queue of claimants of one kind is left where the next of them could not claim, or
+    found nobody to stop, as then none behind it can or does.
+    """
     reclaims: list[Reclaim] = []
-    for job, unplaced in plan.unplaced:
-        if not run.may_claim(job, goals, settings.claim_patience_us):
+    while (found := walk.next()) is not None:
+        job, unplaced = found
+        press = run.press(job, goals)
+        if press is Press.PATIENT and not within_guarantee(run.cluster, job, run.claimed):
+            # They stand in the order of their laxity: those behind have more of it. What is
+            # late already claims, and comes after what can be in time.
+            walk.skip_to(Press.LATE)
             continue
         for _ in range(max(0, unplaced - lists.count(job.id))):
             if len(reclaims) >= most:
                 return reclaims
             reclaim = run.choose(job)
             if reclaim is None:
+                walk.leave()
                 break
             reclaims.append(reclaim)
+            if run.reopened:
+                run.reopened = False
+                walk.revive()
     return reclaims
 
 
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -57,6 +57,8 @@
     if report.session > machine.session and machine.session:
         for attempt in cluster.release_all(machine):
             outcome.lost.append((attempt, "new session"))
+    if machine.booting:
+        machine.touch()
     machine.order = (report.session, report.sequence)
     machine.token = max(machine.token, report.token)
     if report.address:
@@ -64,7 +66,7 @@
     if report.notice_s is not None:
         machine.notice_until_us = at_us + seconds_us(report.notice_s)
     had_free = machine.cpus
-    was_synced = machine.synced
+    was_synced, was_haunted = machine.synced, bool(machine.ghosts)
     seen: set[str] = set()
     listed: set[tuple[str, int]] = set()
     for task in report.tasks:
@@ -101,7 +103,12 @@
             outcome.lost.append((attempt, "gone from its worker"))
     if not direct:
         machine.report_sequence = report.sequence
+    if was_haunted and not machine.ghosts:
+        # Placement may use it again: nobody else would tell that its room is to be had.
+        outcome.room = True
     outcome.room = outcome.room or machine.cpus > had_free or (machine.synced and not was_synced)
+    if outcome.room:
+        machine.touch()
     return outcome
 
 
@@ -207,7 +214,7 @@
         machine.note_image(job.spec.image, job.spec.image_gb)
     cluster.adopt(attempt, machine)
     if job.cancelled:
-        attempt.stop, attempt.stop_us, attempt.reason = Stop.HARD, at_us, "cancelled"
+        cluster.stop(attempt, Stop.HARD, at_us, "cancelled")
     return attempt
 
 
@@ -221,11 +228,7 @@
     ):
         cluster.release(attempt)
         return True
-    if stop.value > attempt.stop.value:
-        if attempt.stop is Stop.NO:
-            attempt.stop_us = at_us
-            attempt.reason = reason
-        attempt.stop = stop
+    cluster.stop(attempt, stop, at_us, reason)
     return False
 
 
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -3,6 +3,9 @@
 Nonsense from the service is a failed call, never an empty answer.
 """
 
+import asyncio
+import logging
+from collections.abc import AsyncIterator
 from typing import TypeVar
 
 import msgspec
@@ -24,8 +27,13 @@
 from weldhead.transport.budget import Budget
 from weldhead.transport.http import CallFailed, HttpClient
 
+log = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
+#: Before a page that failed is asked for again.
+PAGE_PAUSE_S = 0.2
+
 
 class Refused(CallFailed):
     """The service said that it did not execute the request (503, 429)."""
@@ -128,30 +136,45 @@
             raise CallFailed(f"state service: {status}")
         return decode(body, Entry)
 
-    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
-        """Read all keys with a prefix, and a revision from which to watch.
+    async def pages(self, prefix: str) -> AsyncIterator[tuple[list[Entry], int]]:
+        """Read all keys with a prefix; yield each page with the first page's revision.
 
         Pages are read one after the other; a change between two pages is seen by a watch
-        that starts at the first page's revision.
+        that starts at the first page's revision. A page that fails is asked for again: at
+        size a reader that began anew came to no end while the service was slow.
         """
-        entries: list[Entry] = []
         revision: int | None = None
         start = ""
         while True:
             path = f"/store?starts={prefix}&most=1000" + (f"&from={start}" if start else "")
-            status, body = await self._call("GET", path, None, 3 * SECOND_US, True)
-            if status != 200:
-                raise CallFailed(f"state service: {status}")
-            page = decode(body, Page)
+            try:
+                status, body = await self._call("GET", path, None, 3 * SECOND_US, True)
+                if status != 200:
+                    raise CallFailed(f"state service: {status}")
+                page = decode(body, Page)
+            except CallFailed as error:
+                if revision is None:
+                    raise
+                log.info("page of %s behind %s: %s", prefix, start, error)
+                await asyncio.sleep(PAGE_PAUSE_S)
+                continue
             if revision is None:
                 revision = page.revision
-            entries += page.items
-            if not page.more:
-                return entries, revision
-            if not page.items:
+            if page.more and not page.items:
                 raise CallFailed("state service: empty page that claims more")
+            yield page.items, revision
+            if not page.more:
+                return
             start = page.items[-1].key
 
+    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
+        """Read all keys with a prefix at once, and a revision from which to watch."""
+        entries: list[Entry] = []
+        revision = 0
+        async for page, revision in self.pages(prefix):  # noqa: B007
+            entries += page
+        return entries, revision
+
     async def transact(
         self,
         conditions: list[Condition],
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -59,6 +59,7 @@
     move_worth_us: int = 30 * SECOND_US
     most_moves: int = 20
     foresight_us: int = 45 * SECOND_US
+    most_considered: int = 4_000
 
     def settings(self) -> FleetSettings:
         """Return what one run needs."""
@@ -77,6 +78,7 @@
             move_worth_us=self.move_worth_us,
             most_moves=self.most_moves,
             foresight_us=self.foresight_us,
+            most_considered=self.most_considered,
         )
 
 
@@ -90,6 +92,9 @@
     commit_gather_us: int = 100 * MILLISECOND_US
     progress_gather_us: int = 1 * SECOND_US
     forecast_period_us: int = 1 * SECOND_US
+    forecast_recheck_us: int = 4 * SECOND_US
+    most_forecasts: int = 5_000
+    most_hold: float = 0.1
     chain_margin: float = 0.25
     leadership: LeadershipTunables = field(default_factory=LeadershipTunables)
     preemptor: PreemptorTunables = field(default_factory=PreemptorTunables)
