Rentals: parts of an order that were never sent are dropped once one is refused

Cause: an order for hundreds of machines goes out in parts of 50.

Change: a part asks once more, in the moment before it is sent, whether its offer was refused since; one that was never sent can be dropped, any other is settled as before.

--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -30,6 +30,7 @@
 from weldhead.coordination.silence import look_gone
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import RentalRequest
+from weldhead.transport.cloud import NoCapacity, NotAsked
 from weldhead.transport.state import StateClient
 from weldhead.tunables.defaults import Tunables
 
@@ -181,9 +182,20 @@
         self.rented: list[RentalRequest] = []
         self.deleted: list[list[str]] = []
         self.next = 0
-
-    async def rent(self, request: RentalRequest) -> list[str]:
-        self.rented.append(request)
+        self.capacity = 1_000_000
+        self.turn = asyncio.Lock()
+
+    async def rent(
+        self, request: RentalRequest, wanted: Callable[[], bool] = lambda: True
+    ) -> list[str]:
+        # One call at a time, as the cloud's budget has it.
+        async with self.turn:
+            if not wanted():
+                raise NotAsked
+            await asyncio.sleep(0)
+            self.rented.append(request)
+            if self.next + request.count > self.capacity:
+                raise NoCapacity
         self.next += request.count
         return [f"vm-{self.next - n:06}" for n in range(request.count)]
 
@@ -238,6 +250,36 @@
     asyncio.run(scenario())
 
 
+def test_what_was_never_sent_is_not_asked_for_once_a_part_of_it_is_refused() -> None:
+    """Each of many parts was refused in turn, at the cloud's few calls a second."""
+    state, cloud = StandInState(), StandInCloud()
+    leader = new_leader(state, now_us())
+    leader.term.cloud = cast(Any, cloud)
+    cloud.capacity = 100
+    rentals = leader.rentals
+
+    async def scenario() -> None:
+        duty = asyncio.create_task(leader.ledger.run())
+        rentals.hire(Offer(machine_type(), "a", True), 500)
+        # What an earlier leader may have asked for has to be settled all the same.
+        rentals._records["n-9-9-1"] = HireRecord("m4", "a", True, 7, 0)
+        await settle()
+        assert [request.count for request in cloud.rented][:3] == [50, 50, 50]
+        asked = len(cloud.rented)
+        assert asked == 3
+        await rentals._settle("n-9-9-1")
+        assert cloud.rented[asked].request == "n-9-9-1"
+        assert len(leader.cluster.machines) == 100
+        await settle()
+        # Nothing of what was refused, or never asked for, stays on record.
+        assert len([key for key in state.keys if key.startswith(HIRES)]) == 2
+        assert not rentals.coming() and not rentals._unsent
+        await leader.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 def test_a_rentals_machines_are_divided_so_that_each_record_fits_with_all_addresses() -> None:
     for limit in (1024, 2048, 8192):
         names: dict[str, str | None] = {f"vm-{n:012}": None for n in range(50)}
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -17,7 +17,7 @@
 from weldhead.coordination.fleet import Coming, Offer
 from weldhead.coordination.term import Term
 from weldhead.protocol.wire import ListedMachine, MachineType, RentalRequest, Report
-from weldhead.transport.cloud import BadRental, NoCapacity
+from weldhead.transport.cloud import BadRental, NoCapacity, NotAsked
 from weldhead.transport.http import CallFailed
 
 log = logging.getLogger(__name__)
@@ -47,6 +47,8 @@
         self._doomed: dict[str, Machine] = {}
         self._limit = term.state.limits.value_bytes
         self._deletion = asyncio.Event()
+        #: Rentals of this term that were never sent to the cloud: only those can be dropped.
+        self._unsent: set[str] = set()
 
     # -- the books -----------------------------------------------------------------------
 
@@ -182,6 +184,7 @@
             self._records[name] = HireRecord(
                 offer.type.name, offer.zone, offer.spot, part, wall_us()
             )
+            self._unsent.add(name)
             self._term.duties.once("hire", self._rent(name))
 
     def _new_name(self) -> str:
@@ -213,9 +216,17 @@
             if not term.valid:
                 await asyncio.sleep(0.1)
                 continue
+            if not self._wanted(name):
+                # Another part of the same order was refused meanwhile: to ask for this one
+                # as well kept the few calls from types that are to be had (found at size).
+                names = []
+                log.debug("not asked for: %s in %s (spot: %s)", *offer)
+                break
             try:
-                names = await term.cloud.rent(request)
+                names = await term.cloud.rent(request, partial(self._send, name))
                 log.info("rented %s in %s (spot: %s): %s", *offer, ", ".join(names))
+            except NotAsked:
+                continue
             except NoCapacity:
                 names = []
                 log.info("no capacity for %s in %s (spot: %s)", *offer)
@@ -226,7 +237,9 @@
                 log.info("rental unanswered: %s", error)
                 await asyncio.sleep(0.5)
         at_us = now_us()
-        if len(names) < record.count:
+        if name in self._unsent:
+            self._unsent.discard(name)
+        elif len(names) < record.count:
             backoff_us = term.tunables.fleet.refusal_backoff_us
             term.market.refused_until_us[offer] = at_us + backoff_us
         fresh = [n for n in names if n not in term.cluster.machines and n not in self._adopting]
@@ -238,6 +251,21 @@
             self._add_machine(machine_name, name, at_us, wall_us())
         await self._enter(name)
 
+    def _wanted(self, name: str) -> bool:
+        """Whether a rental is to be asked for: what may have been sent must be settled."""
+        if name not in self._unsent:
+            return True
+        record = self._records[name]
+        offer = (record.type, record.zone, record.spot)
+        return self._term.market.refused_until_us.get(offer, 0) <= now_us()
+
+    def _send(self, name: str) -> bool:
+        """The cloud's turn has come: from here on the rental may have been asked for."""
+        wanted = self._wanted(name)
+        if wanted:
+            self._unsent.discard(name)
+        return wanted
+
     async def _write_or_drop(self, name: str) -> None:
         try:
             await self._write(name)
--- a/weldhead/transport/budget.py
+++ b/weldhead/transport/budget.py
@@ -33,6 +33,10 @@
         self._level -= amount
         return True
 
+    def give_back(self, amount: float) -> None:
+        """What was taken has not been used."""
+        self._level = min(self._burst, self._level + amount)
+
     def drain(self) -> None:
         """Empty the bucket: the service says that the rate is used up."""
         self._fill(now_us())
--- a/weldhead/transport/cloud.py
+++ b/weldhead/transport/cloud.py
@@ -1,6 +1,7 @@
 """The cloud's client, within its rate; nonsense counts as a failed call."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -27,6 +28,10 @@
     """The cloud calls the request malformed."""
 
 
+class NotAsked(Exception):
+    """When its turn came, the request was not wanted any more; it was never sent."""
+
+
 class CloudClient:
     """All calls to the cloud."""
 
@@ -36,9 +41,18 @@
         self._budget = Budget(limits.rps * 0.9, limits.rps * 1.5, limits.rps * 0.5)
 
     async def _call(
-        self, method: str, path: str, body: bytes | None, *, urgent: bool = False
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        *,
+        urgent: bool = False,
+        wanted: Callable[[], bool] | None = None,
     ) -> tuple[int, bytes]:
         await self._budget.take(urgent=urgent)
+        if wanted is not None and not wanted():
+            self._budget.give_back(1.0)
+            raise NotAsked
         return await self._http.call(method, self._base + path, body, 6 * SECOND_US)
 
     async def catalog(self) -> list[MachineType]:
@@ -51,9 +65,16 @@
             raise CallFailed("cloud: empty catalog")
         return types
 
-    async def rent(self, request: RentalRequest) -> list[str]:
-        """Rent machines; repeating a request rents nothing more."""
-        status, body = await self._call("POST", "/rentals", msgspec.json.encode(request))
+    async def rent(
+        self, request: RentalRequest, wanted: Callable[[], bool] | None = None
+    ) -> list[str]:
+        """Rent machines; repeating a request rents nothing more.
+
+        ``wanted`` is asked in the moment before the request is sent; NotAsked if it says no.
+        """
+        status, body = await self._call(
+            "POST", "/rentals", msgspec.json.encode(request), wanted=wanted
+        )
         if status == 503 and b"no capacity" in body:
             raise NoCapacity
         if status == 400:
