Cluster: what is asked of an attempt that is gone already is not kept

Cause: a direct request can fail long after its machine was returned.

Change: only an attempt that is its task's active one enters the indexes of stopping and lost attempts; Cluster.check() asserts it, so every state machine in the tests does.

--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -82,3 +82,18 @@
     commands = pending_commands(machine, lambda task: True, may_start=True, sequence=2)
     assert commands == [Command("kill", "///", 1, 0.0)]
     into.check()
+
+
+def test_a_request_that_fails_after_its_machine_is_gone_leaves_nothing_behind() -> None:
+    """Kept, it made the machine watch look for a machine that was no longer there, for ever."""
+    into = cluster()
+    machine = add_machine(into)
+    job = add_job(into, job_spec())
+    first, second = into.start(job, 0, machine, 0), into.start(job, 1, machine, 0)
+    into.lose(first, 5)
+    assert list(into.limbo.values()) == [first]
+    into.remove_machine(machine)
+    into.lose(second, 6)
+    into.stop(second, Stop.HARD, 6, "test")
+    assert not into.limbo and not into.stopping
+    into.check()
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -106,12 +106,16 @@
             attempt.stop_us = at_us
             attempt.reason = reason
         attempt.stop = stop
-        self.stopping[attempt.task, attempt.number] = attempt
+        if attempt.job.active.get(attempt.index) is attempt:
+            self.stopping[attempt.task, attempt.number] = attempt
 
     def lose(self, attempt: Attempt, at_us: int) -> None:
         """A direct request with the attempt's ``run`` may be lost, and may be executed late."""
         attempt.limbo_us = at_us
-        self.limbo[attempt.task, attempt.number] = attempt
+        # A request can fail long after its machine is gone, and the attempt with it: entered
+        # then, it would never leave, and the machine watch failed over it (found on the bench).
+        if attempt.job.active.get(attempt.index) is attempt:
+            self.limbo[attempt.task, attempt.number] = attempt
 
     def within_limit(self, job: Job, reserved_cpus: float = 0.0, reserved_gpus: float = 0.0) -> int:
         """How many more tasks of the job its team's limit allows."""
@@ -141,6 +145,8 @@
                 assert attempt.job.active[attempt.index] is attempt, attempt.task
                 assert attempt.job.states[attempt.index] == TaskState.ACTIVE, attempt.task
                 cpus[attempt.job.team] += attempt.job.spec.cpus
+        for kept in (*self.stopping.values(), *self.limbo.values()):
+            assert kept.job.active.get(kept.index) is kept, kept.task
         assert set(self.holders) == {job.id for job in self.jobs.values() if job.active}
         for team, usage in self.usage.items():
             assert abs(usage.cpus - cpus[team]) < EPSILON * 100, team
