--- a/tests/test_client_loopback.py
+++ b/tests/test_client_loopback.py
@@ -6,6 +6,7 @@
 import sqlite3
 import subprocess
 import sys
+import threading
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -533,3 +534,27 @@
             assert body["waits_on"] == ["run-7"]
 
     asyncio.run(asyncio.wait_for(run(), 30))
+
+
+def test_a_caller_that_stops_waiting_does_not_end_the_journal(tmp_path: Path) -> None:
+    """Told of its work all the same, the thread ended, and every later call waited for ever."""
+    journal = Journal(tmp_path / "journal.db")
+    in_work, go_on = threading.Event(), threading.Event()
+
+    def slow(connection: sqlite3.Connection) -> str:
+        in_work.set()
+        go_on.wait(10)
+        return "done"
+
+    taken = journal.call(slow)
+    assert in_work.wait(10)
+    # One is at work and cannot be cancelled any more; one is cancelled before its turn.
+    assert not taken.cancel()
+    done: list[str] = []
+    waiting = journal.call(lambda connection: done.append("work"))
+    assert waiting.cancel()
+    go_on.set()
+    assert taken.result(10) == "done"
+    assert journal.call(lambda connection: "alive").result(10) == "alive"
+    assert done == ["work"]
+    journal.close()
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,443 @@
+"""What a leader does each period costs what has changed: operations counted, never timed.
+
+And what a fleet of thousands does to a term: loading, silence of half of it, a slow duty.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Iterator
+from typing import Any, cast
+
+import pytest
+
+from tests.builders import add_job, job_spec
+from tests.stand_ins import StandInState, StandInTask
+from tests.test_recovery import START, Clock, fixed_clock, new_leader, put_job, put_machine, report
+from tests.test_size import count_calls, full_fleet
+from weldhead.bookkeeping.chains import Chains
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import Machine
+from weldhead.bookkeeping.records import HireRecord
+from weldhead.coordination import backlog, outlook, placement
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.fleet import _Queue, forecast_missing
+from weldhead.coordination.goals import Goals
+from weldhead.coordination.leader import LOADED_AT_ONCE, Leader
+from weldhead.coordination.outlook import Outlook
+from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
+from weldhead.coordination.placement import Scene, plan_pass, plan_refill
+from weldhead.tunables.defaults import FleetTunables, Tunables
+
+S = 1_000_000
+SIZES = [(250, 100), (250, 10_000), (2_500, 1_000)]
+FLEET = Tunables().fleet.settings()
+
+
+@pytest.fixture
+def clock() -> Iterator[Clock]:
+    with fixed_clock() as clock:
+        yield clock
+
+
+def scene_of(into: Cluster) -> Scene:
+    scene = Scene(into, Estimates(), Goals([]), 45 * S)
+    assert len(plan_pass(scene, 2 * S, 10 * S).unplaced) == len(scene.backlog)
+    return scene
+
+
+# -- operations ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("machines", "jobs"), SIZES)
+def test_a_pass_costs_what_changed(
+    machines: int, jobs: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    into = full_fleet(machines, jobs)
+    scene = scene_of(into)
+    counts: dict[str, int] = {}
+    count_calls(monkeypatch, backlog, "entry_of", counts)
+    count_calls(monkeypatch, placement.Room, "__init__", counts)
+    count_calls(monkeypatch, placement.Room, "fits", counts)
+    count_calls(monkeypatch, placement, "usable", counts)
+    plan = plan_pass(scene, 2 * S, 10 * S)
+    assert plan.starts == [] and bool(plan.unplaced)
+    assert counts == {}
+    # One job and one machine: their places, and each of the two shapes on that machine.
+    into.jobs["run-000003"].touch()
+    attempt = next(iter(into.jobs["run-000001"].active.values()))
+    into.release(attempt, completed=True)
+    plan = plan_pass(scene, 2 * S, 10 * S)
+    assert len(plan.starts) == 1
+    assert counts["entry_of"] == 1
+    assert counts["__init__"] == 1
+    assert counts["usable"] <= 4 and counts["fits"] <= 8
+
+
+def test_time_alone_moves_only_the_jobs_that_it_carries_over_a_bound(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    into = full_fleet(10, 0)
+    for number in range(1_000):
+        add_job(into, job_spec(100 + number, deadline_s=1_000.0 + number, estimate_s=10.0))
+    scene = scene_of(into)
+    counts: dict[str, int] = {}
+    count_calls(monkeypatch, backlog, "entry_of", counts)
+    plan_pass(scene, 900 * S, 2_000 * S)
+    assert counts == {}
+    # Patient until 45 s before the last start that is in time: one a second from here on.
+    plan_pass(scene, 945 * S + 1, 2_000 * S)
+    plan_pass(scene, 950 * S + 1, 2_000 * S)
+    assert counts["entry_of"] == 6
+
+
+@pytest.mark.parametrize(("machines", "jobs"), SIZES)
+def test_forecasts_cost_what_changed(
+    machines: int, jobs: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    into = full_fleet(machines, jobs)
+    due = add_job(into, job_spec(90_001, deadline_s=1e6))
+    watch = Outlook(into, Chains(into.jobs), Estimates(), lambda job: S, S, 4 * S, 50_000)
+    assert len(watch.look(S)) == jobs + 2
+    counts: dict[str, int] = {}
+    count_calls(monkeypatch, outlook, "forecast_us", counts)
+    count_calls(monkeypatch, outlook.BootWatch, "_enter", counts)
+    assert watch.look(2 * S) == []
+    assert counts == {}
+    into.jobs["run-000003"].touch()
+    due.touch()
+    assert len(watch.look(3 * S)) == 2
+    # Only the second has a deadline; the other is forecast when somebody asks, once a second.
+    assert counts == {"forecast_us": 1}
+    for _ in range(3):
+        watch.tell(into.jobs["run-000003"], 3 * S)
+    assert counts == {"forecast_us": 2}
+    # What others take and what boots changes it as well: looked at again after a while.
+    assert watch.look(7 * S + 1) == [due]
+
+
+def test_a_look_ahead_has_a_bound_and_leaves_nobody_out() -> None:
+    into = full_fleet(10, 0)
+    jobs = [add_job(into, job_spec(100 + n, deadline_s=1e5)) for n in range(1_000)]
+    watch = Outlook(into, Chains(into.jobs), Estimates(), lambda job: S, S, 4 * S, 300)
+    seen: list[Job] = []
+    for at_s in range(1, 5):
+        seen += watch.look(at_s * S)
+    assert watch.cut_short == 3
+    assert {job.id for job in seen} >= {job.id for job in jobs}
+
+
+def test_lateness_is_noticed_within_a_recheck_and_never_too_soon() -> None:
+    """Nothing happens to the jobs; only time, and what others take, makes them late."""
+    into = full_fleet(10, 0)
+    jobs = [
+        add_job(into, job_spec(100 + n, deadline_s=30.0 + 3 * n, estimate_s=20.0, tasks=1))
+        for n in range(40)
+    ]
+    watch = Outlook(into, Chains(into.jobs), Estimates(), lambda job: S, S, 4 * S, 5_000)
+    noticed: dict[str, int] = {}
+    turned: dict[str, int] = {}
+    for at_us in range(S, 200 * S, S):
+        for job in watch.look(at_us):
+            due = job.first_seen_us + round((job.spec.deadline_s or 0) * S)
+            if job.forecast_us is not None and job.forecast_us > due:
+                noticed.setdefault(job.id, at_us)
+        for job in jobs:
+            # Nothing boots: 30 s until a machine that would be rented now is up, 20 s to run.
+            if at_us + 50 * S > round((job.spec.deadline_s or 0) * S):
+                turned.setdefault(job.id, at_us)
+    assert noticed.keys() == turned.keys() == {job.id for job in jobs}
+    for job in jobs:
+        assert 0 <= noticed[job.id] - turned[job.id] <= 1 * S
+
+
+def test_the_fleets_forecast_costs_starts_that_differ_not_tasks() -> None:
+    into = full_fleet(10, 0)
+    job = add_job(into, job_spec(9, tasks=50_000, cpus=1.0))
+    scene = scene_of(into)
+    plan = plan_pass(scene, 2 * S, 10 * S)
+    queue = _Queue(into, [], Estimates(), 2 * S, FLEET)
+    pushed = itertools.count()
+    take = queue.take
+
+    def counted(*args: Any) -> Iterator[tuple[int | None, int]]:
+        for found in take(*args):
+            next(pushed)
+            yield found
+
+    cast(Any, queue).take = counted
+    goals = Goals([])
+    found = forecast_missing(
+        into, plan, queue, Estimates(), goals, 2 * S, 20 * S, lambda job: 1.0, FLEET
+    )
+    assert found.patient and found.patient[0][0] is job
+    # 80 CPUs: 625 turns of 80 tasks.
+    assert next(pushed) <= 700
+
+
+def test_of_very_many_jobs_the_fleet_looks_at_the_foremost() -> None:
+    into = full_fleet(10, 5_000)
+    scene = scene_of(into)
+    plan = plan_pass(scene, 2 * S, 10 * S)
+    few, all_of_them = (
+        forecast_missing(
+            into, plan, _Queue(into, [], Estimates(), 2 * S, FLEET), Estimates(), Goals([]), 2 * S,
+            20 * S, lambda job: 1.0, settings, (), 5_000,
+        )
+        for settings in (FLEET, FleetTunables(most_considered=10_000).settings())
+    )  # fmt: skip
+    assert len(few.patient) == FLEET.most_considered
+    assert len(all_of_them.patient) == 5_000
+    assert few.backlog_us == pytest.approx(all_of_them.backlog_us, rel=0.05)
+
+
+# -- a refill ------------------------------------------------------------------------------
+
+
+def test_a_freed_place_is_filled_in_the_answer_to_the_report_that_frees_it(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=9, cpus=4.0))
+    worker = put_machine(state, "vm-000001")
+    leader = new_leader(state, clock())
+    for _ in range(2):
+        report(leader, worker, clock())
+    leader.term.ready = True
+    leader._tunables.direct_runs = False
+    leader._place()
+    report(leader, worker, clock())
+    (first,) = worker.tasks
+    worker.tasks[first].state = "running"
+    report(leader, worker, clock())
+    # The rest has found no room by now, and its image is at hand on this machine.
+    leader._place()
+    worker.tasks[first].state, worker.tasks[first].why = "ended", "done"
+    leader.term.place.clear()
+    report(leader, worker, clock())
+    assert len(worker.live()) == 1 and first not in worker.live()
+    assert not leader.term.place.is_set()
+
+
+def test_a_refill_leaves_to_a_pass_what_could_go_elsewhere() -> None:
+    into = full_fleet(2, 1)
+    job = into.jobs["run-000002"]
+    scene = scene_of(into)
+    one, other = into.machines.values()
+    one.note_image(job.spec.image, job.spec.image_gb)
+
+    def free_a_place(machine: Machine) -> None:
+        into.release(next(iter(machine.attempts.values())), completed=True)
+
+    free_a_place(one)
+    free_a_place(other)
+    assert plan_refill(scene, one, 2 * S, 10 * S) == ([], False)
+    for start in plan_pass(scene, 2 * S, 10 * S).starts:
+        into.start(start.job, start.index, start.machine, 2 * S)
+    assert plan_pass(scene, 2 * S, 10 * S).starts == []
+    # Alone with room it is filled; where the image has still to come it is not.
+    free_a_place(one)
+    starts, complete = plan_refill(scene, one, 2 * S, 10 * S)
+    assert [(start.job, start.machine) for start in starts] == [(job, one)] and complete
+    into.start(job, starts[0].index, one, 2 * S)
+    plan_pass(scene, 2 * S, 10 * S)
+    free_a_place(other)
+    assert plan_refill(scene, other, 2 * S, 10 * S) == ([], False)
+
+
+# -- size ----------------------------------------------------------------------------------
+
+
+def test_a_term_of_twenty_thousand_jobs_is_loaded_in_slices(
+    clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    state = StandInState()
+    state.page = 1_000
+    spec = job_spec(1, tasks=1)
+    for number in range(20_000):
+        put_job(state, job_spec(number, tasks=1))
+    names: dict[str, str | None] = {}
+    for number in range(2_500):
+        names[f"vm-{number:06}"] = "10.0.0.9:1"
+        if len(names) == 50:
+            state.put(f"h/{number}", HireRecord("m4", "a", False, 50, START, True, names))
+            names = {}
+    turns = longest = since = 0
+    original = Leader._add_job
+
+    def add(self: Leader, *args: Any) -> Job:
+        nonlocal since, longest
+        since += 1
+        longest = max(longest, since)
+        return original(self, *args)
+
+    monkeypatch.setattr(Leader, "_add_job", add)
+    empty = StandInState()
+    leader = new_leader(empty, clock())
+    leader.term.state = state  # type: ignore[assignment]
+    leader.term.loaded = False
+
+    async def scenario() -> None:
+        nonlocal turns, since
+        loading = asyncio.create_task(leader._load())
+        while not loading.done():
+            await asyncio.sleep(0)
+            turns, since = turns + 1, 0
+        await loading
+        await leader._fill_scene()
+
+    asyncio.run(scenario())
+    assert (len(leader.cluster.jobs), len(leader.cluster.machines)) == (20_000, 2_500)
+    assert longest <= LOADED_AT_ONCE and turns >= 2 * 20_000 // LOADED_AT_ONCE
+    assert len(leader._kept_scene().backlog) == 20_000
+    assert spec.id in leader.cluster.jobs
+
+
+def test_the_machine_watch_looks_only_at_who_is_silent(clock: Clock) -> None:
+    state = StandInState()
+    workers = [put_machine(state, f"vm-{n:06}") for n in range(300)]
+    leader = new_leader(state, clock())
+    for worker in workers:
+        for _ in range(2):
+            report(leader, worker, clock())
+    looked = itertools.count()
+
+    class Counting(dict[str, Any]):
+        def values(self) -> Any:
+            for value in dict.values(self):
+                next(looked)
+                yield value
+
+    leader._heard = Counting(leader._heard)
+    clock.us += S
+    assert leader._expired_or_silent(clock()) == []
+    assert next(looked) == 1
+    clock.us += leader.term.silence_us
+    for worker in workers[7:]:
+        report(leader, worker, clock())
+    found = leader._silent(clock(), leader.term.silence_us, 0)
+    assert {machine.name for machine in found} == {worker.name for worker in workers[:7]}
+    assert next(looked) <= 1 + 8 + 1
+
+
+@pytest.mark.parametrize("late_us", [-S, S])
+def test_half_of_the_machines_fall_silent_and_come_back(clock: Clock, late_us: int) -> None:
+    """One second before their leases end all go on; one after, each runs once elsewhere."""
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=80, cpus=1.0))
+    workers = [put_machine(state, f"vm-{n:06}") for n in range(30)]
+    for number, worker in enumerate(workers[:20]):
+        for place in range(4):
+            worker.tasks[f"run-000001/{4 * number + place}"] = StandInTask(7, "running")
+    leader = new_leader(state, clock())
+    term = leader.term
+    for worker in workers:
+        for _ in range(2):
+            report(leader, worker, clock())
+    assert leader._known.is_set()
+    term.ready = True
+    leader._tunables.direct_runs = False
+    silent, heard = workers[:15], workers[15:]
+    sent_us = clock()
+
+    def running() -> list[str]:
+        return [task for worker in workers for task in worker.live()]
+
+    while clock() < sent_us + term.lease_us + late_us:
+        clock.us += S // 2
+        if clock() >= sent_us + term.lease_us:
+            # By their own clocks, a drift before the leader may believe it.
+            for worker in silent:
+                if worker.session == 1:
+                    worker.expire()
+        for worker in heard:
+            report(leader, worker, clock())
+        doomed = leader._expired_or_silent(clock())
+        # Half of the fleet at once looks like the network: nothing is given up on.
+        assert doomed == [] or clock() > sent_us + term.lease_us
+        leader._place()
+        for worker in heard:
+            report(leader, worker, clock())
+        assert len(running()) == len(set(running()))
+    for worker in silent:
+        report(leader, worker, clock())
+        report(leader, worker, clock())
+    leader.cluster.check()
+    assert len(running()) == len(set(running()))
+    kept = {task for worker in silent for task in worker.live()}
+    assert len(kept) == (60 if late_us < 0 else 0)
+
+
+# -- the loop ------------------------------------------------------------------------------
+
+
+class Loop:
+    """A clock that sleeping moves, for a pacer."""
+
+    def __init__(self) -> None:
+        self.us = 0
+        self.slept: list[float] = []
+        self.late_us = 0
+
+    def __call__(self) -> int:
+        return self.us
+
+    async def sleep(self, seconds: float) -> None:
+        self.slept.append(seconds)
+        self.us += round(seconds * S) + self.late_us
+
+
+def test_a_duty_that_holds_the_loop_is_said_and_pauses_for_its_share(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    loop = Loop()
+    pacer = Pacer(S // 10, loop, loop.sleep)
+    with caplog.at_level(logging.WARNING):
+        for took_us in (S // 20, S // 5, S // 5):
+            with pacer.hold("fleet"):
+                loop.us += took_us
+    said = [record.getMessage() for record in caplog.records]
+    assert said == ["duty fleet held the loop for 0.200 s (over 0.100 s; 1 times so far)"]
+    assert pacer.held == {"fleet": 2}
+    assert pacer.summary() == "fleet held 2 times"
+    for rank, share in SHARES.items():
+        pause_us = pacer.pause_us("fleet", rank, S // 100)
+        assert (S // 5) / (S // 5 + pause_us) == pytest.approx(share, rel=1e-3)
+    assert pacer.pause_us("fleet", Rank.PLACEMENT, 3 * S) == 3 * S
+
+
+def test_while_the_loop_is_late_the_last_in_order_waits_first_and_not_for_ever() -> None:
+    loop = Loop()
+    pacer = Pacer(S // 10, loop, loop.sleep)
+    waiting = {}
+    for late_us in (0, 30_000, 60_000, 110_000):
+        pacer.late_us = late_us
+        waiting[late_us] = [rank for rank in Rank if pacer.must_wait(rank)]
+    assert list(waiting.values()) == [
+        [],
+        [Rank.FORECASTS],
+        [Rank.FLEET, Rank.FORECASTS],
+        [Rank.PREEMPTOR, Rank.FLEET, Rank.FORECASTS],
+    ]
+
+    async def scenario() -> None:
+        began_us = loop()
+        await pacer.rest("fleet", Rank.FLEET, S)
+        assert MOST_PUT_OFF_US <= loop() - began_us - S <= MOST_PUT_OFF_US + S
+        assert pacer.put_off == {"fleet": 1}
+        loop.late_us = 5_000
+        watch = asyncio.create_task(pacer.watch())
+        pacer._sleep = _yielding(loop)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        watch.cancel()
+        assert pacer.late_us == 5_000
+
+    asyncio.run(scenario())
+
+
+def _yielding(loop: Loop) -> Any:
+    async def sleep(seconds: float) -> None:
+        loop.us += round(seconds * S) + loop.late_us
+        await asyncio.sleep(0)
+
+    return sleep
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -53,7 +53,7 @@
 
 def full_fleet(machines: int, jobs: int) -> Cluster:
     """A fleet that idle work fills, and a queue of jobs of the same few kinds."""
-    into = cluster(Team("red", 10_000, 10_000))
+    into = cluster(Team("red", 100_000, 100_000))
     kind = machine_type(cpus=8.0, memory_gb=64.0)
     for number in range(machines):
         machine = Machine(f"vm-{number:06}", kind, "a", True, 0)
--- /dev/null
+++ b/tools/measure_size.py
@@ -0,0 +1,171 @@
+"""What a leader's periodic work costs by the size of its fleet and its backlog.
+
+Ratios within one run, on this machine; docs/performance.md has what they gave. The plain
+decisions of ``tests/plain.py`` are what the service did before it followed changes.
+`python3 tools/measure_size.py passes --help`
+"""
+
+import gc
+import itertools
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "target" / "deps"), str(ROOT)]
+sys.path.append(str(ROOT / "target" / "extras"))
+
+import click  # noqa: E402
+
+from tests.builders import add_job, job_spec, machine_type  # noqa: E402
+from tests.plain import PlainPlan, PlainQueue, plain_missing, plain_starts  # noqa: E402
+from weldhead.bookkeeping.chains import Chains  # noqa: E402
+from weldhead.bookkeeping.cluster import Cluster  # noqa: E402
+from weldhead.bookkeeping.jobs import Phase  # noqa: E402
+from weldhead.bookkeeping.machines import Machine  # noqa: E402
+from weldhead.coordination.estimates import Estimates  # noqa: E402
+from weldhead.coordination.fleet import Missing, _Queue, forecast_missing  # noqa: E402
+from weldhead.coordination.forecast import boots_of, forecast_us  # noqa: E402
+from weldhead.coordination.goals import Goals  # noqa: E402
+from weldhead.coordination.outlook import Outlook  # noqa: E402
+from weldhead.coordination.placement import Scene, plan_pass  # noqa: E402
+from weldhead.protocol.settings import Objective, Team  # noqa: E402
+from weldhead.tunables.defaults import Tunables  # noqa: E402
+
+S = 1_000_000
+SILENCE, PATIENCE = 6 * S, 45 * S
+GOALS = Goals([Objective("wait", "train", 0.9, 60.0), Objective("finished", "train", 0.9, 200.0)])
+FLEET = Tunables().fleet.settings()
+TASKS_A_MACHINE = 8
+
+
+def fleet(machines: int, jobs: int) -> Cluster:
+    """A full fleet with that many small jobs waiting, of a few kinds, half with a deadline."""
+    into = Cluster([Team("red", 100, 1e9), Team("blue", 100, 1e9)], 7)
+    kind = machine_type(cpus=float(TASKS_A_MACHINE), memory_gb=64.0)
+    holders = []
+    for number in range(machines):
+        machine = Machine(f"vm-{number:06}", kind, "ab"[number % 2], True, 0)
+        machine.order, machine.synced, machine.up, machine.heard_us = (1, 1), True, True, S
+        into.machines[machine.name] = machine
+        if number % 50 == 0:
+            tasks = 50 * TASKS_A_MACHINE
+            holders.append(add_job(into, job_spec(len(holders), cpus=1.0, tasks=tasks)))
+        for place in range(TASKS_A_MACHINE):
+            index = number % 50 * TASKS_A_MACHINE + place
+            attempt = into.start(holders[-1], index, machine, S)
+            attempt.phase, attempt.running_us = Phase.RUNNING, S
+    for number in range(jobs):
+        add_job(
+            into,
+            job_spec(
+                100_000 + number,
+                team=("red", "blue")[number % 2],
+                priority=("normal", "idle")[number // 2 % 2],
+                cpus=1.0 + number % 3,
+                tasks=1 + number % 2,
+                estimate_s=20.0 + number % 50,
+                deadline_s=(None, 100_000.0)[number // 4 % 2],
+            ),
+        )
+    return into
+
+
+def cost(work: Callable[[], object], most_s: float = 1.0, least: int = 1) -> float:
+    """Return the processor time of one run, the least of several."""
+    best, spent, runs = float("inf"), 0.0, 0
+    while runs < least or (spent < most_s and runs < 20):
+        began = time.process_time()
+        work()
+        took = time.process_time() - began
+        best, spent, runs = min(best, took), spent + took, runs + 1
+    return best
+
+
+def plain_forecasts(into: Cluster, estimates: Estimates, at_us: int, most: int) -> None:
+    """Forecast as before: each job without a running task looks at every machine."""
+    for job in list(into.jobs.values())[-most:]:
+        boots = boots_of(into.machines.values())
+        forecast_us(into, job, estimates, at_us, boots)
+
+
+def touch_some(into: Cluster, share: float) -> Iterator[None]:
+    """Change that share of the jobs, again and again."""
+    jobs = list(into.jobs.values())
+    step = max(1, round(1 / share))
+    while True:
+        for job in jobs[::step]:
+            job.touch()
+        yield
+
+
+@click.group()
+def main() -> None:
+    """Measure."""
+
+
+@main.command()
+@click.option("--machines", default="650,1300,2600,5000")
+@click.option("--jobs", default="100,1000,10000,50000")
+def passes(machines: str, jobs: str) -> None:
+    """A pass, a round of forecasts and a look at the fleet: plain against following changes.
+
+    Columns are milliseconds of processor time; of the plain forecasts up to 200 jobs are
+    measured and the rest reckoned, as each costs the same.
+    """
+    click.echo(
+        "machines   jobs | pass: plain, nothing changed, 1 % changed | forecasts: plain, "
+        "nothing, 1 % | fleet: plain, now | first look"
+    )
+    for count in map(int, machines.split(",")):
+        for waiting in map(int, jobs.split(",")):
+            figures = measure_passes(count, waiting)
+            click.echo(f"{count:8} {waiting:6} | " + " ".join(f"{1e3 * f:9.3f}" for f in figures))
+
+
+def measure_passes(machines: int, jobs: int) -> tuple[float, ...]:
+    """Return the costs of one line of the table, in seconds."""
+    into, estimates = fleet(machines, jobs), Estimates()
+    gc.collect()
+    gc.freeze()
+    moment = itertools.count(2 * S, 1_000)
+    some = touch_some(into, 0.01)
+
+    def plain_pass() -> PlainPlan:
+        return plain_starts(into, estimates, GOALS, next(moment), SILENCE, PATIENCE)
+
+    def look_at_all() -> None:
+        while outlook.look(next(moment)):
+            pass
+
+    plain = cost(plain_pass)
+    scene = Scene(into, estimates, GOALS, PATIENCE)
+    first = cost(lambda: plan_pass(scene, next(moment), SILENCE), 0.0)
+    still = cost(lambda: plan_pass(scene, next(moment), SILENCE))
+    moved = cost(lambda: (next(some), plan_pass(scene, next(moment), SILENCE)))
+    sample = min(200, jobs)
+    told = cost(lambda: plain_forecasts(into, estimates, next(moment), sample)) * jobs / sample
+    outlook = Outlook(into, Chains(into.jobs), estimates, lambda job: S, S, 4 * S, 5_000)
+    look_at_all()
+    quiet = cost(lambda: outlook.look(next(moment)))
+    looked = cost(lambda: (next(some), outlook.look(next(moment))))
+    plan, plain_plan = plan_pass(scene, next(moment), SILENCE), plain_pass()
+    at_us = next(moment)
+    rest = (estimates, GOALS, at_us, 20 * S, lambda job: 1.5, FLEET)
+
+    def plain_fleet() -> Missing:
+        queue = PlainQueue(into, [], estimates, at_us, FLEET)
+        return plain_missing(into, plain_plan, queue, *rest)
+
+    def fleet_now() -> Missing:
+        queue = _Queue(into, [], estimates, at_us, FLEET)
+        return forecast_missing(into, plan, queue, *rest)
+
+    figures = (plain, still, moved, told, quiet, looked, cost(plain_fleet), cost(fleet_now), first)
+    gc.unfreeze()
+    return figures
+
+
+if __name__ == "__main__":
+    main()
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -6,7 +6,7 @@
 from weldhead.bookkeeping.feeds import Feeds
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase
 from weldhead.clock import surely_over_us
-from weldhead.protocol.wire import JobSpec, MachineType
+from weldhead.protocol.wire import JobSpec, MachineType, TaskReport
 
 #: Amounts are decimals on the wire; sums of them are compared with this slack.
 EPSILON = 1e-6
@@ -46,6 +46,7 @@
         "images",
         "lease_from_us",
         "listed",
+        "listing",
         "memory_gb",
         "name",
         "notice_until_us",
@@ -113,6 +114,9 @@
         #: A direct request is on its way.
         self.posting = False
         self.listed = False
+        #: What its worker listed last, while nothing has been decided since by which the same
+        #: list would mean anything new.
+        self.listing: list[TaskReport] | None = None
         #: A new leader asked it directly what it runs, and got no answer.
         self.asked_in_vain = False
 
@@ -151,6 +155,7 @@
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
+        self.listing = None
         self.touch()
 
     def remove(self, attempt: Attempt) -> None:
@@ -161,6 +166,7 @@
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory_gb += spec.memory_gb
+        self.listing = None
         self.touch()
 
     def fits(self, job: Job) -> int:
--- a/weldhead/client/journal.py
+++ b/weldhead/client/journal.py
@@ -159,7 +159,10 @@
                     last = True
                     break
                 group.append(more)
-            self._commit(connection, group)
+            # Whoever asked may have been cancelled: the work is done all the same, but to tell
+            # a cancelled future ended this thread, and with it every later call.
+            live = {id(future) for _, future in group if future.set_running_or_notify_cancel()}
+            self._commit(connection, group, live)
             if last:
                 break
         connection.close()
@@ -168,6 +171,7 @@
         self,
         connection: sqlite3.Connection,
         group: list[tuple[Callable[[sqlite3.Connection], Any], concurrent.futures.Future[Any]]],
+        live: set[int],
     ) -> None:
         results: list[tuple[concurrent.futures.Future[Any], Any]] = []
         failed: list[tuple[concurrent.futures.Future[Any], Exception]] = []
@@ -189,12 +193,15 @@
                 connection.execute("ROLLBACK")
             problem = JournalError(f"{self._path}: {error}")
             for _, future in group:
-                future.set_exception(problem)
+                if id(future) in live:
+                    future.set_exception(problem)
             return
         for future, result in results:
-            future.set_result(result)
+            if id(future) in live:
+                future.set_result(result)
         for future, reason in failed:
-            future.set_exception(reason)
+            if id(future) in live:
+                future.set_exception(reason)
 
     def call(self, work: Callable[[sqlite3.Connection], T]) -> "concurrent.futures.Future[T]":
         """Have the thread do work within a transaction."""
--- a/weldhead/coordination/backlog.py
+++ b/weldhead/coordination/backlog.py
@@ -111,7 +111,7 @@
         self._editions: dict[str, int] = {}
         self._stale: dict[str, Job] = {}
         self._feed = cluster.jobs.feeds.subscribe()
-        self._fresh = list(cluster.jobs.values())
+        self._fresh = dict(cluster.jobs)
         #: How often a job was put in place; for measurements.
         self.placed = 0
 
@@ -122,10 +122,20 @@
     def __len__(self) -> int:
         return len(self._places)
 
+    def fill(self, at_us: int, most: int) -> bool:
+        """Take up some of the jobs that were there before this followed them; False: no more.
+
+        At the start of a term, so that the loop lives in between.
+        """
+        for name in list(islice(self._fresh, most)):
+            self._put(self._fresh.pop(name), at_us)
+        return bool(self._fresh)
+
     def refresh(self, at_us: int) -> None:
         """Take up what has changed, and what time has brought."""
-        fresh, self._fresh = self._fresh, []
-        for job in (*fresh, *self._feed.take()):
+        while self._fresh:
+            self.fill(at_us, len(self._fresh))
+        for job in self._feed.take():
             self._put(job, at_us)
         for name, edition in self._estimates.editions.items():
             if self._editions.get(name) != edition:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -44,7 +44,7 @@
 from weldhead.coordination.forecast import due_us, holding_up, looks_unable
 from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import Pacer, Rank
-from weldhead.coordination.placement import Plan, Scene, plan_pass
+from weldhead.coordination.placement import Plan, Scene, plan_pass, plan_refill
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.rentals import Rentals
 from weldhead.coordination.reports import (
@@ -188,6 +188,7 @@
         term.flush.set()
         self._check_known()
         self._dispatcher.ask_all(m for m in list(self.cluster.machines.values()) if m.up)
+        await self._fill_scene()
         await self._known.wait()
         term.ready = True
         log.info("term %d: ready after %.3f s", self.token, to_seconds(now_us() - term.loaded_us))
@@ -514,13 +515,13 @@
         at_us = now_us()
         had_notice = machine.notice_until_us
         outcome = apply_report(self.cluster, machine, report, at_us, direct=direct)
-        self._digest(machine, outcome, at_us)
+        self._digest(machine, outcome, at_us, direct=direct)
         if machine.notice_until_us and not had_notice:
             log.info("machine %s will be taken back", machine.name)
             self._noticed[machine.name] = machine
             self._evacuate(machine, at_us)
 
-    def _digest(self, machine: Machine, outcome: Outcome, at_us: int) -> None:
+    def _digest(self, machine: Machine, outcome: Outcome, at_us: int, *, direct: bool) -> None:
         self._check_known()
         if outcome.completed:
             self.term.flush.set()
@@ -537,7 +538,19 @@
         if not machine.attempts and (outcome.lost or outcome.completed):
             machine.idle_since_us = at_us
         if outcome.room or outcome.lost:
-            self.term.place.set()
+            if direct or not self._refill(machine, at_us):
+                self.term.place.set()
+
+    def _refill(self, machine: Machine, at_us: int) -> bool:
+        """Give the room that a report has freed to whom a pass would; whether that is all."""
+        if not (self.term.ready and machine.up and self._tunables.refill) or self._scene is None:
+            return False
+        with self.pacer.hold("placement"):
+            starts, complete = plan_refill(self._scene, machine, at_us, self.term.silence_us)
+            for start in starts:
+                self.cluster.start(start.job, start.index, machine, at_us)
+                self.reclaims.granted(start.job.id, machine.name)
+        return complete
 
     def _failed(self, machine: Machine, attempt: Attempt, at_us: int) -> None:
         """A task failed by itself: mostly the machine's fault, sometimes the job's."""
@@ -604,6 +617,22 @@
         self.chains.remove(job)
         self._over(job.id, final)
 
+    def _kept_scene(self) -> Scene:
+        if self._scene is None:
+            self._scene = Scene(
+                self.cluster, self.term.estimates, self.term.goals,
+                self._tunables.preemptor.patience_us,
+            )  # fmt: skip
+        return self._scene
+
+    async def _fill_scene(self) -> None:
+        """Put all waiting jobs in order while workers are still being asked what they run."""
+        backlog = self._kept_scene().backlog
+        more = True
+        while more:
+            more = backlog.fill(now_us(), LOADED_AT_ONCE)
+            await asyncio.sleep(0)
+
     async def _place_tasks(self) -> None:
         while True:
             await self.term.place.wait()
@@ -619,16 +648,12 @@
         if not self.valid:
             return
         at_us = now_us()
-        if self._scene is None:
-            self._scene = Scene(
-                self.cluster, self.term.estimates, self.term.goals,
-                self._tunables.preemptor.patience_us,
-            )  # fmt: skip
+        scene = self._kept_scene()
         try:
-            plan = plan_pass(self._scene, at_us, self.term.silence_us, self._tunables.fetch_weight)
+            plan = plan_pass(scene, at_us, self.term.silence_us, self._tunables.fetch_weight)
         except Exception:
             # What it had read of the feeds may be lost with it: made anew at the next pass.
-            self._scene.close()
+            scene.close()
             self._scene = None
             raise
         self.last_plan = plan
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -68,7 +68,7 @@
         # their own, so that they never keep a call to the store waiting.
         sockets = self.settings.facts.limits.sockets
         self._http = HttpClient(max(8, sockets // 16))
-        self._worker_http = HttpClient(max(8, sockets // 7), keepalive_s=5.0)
+        self._worker_http = HttpClient(max(8, sockets // 7), keepalive_s=15.0)
         self._state = StateClient(
             self._http, self.settings.services.state, self.settings.facts.state
         )
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -55,6 +55,7 @@
     """
     outcome = Outcome()
     if report.session > machine.session and machine.session:
+        machine.listing = None
         for attempt in cluster.release_all(machine):
             outcome.lost.append((attempt, "new session"))
     if machine.booting:
@@ -65,6 +66,11 @@
         machine.address = report.address
     if report.notice_s is not None:
         machine.notice_until_us = at_us + seconds_us(report.notice_s)
+    if machine.synced and machine.listing is not None and report.tasks == machine.listing:
+        # Most reports only say that the worker lives: all that it lists is known.
+        if not direct:
+            machine.report_sequence = report.sequence
+        return outcome
     had_free = machine.cpus
     was_synced, was_haunted = machine.synced, bool(machine.ghosts)
     seen: set[str] = set()
@@ -109,6 +115,8 @@
     outcome.room = outcome.room or machine.cpus > had_free or (machine.synced and not was_synced)
     if outcome.room:
         machine.touch()
+    if not machine.ghosts and all(task in seen for task in machine.attempts):
+        machine.listing = report.tasks
     return outcome
 
 
--- a/weldhead/transport/http.py
+++ b/weldhead/transport/http.py
@@ -1,8 +1,10 @@
 """The HTTP client for cloud, state service and workers."""
 
 import asyncio
+from functools import lru_cache
 
 import aiohttp
+from yarl import URL
 
 from weldhead.clock import SECOND_US
 
@@ -17,6 +19,21 @@
     """No connection came about, so the request was surely not executed."""
 
 
+#: A few thousand workers are called again and again; watches and pages are not.
+@lru_cache(maxsize=8_192)
+def _url(url: str) -> URL:
+    """Return a URL; what is in it needs no quoting. To read one anew cost a third of a call."""
+    return URL(url, encoded=True)
+
+
+@lru_cache(maxsize=64)
+def _timeout(timeout_us: int, connect_us: int) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=timeout_us / SECOND_US,
+        sock_connect=connect_us / SECOND_US if connect_us else None,
+    )
+
+
 class HttpClient:
     """One pool of connections; every call has a time limit.
 
@@ -32,6 +49,7 @@
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None),
             headers={"Content-Type": "application/json"},
+            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
@@ -49,14 +67,11 @@
 
         ``close`` asks the other side not to keep the connection.
         """
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_us / SECOND_US,
-            sock_connect=connect_us / SECOND_US if connect_us else None,
-        )
+        timeout = _timeout(timeout_us, connect_us)
         try:
             headers = _CLOSE if close else None
             async with self._session.request(
-                method, url, data=body, timeout=timeout, headers=headers
+                method, _url(url), data=body, timeout=timeout, headers=headers
             ) as answer:
                 return answer.status, await answer.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/weldhead/transport/server.py
+++ b/weldhead/transport/server.py
@@ -1,12 +1,16 @@
 """The HTTP server for users, workers and health checks."""
 
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from email.utils import formatdate
+from functools import lru_cache
 
 import aiohttp
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
+from aiohttp.abc import AbstractStreamWriter
 
 from weldhead.protocol.settings import split_address
 from weldhead.protocol.wire import MAX_BODY_BYTES, ErrorBody
@@ -44,6 +48,9 @@
         raise BodyTooLarge
     if not request.body_exists:
         return b""
+    if request.content.is_eof() and request.content.total_bytes <= MAX_BODY_BYTES:
+        # All of it is here, as with nearly every request.
+        return request.content.read_nowait()
     parts: list[bytes] = []
     size = 0
     async for part in request.content.iter_any():
@@ -54,6 +61,47 @@
     return b"".join(parts)
 
 
+@lru_cache(maxsize=1)
+def _date(second: int) -> str:
+    return formatdate(second, usegmt=True)
+
+
+class ReadyResponse(web.StreamResponse):
+    """An answer that is ready: head and body go out in one piece.
+
+    aiohttp's own response makes its head anew each time, from fields that are the same for all
+    answers here; with hundreds of reports a second that took a third of a leader's time for
+    them (measured at 650 machines).
+    """
+
+    def __init__(self, answer: Response, *, close: bool = False) -> None:
+        super().__init__(status=answer.status)
+        retry = f"Retry-After: {answer.retry_after_s}\r\n" if answer.retry_after_s else ""
+        self._close = close
+        self._head = (
+            f"HTTP/1.1 {answer.status} {self.reason}\r\nContent-Type: application/json\r\n"
+            f"Date: {_date(int(time.time()))}\r\nContent-Length: {len(answer.body)}\r\n{retry}"
+        )
+        self._content = answer.body
+
+    async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
+        """Send the answer."""
+        stays = not self._close and request.keep_alive
+        if not stays:
+            self.force_close()
+            self._head += "Connection: close\r\n"
+        elif request.version < HttpVersion11:
+            self._head += "Connection: keep-alive\r\n"
+        self._keep_alive = stays
+        if request.transport is not None:
+            body = b"" if request.method == "HEAD" else self._content
+            request.transport.write(self._head.encode() + b"\r\n" + body)
+        return None
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Everything has been sent."""
+
+
 class HttpServer:
     """Serves one address; aiohttp runs a routine per connection."""
 
@@ -84,13 +132,7 @@
         except Exception:
             log.exception("%s %s failed", request.method, request.path)
             answer = refusal(503, "internal error", retry_after_s=1)
-        headers = {"Content-Type": "application/json"}
-        if answer.retry_after_s:
-            headers["Retry-After"] = str(answer.retry_after_s)
-        response = web.Response(status=answer.status, body=answer.body, headers=headers)
-        if close:
-            response.force_close()
-        return response
+        return ReadyResponse(answer, close=close)
 
     async def close(self) -> None:
         """Stop serving."""
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -59,7 +59,7 @@
     move_worth_us: int = 30 * SECOND_US
     most_moves: int = 20
     foresight_us: int = 45 * SECOND_US
-    most_considered: int = 4_000
+    most_considered: int = 2_000
 
     def settings(self) -> FleetSettings:
         """Return what one run needs."""
@@ -87,6 +87,7 @@
     """All settings."""
 
     direct_runs: bool = True
+    refill: bool = True
     fetch_weight: float = 1.0
     placement_pause_us: int = 50 * MILLISECOND_US
     commit_gather_us: int = 100 * MILLISECOND_US
