--- a/weldhead/bookkeeping/rooms.py
+++ b/weldhead/bookkeeping/rooms.py
@@ -83,13 +83,6 @@
         fresh = {m.name: m for m in self._journal[since - self._cut :]}
         return sorted((m for m in fresh.values() if m.name in self._places), key=_serial)
 
-    def only(self, shape: Hashable, machine: Machine) -> bool:
-        """Whether no other machine can have room for a shape, as far as is remembered."""
-        since = self._hopeless.get(shape)
-        if since is None or since < self._cut:
-            return False
-        return all(fresh is machine for fresh in self._journal[since - self._cut :])
-
     def found(self, shape: Hashable, room: bool) -> None:
         """Remember whether a shape found room on any of its candidates."""
         if room:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -44,7 +44,7 @@
 from weldhead.coordination.forecast import due_us, holding_up, looks_unable
 from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import Pacer, Rank
-from weldhead.coordination.placement import Plan, Scene, plan_pass, plan_refill
+from weldhead.coordination.placement import Plan, Scene, plan_pass
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.rentals import Rentals
 from weldhead.coordination.reports import (
@@ -515,13 +515,13 @@
         at_us = now_us()
         had_notice = machine.notice_until_us
         outcome = apply_report(self.cluster, machine, report, at_us, direct=direct)
-        self._digest(machine, outcome, at_us, direct=direct)
+        self._digest(machine, outcome, at_us)
         if machine.notice_until_us and not had_notice:
             log.info("machine %s will be taken back", machine.name)
             self._noticed[machine.name] = machine
             self._evacuate(machine, at_us)
 
-    def _digest(self, machine: Machine, outcome: Outcome, at_us: int, *, direct: bool) -> None:
+    def _digest(self, machine: Machine, outcome: Outcome, at_us: int) -> None:
         self._check_known()
         if outcome.completed:
             self.term.flush.set()
@@ -538,19 +538,7 @@
         if not machine.attempts and (outcome.lost or outcome.completed):
             machine.idle_since_us = at_us
         if outcome.room or outcome.lost:
-            if direct or not self._refill(machine, at_us):
-                self.term.place.set()
-
-    def _refill(self, machine: Machine, at_us: int) -> bool:
-        """Give the room that a report has freed to whom a pass would; whether that is all."""
-        if not (self.term.ready and machine.up and self._tunables.refill) or self._scene is None:
-            return False
-        with self.pacer.hold("placement"):
-            starts, complete = plan_refill(self._scene, machine, at_us, self.term.silence_us)
-            for start in starts:
-                self.cluster.start(start.job, start.index, machine, at_us)
-                self.reclaims.granted(start.job.id, machine.name)
-        return complete
+            self.term.place.set()
 
     def _failed(self, machine: Machine, attempt: Attempt, at_us: int) -> None:
         """A task failed by itself: mostly the machine's fault, sometimes the job's."""
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -78,7 +78,8 @@
 
     def valid(self, at_us: int) -> bool:
         """Whether this node may command now."""
-        return at_us < self.until_us()
+        # Asked for each message: the promises count only once the lease is over.
+        return bool(self.token) and (at_us < self._lease_until_us or at_us < self.until_us())
 
 
 class Candidacy:
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -16,7 +16,7 @@
 from weldhead.bookkeeping.machines import Machine, how_many
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import SECOND_US, seconds_us
-from weldhead.coordination.backlog import Backlog, Entry, Kind, Reserve, Shape, Unplaced
+from weldhead.coordination.backlog import Backlog, Reserve, Shape, Unplaced
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
 
@@ -217,75 +217,12 @@
     return plan
 
 
-def plan_refill(
-    scene: Scene, machine: Machine, at_us: int, silence_us: int
-) -> tuple[list[Start], bool]:
-    """Decide what takes the room that a machine's report has just freed.
-
-    So that its start rides on the answer to that report, as the paper has it (3.1), instead
-    of a request of its own a moment later. In a full fleet that is what the next pass would
-    decide; where a pass could choose another machine (it has room as well, or the image has
-    still to be fetched here), this ends and leaves the rest to it. Also returns whether
-    nothing is left for a pass to do there.
-    """
-    scene.refresh(at_us)
-    if not usable(machine, at_us, silence_us):
-        return [], False
-    room = Room(machine)
-    queues = {
-        kind: queue
-        for kind, queue in scene.backlog.queues.items()
-        if room.fits(queue[0].job) > 0 and machine.allows(queue[0].job)
-    }
-    plan = Plan()
-    if queues:
-        run = _PlacementPass(scene, plan, _OneRoom(scene.free, room), 1.0, queues)
-        try:
-            run.give(guaranteed=True)
-            run.give(guaranteed=False)
-        except _Elsewhere:
-            return plan.starts, False
-    return plan.starts, True
-
-
-class _Elsewhere(Exception):
-    """A pass may choose another machine."""
-
-
-class _OneRoom(Rooms):
-    """A single machine, as long as nothing else would be chosen."""
-
-    def __init__(self, free: FreeRooms, room: Room) -> None:
-        super().__init__(free, 0, 0)
-        self._room = room
-
-    def for_job(self, job: Job) -> list[Room]:
-        """Return the machine if it is the one to take; _Elsewhere if that is not sure."""
-        room, spec = self._room, job.spec
-        if room.fits(job) <= 0:
-            self._hopeless.add(Shape.of(job))
-            return []
-        at_hand = spec.image in room.machine.images or spec.image_gb <= 0
-        if not at_hand or spec.one_zone or spec.spread or job.failed_on:
-            raise _Elsewhere
-        if not self._free.only(Shape.of(job), room.machine):
-            raise _Elsewhere
-        return [room]
-
-
 class _PlacementPass:
     """One pass over the queues."""
 
-    def __init__(
-        self,
-        scene: Scene,
-        plan: Plan,
-        rooms: Rooms,
-        fetch_weight: float,
-        queues: dict[Kind, list[Entry]] | None = None,
-    ) -> None:
+    def __init__(self, scene: Scene, plan: Plan, rooms: Rooms, fetch_weight: float) -> None:
         self._cluster = scene.cluster
-        self._queues = scene.backlog.queues if queues is None else queues
+        self._queues = scene.backlog.queues
         self._plan = plan
         self._rooms = rooms
         self._fetch_weight = fetch_weight
