--- a/tests/test_equivalence.py
+++ b/tests/test_equivalence.py
@@ -250,4 +250,6 @@
             town.change()
         town.compare_placement()
         town.cluster.check()
+        town.scene.refresh(town.now)
+        assert town.scene.backlog.strays() == []
         town.compare_forecasts()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,7 +13,16 @@
 
 from tests.builders import add_job, job_spec
 from tests.stand_ins import StandInState, StandInTask
-from tests.test_recovery import START, Clock, fixed_clock, new_leader, put_job, put_machine, report
+from tests.test_recovery import (
+    START,
+    Clock,
+    fixed_clock,
+    leader_of,
+    new_leader,
+    put_job,
+    put_machine,
+    report,
+)
 from tests.test_size import count_calls, full_fleet
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -218,10 +227,7 @@
         return original(self, *args)
 
     monkeypatch.setattr(Leader, "_add_job", add)
-    empty = StandInState()
-    leader = new_leader(empty, clock())
-    leader.term.state = state  # type: ignore[assignment]
-    leader.term.loaded = False
+    leader = leader_of(state, clock())
 
     async def scenario() -> None:
         nonlocal turns, since
@@ -314,6 +320,29 @@
     assert len(kept) == (60 if late_us < 0 else 0)
 
 
+def test_a_job_that_was_lost_sight_of_is_found_and_said(
+    clock: Clock, caplog: pytest.LogCaptureFixture
+) -> None:
+    state = StandInState()
+    for number in range(3):
+        put_job(state, job_spec(number, tasks=1))
+    leader = new_leader(state, clock())
+    leader._place()
+    assert [job.id for job, _ in leader.last_plan.unplaced] == [f"run-{n:06}" for n in range(3)]
+    job = leader.cluster.jobs["run-000001"]
+    kept = leader._kept_scene().backlog
+    kept._remove(job)
+    leader._place()
+    assert len(leader.last_plan.unplaced) == 2
+    leader._audit(clock())
+    assert "1 jobs were out of order, run-000001 first" in caplog.text
+    leader._place()
+    assert len(leader.last_plan.unplaced) == 3
+    caplog.clear()
+    leader._audit(clock())
+    assert caplog.text == ""
+
+
 # -- the loop ------------------------------------------------------------------------------
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -71,6 +71,14 @@
 
 
 def new_leader(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
+    leader = leader_of(state, at_us, predecessor_over_us)
+    asyncio.run(leader._load())
+    leader._check_known()
+    return leader
+
+
+def leader_of(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
+    """A leader whose term has not been loaded yet."""
     document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
     document["facts"]["teams"] = [{"name": "red", "cpus": 8, "cpus_max": 100}]
     settings = parse_settings(msgspec.json.encode(document))
@@ -81,10 +89,7 @@
         settings, Tunables(), authority, cast(StateClient, state), cast(CloudClient, None),
         cast(HttpClient, None), [machine_type()], predecessor_over_us, lambda reason: None,
     )  # fmt: skip
-    leader = Leader(term)
-    asyncio.run(leader._load())
-    leader._check_known()
-    return leader
+    return Leader(term)
 
 
 def put_job(state: StandInState, spec: JobSpec, **changes: Any) -> None:
--- a/tools/measure_size.py
+++ b/tools/measure_size.py
@@ -5,6 +5,7 @@
 `python3 tools/measure_size.py passes --help`
 """
 
+import asyncio
 import gc
 import itertools
 import sys
@@ -20,10 +21,14 @@
 
 from tests.builders import add_job, job_spec, machine_type  # noqa: E402
 from tests.plain import PlainPlan, PlainQueue, plain_missing, plain_starts  # noqa: E402
+from tests.stand_ins import StandInState  # noqa: E402
+from tests.test_recovery import leader_of, put_job  # noqa: E402
 from weldhead.bookkeeping.chains import Chains  # noqa: E402
 from weldhead.bookkeeping.cluster import Cluster  # noqa: E402
 from weldhead.bookkeeping.jobs import Phase  # noqa: E402
 from weldhead.bookkeeping.machines import Machine  # noqa: E402
+from weldhead.bookkeeping.records import HireRecord  # noqa: E402
+from weldhead.clock import now_us  # noqa: E402
 from weldhead.coordination.estimates import Estimates  # noqa: E402
 from weldhead.coordination.fleet import Missing, _Queue, forecast_missing  # noqa: E402
 from weldhead.coordination.forecast import boots_of, forecast_us  # noqa: E402
@@ -167,5 +172,51 @@
     return figures
 
 
+@main.command()
+@click.option("--machines", default="650,1300,2600,5000")
+@click.option("--jobs", default="100,1000,10000,50000")
+def takeover(machines: str, jobs: str) -> None:
+    """Load a term from a store in memory and put its jobs in order; what holds the loop.
+
+    Columns are milliseconds: all the processor time of it, the longest time for which nothing
+    else on the loop got its turn, and the turns that something else got.
+    """
+    click.echo("machines   jobs | processor, longest hold, turns")
+    for count in map(int, machines.split(",")):
+        for waiting in map(int, jobs.split(",")):
+            total, longest, turns = asyncio.run(measure_takeover(count, waiting))
+            click.echo(f"{count:8} {waiting:6} | {1e3 * total:9.1f} {1e3 * longest:9.1f} {turns:6}")
+
+
+async def measure_takeover(machines: int, jobs: int) -> tuple[float, float, int]:
+    """Return the processor time of a takeover's loading, the longest hold, and the turns."""
+    state = StandInState()
+    state.page = 1_000
+    for number in range(jobs):
+        put_job(state, job_spec(number, tasks=1 + number % 3, deadline_s=1e5))
+    names = [f"vm-{number:06}" for number in range(machines)]
+    for start in range(0, machines, 50):
+        held: dict[str, str | None] = dict.fromkeys(names[start : start + 50], "10.0.0.9:1")
+        state.put(f"h/{start}", HireRecord("m4", "a", False, len(held), 0, True, held))
+    leader = leader_of(state, now_us())
+    gc.collect()
+    gc.freeze()
+
+    async def load() -> None:
+        await leader._load()
+        await leader._fill_scene()
+
+    loading = asyncio.create_task(load())
+    began = last = time.process_time()
+    longest, turns = 0.0, 0
+    while not loading.done():
+        await asyncio.sleep(0)
+        at = time.process_time()
+        longest, last, turns = max(longest, at - last), at, turns + 1
+    await loading
+    gc.unfreeze()
+    return last - began, longest, turns
+
+
 if __name__ == "__main__":
     main()
--- a/weldhead/coordination/backlog.py
+++ b/weldhead/coordination/backlog.py
@@ -195,6 +195,21 @@
             self._timers = [(due_us, serial, name) for name, (due_us, serial) in self._due.items()]
             heapify(self._timers)
 
+    def strays(self) -> list[str]:
+        """Return the jobs that stand in the order and do not wait, or the other way round.
+
+        None ever, unless a change was not told of: asked from time to time, as a job that is
+        not in the order would wait for ever, and nothing else would notice.
+        """
+        expected = {
+            job.id
+            for job in self._cluster.jobs.values()
+            if job.waiting > 0 and not job.finishing and job.team in self._cluster.teams
+        }
+        # Those that are not to start yet are known by their time alone.
+        kept = self._places.keys() | (self._due.keys() & expected)
+        return sorted(expected ^ kept)
+
     def place_of(self, job_id: str) -> tuple[Kind, Entry] | None:
         """Return where a job stands; None: nothing of it waits for room."""
         return self._places.get(job_id)
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -817,8 +817,25 @@
                 if at_us >= said_us + FLEET_LOG_US:
                     said_us = at_us
                     self._log_fleet()
+                    self._audit(at_us)
                 self._size_now(at_us)
 
+    def _audit(self, at_us: int) -> None:
+        """See that no waiting job was lost sight of, and say what the loop suffered from."""
+        scene = self._kept_scene()
+        scene.refresh(at_us)
+        strays = scene.backlog.strays()
+        if strays:
+            log.error(
+                "%d jobs were out of order, %s first; the order is made anew",
+                len(strays), strays[0],
+            )  # fmt: skip
+            scene.close()
+            self._scene = None
+        summary = self.pacer.summary()
+        if summary:
+            log.info("loop: %s", summary)
+
     def _size_now(self, at_us: int) -> None:
         """Look once at what to rent, what to return, and what to empty."""
         settings = self._tunables.fleet.settings()
