Rentals: a returned machine makes its offer worth asking for again

Cause: an offer that was refused is not asked for again for fleet.refusal_backoff.

Change: an answered deletion ends the refusal of the offers that its machines were of.

--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -280,6 +280,35 @@
     asyncio.run(scenario())
 
 
+def test_a_returned_machine_makes_its_offer_worth_asking_for_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After half of a fleet had fallen its place was free, and was not asked for for 15 s."""
+    state, cloud = StandInState(), StandInCloud()
+    leader = new_leader(state, now_us())
+    leader.term.cloud = cast(Any, cloud)
+    cloud.capacity = 50
+    monkeypatch.setattr("weldhead.coordination.rentals.DELETE_GATHER_S", 0)
+    rentals, market = leader.rentals, leader.term.market
+
+    async def scenario() -> None:
+        duty = asyncio.create_task(leader.ledger.run())
+        leader.term.duties.start("deletions", rentals._delete)
+        rentals.hire(Offer(machine_type(), "a", True), 100)
+        await settle()
+        asked = {(offer.zone, offer.spot) for offer in market.offers(now_us())}
+        assert ("a", True) not in asked and ("b", True) in asked
+        name = next(iter(leader.cluster.machines))
+        rentals.delete({name: leader.cluster.machines[name]})
+        await settle()
+        assert name not in leader.cluster.machines
+        assert Offer(machine_type(), "a", True) in market.offers(now_us())
+        await leader.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 def test_a_rentals_machines_are_divided_so_that_each_record_fits_with_all_addresses() -> None:
     for limit in (1024, 2048, 8192):
         names: dict[str, str | None] = {f"vm-{n:012}": None for n in range(50)}
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -354,6 +354,10 @@
         for machine in machines:
             self._doomed.pop(machine.name, None)
             self._gone(machine)
+            # Its place is free again: a refusal from before says nothing any more. After a
+            # fall of half the fleet the cloud was not asked for 15 s (found on an own day).
+            offer = (machine.type.name, machine.zone, machine.spot)
+            self._term.market.refused_until_us.pop(offer, None)
             record = self._records.get(machine.hire)
             if record is not None and machine.name in record.machines:
                 del record.machines[machine.name]
