What replaces many silent machines is rented before their leases are over

Cause: when over a third of the machines fall silent none is given up on before its lease is over, as it may be the network; and a recovery that meets this waits for a whole lease.

Change: a leader counts work on such machines as work that will want room when their leases are over, and rents for it at once; one in recovery rents up to what does not answer, 2 s after the load. Nothing is started, evicted or given up on earlier than before.

--- a/tests/test_equivalence.py
+++ b/tests/test_equivalence.py
@@ -17,7 +17,7 @@
 from weldhead.coordination.forecast import boots_of, forecast_us
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.outlook import BootWatch
-from weldhead.coordination.placement import Plan, Scene, plan_pass
+from weldhead.coordination.placement import Plan, Scene, plan_pass, plan_starts
 from weldhead.coordination.preemptor import plan_reclaims
 from weldhead.coordination.reports import request_stop
 from weldhead.protocol.settings import Objective, Team
@@ -253,3 +253,56 @@
         town.scene.refresh(town.now)
         assert town.scene.backlog.strays() == []
         town.compare_forecasts()
+
+
+def test_who_found_nobody_to_stop_gets_what_another_leaves_over() -> None:
+    into = Cluster([Team("red", 0, 99), Team("blue", 8, 99)], TOKEN)
+    machine = Machine("vm-000001", machine_type(), "a", False, 0)
+    into.machines[machine.name] = machine
+    machine.up = machine.synced = True
+    machine.order, machine.heard_us = (1, 1), S
+    held = add_job(into, job_spec(1, team="blue", priority="idle", tasks=1, cpus=4.0))
+    attempt = into.start(held, 0, machine, S)
+    attempt.phase, attempt.running_us = Phase.RUNNING, S
+    # The same kind before and behind the one that may stop the idle task. (The first of a
+    # kind is listed by itself, those behind it are what a pass left.)
+    orders = ((2, "red", 2.0), (3, "red", 2.0), (4, "blue", 1.0), (5, "red", 2.0))
+    first, before, between, behind = (
+        add_job(
+            into,
+            job_spec(n, team=team, tasks=1, cpus=cpus, deadline_s=8.0 + n, estimate_s=9.0),
+        )
+        for n, team, cpus in orders
+    )
+    plan = plan_starts(into, Estimates(), Goals([]), 2 * S, SILENCE, PATIENCE)
+    assert [job for job, _ in plan.unplaced] == [first, before, between, behind]
+    found = plan_reclaims(
+        into, ReclaimLists(), plan, Estimates(), 2 * S, PREEMPTOR, Goals([])
+    )  # fmt: skip
+    assert [(entry.job_id, entry.victims) for entry in found] == [
+        (between.id, [attempt]),
+        (behind.id, []),
+    ]
+
+
+def test_what_is_late_claims_behind_those_of_its_kind_that_can_wait() -> None:
+    into = Cluster([Team("red", 0, 99)], TOKEN)
+    machine = Machine("vm-000001", machine_type(), "a", False, 0)
+    into.machines[machine.name] = machine
+    machine.up = machine.synced = True
+    machine.order, machine.heard_us = (1, 1), S
+    held = add_job(into, job_spec(1, priority="idle", tasks=2, cpus=2.0))
+    for index in range(2):
+        attempt = into.start(held, index, machine, S)
+        attempt.phase, attempt.running_us = Phase.RUNNING, S
+    # 30 s to spare: it presses, and claims nothing yet. The other has missed its deadline.
+    waits, too = (
+        add_job(into, job_spec(n, tasks=1, deadline_s=39.0 + n, estimate_s=9.0)) for n in (2, 3)
+    )
+    late = add_job(into, job_spec(4, tasks=1, deadline_s=1.0, estimate_s=9.0))
+    plan = plan_starts(into, Estimates(), Goals([]), 2 * S, SILENCE, PATIENCE)
+    assert [job for job, _ in plan.unplaced] == [waits, too, late]
+    found = plan_reclaims(
+        into, ReclaimLists(), plan, Estimates(), 2 * S, PREEMPTOR, Goals([])
+    )  # fmt: skip
+    assert [entry.job_id for entry in found] == [late.id]
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -10,8 +10,10 @@
 from typing import Any, cast
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from tests.builders import add_job, job_spec
+from tests.builders import add_job, job_spec, machine_type
 from tests.stand_ins import StandInState, StandInTask
 from tests.test_recovery import (
     START,
@@ -23,19 +25,28 @@
     put_machine,
     report,
 )
-from tests.test_size import count_calls, full_fleet
+from tests.test_size import StandInCloud, count_calls, full_fleet, settle
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.records import HireRecord
 from weldhead.coordination import backlog, outlook, placement
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import _Queue, forecast_missing
+from weldhead.coordination.fleet import (
+    Market,
+    Offer,
+    Upcoming,
+    _Queue,
+    endangered,
+    forecast_missing,
+    plan_hires,
+    replacements,
+)
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.leader import LOADED_AT_ONCE, Leader
 from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
-from weldhead.coordination.placement import Scene, plan_pass
+from weldhead.coordination.placement import Plan, Scene, plan_pass
 from weldhead.tunables.defaults import FleetTunables, Tunables
 
 S = 1_000_000
@@ -417,3 +428,85 @@
         await asyncio.sleep(0)
 
     return sleep
+
+
+# -- when half of the fleet goes at once --------------------------------------------------
+
+
+def test_what_silent_machines_hold_is_asked_for_before_their_leases_are_over() -> None:
+    into = full_fleet(30, 0)
+    filler = into.jobs["run-000001"]
+    silent = list(into.machines.values())[:15]
+    at_us, lease_us = 8 * S, 14 * S
+    (lost,) = endangered(silent, at_us, lease_us)
+    assert (lost.job, lost.starts_us, lost.tasks(into)) == (filler, S + lease_us, 60)
+    market = Market([machine_type(cpus=8.0, memory_gb=64.0, zones=("a",), boot_s=10.0)])
+    estimates, goals = Estimates(), Goals([])
+    names = {machine.name for machine in silent}
+
+    def hires(upcoming: list[Upcoming], away: set[str]) -> int:
+        found = plan_hires(
+            into, Plan(), market, estimates, goals, at_us, FLEET, (), None, upcoming, 0, away
+        )
+        return sum(found.values())
+
+    # What runs elsewhere for another minute does not help them: 60 tasks of 2 CPUs.
+    assert hires([lost], names) == 15
+    assert hires([], set()) == 0
+    # Cancelled work and replicas are not asked for again.
+    filler.cancelled = True
+    assert endangered(silent, at_us, lease_us) == []
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from([2.0, 8.0, 64.0]), st.integers(1, 50)), max_size=6),
+    st.floats(-10.0, 500.0),
+)
+def test_no_more_is_rented_ahead_than_what_is_missing(
+    orders: list[tuple[float, int]], missing: float
+) -> None:
+    hires = {
+        Offer(machine_type(name=f"m{n}", cpus=cpus), "a", True): count
+        for n, (cpus, count) in enumerate(orders)
+    }
+    found = replacements(hires, missing)
+    assert sum(o.type.cpus * count for o, count in found.items()) <= max(0.0, missing)
+    assert all(0 < count <= hires[offer] for offer, count in found.items())
+    # Whatever was cut off did not fit any more.
+    left = missing - sum(o.type.cpus * count for o, count in found.items())
+    assert all(found.get(o, 0) == count or o.type.cpus > left for o, count in hires.items())
+
+
+def test_recovery_rents_what_replaces_machines_that_do_not_answer(clock: Clock) -> None:
+    state, cloud = StandInState(), StandInCloud()
+    put_job(state, job_spec(1, tasks=100, cpus=4.0))
+    workers = [put_machine(state, f"vm-{n:06}") for n in range(20)]
+    leader = new_leader(state, clock())
+    leader.term.cloud = cast(Any, cloud)
+    cloud.next = 1_000
+    clock.us += 3 * S
+
+    async def look() -> int:
+        leader._hire_ahead(clock())
+        duty = asyncio.create_task(leader.ledger.run())
+        await settle()
+        duty.cancel()
+        return sum(request.count for request in cloud.rented)
+
+    # Nobody has been asked in vain yet: they may all be about to answer.
+    assert asyncio.run(look()) == 0
+    for worker in workers[:8]:
+        for _ in range(2):
+            report(leader, worker, clock())
+    for worker in workers[8:]:
+        leader.cluster.machines[worker.name].asked_in_vain = True
+    assert not leader._known.is_set()
+    assert asyncio.run(look()) == 12
+    # What is on its way counts, and nothing was started or given up on.
+    assert asyncio.run(look()) == 12
+    assert not any(m.attempts or m.deleting for m in leader.cluster.machines.values())
+    # The room is still there for the plan that is made once all is known.
+    leader.term.ready = True
+    leader._tunables.direct_runs = False
+    leader._place()
+    assert sum(len(m.attempts) for m in leader.cluster.machines.values()) == 8
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -5,7 +5,7 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import cache
 from itertools import islice
@@ -66,13 +66,20 @@
 
 @dataclass(frozen=True)
 class Upcoming:
-    """A job that waits for others, and when those are expected to be done."""
+    """Work that does not wait for room yet, and when it is expected to.
+
+    A job that waits for others, until those are done; or tasks on machines that are silent
+    (``lost``), until their leases are over.
+    """
 
     job: Job
     starts_us: int
+    lost: int = 0
 
     def tasks(self, cluster: Cluster) -> int:
-        """How many of its tasks its team's limit will allow at once."""
+        """How many of its tasks will want room at once, as its team's limit allows."""
+        if self.lost:
+            return self.lost
         team = cluster.teams[self.job.team]
         return how_many(self.job.spec, team.cpus_max, team.gpus_max)
 
@@ -103,10 +110,41 @@
         offer.type.fits(job.spec)
         and (job.spec.zone is None or job.spec.zone == offer.zone)
         and (job.spec.spot or not offer.spot)
-        and job.room_in_zone(offer.zone) > 0
+        # Tasks that are about to be lost still count in their zones.
+        and (not (job.spec.one_zone or job.spec.spread) or job.room_in_zone(offer.zone) > 0)
     )
 
 
+def endangered(silent: Iterable[Machine], at_us: int, lease_us: int) -> list[Upcoming]:
+    """Return the tasks on silent machines, as work that will want room if they stay silent.
+
+    Where many machines fall silent at once nothing is given up on before their leases are
+    over, as it may be the network; but machines that replace them take a boot to come, and
+    are asked for at once. If the silent ones live, the cloud has no such room, or what came
+    too much is returned.
+    """
+    lost: dict[str, tuple[Job, int, int]] = {}
+    for machine in silent:
+        over_us = max(at_us, machine.heard_us + lease_us)
+        for attempt in machine.attempts.values():
+            job = attempt.job
+            if not job.cancelled and not job.spec.is_service:
+                _, count, latest_us = lost.get(job.id, (job, 0, 0))
+                lost[job.id] = job, count + 1, max(latest_us, over_us)
+    return [Upcoming(job, over_us, count) for job, count, over_us in lost.values()]
+
+
+def replacements(hires: dict[Offer, int], cpus: float) -> dict[Offer, int]:
+    """Return as many of the machines, the first ones first, as replace so many CPUs."""
+    found: dict[Offer, int] = {}
+    for offer, count in hires.items():
+        taken = min(count, int(cpus / offer.type.cpus)) if offer.type.cpus else 0
+        if taken > 0:
+            found[offer] = taken
+            cpus -= taken * offer.type.cpus
+    return found
+
+
 def is_late(machine: Machine, at_us: int, factor: float) -> bool:
     """Whether a machine takes much longer to boot than its type usually does."""
     limit_us = seconds_us(machine.type.boot_s * factor + 5.0)
@@ -127,13 +165,14 @@
         estimates: Estimates,
         at_us: int,
         settings: FleetSettings,
+        silent: Collection[str] = (),
     ) -> None:
         pools: dict[int, float] = defaultdict(float)
         for item in coming:
             pools[at_us + seconds_us(item.type.boot_s)] += item.type.cpus * item.count
-        away: set[str] = set()
+        away = set(silent)
         for machine in cluster.machines.values():
-            if machine.deleting or machine.draining:
+            if machine.deleting or machine.draining or machine.name in away:
                 away.add(machine.name)
             elif machine.booting:
                 if not is_late(machine, at_us, settings.boot_patience):
@@ -220,6 +259,9 @@
     waiting = ((job, count, at_us) for job, count in plan.unplaced)
     wanted = list(islice(waiting, settings.most_considered))
     more = any(True for _ in waiting)
+    for item in upcoming:
+        # What will be lost is no use that stands in its own way.
+        held[item.job.team] -= item.lost * item.job.spec.cpus
     wanted += [(item.job, item.tasks(cluster), item.starts_us) for item in upcoming]
     for job, count, ready_us in wanted:
         # Nothing can be too late for a job before it is released.
@@ -275,6 +317,7 @@
     demand: Demand | None = None,
     upcoming: Sequence[Upcoming] = (),
     backlog: int = 0,
+    silent: Collection[str] = (),
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -284,7 +327,11 @@
     offers = market.offers(at_us)
     if not (plan.unplaced or upcoming) or not offers:
         return {}
-    owned = sum(m.type.cpus for m in cluster.machines.values() if not m.deleting)
+    owned = sum(
+        machine.type.cpus
+        for machine in cluster.machines.values()
+        if not machine.deleting and machine.name not in silent
+    )
     owned += sum(item.type.cpus * item.count for item in coming)
 
     @cache
@@ -295,7 +342,7 @@
         return stretch_at(job.level)
 
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
-    queue = _Queue(cluster, coming, estimates, at_us, settings)
+    queue = _Queue(cluster, coming, estimates, at_us, settings, silent)
     missing = forecast_missing(
         cluster,
         plan,
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -35,16 +35,18 @@
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.fleet import (
     Upcoming,
+    endangered,
     movable,
     plan_closings,
     plan_hires,
     plan_moves,
     plan_returns,
+    replacements,
 )
 from weldhead.coordination.forecast import due_us, holding_up, looks_unable
 from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import Pacer, Rank
-from weldhead.coordination.placement import Plan, Scene, plan_pass
+from weldhead.coordination.placement import Plan, Scene, plan_nothing, plan_pass
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.rentals import Rentals
 from weldhead.coordination.reports import (
@@ -69,6 +71,9 @@
 #: that is answered proves sooner than the end of their leases that nothing runs there.
 UNKNOWN_PATIENCE_US = 1 * SECOND_US
 
+#: A new leader rents what replaces machines that have not answered by then.
+HIRE_AHEAD_US = 2 * SECOND_US
+
 #: How long a user waits for a cancellation before being told to ask again.
 CANCEL_WAIT_US = 1_500_000
 
@@ -189,12 +194,12 @@
         self._check_known()
         self._dispatcher.ask_all(m for m in list(self.cluster.machines.values()) if m.up)
         await self._fill_scene()
+        duties.start("fleet", self._size_fleet)
         await self._known.wait()
         term.ready = True
         log.info("term %d: ready after %.3f s", self.token, to_seconds(now_us() - term.loaded_us))
         duties.start("placement", self._place_tasks, 0.2)
         duties.start("preemptor", self._preempt)
-        duties.start("fleet", self._size_fleet)
         term.place.set()
 
     async def _load(self) -> None:
@@ -818,7 +823,38 @@
                     said_us = at_us
                     self._log_fleet()
                     self._audit(at_us)
-                self._size_now(at_us)
+                if self.term.ready:
+                    self._size_now(at_us)
+                else:
+                    self._hire_ahead(at_us)
+
+    def _hire_ahead(self, at_us: int) -> None:
+        """Rent what replaces machines that recovery waits for in vain.
+
+        After half of a fleet died together with its controllers, recovery waits for a whole
+        lease, and the boots of what replaces them came on top of it (found on an own day).
+        Nothing is started by this, and nothing given up on.
+        """
+        if at_us - self.term.loaded_us < HIRE_AHEAD_US or self.rentals.busy:
+            return
+        unknown = [m for m in self._live() if not m.synced]
+        if not unknown or not all(m.asked_in_vain for m in unknown):
+            return
+        scene = self._kept_scene()
+        settings = self._tunables.fleet.settings()
+        plan = plan_nothing(scene, at_us, settings.most_considered)
+        fresh = [m for m in self.cluster.machines.values() if m.hired_us >= self.term.loaded_us]
+        missing = sum(m.type.cpus for m in unknown) - sum(m.type.cpus for m in fresh)
+        missing -= sum(item.type.cpus * item.count for item in self.rentals.coming())
+        hires = plan_hires(
+            self.cluster, plan, self.term.market, self.term.estimates, self.term.goals, at_us,
+            settings, self.rentals.coming(), self.term.demand,
+            backlog=len(scene.backlog), silent={m.name for m in unknown},
+        )  # fmt: skip
+        for offer, count in replacements(hires, missing).items():
+            log.info("%d machines do not answer: %d of %s asked for in %s (spot: %s)",
+                len(unknown), count, offer.type.name, offer.zone, offer.spot)  # fmt: skip
+            self.rentals.hire(offer, count)
 
     def _audit(self, at_us: int) -> None:
         """See that no waiting job was lost sight of, and say what the loop suffered from."""
@@ -839,7 +875,9 @@
     def _size_now(self, at_us: int) -> None:
         """Look once at what to rent, what to return, and what to empty."""
         settings = self._tunables.fleet.settings()
+        silent = self._doubtful(at_us)
         upcoming = self._upcoming(at_us + settings.foresight_us)
+        upcoming += endangered(silent, at_us, self.term.lease_us)
         closing = plan_closings(self.cluster, self.last_plan, settings, upcoming)
         for machine in self.cluster.machines.values():
             machine.closing = machine.name in closing
@@ -863,10 +901,22 @@
             self.term.demand,
             upcoming,
             len(self._scene.backlog) if self._scene is not None else 0,
+            {machine.name for machine in silent},
         )
         for offer, count in hires.items():
             self.rentals.hire(offer, count)
 
+    def _doubtful(self, at_us: int) -> list[Machine]:
+        """Return silent machines that are not given up on as long as their leases last."""
+        silent = [
+            machine
+            for machine in self._silent(at_us, self.term.silence_us, self.term.floor_us())
+            if machine.up and not machine.deleting
+        ]
+        if not silent or look_gone(silent, self._live()):
+            return []
+        return silent
+
     def _upcoming(self, until_us: int) -> list[Upcoming]:
         """Return the jobs that are expected to wait for nothing more by then."""
         return [
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -10,13 +10,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heapreplace
+from itertools import islice
 
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import Machine, how_many
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import SECOND_US, seconds_us
-from weldhead.coordination.backlog import Backlog, Reserve, Shape, Unplaced
+from weldhead.coordination.backlog import Backlog, Entry, Reserve, Shape, Unplaced
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import Goals
 
@@ -182,6 +183,27 @@
         self.free.close()
 
 
+def plan_nothing(scene: Scene, at_us: int, most: int) -> Plan:
+    """Return a plan that starts nothing: up to that many waiting jobs, in order, are left over.
+
+    For what is decided while nothing may be started yet.
+    """
+    scene.refresh(at_us)
+    plan, given = Plan(), dict[str, Reserve]()
+    for number, job in enumerate(islice(scene.backlog, most)):
+        if job.team not in given:
+            given[job.team] = Reserve(scene.cluster, job.team)
+        reserve = given[job.team]
+        left = how_many(
+            job.spec, reserve.most_cpus - reserve.cpus, reserve.most_gpus - reserve.gpus
+        )
+        count = min(job.waiting, left)
+        if count > 0:
+            reserve.give(job, count)
+            plan.unplaced.add(Entry(0, 0, 0, 0, 0, number, job), count)
+    return plan
+
+
 def plan_starts(
     cluster: Cluster,
     estimates: Estimates,
