--- a/tools/measure_size.py
+++ b/tools/measure_size.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -25,7 +26,7 @@
 from tests.test_recovery import leader_of, put_job  # noqa: E402
 from weldhead.bookkeeping.chains import Chains  # noqa: E402
 from weldhead.bookkeeping.cluster import Cluster  # noqa: E402
-from weldhead.bookkeeping.jobs import Phase  # noqa: E402
+from weldhead.bookkeeping.jobs import Phase, Stop  # noqa: E402
 from weldhead.bookkeeping.machines import Machine  # noqa: E402
 from weldhead.bookkeeping.records import HireRecord  # noqa: E402
 from weldhead.clock import now_us  # noqa: E402
@@ -34,6 +35,7 @@
 from weldhead.coordination.fleet import Missing, _Queue, forecast_missing  # noqa: E402
 from weldhead.coordination.forecast import boots_of, forecast_us  # noqa: E402
 from weldhead.coordination.goals import Goals  # noqa: E402
+from weldhead.coordination.leader import Leader  # noqa: E402
 from weldhead.coordination.outlook import Outlook  # noqa: E402
 from weldhead.coordination.placement import Plan, Scene, plan_pass  # noqa: E402
 from weldhead.protocol.settings import Objective, Team  # noqa: E402
@@ -174,6 +176,43 @@
     return figures
 
 
+@main.command()
+@click.option("--machines", default="650,1300,2600,5000")
+def watch(machines: str) -> None:
+    """A look of the machine watch, five times a second: plain, and now where all are heard."""
+    for count in map(int, machines.split(",")):
+        into = fleet(count, 0)
+        leader = leader_of(StandInState(), now_us())
+        asyncio.run(leader._load())
+        leader.term.cluster = into
+        leader._machines_changed = into.machines.feeds.subscribe()
+        leader._heard = dict(into.machines)
+        at_us = S + leader.term.report_us
+        leader.term.loaded_us = 0
+        plain = cost(partial(plain_watch, leader, at_us))
+        now = cost(partial(_watch_once, leader, at_us))
+        click.echo(f"{count:8} | plain {1e3 * plain:9.3f}, now {1e3 * now:9.4f}: {plain / now:.0f}")
+
+
+def plain_watch(leader: Leader, at_us: int) -> list[Machine]:
+    """Look at all machines and all that runs on them, as before."""
+    term, machines = leader.term, list(leader.cluster.machines.values())
+    live = [m for m in machines if m.up and not m.deleting]
+    doomed = [m for m in live if at_us - max(m.heard_us, 0) > term.silence_us]
+    for machine in live:
+        for attempt in machine.attempts.values():
+            if attempt.limbo_us and at_us - attempt.limbo_us > term.cancel_us // 4:
+                doomed.append(machine)
+            if attempt.stop is Stop.HARD and at_us - attempt.stop_us > term.cancel_us // 2:
+                doomed.append(machine)
+    return doomed + [m for m in machines if leader._taken(m, at_us)]
+
+
+def _watch_once(leader: Leader, at_us: int) -> list[Machine]:
+    doomed = leader._expired_or_silent(at_us) + leader._in_trouble(at_us)
+    return doomed + [m for m in leader._noticed.values() if leader._taken(m, at_us)]
+
+
 @main.command()
 @click.option("--machines", default="650,1300,2600,5000")
 @click.option("--jobs", default="100,1000,10000,50000")
