--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -47,6 +47,9 @@
 from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
 from weldhead.coordination.placement import Plan, Scene, plan_pass
+from weldhead.protocol.settings import StateLimits
+from weldhead.transport.http import CallFailed, HttpClient
+from weldhead.transport.state import Refused, StateClient
 from weldhead.tunables.defaults import FleetTunables, Tunables
 
 S = 1_000_000
@@ -510,3 +513,42 @@
     leader._tunables.direct_runs = False
     leader._place()
     assert sum(len(m.attempts) for m in leader.cluster.machines.values()) == 8
+
+
+def test_a_page_that_fails_is_asked_for_again_and_nothing_is_read_twice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A reader that began anew at each failure came to no end while the store was slow."""
+    monkeypatch.setattr("weldhead.transport.state.PAGE_PAUSE_S", 0)
+    item = b'{"key":"j/%d","value":%d,"mark":%d}'
+    pages = [
+        b'{"items":[%s],"has_next":true,"ledger":7}' % (item % (1, 1, 5)),
+        b'{"items":[%s],"has_next":true,"ledger":8}' % (item % (2, 2, 6)),
+        b'{"items":[%s],"has_next":false,"ledger":9}' % (item % (3, 3, 8)),
+    ]
+    fates: list[int | None] = [200, 503, None, 200, 429, 200]
+    asked: list[str] = []
+
+    class Http:
+        async def call(self, method: str, url: str, *_: Any) -> tuple[int, bytes]:
+            asked.append(url.partition("&from=")[2])
+            fate = fates.pop(0)
+            if fate is None:
+                raise CallFailed("no answer")
+            return fate, pages[len(set(asked)) - 1]
+
+    async def read() -> list[tuple[list[str], int]]:
+        client = StateClient(cast(HttpClient, Http()), "x", StateLimits(1e6, 1e6, 8.0, 12))
+        return [
+            ([entry.key for entry in part], revision) async for part, revision in client.pages("j/")
+        ]
+
+    found = asyncio.run(read())
+    # All with the first page's revision: what changed since is seen by a watch from there.
+    assert found == [(["j/1"], 7), (["j/2"], 7), (["j/3"], 7)]
+    assert asked == ["", "j/1", "j/1", "j/1", "j/2", "j/2"]
+    # Nothing has been read yet: whoever asked decides.
+    fates = [503]
+    asked.clear()
+    with pytest.raises(Refused):
+        asyncio.run(read())
