--- a/weldhead/coordination/backlog.py
+++ b/weldhead/coordination/backlog.py
@@ -112,8 +112,6 @@
         self._stale: dict[str, Job] = {}
         self._feed = cluster.jobs.feeds.subscribe()
         self._fresh = dict(cluster.jobs)
-        #: How often a job was put in place; for measurements.
-        self.placed = 0
 
     def close(self) -> None:
         """Stop following the jobs."""
@@ -174,7 +172,6 @@
             or job.team not in self._cluster.teams
         ):
             return
-        self.placed += 1
         if job.not_before_us > at_us:
             self._wake(job, job.not_before_us - 1)
             return
--- a/weldhead/coordination/outlook.py
+++ b/weldhead/coordination/outlook.py
@@ -102,8 +102,7 @@
         self._heap: list[tuple[int, int, str]] = []
         for job in cluster.jobs.values():
             self._plan(job, 0)
-        #: How many forecasts were made, and looks cut short; for the log and measurements.
-        self.made = 0
+        #: How many looks left somebody to the next.
         self.cut_short = 0
 
     def close(self) -> None:
@@ -132,7 +131,6 @@
         self._forecast(job, at_us, self._boots.boots())
 
     def _forecast(self, job: Job, at_us: int, boots: Boots) -> None:
-        self.made += 1
         job.forecast_us = forecast_us(self._cluster, job, self._estimates, at_us, boots)
         job.forecast_at_us = at_us
 
