Tidy: one kind of timers, one look for silent live machines; a reader that nobody called is gone

The backlog, the outlook and its watch of boots each kept a heap of moments with entries that are not true any more; Timers serves all three (and the boots' heap is cut back now too). Returning and renting ahead asked for silent machines by the same lines. StateClient.scan served only a test, which reads the pages now.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -289,7 +289,7 @@
         # Pages, and a watch that waits.
         for number in range(3):
             await client.transact([], [Put(f"b/{number}", number)])
-        entries, revision = await client.scan("b/")
+        ((entries, revision),) = [page async for page in client.pages("b/")]
         assert [entry.key for entry in entries] == ["b/0", "b/1", "b/2"]
         status, body = await http.call(
             "GET", f"http://{address}/store?starts=b/&most=2&from=b/0", None, SECOND_US
--- a/weldhead/coordination/backlog.py
+++ b/weldhead/coordination/backlog.py
@@ -19,6 +19,7 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import how_many
+from weldhead.bookkeeping.timers import Timers
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.goals import FOR_EVER_US, Goals, Press
 
@@ -104,9 +105,8 @@
         self._patience_us = patience_us
         self.queues: dict[Kind, list[Entry]] = {}
         self._places: dict[str, tuple[Kind, Entry]] = {}
-        #: When a job's place has to be looked at again, and by which change of it.
-        self._timers: list[tuple[int, int, str]] = []
-        self._due: dict[str, tuple[int, int]] = {}
+        #: Until when a job's place stays as it is.
+        self._timers = Timers()
         self._classes: dict[str, dict[str, Job]] = {}
         self._editions: dict[str, int] = {}
         self._stale: dict[str, Job] = {}
@@ -141,14 +141,12 @@
                 self._stale.update(self._classes.get(name, {}))
         for job in list(islice(self._stale.values(), MOST_RENEWED)):
             self._put(job, at_us)
-        while self._timers and self._timers[0][0] < at_us:
-            due_us, serial, job_id = heappop(self._timers)
-            if self._due.get(job_id) == (due_us, serial):
-                self._put(self._cluster.jobs[job_id], at_us)
+        while (job_id := self._timers.pop(at_us - 1)) is not None:
+            self._put(self._cluster.jobs[job_id], at_us)
 
     def _remove(self, job: Job) -> None:
         self._stale.pop(job.id, None)
-        self._due.pop(job.id, None)
+        self._timers.drop(job.id)
         place = self._places.pop(job.id, None)
         if place is None:
             return
@@ -173,7 +171,7 @@
         ):
             return
         if job.not_before_us > at_us:
-            self._wake(job, job.not_before_us - 1)
+            self._timers.set(job.id, job.serial, job.not_before_us - 1)
             return
         entry, until_us = entry_of(job, self._estimates, self._goals, at_us, self._patience_us)
         kind = Kind.of(job)
@@ -181,16 +179,7 @@
         self._places[job.id] = kind, entry
         self._classes.setdefault(job.spec.job_class, {})[job.id] = job
         if until_us < FOR_EVER_US:
-            self._wake(job, until_us)
-
-    def _wake(self, job: Job, until_us: int) -> None:
-        """Look at a job again after that moment."""
-        self._due[job.id] = until_us, job.serial
-        heappush(self._timers, (until_us, job.serial, job.id))
-        if len(self._timers) > 64 + 4 * len(self._due):
-            # Mostly of jobs that have been put elsewhere since.
-            self._timers = [(due_us, serial, name) for name, (due_us, serial) in self._due.items()]
-            heapify(self._timers)
+            self._timers.set(job.id, job.serial, until_us)
 
     def strays(self) -> list[str]:
         """Return the jobs that stand in the order and do not wait, or the other way round.
@@ -204,7 +193,7 @@
             if job.waiting > 0 and not job.finishing and job.team in self._cluster.teams
         }
         # Those that are not to start yet are known by their time alone.
-        kept = self._places.keys() | (self._due.keys() & expected)
+        kept = self._places.keys() | (self._timers.names() & expected)
         return sorted(expected ^ kept)
 
     def place_of(self, job_id: str) -> tuple[Kind, Entry] | None:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -748,14 +748,15 @@
     def _live(self) -> list[Machine]:
         return [m for m in self.cluster.machines.values() if m.up and not m.deleting]
 
+    def _silent_live(self, at_us: int) -> list[Machine]:
+        """Return the live machines that are silent for so long that nothing is placed there."""
+        silent = self._silent(at_us, self.term.silence_us, self.term.floor_us())
+        return [machine for machine in silent if machine.up and not machine.deleting]
+
     def _expired_or_silent(self, at_us: int) -> list[Machine]:
         """Return machines whose leases are over, or that are silent and look gone."""
         floor_us = self.term.floor_us()
-        silent = [
-            machine
-            for machine in self._silent(at_us, self.term.silence_us, floor_us)
-            if machine.up and not machine.deleting
-        ]
+        silent = self._silent_live(at_us)
         if not silent:
             return []
         live = self._live()
@@ -908,11 +909,7 @@
 
     def _doubtful(self, at_us: int) -> list[Machine]:
         """Return silent machines that are not given up on as long as their leases last."""
-        silent = [
-            machine
-            for machine in self._silent(at_us, self.term.silence_us, self.term.floor_us())
-            if machine.up and not machine.deleting
-        ]
+        silent = self._silent_live(at_us)
         if not silent or look_gone(silent, self._live()):
             return []
         return silent
--- a/weldhead/coordination/outlook.py
+++ b/weldhead/coordination/outlook.py
@@ -9,13 +9,13 @@
 
 from collections import Counter
 from collections.abc import Callable
-from heapq import heapify, heappop, heappush
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.feeds import Registry
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import Machine
+from weldhead.bookkeeping.timers import Timers
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.forecast import (
@@ -38,8 +38,7 @@
         self._feed = machines.feeds.subscribe()
         self._types: Counter[float] = Counter()
         self._known: dict[str, float] = {}
-        self._booting: dict[str, int] = {}
-        self._heap: list[tuple[int, str]] = []
+        self._booting = Timers()
         for machine in machines.values():
             self._enter(machine)
 
@@ -54,25 +53,20 @@
             self._types[known] -= 1
             if not self._types[known]:
                 del self._types[known]
-        self._booting.pop(name, None)
+        self._booting.drop(name)
         if self._machines.get(name) is not machine:
             return
         self._known[name] = machine.type.boot_s
         self._types[machine.type.boot_s] += 1
         if machine.booting:
             up_us = machine.hired_us + seconds_us(machine.type.boot_s)
-            self._booting[name] = up_us
-            heappush(self._heap, (up_us, name))
+            self._booting.set(name, machine.serial, up_us)
 
     def boots(self) -> Boots:
         """Return what a forecast has to know of them."""
         for machine in self._feed.take():
             self._enter(machine)
-        while self._heap and self._booting.get(self._heap[0][1]) != self._heap[0][0]:
-            heappop(self._heap)
-        return Boots(
-            self._heap[0][0] if self._heap else None, seconds_us(max(self._types, default=0.0))
-        )
+        return Boots(self._booting.first_us(), seconds_us(max(self._types, default=0.0)))
 
 
 class Outlook:
@@ -98,8 +92,7 @@
         self._feed = cluster.jobs.feeds.subscribe()
         self._boots = BootWatch(cluster.machines)
         #: When each job is looked at next.
-        self._next: dict[str, int] = {}
-        self._heap: list[tuple[int, int, str]] = []
+        self._next = Timers()
         for job in cluster.jobs.values():
             self._plan(job, 0)
         #: How many looks left somebody to the next.
@@ -112,17 +105,9 @@
 
     def _plan(self, job: Job, at_us: int) -> None:
         """Look at a job at that time, or earlier if that is planned already."""
-        if self._next.get(job.id, at_us + 1) <= at_us:
-            return
-        self._next[job.id] = at_us
-        heappush(self._heap, (at_us, job.serial, job.id))
-        if len(self._heap) > 64 + 4 * len(self._next):
-            self._heap = [
-                (next_us, self._cluster.jobs[name].serial, name)
-                for name, next_us in self._next.items()
-                if name in self._cluster.jobs
-            ]
-            heapify(self._heap)
+        planned_us = self._next.due_us(job.id)
+        if planned_us is None or planned_us > at_us:
+            self._next.set(job.id, job.serial, at_us)
 
     def tell(self, job: Job, at_us: int) -> None:
         """Bring a job's forecast up to date, if it waits for no others."""
@@ -140,7 +125,7 @@
             if self._cluster.jobs.get(job.id) is job:
                 self._plan(job, at_us)
             else:
-                self._next.pop(job.id, None)
+                self._next.drop(job.id)
         boots = self._boots.boots()
         if self._chains.blocked:
             for job in self._chains.needed():
@@ -148,14 +133,7 @@
                     self._forecast(job, at_us, boots)
             forecast_chains(self._chains, self._cluster, self._stage_us, at_us)
         looked: list[Job] = []
-        while self._heap and self._heap[0][0] <= at_us:
-            if len(looked) >= self._most:
-                self.cut_short += 1
-                break
-            next_us, _, name = heappop(self._heap)
-            if self._next.get(name) != next_us:
-                continue
-            del self._next[name]
+        while len(looked) < self._most and (name := self._next.pop(at_us)) is not None:
             job = self._cluster.jobs[name]
             looked.append(job)
             if self._stays(job):
@@ -168,6 +146,9 @@
             if not job.blockers:
                 self._forecast(job, at_us, boots)
             self._plan(job, self._next_us(job, due, at_us))
+        first_us = self._next.first_us()
+        if first_us is not None and first_us <= at_us:
+            self.cut_short += 1
         return looked
 
     @staticmethod
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -167,14 +167,6 @@
                 return
             start = page.items[-1].key
 
-    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
-        """Read all keys with a prefix at once, and a revision from which to watch."""
-        entries: list[Entry] = []
-        revision = 0
-        async for page, revision in self.pages(prefix):  # noqa: B007
-            entries += page
-        return entries, revision
-
     async def transact(
         self,
         conditions: list[Condition],
