--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -103,7 +103,7 @@
             if key.startswith("j/"):
                 self.leader.job_created(msgspec.convert(value, JobRecord), version)
         for job_id in list(self.leader.chains.unknown):
-            self.run(self.leader._learn_need(job_id))
+            self.run(self.leader.linking.learn_need(job_id))
 
     def job(self, number: int) -> Job | None:
         return self.leader.cluster.jobs.get(name(number))
@@ -605,7 +605,7 @@
     with caplog.at_level(logging.WARNING):
         for _ in range(3):
             world.clock.us += S
-            leader._look_ahead(world.clock())
+            leader.look_ahead.look_ahead(world.clock())
     said = [r.getMessage() for r in caplog.records if r.levelno >= logging.WARNING]
     assert len(said) == 1
     assert "run-000003 will be late" in said[0]
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -43,10 +43,11 @@
     replacements,
 )
 from weldhead.coordination.goals import Goals
-from weldhead.coordination.leader import LOADED_AT_ONCE, Leader
 from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
 from weldhead.coordination.placement import Plan, Scene, plan_pass
+from weldhead.coordination.recovery import Recovery
+from weldhead.coordination.term import LOADED_AT_ONCE
 from weldhead.protocol.settings import StateLimits
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.state import Refused, StateClient
@@ -232,30 +233,30 @@
             state.put(f"h/{number}", HireRecord("m4", "a", False, 50, START, True, names))
             names = {}
     turns = longest = since = 0
-    original = Leader._add_job
+    original = Recovery.add_job
 
-    def add(self: Leader, *args: Any) -> Job:
+    def add(self: Recovery, *args: Any) -> Job:
         nonlocal since, longest
         since += 1
         longest = max(longest, since)
         return original(self, *args)
 
-    monkeypatch.setattr(Leader, "_add_job", add)
+    monkeypatch.setattr(Recovery, "add_job", add)
     leader = leader_of(state, clock())
 
     async def scenario() -> None:
         nonlocal turns, since
-        loading = asyncio.create_task(leader._load())
+        loading = asyncio.create_task(leader.recovery.load())
         while not loading.done():
             await asyncio.sleep(0)
             turns, since = turns + 1, 0
         await loading
-        await leader._fill_scene()
+        await leader.deciding.fill_scene()
 
     asyncio.run(scenario())
     assert (len(leader.cluster.jobs), len(leader.cluster.machines)) == (20_000, 2_500)
     assert longest <= LOADED_AT_ONCE and turns >= 2 * 20_000 // LOADED_AT_ONCE
-    assert len(leader._kept_scene().backlog) == 20_000
+    assert len(leader.deciding.kept_scene().backlog) == 20_000
     assert spec.id in leader.cluster.jobs
 
 
@@ -274,14 +275,14 @@
                 next(looked)
                 yield value
 
-    leader._heard = Counting(leader._heard)
+    leader.watch.heard = Counting(leader.watch.heard)
     clock.us += S
-    assert leader._expired_or_silent(clock()) == []
+    assert leader.watch.expired_or_silent(clock()) == []
     assert next(looked) == 1
     clock.us += leader.term.silence_us
     for worker in workers[7:]:
         report(leader, worker, clock())
-    found = leader._silent(clock(), leader.term.silence_us, 0)
+    found = leader.watch.silent(clock(), leader.term.silence_us, 0)
     assert {machine.name for machine in found} == {worker.name for worker in workers[:7]}
     assert next(looked) <= 1 + 8 + 1
 
@@ -300,9 +301,9 @@
     for worker in workers:
         for _ in range(2):
             report(leader, worker, clock())
-    assert leader._known.is_set()
+    assert leader.recovery.known.is_set()
     term.ready = True
-    leader._tunables.direct_runs = False
+    leader.term.tunables.direct_runs = False
     silent, heard = workers[:15], workers[15:]
     sent_us = clock()
 
@@ -318,10 +319,10 @@
                     worker.expire()
         for worker in heard:
             report(leader, worker, clock())
-        doomed = leader._expired_or_silent(clock())
+        doomed = leader.watch.expired_or_silent(clock())
         # Half of the fleet at once looks like the network: nothing is given up on.
         assert doomed == [] or clock() > sent_us + term.lease_us
-        leader._place()
+        leader.deciding.place()
         for worker in heard:
             report(leader, worker, clock())
         assert len(running()) == len(set(running()))
@@ -341,19 +342,21 @@
     for number in range(3):
         put_job(state, job_spec(number, tasks=1))
     leader = new_leader(state, clock())
-    leader._place()
-    assert [job.id for job, _ in leader.last_plan.unplaced] == [f"run-{n:06}" for n in range(3)]
+    leader.deciding.place()
+    assert [job.id for job, _ in leader.deciding.last_plan.unplaced] == [
+        f"run-{n:06}" for n in range(3)
+    ]
     job = leader.cluster.jobs["run-000001"]
-    kept = leader._kept_scene().backlog
+    kept = leader.deciding.kept_scene().backlog
     kept._remove(job)
-    leader._place()
-    assert len(leader.last_plan.unplaced) == 2
-    leader._audit(clock())
+    leader.deciding.place()
+    assert len(leader.deciding.last_plan.unplaced) == 2
+    leader.sizing.audit(clock())
     assert "1 jobs were out of order, run-000001 first" in caplog.text
-    leader._place()
-    assert len(leader.last_plan.unplaced) == 3
+    leader.deciding.place()
+    assert len(leader.deciding.last_plan.unplaced) == 3
     caplog.clear()
-    leader._audit(clock())
+    leader.sizing.audit(clock())
     assert caplog.text == ""
 
 
@@ -490,7 +493,7 @@
     clock.us += 3 * S
 
     async def look() -> int:
-        leader._hire_ahead(clock())
+        leader.sizing.hire_ahead(clock())
         duty = asyncio.create_task(leader.ledger.run())
         await settle()
         duty.cancel()
@@ -503,15 +506,15 @@
             report(leader, worker, clock())
     for worker in workers[8:]:
         leader.cluster.machines[worker.name].asked_in_vain = True
-    assert not leader._known.is_set()
+    assert not leader.recovery.known.is_set()
     assert asyncio.run(look()) == 12
     # What is on its way counts, and nothing was started or given up on.
     assert asyncio.run(look()) == 12
     assert not any(m.attempts or m.deleting for m in leader.cluster.machines.values())
     # The room is still there for the plan that is made once all is known.
     leader.term.ready = True
-    leader._tunables.direct_runs = False
-    leader._place()
+    leader.term.tunables.direct_runs = False
+    leader.deciding.place()
     assert sum(len(m.attempts) for m in leader.cluster.machines.values()) == 8
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -38,6 +38,12 @@
 S = 1_000_000
 START = 1_000 * S
 
+#: The modules of a term that read the clock.
+CLOCKED = (
+    "completions", "deciding", "dispatch", "frontdesk", "leader", "linking", "lookahead",
+    "recovery", "rentals", "sizing", "term", "watching",
+)  # fmt: skip
+
 
 class Clock:
     """The steady clock and the time of day, moved by the test."""
@@ -61,7 +67,7 @@
     def __enter__(self) -> Clock:
         self.patch = pytest.MonkeyPatch()
         clock = Clock()
-        for module in ("leader", "term", "rentals", "completions", "dispatch", "frontdesk"):
+        for module in CLOCKED:
             for name in ("now_us", "wall_us"):
                 self.patch.setattr(f"weldhead.coordination.{module}.{name}", clock, raising=False)
         return clock
@@ -72,7 +78,7 @@
 
 def new_leader(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
     leader = leader_of(state, at_us, predecessor_over_us)
-    asyncio.run(leader._load())
+    asyncio.run(leader.recovery.load())
     leader._check_known()
     return leader
 
@@ -130,7 +136,7 @@
     assert (job.done, job.committed, job.waiting_indexes(9)) == (2, 2, [1, 3])
     assert job.first_seen_us == START - 10 * S
     assert leader.cluster.jobs["run-000002"].waiting == 0
-    assert leader._known.is_set()
+    assert leader.recovery.known.is_set()
 
 
 def test_nothing_is_known_until_every_machine_has_shown_the_new_token(clock: Clock) -> None:
@@ -140,16 +146,16 @@
     put_machine(state, "vm-000009", up=False)
     workers[0].tasks["run-000001/2"] = StandInTask(77, "running")
     leader = new_leader(state, clock())
-    assert not leader._known.is_set()
+    assert not leader.recovery.known.is_set()
     # The first report still has the old token: an earlier leader could still command it.
     assert report(leader, workers[0], clock())
     assert synced(leader) == []
     assert report(leader, workers[0], clock())
     assert synced(leader) == ["vm-000000"]
-    assert not leader._known.is_set()
+    assert not leader.recovery.known.is_set()
     report(leader, workers[1], clock())
     report(leader, workers[1], clock())
-    assert leader._known.is_set()
+    assert leader.recovery.known.is_set()
     attempt = leader.cluster.jobs["run-000001"].active[2]
     assert (attempt.number, attempt.phase) == (77, Phase.RUNNING)
 
@@ -185,7 +191,7 @@
     worker = put_machine(state, "vm-000001")
     leader = new_leader(state, clock())
     report(leader, worker, clock())
-    leader._expire(leader.cluster.machines["vm-000001"])
+    leader.watch.expire(leader.cluster.machines["vm-000001"])
     assert not report(leader, worker, clock())
     worker.expire()
     assert report(leader, worker, clock())
@@ -248,7 +254,7 @@
                     leader._apply(machine, shown, direct=True)
                 case "expire":
                     worker.expire()
-            if leader._known.is_set():
+            if leader.recovery.known.is_set():
                 for other in workers:
                     known = leader.cluster.machines[other.name].attempts
                     assert other.live() <= set(known)
--- a/tools/measure_size.py
+++ b/tools/measure_size.py
@@ -183,10 +183,10 @@
     for count in map(int, machines.split(",")):
         into = fleet(count, 0)
         leader = leader_of(StandInState(), now_us())
-        asyncio.run(leader._load())
+        asyncio.run(leader.recovery.load())
         leader.term.cluster = into
-        leader._machines_changed = into.machines.feeds.subscribe()
-        leader._heard = dict(into.machines)
+        leader.watch.changed = into.machines.feeds.subscribe()
+        leader.watch.heard = dict(into.machines)
         at_us = S + leader.term.report_us
         leader.term.loaded_us = 0
         plain = cost(partial(plain_watch, leader, at_us))
@@ -205,12 +205,12 @@
                 doomed.append(machine)
             if attempt.stop is Stop.HARD and at_us - attempt.stop_us > term.cancel_us // 2:
                 doomed.append(machine)
-    return doomed + [m for m in machines if leader._taken(m, at_us)]
+    return doomed + [m for m in machines if leader.watch.taken(m, at_us)]
 
 
 def _watch_once(leader: Leader, at_us: int) -> list[Machine]:
-    doomed = leader._expired_or_silent(at_us) + leader._in_trouble(at_us)
-    return doomed + [m for m in leader._noticed.values() if leader._taken(m, at_us)]
+    doomed = leader.watch.expired_or_silent(at_us) + leader.watch.in_trouble(at_us)
+    return doomed + [m for m in leader.watch.noticed.values() if leader.watch.taken(m, at_us)]
 
 
 @main.command()
@@ -244,8 +244,8 @@
     gc.freeze()
 
     async def load() -> None:
-        await leader._load()
-        await leader._fill_scene()
+        await leader.recovery.load()
+        await leader.deciding.fill_scene()
 
     loading = asyncio.create_task(load())
     began = last = time.process_time()
--- /dev/null
+++ b/weldhead/coordination/deciding.py
@@ -0,0 +1,157 @@
+"""When tasks are placed and stopped: the duties around placement and the preemptor."""
+
+import asyncio
+import logging
+
+from weldhead.bookkeeping.jobs import Attempt, Stop
+from weldhead.bookkeeping.machines import Machine
+from weldhead.bookkeeping.reclaim import ReclaimLists
+from weldhead.clock import now_us
+from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.pacing import Pacer, Rank
+from weldhead.coordination.placement import Plan, Scene, plan_pass
+from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
+from weldhead.coordination.reports import request_stop
+from weldhead.coordination.term import LOADED_AT_ONCE, Term
+
+log = logging.getLogger(__name__)
+
+
+class Deciding:
+    """Places tasks and makes room for them."""
+
+    def __init__(self, term: Term, dispatcher: Dispatcher, pacer: Pacer) -> None:
+        self._term = term
+        self._dispatcher = dispatcher
+        self.pacer = pacer
+        self.reclaims = ReclaimLists()
+        self.last_plan = Plan()
+        #: What placement and forecasts keep in order; made when first needed, and made anew
+        #: after a failure.
+        self.scene: Scene | None = None
+
+    def kept_scene(self) -> Scene:
+        """Return what placement keeps in order."""
+        if self.scene is None:
+            self.scene = Scene(
+                self._term.cluster, self._term.estimates, self._term.goals,
+                self._term.tunables.preemptor.patience_us,
+            )  # fmt: skip
+        return self.scene
+
+    async def fill_scene(self) -> None:
+        """Put all waiting jobs in order while workers are still being asked what they run."""
+        backlog = self.kept_scene().backlog
+        more = True
+        while more:
+            more = backlog.fill(now_us(), LOADED_AT_ONCE)
+            await asyncio.sleep(0)
+
+    async def place_tasks(self) -> None:
+        """Place tasks whenever something has changed; a duty."""
+        while True:
+            await self._term.place.wait()
+            self._term.place.clear()
+            self._place_now()
+            await self.pacer.rest(
+                "placement", Rank.PLACEMENT, self._term.tunables.placement_pause_us
+            )
+
+    def _place_now(self) -> None:
+        with self.pacer.hold("placement"):
+            self.place()
+
+    def place(self) -> None:
+        """Make one placement pass and see to its starts."""
+        if not self._term.valid:
+            return
+        at_us = now_us()
+        scene = self.kept_scene()
+        try:
+            plan = plan_pass(scene, at_us, self._term.silence_us, self._term.tunables.fetch_weight)
+        except Exception:
+            # What it had read of the feeds may be lost with it: made anew at the next pass.
+            scene.close()
+            self.scene = None
+            raise
+        self.last_plan = plan
+        touched: dict[str, Machine] = {}
+        for start in plan.starts:
+            self._term.cluster.start(start.job, start.index, start.machine, at_us)
+            self.reclaims.granted(start.job.id, start.machine.name)
+            touched[start.machine.name] = start.machine
+        if plan.starts:
+            log.debug("placed %d tasks on %d machines", len(plan.starts), len(touched))
+        if self._term.tunables.direct_runs:
+            for machine in touched.values():
+                self._dispatcher.post_soon(machine)
+
+    async def preempt(self) -> None:
+        """Make room for those who found none; a duty."""
+        while True:
+            await self.pacer.rest(
+                "preemptor", Rank.PREEMPTOR, self._term.tunables.preemptor.period_us
+            )
+            if not self._term.valid:
+                continue
+            self._place_now()
+            with self.pacer.hold("preemptor"):
+                self._make_room(now_us())
+
+    def _make_room(self, at_us: int) -> None:
+        """Ask for room on behalf of those who found none."""
+        settings = self._term.tunables.preemptor.settings(self._term.silence_us)
+        self._trim_reclaims()
+        hard, expired = overdue(self.reclaims, at_us, settings)
+        for entry in expired:
+            self.reclaims.remove(entry)
+        for entry in hard:
+            entry.hard_us = at_us
+            for victim in entry.victims:
+                if victim.job.active.get(victim.index) is victim:
+                    self.stop(victim, Stop.HARD, at_us, "room, overdue")
+        for reclaim in plan_reclaims(
+            self._term.cluster,
+            self.reclaims,
+            self.last_plan,
+            self._term.estimates,
+            at_us,
+            settings,
+            self._term.goals,
+            free=self.scene.free if self.scene is not None else None,
+        ):
+            self.reclaims.add(reclaim)
+            for victim in reclaim.victims:
+                log.info(
+                    "%s (%s, %s) stops for %s (%s)",
+                    victim.task,
+                    victim.job.spec.priority,
+                    victim.job.team,
+                    reclaim.job_id,
+                    self._who(reclaim.job_id),
+                )
+                claimant = self._term.cluster.jobs[reclaim.job_id]
+                stop = stop_for(claimant, victim.job, self._term.goals)
+                self.stop(victim, stop, at_us, "room")
+
+    def _trim_reclaims(self) -> None:
+        """Drop requests on behalf of jobs that wait for less than they did."""
+        for job_id in self.reclaims.jobs():
+            job = self._term.cluster.jobs.get(job_id)
+            waiting = 0
+            if job is not None and self.scene is not None:
+                place = self.scene.backlog.place_of(job_id)
+                waiting = self.last_plan.unplaced.count_of(job, place)
+            self.reclaims.trim(job_id, waiting)
+
+    def _who(self, job_id: str) -> str:
+        job = self._term.cluster.jobs[job_id]
+        return f"{job.spec.priority}, {job.team}"
+
+    def stop(self, attempt: Attempt, stop: Stop, at_us: int, reason: str) -> None:
+        """Ask an attempt to stop, and tell its worker."""
+        machine = self._term.cluster.machines[attempt.machine]
+        if request_stop(self._term.cluster, attempt, stop, at_us, reason):
+            self._term.place.set()
+        else:
+            self._dispatcher.post_soon(machine)
--- /dev/null
+++ b/weldhead/coordination/linking.py
@@ -0,0 +1,151 @@
+"""Jobs that need others: what follows when one is done, cancelled, or learned of."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from weldhead.bookkeeping.jobs import Job, Stop
+from weldhead.bookkeeping.records import FinalRecord, JobRecord, final_key, job_key
+from weldhead.clock import now_us, wall_us
+from weldhead.coordination.completions import Completions
+from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.reports import request_stop
+from weldhead.coordination.term import Term
+from weldhead.coordination.urgency import fetch_rate, refresh, stage_us
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import decode
+
+log = logging.getLogger(__name__)
+
+#: How many needed jobs are looked up in the store at once.
+NEEDS_AT_ONCE = 8
+
+
+class Linking:
+    """Keeps the term's chains; ``take_up`` is told of jobs that the store knows."""
+
+    def __init__(
+        self, term: Term, dispatcher: Dispatcher, take_up: Callable[[JobRecord, int], None]
+    ) -> None:
+        self._term = term
+        self._dispatcher = dispatcher
+        self._take_up = take_up
+        self._completions: Completions
+        #: Set when jobs are needed of which only the store knows what became of them.
+        self._needed = asyncio.Event()
+
+    def start(self, completions: Completions) -> None:
+        """Learn ends from there."""
+        self._completions = completions
+
+    def link(self, job: Job) -> None:
+        """Enter what a job waits for, and draw what follows from it."""
+        needs = job.spec.needs or ()
+        if not job.cancelled:
+            self._term.chains.add(job, needs)
+            for name in needs:
+                self._learned(name)
+        # Others may have named it before this node had heard of it.
+        self._term.chains.unknown.discard(job.id)
+        if job.cancelled:
+            self.withdraw_with_followers(job)
+        elif not job.blockers and not needs:
+            self._runnable(job)
+        if self._term.chains.unknown:
+            self._needed.set()
+
+    def _learned(self, job_id: str) -> None:
+        """Draw what follows from a needed job that is over or cancelled, as far as is known."""
+        final = self._completions.finals.get(job_id)
+        if final is not None:
+            self.over(job_id, final)
+            return
+        need = self._term.cluster.jobs.get(job_id)
+        if need is not None and need.cancelled:
+            self.withdraw_with_followers(need)
+
+    def over(self, job_id: str, final: FinalRecord) -> None:
+        """A job is over, and that is committed: those that wait for it go on, or go too."""
+        if final.status == "done":
+            ended_us = now_us() - max(0, wall_us() - final.ended_us)
+            for follower in self._term.chains.done(job_id, ended_us):
+                log.debug("%s waits for nothing more", follower.id)
+                self._runnable(follower)
+            self._term.place.set()
+        else:
+            self._withdraw_all(self._term.chains.withdrawn(job_id))
+
+    def _runnable(self, job: Job) -> None:
+        """A job's tasks may start from now on: from here on it counts as demand."""
+        work = job.spec.tasks * job.spec.cpus * self._term.estimates.task_us(job)
+        self._term.demand.arrived(job.level, work, job.ready_us)
+
+    def withdraw_with_followers(self, job: Job) -> None:
+        """A job's cancellation is committed: all that need it are withdrawn by that alone.
+
+        So they are called withdrawn at once, by every leader, though it takes several
+        transactions to write down how each of them ended.
+        """
+        self._withdraw_all([job, *self._term.chains.withdrawn(job.id)])
+
+    def _withdraw_all(self, jobs: list[Job]) -> None:
+        needed: dict[str, Job] = {}
+        for job in jobs:
+            for name in job.blockers:
+                if name in self._term.cluster.jobs:
+                    needed[name] = self._term.cluster.jobs[name]
+            self._term.chains.remove(job)
+            self._stop_all(job)
+        if needed:
+            # What they gave to the jobs that they need goes with them.
+            self.refresh(needed.values())
+
+    def refresh(self, jobs: Iterable[Job]) -> None:
+        """Bring up to date what these jobs and those that they need inherit."""
+        refresh(self._term.chains, jobs, self._term.goals, self.stage_us, now_us())
+
+    async def learn_needs(self) -> None:
+        """Read what became of needed jobs that were over before this term began."""
+        while True:
+            await self._needed.wait()
+            self._needed.clear()
+            while self._term.chains.unknown:
+                names = list(self._term.chains.unknown)[:NEEDS_AT_ONCE]
+                await asyncio.gather(*(self.learn_need(name) for name in names))
+
+    async def learn_need(self, job_id: str) -> None:
+        """Read what became of one needed job."""
+        try:
+            final = await self._term.state.get(final_key(job_id))
+            if final is not None:
+                outcome = decode(bytes(final.value), FinalRecord)
+                self._completions.remember_final(job_id, outcome)
+                self.over(job_id, outcome)
+                return
+            entry = await self._term.state.get(job_key(job_id))
+        except CallFailed as error:
+            log.info("needed job %s: %s", job_id, error)
+            await asyncio.sleep(0.2)
+            return
+        if entry is not None:
+            self._take_up(decode(bytes(entry.value), JobRecord), entry.version)
+        else:
+            # On its way from one key to the other, or named by a record that is nonsense.
+            await asyncio.sleep(0.5)
+
+    def _stop_all(self, job: Job) -> None:
+        """Stop what runs of a job that is withdrawn."""
+        at_us = now_us()
+        for attempt in list(job.active.values()):
+            machine = self._term.cluster.machines[attempt.machine]
+            if not request_stop(self._term.cluster, attempt, Stop.HARD, at_us, "cancelled"):
+                self._dispatcher.post_soon(machine)
+        self._term.flush.set()
+        self._term.place.set()
+
+    def stage_us(self, job: Job) -> int:
+        """Estimate a job's own part of its chain."""
+        rate = fetch_rate(self._term.market.types)
+        return stage_us(
+            self._term.cluster, job, self._term.estimates, rate, self._term.tunables.chain_margin
+        )
--- /dev/null
+++ b/weldhead/coordination/lookahead.py
@@ -0,0 +1,85 @@
+"""Each job's forecast, and what is said of those that turn late."""
+
+import logging
+from collections.abc import Callable
+
+from weldhead.bookkeeping.jobs import Job
+from weldhead.clock import now_us, to_seconds
+from weldhead.coordination.forecast import due_us, holding_up, looks_unable
+from weldhead.coordination.outlook import Outlook
+from weldhead.coordination.pacing import Pacer, Rank
+from weldhead.coordination.term import Term
+
+log = logging.getLogger(__name__)
+
+
+class LookAhead:
+    """Keeps the forecasts; ``stage_us`` estimates a job's own part of its chain."""
+
+    def __init__(self, term: Term, pacer: Pacer, stage_us: Callable[[Job], int]) -> None:
+        self._term = term
+        self._pacer = pacer
+        self._stage_us = stage_us
+        #: Made when first needed, and made anew after a failure.
+        self._outlook: Outlook | None = None
+
+    def tell(self, job: Job) -> None:
+        """Bring a job's forecast up to date for somebody who asks."""
+        self._kept_outlook().tell(job, now_us())
+
+    def _kept_outlook(self) -> Outlook:
+        if self._outlook is None:
+            tunables = self._term.tunables
+            self._outlook = Outlook(
+                self._term.cluster, self._term.chains, self._term.estimates, self._stage_us,
+                tunables.forecast_period_us, tunables.forecast_recheck_us, tunables.most_forecasts,
+            )  # fmt: skip
+        return self._outlook
+
+    async def forecast(self) -> None:
+        """Forecast each job's finish, and say when one turns late."""
+        while True:
+            await self._pacer.rest(
+                "forecasts", Rank.FORECASTS, self._term.tunables.forecast_period_us
+            )
+            with self._pacer.hold("forecasts"):
+                self.look_ahead(now_us())
+
+    def look_ahead(self, at_us: int) -> None:
+        """Bring the forecasts that are due up to date."""
+        outlook = self._kept_outlook()
+        try:
+            for job in outlook.look(at_us):
+                self._say_if_late(job, at_us)
+        except Exception:
+            # It may have lost a job out of its sight: made anew at the next look.
+            outlook.close()
+            self._outlook = None
+            raise
+
+    def _say_if_late(self, job: Job, at_us: int) -> None:
+        """Log a job that turns late; of a chain, that whose users set the deadline."""
+        if job.cancelled:
+            return
+        due = due_us(job)
+        late = due is not None and (
+            at_us > due or (job.forecast_us is not None and job.forecast_us > due)
+        )
+        stuck = looks_unable(job) and not job.spec.is_service and not job.blockers
+        turned = (late or stuck) and not job.late
+        # Forecasts of a whole chain waver: said once.
+        job.late = late or stuck or (job.late and bool(job.spec.needs))
+        if not turned:
+            return
+        if stuck:
+            log.warning("%s looks unable to finish: it fails everywhere", job.id)
+        elif job.spec.deadline_s is not None:
+            stage = holding_up(self._term.cluster, job)
+            finish_us = job.forecast_us or at_us
+            log.warning(
+                "%s will be late: due in %.0f s, forecast in %.0f s; %s%s (%s) has %d of %d "
+                "tasks done",
+                job.id, to_seconds((due or at_us) - at_us), to_seconds(finish_us - at_us),
+                "" if stage is job else "it waits for ", stage.id, stage.spec.job_class,
+                stage.done, stage.spec.tasks,
+            )  # fmt: skip
--- /dev/null
+++ b/weldhead/coordination/sizing.py
@@ -0,0 +1,180 @@
+"""When machines are rented, emptied and returned; what is said of the fleet."""
+
+import logging
+
+from weldhead.bookkeeping.jobs import Stop
+from weldhead.bookkeeping.machines import Machine
+from weldhead.clock import SECOND_US, now_us
+from weldhead.coordination.deciding import Deciding
+from weldhead.coordination.fleet import (
+    Upcoming,
+    endangered,
+    movable,
+    plan_closings,
+    plan_hires,
+    plan_moves,
+    plan_returns,
+    replacements,
+)
+from weldhead.coordination.pacing import Rank
+from weldhead.coordination.placement import plan_nothing
+from weldhead.coordination.rentals import Rentals
+from weldhead.coordination.term import Term
+from weldhead.coordination.watching import MachineWatch
+
+log = logging.getLogger(__name__)
+
+#: A new leader rents what replaces machines that have not answered by then.
+HIRE_AHEAD_US = 2 * SECOND_US
+
+#: How often the fleet's use is logged.
+FLEET_LOG_US = 10 * SECOND_US
+
+
+class Sizing:
+    """Keeps the fleet at the size that the work needs."""
+
+    def __init__(
+        self, term: Term, deciding: Deciding, rentals: Rentals, watch: MachineWatch
+    ) -> None:
+        self._term = term
+        self._deciding = deciding
+        self._rentals = rentals
+        self._watch = watch
+
+    async def size_fleet(self) -> None:
+        """Look at the fleet's size, again and again; a duty."""
+        said_us = 0
+        while True:
+            await self._deciding.pacer.rest(
+                "fleet", Rank.FLEET, self._term.tunables.fleet.period_us
+            )
+            if not self._term.valid:
+                continue
+            at_us = now_us()
+            with self._deciding.pacer.hold("fleet"):
+                if at_us >= said_us + FLEET_LOG_US:
+                    said_us = at_us
+                    self._log_fleet()
+                    self.audit(at_us)
+                if self._term.ready:
+                    self._size_now(at_us)
+                else:
+                    self.hire_ahead(at_us)
+
+    def hire_ahead(self, at_us: int) -> None:
+        """Rent what replaces machines that recovery waits for in vain.
+
+        After half of a fleet died together with its controllers, recovery waits for a whole
+        lease, and the boots of what replaces them came on top of it (found on an own day).
+        Nothing is started by this, and nothing given up on.
+        """
+        if at_us - self._term.loaded_us < HIRE_AHEAD_US or self._rentals.busy:
+            return
+        unknown = [m for m in self._watch.live() if not m.synced]
+        if not unknown or not all(m.asked_in_vain for m in unknown):
+            return
+        scene = self._deciding.kept_scene()
+        settings = self._term.tunables.fleet.settings()
+        plan = plan_nothing(scene, at_us, settings.most_considered)
+        fresh = [
+            m for m in self._term.cluster.machines.values() if m.hired_us >= self._term.loaded_us
+        ]
+        missing = sum(m.type.cpus for m in unknown) - sum(m.type.cpus for m in fresh)
+        missing -= sum(item.type.cpus * item.count for item in self._rentals.coming())
+        hires = plan_hires(
+            self._term.cluster, plan, self._term.market, self._term.estimates, self._term.goals,
+            at_us, settings, self._rentals.coming(), self._term.demand,
+            backlog=len(scene.backlog), silent={m.name for m in unknown},
+        )  # fmt: skip
+        for offer, count in replacements(hires, missing).items():
+            log.info("%d machines do not answer: %d of %s asked for in %s (spot: %s)",
+                len(unknown), count, offer.type.name, offer.zone, offer.spot)  # fmt: skip
+            self._rentals.hire(offer, count)
+
+    def audit(self, at_us: int) -> None:
+        """See that no waiting job was lost sight of, and say what the loop suffered from."""
+        scene = self._deciding.kept_scene()
+        scene.refresh(at_us)
+        strays = scene.backlog.strays()
+        if strays:
+            log.error(
+                "%d jobs were out of order, %s first; the order is made anew",
+                len(strays), strays[0],
+            )  # fmt: skip
+            scene.close()
+            self._deciding.scene = None
+        summary = self._deciding.pacer.summary()
+        if summary:
+            log.info("loop: %s", summary)
+
+    def _size_now(self, at_us: int) -> None:
+        """Look once at what to rent, what to return, and what to empty."""
+        settings = self._term.tunables.fleet.settings()
+        silent = self._watch.doubtful(at_us)
+        upcoming = self._upcoming(at_us + settings.foresight_us)
+        upcoming += endangered(silent, at_us, self._term.lease_us)
+        closing = plan_closings(self._term.cluster, self._deciding.last_plan, settings, upcoming)
+        for machine in self._term.cluster.machines.values():
+            machine.closing = machine.name in closing
+        for machine in plan_moves(
+            self._term.cluster, self._deciding.last_plan, self._term.estimates, at_us, settings,
+            self._term.silence_us,
+        ):  # fmt: skip
+            self._empty(machine, at_us)
+        self._rentals.delete({m.name: m for m in plan_returns(self._term.cluster, at_us, settings)})
+        if self._rentals.busy:
+            return
+        hires = plan_hires(
+            self._term.cluster,
+            self._deciding.last_plan,
+            self._term.market,
+            self._term.estimates,
+            self._term.goals,
+            at_us,
+            settings,
+            self._rentals.coming(),
+            self._term.demand,
+            upcoming,
+            len(self._deciding.scene.backlog) if self._deciding.scene is not None else 0,
+            {machine.name for machine in silent},
+        )
+        for offer, count in hires.items():
+            self._rentals.hire(offer, count)
+
+    def _upcoming(self, until_us: int) -> list[Upcoming]:
+        """Return the jobs that are expected to wait for nothing more by then."""
+        return [
+            Upcoming(job, job.starts_us)
+            for job in self._term.chains.blocked.values()
+            if job.starts_us is not None
+            and job.starts_us <= until_us
+            and job.team in self._term.cluster.teams
+        ]
+
+    def _empty(self, machine: Machine, at_us: int) -> None:
+        """Have a machine's tasks that save go on elsewhere; it is returned when it is empty."""
+        log.info("machine %s is emptied: %d tasks", machine.name, len(machine.attempts))
+        machine.draining = True
+        for attempt in list(machine.attempts.values()):
+            if movable(attempt):
+                self._deciding.stop(attempt, Stop.SOFT, at_us, "moved")
+
+    def _log_fleet(self) -> None:
+        """Say how the fleet's CPUs are used, for operators and for measured rounds."""
+        cpus = dict.fromkeys(("booting", "free", "assigned", "pulling", "running", "saving"), 0.0)
+        cost = 0.0
+        for machine in self._term.cluster.machines.values():
+            cost += machine.price
+            cpus["booting" if machine.booting else "free"] += machine.cpus
+            for attempt in machine.attempts.values():
+                cpus[attempt.phase.value] += attempt.job.spec.cpus
+        waiting = sum(job.waiting * job.spec.cpus for job in self._term.cluster.jobs.values())
+        log.info(
+            "fleet: %d machines at %.2f an hour; cpus: %s, waiting %.0f, allowed %.0f",
+            len(self._term.cluster.machines),
+            cost,
+            ", ".join(f"{name} {amount:.0f}" for name, amount in cpus.items()),
+            waiting,
+            sum(count * job.spec.cpus for job, count in self._deciding.last_plan.unplaced),
+        )
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -1,7 +1,8 @@
 """What the parts of a leader's term share."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
+from typing import TypeVar
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -20,6 +21,16 @@
 from weldhead.transport.state import StateClient
 from weldhead.tunables.defaults import Tunables
 
+T = TypeVar("T")
+
+#: How many records are taken up before the loop gets its turn.
+LOADED_AT_ONCE = 250
+
+
+def parts(items: Sequence[T], size: int = LOADED_AT_ONCE) -> Iterator[Sequence[T]]:
+    """Cut a sequence into parts of that many."""
+    return (items[start : start + size] for start in range(0, len(items), size))
+
 
 class Term:
     """One term: the authority to lead, the picture, the store, and the clients."""
--- /dev/null
+++ b/weldhead/coordination/watching.py
@@ -0,0 +1,216 @@
+"""Machines that are silent, taken, faulty, or hold what must go."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from weldhead.bookkeeping.feeds import Feed
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
+from weldhead.bookkeeping.machines import Machine
+from weldhead.clock import SECOND_US, now_us
+from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.reports import request_stop
+from weldhead.coordination.silence import look_gone
+from weldhead.coordination.term import Term
+
+log = logging.getLogger(__name__)
+
+#: A new leader returns machines that have not answered by then, if they are few: a deletion
+#: that is answered proves sooner than the end of their leases that nothing runs there.
+UNKNOWN_PATIENCE_US = 1 * SECOND_US
+
+#: How many silent machines are named to the other nodes at once.
+SILENT_NAMED = 1_000
+
+
+class MachineWatch:
+    """Follows the term's machines; ``on_known`` is told when one more is known or gone."""
+
+    #: The machines that came and went since it was last asked; set once they are loaded.
+    changed: Feed[Machine]
+
+    def __init__(
+        self,
+        term: Term,
+        dispatcher: Dispatcher,
+        give_back: Callable[[dict[str, Machine]], None],
+        on_known: Callable[[], None],
+    ) -> None:
+        self._term = term
+        self._dispatcher = dispatcher
+        self._return = give_back
+        self.on_known = on_known
+        #: Machines by when they were last heard, the one that is silent longest first.
+        self.heard: dict[str, Machine] = {}
+        #: Those that the cloud has given notice of.
+        self.noticed: dict[str, Machine] = {}
+
+    def follow(self) -> None:
+        """The machines on record are known."""
+        self.changed = self._term.cluster.machines.feeds.subscribe()
+        self.heard = dict(self._term.cluster.machines)
+
+    def hear(self, machine: Machine, at_us: int) -> None:
+        """A report of it is answered."""
+        machine.hear(at_us, self._term.silence_us)
+        machine.lease_from_us = at_us
+        self.heard.pop(machine.name, None)
+        self.heard[machine.name] = machine
+
+    def silent_machines(self, at_us: int) -> tuple[str, ...]:
+        """Machines that ought to have reported by now; their reports are to be relayed."""
+        if not self._term.loaded:
+            return ()
+        limit_us = self._term.report_us * 5 // 4 + SECOND_US
+        return tuple(
+            machine.name for machine in self.silent(at_us, limit_us, self._term.loaded_us)
+            if machine.session
+        )[:SILENT_NAMED]  # fmt: skip
+
+    def silent(self, at_us: int, limit_us: int, floor_us: int) -> list[Machine]:
+        """Return machines not heard for longer than that; those that boot are among them."""
+        for machine in self.changed.take():
+            if machine.name not in self._term.cluster.machines:
+                self.heard.pop(machine.name, None)
+                self.noticed.pop(machine.name, None)
+            elif machine.name not in self.heard:
+                self.heard[machine.name] = machine
+        found = []
+        for machine in self.heard.values():
+            if at_us - max(machine.heard_us, floor_us) > limit_us:
+                found.append(machine)
+            elif machine.heard_us:
+                # All behind were heard later.
+                break
+        return found
+
+    async def watch(self) -> None:
+        """See leases run out, limbo resolved, and machines go that must go."""
+        while True:
+            await asyncio.sleep(0.2)
+            if not self._term.valid:
+                continue
+            at_us = now_us()
+            doomed = self.expired_or_silent(at_us)
+            if not self._term.ready and at_us - self._term.loaded_us > UNKNOWN_PATIENCE_US:
+                # Recovery waits for them; most are gone already and only still on record.
+                live = self.live()
+                unknown = [m for m in live if not m.synced]
+                if all(m.asked_in_vain for m in unknown) and look_gone(unknown, live):
+                    doomed += unknown
+            doomed += self.in_trouble(at_us)
+            doomed += [m for m in self.noticed.values() if self.taken(m, at_us)]
+            self._return({m.name: m for m in doomed if not m.deleting})
+
+    def live(self) -> list[Machine]:
+        """Return the machines on which something may run and that are to stay."""
+        return [m for m in self._term.cluster.machines.values() if m.up and not m.deleting]
+
+    def _silent_live(self, at_us: int) -> list[Machine]:
+        """Return the live machines that are silent for so long that nothing is placed there."""
+        silent = self.silent(at_us, self._term.silence_us, self._term.floor_us())
+        return [machine for machine in silent if machine.up and not machine.deleting]
+
+    def expired_or_silent(self, at_us: int) -> list[Machine]:
+        """Return machines whose leases are over, or that are silent and look gone."""
+        floor_us = self._term.floor_us()
+        silent = self._silent_live(at_us)
+        if not silent:
+            return []
+        live = self.live()
+        limit_us = at_us - self._term.lease_us * 2 // 3
+        gone = look_gone(silent, live)
+        found = []
+        for machine in silent:
+            if at_us > machine.lease_over_us(self._term.lease_us, floor_us):
+                self.expire(machine)
+                found.append(machine)
+            elif gone and max(machine.heard_us, floor_us) < limit_us:
+                found.append(machine)
+        return found
+
+    def doubtful(self, at_us: int) -> list[Machine]:
+        """Return silent machines that are not given up on as long as their leases last."""
+        silent = self._silent_live(at_us)
+        if not silent or look_gone(silent, self.live()):
+            return []
+        return silent
+
+    def taken(self, machine: Machine, at_us: int) -> bool:
+        """Whether a notice has run out, and the machine is silent since."""
+        return (
+            0 < machine.notice_until_us < at_us - SECOND_US
+            and at_us - machine.heard_us > self._term.report_us * 2
+        )
+
+    def in_trouble(self, at_us: int) -> list[Machine]:
+        """Return machines on which something must be ended by deleting them."""
+        cluster = self._term.cluster
+        limbo_us, stop_us = self._term.cancel_us // 4, self._term.cancel_us // 2
+        found = [a for a in cluster.limbo.values() if a.limbo_us and at_us - a.limbo_us > limbo_us]
+        found += [
+            attempt
+            for attempt in cluster.stopping.values()
+            if attempt.stop is Stop.HARD and at_us - attempt.stop_us > stop_us
+        ]
+        machines = {a.machine: cluster.machines[a.machine] for a in found}
+        return [m for m in machines.values() if m.up and not m.deleting]
+
+    def expire(self, machine: Machine) -> None:
+        """A worker's lease is surely over: all its tasks are gone."""
+        gone = self._term.cluster.release_all(machine)
+        machine.expired_session = max(machine.expired_session, machine.session)
+        machine.synced = True
+        machine.draining = True
+        log.info("machine %s: lease over, %d tasks lost", machine.name, len(gone))
+        self.on_known()
+        for attempt in gone:
+            if attempt.job.cancelled:
+                self._term.flush.set()
+        self._term.place.set()
+
+    def gone(self, machine: Machine) -> None:
+        """A machine is gone for good, and everything on it."""
+        for attempt in self._term.cluster.remove_machine(machine):
+            if attempt.job.cancelled:
+                self._term.flush.set()
+        self.on_known()
+        self._term.place.set()
+
+    def failed(self, machine: Machine, attempt: Attempt, at_us: int) -> None:
+        """A task failed by itself: mostly the machine's fault, sometimes the job's."""
+        job = attempt.job
+        job.failures += 1
+        job.failed_on.add(machine.name)
+        machine.failed_jobs.add(job.id)
+        machine.failures += 1
+        log.info("%s failed on %s", attempt.task, machine.name)
+        if self._job_is_broken(job):
+            # It fails wherever it runs: again, but more and more rarely.
+            pause_us = min(60 * SECOND_US, SECOND_US << min(6, len(job.failed_on)))
+            job.not_before_us = max(job.not_before_us, at_us + pause_us)
+        suspects = {j for j in machine.failed_jobs if not self._broken_id(j)}
+        if not machine.draining and suspects and machine.failures >= 2:
+            machine.draining = True
+            log.info("machine %s is drained: tasks fail on it", machine.name)
+
+    @staticmethod
+    def _job_is_broken(job: Job) -> bool:
+        return len(job.failed_on) >= 2 and job.done == 0
+
+    def _broken_id(self, job_id: str) -> bool:
+        job = self._term.cluster.jobs.get(job_id)
+        return job is not None and self._job_is_broken(job)
+
+    def evacuate(self, machine: Machine, at_us: int) -> None:
+        """A machine will be taken: save what can be saved, leave what may still finish."""
+        left_us = machine.notice_until_us - at_us
+        for attempt in list(machine.attempts.values()):
+            saves = attempt.job.spec.checkpoint_s > 0
+            if not saves and self._term.estimates.remaining_us(attempt, at_us) < left_us:
+                if attempt.phase is Phase.RUNNING:
+                    continue
+            request_stop(
+                self._term.cluster, attempt, Stop.SOFT if saves else Stop.HARD, at_us, "notice"
+            )
+        self._dispatcher.post_soon(machine)
--- a/weldhead/emulator/loop.py
+++ b/weldhead/emulator/loop.py
@@ -176,8 +176,14 @@
         life.ended = True
         if life.frozen:
             self.thaw(life)
+        self._cancel(life)
+
+    def _cancel(self, life: Life) -> None:
+        """Cancel what is left; a task that was just being answered can miss its first one."""
         for task in list(life.tasks):
             task.cancel()
+        if life.tasks:
+            self.call_at(self.true_s + 1.0, self._cancel, life)
 
 
 def _unless_ended(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -219,10 +225,9 @@
     try:
         yield loop
     finally:
-        left = asyncio.all_tasks(loop)
-        for task in left:
-            task.cancel()
-        if left:
-            loop.run_until_complete(asyncio.wait(left, timeout=60.0))
+        while left := asyncio.all_tasks(loop):
+            for task in left:
+                task.cancel()
+            loop.run_until_complete(asyncio.wait(left, timeout=1.0))
         vars(clock)["time"] = time
         loop.close()
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -14,6 +14,7 @@
 from weldhead.coordination import reports
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
+from weldhead.coordination.recovery import Recovery
 from weldhead.protocol.wire import JobStatus
 
 
@@ -46,7 +47,7 @@
 
 def _does_not_wait() -> Iterator[Any]:
     """A new leader starts work before it knows what runs."""
-    yield patch.object(Leader, "_check_known", lambda self: self._known.set())
+    yield patch.object(Recovery, "check_known", lambda self: self.known.set())
 
 
 def _in_flight_not_counted() -> Iterator[Any]:
