Recovery: reports answered from the first moment, verdicts, ready by parts

Need: after all controllers were down, reports were refused until the term was loaded, machines were asked only then, dead ones on record held everything up for 1.35 s, and with many machines silent nothing at all started for a whole lease.

Change: weldhead/recovery decides: a closed list of verdicts for what a report means against the records; reports before the load are answered, kept and applied; machines are read first and asked while jobs load, once more after 150 ms, and given up on when nobody answers any more; jobs that no earlier leader can have started begin on known machines, within what their team may use if unknown machines hold the most of its work. A machine that answered directly may be used before it reports.

--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -8,7 +8,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 #: What `serve` loads, without the tunables' language; the packages of weldhead it may use.
-ALLOWED = {"bookkeeping", "cli", "clock", "coordination", "duties", "protocol", "transport"}
+ALLOWED = {
+    "bookkeeping", "cli", "clock", "coordination", "duties", "protocol", "recovery", "transport",
+}  # fmt: skip
 LIBRARIES = {"aiohttp", "click", "msgspec", "uvloop"}
 FOREIGN = {
     "sqlite3",
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -39,12 +39,14 @@
 def _table(results: list[Result], spent_s: float, scenario: Scenario) -> None:
     counts: Counter[str] = Counter()
     broken: Counter[str] = Counter()
-    ready = HdrHistogram(1, 3_600_000, 2)
+    ready, begun = HdrHistogram(1, 3_600_000, 2), HdrHistogram(1, 3_600_000, 2)
     for result in results:
         counts.update(result.counts)
         broken.update(result.broken)
         for ready_s in result.ready_s:
             ready.record_value(max(1, round(ready_s * 1000)))
+        for begun_s in result.first_start_s:
+            begun.record_value(max(1, round(begun_s * 1000)))
     runs = len(results)
     click.echo(f"{scenario.name}: {runs} runs of {scenario.seconds:g} s, {scenario.controllers} "
         f"controllers, {scenario.machines} machines; {runs * scenario.seconds / spent_s:.0f} "
@@ -54,9 +56,13 @@
     undecided = sum(result.undecided_s for result in results) / runs
     click.echo(f"  {'seconds undecided':24} {undecided:10.1f} a run, the longest stretch "
         f"{max(result.longest_s for result in results):.1f}")  # fmt: skip
-    median, most = (ready.get_value_at_percentile(share) for share in (50, 95))
-    click.echo(f"  {'leads to ready, ms':24} {median:10} median, {most} at 95 %, "
-        f"{ready.get_max_value()} at most")  # fmt: skip
+    for what, times in (("leads to ready, ms", ready), ("leads to first task, ms", begun)):
+        median, most = (times.get_value_at_percentile(share) for share in (50, 95))
+        click.echo(
+            f"  {what:24} {median:10} median, {most} at 95 %, {times.get_max_value()} at most"
+        )
+    stopped = sum(result.stopped_then for result in results) / runs
+    click.echo(f"  {'stops in 2 s after ready':24} {stopped:10.1f} at most, mean of the runs")
     if counts["submit 201"]:
         click.echo(f"  {'submissions over 1 s':24} "
             f"{counts['submissions over 1 s'] / counts['submit 201']:10.3f} of all")  # fmt: skip
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -5,6 +5,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from weldhead.bookkeeping.feeds import Registry
 from weldhead.bookkeeping.jobs import Attempt, Job, Stop, TaskState
@@ -22,6 +23,17 @@
         self.gpus = 0.0
 
 
+@dataclass(frozen=True)
+class Doubt:
+    """What a team's attempts on unknown machines may use at most."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+
+CERTAIN = Doubt()
+
+
 class Cluster:
     """All jobs that are not over and all machines of ours."""
 
@@ -37,6 +49,8 @@
         self.stopping: dict[tuple[str, int], Attempt] = {}
         self.limbo: dict[tuple[str, int], Attempt] = {}
         self.usage: Mapping[str, Usage] = defaultdict(Usage)
+        #: By team, while some machines have not shown what runs there.
+        self.doubts: Mapping[str, Doubt] = {}
         self._starts: dict[str, int] = defaultdict(int)
 
     def next_attempt(self, task: str) -> int:
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -48,6 +48,7 @@
         "listed",
         "listing",
         "memory_gb",
+        "met_us",
         "name",
         "notice_until_us",
         "order",
@@ -87,6 +88,9 @@
         self.token = 0
         #: When the newest report came that was answered; 0: never.
         self.heard_us = 0
+        #: When it answered this leader directly for the first time, before any report of it
+        #: came; it may be used from then on, but that renewed no lease.
+        self.met_us = 0
         #: No later than this was a report sent whose answer may have renewed its lease.
         self.lease_from_us = 0
         #: It has reported under the present leader's token.
--- a/weldhead/coordination/backlog.py
+++ b/weldhead/coordination/backlog.py
@@ -16,7 +16,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.cluster import CERTAIN, Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import how_many
 from weldhead.bookkeeping.timers import Timers
@@ -220,8 +220,10 @@
 
     def __init__(self, cluster: Cluster, team: str) -> None:
         usage, limits = cluster.usage[team], cluster.teams[team]
-        self.most_cpus = limits.cpus_max - usage.cpus
-        self.most_gpus = limits.gpus_max - usage.gpus
+        # While machines are unknown, what they may hold of the team counts as used.
+        doubt = cluster.doubts.get(team, CERTAIN)
+        self.most_cpus = limits.cpus_max - usage.cpus - doubt.cpus
+        self.most_gpus = limits.gpus_max - usage.gpus - doubt.gpus
         self.cpus = 0.0
         self.gpus = 0.0
         self._marks: list[Entry] = []
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -2,20 +2,25 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from weldhead.bookkeeping.jobs import Attempt, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import ReclaimLists
-from weldhead.clock import now_us
+from weldhead.clock import MILLISECOND_US, now_us
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.placement import Plan, Scene, plan_pass
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
+from weldhead.recovery.readiness import Partial
 
 log = logging.getLogger(__name__)
 
+#: While machines are unknown, placement looks at all waiting jobs: not so often.
+PARTIAL_PAUSE_US = 200 * MILLISECOND_US
+
 
 class Deciding:
     """Places tasks and makes room for them."""
@@ -29,6 +34,8 @@
         #: What placement and forecasts keep in order; made when first needed, and made anew
         #: after a failure.
         self.scene: Scene | None = None
+        #: What is known while recovery goes on.
+        self.partial: Callable[[], Partial] | None = None
 
     def kept_scene(self) -> Scene:
         """Return what placement keeps in order."""
@@ -53,9 +60,10 @@
             await self._term.place.wait()
             self._term.place.clear()
             self._place_now()
-            await self.pacer.rest(
-                "placement", Rank.PLACEMENT, self._term.tunables.placement_pause_us
-            )
+            pause_us = self._term.tunables.placement_pause_us
+            if not self._term.ready:
+                pause_us = max(pause_us, PARTIAL_PAUSE_US)
+            await self.pacer.rest("placement", Rank.PLACEMENT, pause_us)
 
     def _place_now(self) -> None:
         with self.pacer.hold("placement"):
@@ -67,8 +75,14 @@
             return
         at_us = now_us()
         scene = self.kept_scene()
+        may_start = None
+        if not self._term.ready:
+            assert self.partial is not None
+            may_start = self.partial().settled
         try:
-            plan = plan_pass(scene, at_us, self._term.silence_us, self._term.tunables.fetch_weight)
+            plan = plan_pass(
+                scene, at_us, self._term.silence_us, self._term.tunables.fetch_weight, may_start
+            )
         except Exception:
             # What it had read of the feeds may be lost with it: made anew at the next pass.
             scene.close()
--- a/weldhead/coordination/dispatch.py
+++ b/weldhead/coordination/dispatch.py
@@ -1,8 +1,7 @@
 """Direct commands to workers: what must not wait for a report, and recovery's questions."""
 
-import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import MILLISECOND_US, now_us
@@ -39,46 +38,25 @@
         )  # fmt: skip
         return report
 
-    def _deposed_by(self, machine: Machine, report: Report) -> bool:
+    def _deposed_by(self, name: str, report: Report) -> bool:
         if report.token <= self._term.token:
             return False
-        self._term.on_deposed(f"{machine.name} has seen token {report.token}")
+        self._term.on_deposed(f"{name} has seen token {report.token}")
         return True
 
-    # -- recovery ------------------------------------------------------------------------
-
-    def ask_all(self, machines: Iterable[Machine]) -> None:
-        """Ask workers what they run, a bounded number at once."""
-        # Machines that are gone hold their turns until the time is over: with few turns
-        # they kept live ones waiting.
-        slots = asyncio.Semaphore(max(4, self._term.settings.facts.limits.sockets // 10))
-        for machine in machines:
-            self._term.duties.once("sync", self._sync(machine, slots))
-
-    async def _sync(self, machine: Machine, slots: asyncio.Semaphore) -> None:
-        """Show the worker our token and hear what it runs, without waiting for its report.
+    async def question(self, name: str, address: str, session: int) -> Report | None:
+        """Show a worker our token and hear what it runs; None if it does not answer.
 
         Once its own message carries our token, it obeys no earlier leader any more.
         """
         term = self._term
-        session = max(1, machine.session)
-        while True:
-            async with slots:
-                # It may have reported by itself while this waited for its turn.
-                if machine.synced or machine.name not in term.cluster.machines or not term.valid:
-                    return
-                try:
-                    report = await self._send(machine, session, [], ASK_US)
-                except CallFailed:
-                    report = None
-            if report is None:
-                machine.asked_in_vain = True
-                await asyncio.sleep(0.3)
-                continue
-            if self._deposed_by(machine, report):
-                return
-            session = report.session
-            self._apply(machine, report)
+        try:
+            _, report = await workers.command(
+                term.worker_http, address, term.token, session, [], ASK_US, close=self._crowded()
+            )
+        except CallFailed:
+            return None
+        return None if self._deposed_by(name, report) else report
 
     # -- commands ------------------------------------------------------------------------
 
@@ -93,15 +71,12 @@
         term = self._term
         try:
             while machine.name in term.cluster.machines and not machine.deleting and term.valid:
-                if now_us() - machine.heard_us > term.silence_us:
+                if now_us() - max(machine.heard_us, machine.met_us) > term.silence_us:
                     return
                 commands = pending_commands(
                     machine,
                     lambda task: False,
-                    may_start=term.ready
-                    and machine.synced
-                    and machine.up
-                    and term.tunables.direct_runs,
+                    may_start=machine.synced and machine.up and term.tunables.direct_runs,
                     sequence=None,
                 )
                 if not commands:
@@ -124,7 +99,7 @@
                 # Answered: executed, or (409) surely not.
                 for attempt in started:
                     attempt.posted = False
-                if self._deposed_by(machine, report):
+                if self._deposed_by(machine.name, report):
                     return
                 self._apply(machine, report)
                 if not started:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -28,6 +28,7 @@
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
+from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
 
 log = logging.getLogger(__name__)
@@ -55,7 +56,11 @@
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
         self.rentals = Rentals(term, self._gone)
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
-        self.recovery = Recovery(term, self.completions, self.rentals, self.linking, self.watch)
+        self.recovery = Recovery(
+            term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
+            self.pacer, self._apply_early,
+        )  # fmt: skip
+        self.deciding.partial = self.recovery.partial
         self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
         self.look_ahead = LookAhead(term, self.pacer, self.linking.stage_us)
 
@@ -109,6 +114,8 @@
     async def _recover(self) -> None:
         """Read everything, learn what runs where, then start the other duties."""
         term, duties, deciding = self.term, self._duties, self.deciding
+        duties.once("questions", self.recovery.ask())
+        duties.once("safe revision", self.recovery.learn_safe())
         await self.recovery.load_until_done()
         duties.start("job watch", self._watch_jobs)
         duties.start("machine watch", self.watch.watch)
@@ -119,13 +126,12 @@
         self.rentals.start()
         term.flush.set()
         self._check_known()
-        self._dispatcher.ask_all(m for m in list(self.cluster.machines.values()) if m.up)
         await deciding.fill_scene()
         duties.start("fleet", self.sizing.size_fleet)
-        await self.recovery.finish(self._start_deciding)
+        duties.start("placement", deciding.place_tasks, 0.2)
+        await self.recovery.finish(self._start_preempting)
 
-    def _start_deciding(self) -> None:
-        self._duties.start("placement", self.deciding.place_tasks, 0.2)
+    def _start_preempting(self) -> None:
         self._duties.start("preemptor", self.deciding.preempt)
 
     def _check_known(self) -> None:
@@ -201,15 +207,19 @@
 
     def report(self, report: Report, at_us: int, *, relayed: bool) -> ReportAnswer | None:
         """Handle a worker's report; None: it must not be answered 200."""
-        if not self.loaded or not self.valid:
+        if not self.valid:
             return None
         if report.token > self.token:
             self.term.on_deposed(f"{report.machine} has seen token {report.token}")
             return None
+        if not self.loaded:
+            # An answer keeps the worker's lease; it needs the token, not the records.
+            kept = self.recovery.early.answer(report, at_us, relayed=relayed)
+            return ReportAnswer(self.token, []) if kept else None
         machine = self.cluster.machines.get(report.machine)
         if machine is None:
             self.rentals.unexpected(report)
-            return None
+            return ReportAnswer(self.token, [])
         if machine.deleting or report.session <= machine.expired_session:
             return None
         if is_newer(machine, report):
@@ -225,7 +235,7 @@
         commands = pending_commands(
             machine,
             self.completions.is_committed,
-            may_start=self.term.ready and machine.synced and machine.up,
+            may_start=machine.synced and machine.up,
             sequence=report.sequence,
         )
         return ReportAnswer(self.token, commands)
@@ -234,6 +244,17 @@
         """Take a worker's answer to direct commands."""
         self._apply(machine, report, direct=True)
 
+    def _apply_early(self, early: Early) -> None:
+        """Take what a machine said before its records were loaded."""
+        machine = self.cluster.machines.get(early.report.machine)
+        if machine is None:
+            self.rentals.unexpected(early.report)
+            return
+        self._apply(machine, early.report, direct=early.direct)
+        if early.answered_us:
+            self.watch.hear(machine, early.answered_us)
+            machine.relayed = early.relayed
+
     def _apply(self, machine: Machine, report: Report, *, direct: bool) -> None:
         if not is_newer(machine, report):
             return
@@ -248,6 +269,7 @@
 
     def _digest(self, machine: Machine, outcome: Outcome, at_us: int) -> None:
         self._check_known()
+        self.term.tally.tasks.update(outcome.verdicts)
         if outcome.completed:
             self.term.flush.set()
         for job, run_us in outcome.run_times:
--- a/weldhead/coordination/placement.py
+++ b/weldhead/coordination/placement.py
@@ -8,6 +8,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heapreplace
 from itertools import islice
@@ -133,7 +134,7 @@
         and not machine.deleting
         and not machine.ghosts
         and not machine.notice_until_us
-        and at_us - machine.heard_us < silence_us
+        and at_us - max(machine.heard_us, machine.met_us) < silence_us
     )
 
 
@@ -221,8 +222,14 @@
         scene.close()
 
 
-def plan_pass(scene: Scene, at_us: int, silence_us: int, fetch_weight: float = 1.0) -> Plan:
-    """Decide which waiting tasks start where.
+def plan_pass(
+    scene: Scene,
+    at_us: int,
+    silence_us: int,
+    fetch_weight: float = 1.0,
+    may_start: Callable[[Job], bool] | None = None,
+) -> Plan:
+    """Decide which waiting tasks start where; ``may_start`` leaves jobs out (None: none).
 
     The same plan as one that looks at all waiting jobs, each in its turn; but a queue of
     jobs of one kind is left at the first that finds no room, or for which the limit or the
@@ -232,7 +239,8 @@
     plan = Plan()
     if not scene.backlog.queues:
         return plan
-    run = _PlacementPass(scene, plan, Rooms(scene.free, at_us, silence_us), fetch_weight)
+    rooms = Rooms(scene.free, at_us, silence_us)
+    run = _PlacementPass(scene, plan, rooms, fetch_weight, may_start)
     # Two rounds: first what each team is guaranteed, then what it borrows.
     run.give(guaranteed=True)
     run.give(guaranteed=False)
@@ -242,9 +250,22 @@
 class _PlacementPass:
     """One pass over the queues."""
 
-    def __init__(self, scene: Scene, plan: Plan, rooms: Rooms, fetch_weight: float) -> None:
+    def __init__(
+        self,
+        scene: Scene,
+        plan: Plan,
+        rooms: Rooms,
+        fetch_weight: float,
+        may_start: Callable[[Job], bool] | None,
+    ) -> None:
         self._cluster = scene.cluster
         self._queues = scene.backlog.queues
+        if may_start is not None:
+            kept = {
+                kind: [entry for entry in queue if may_start(entry.job)]
+                for kind, queue in self._queues.items()
+            }
+            self._queues = {kind: queue for kind, queue in kept.items() if queue}
         self._plan = plan
         self._rooms = rooms
         self._fetch_weight = fetch_weight
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -9,32 +9,46 @@
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import (
     CHUNK_TASKS,
     HIRES,
     JOBS,
+    LEADER_KEY,
     PROGRESS,
     HireRecord,
     JobRecord,
     decode_progress,
     job_key,
 )
-from weldhead.clock import now_us, to_seconds, wall_us
+from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.demand import Demand
+from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.linking import Linking
+from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.rentals import Rentals
+from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
 from weldhead.protocol.wire import Entry
+from weldhead.recovery.asking import Asking
+from weldhead.recovery.early import Early, EarlyReports
+from weldhead.recovery.readiness import Partial, doubts, partial_of
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import decode
 
 log = logging.getLogger(__name__)
 
+#: How often it is looked whom to ask next.
+ASK_PAUSE_US = 20 * MILLISECOND_US
+
 
 class Recovery:
-    """Loads the term; ``known`` is set when nothing can run that this leader does not know of."""
+    """Loads the term; ``known`` is set when nothing can run that this leader does not know of.
+
+    ``apply`` takes what a machine said before its records were there.
+    """
 
     def __init__(
         self,
@@ -43,15 +57,31 @@
         rentals: Rentals,
         linking: Linking,
         watch: MachineWatch,
+        dispatcher: Dispatcher,
+        pacer: Pacer,
+        apply: Callable[[Early], None],
     ) -> None:
         self._term = term
         self._completions = completions
         self._rentals = rentals
         self._linking = linking
         self._watch = watch
+        self._dispatcher = dispatcher
+        self._pacer = pacer
+        self._apply = apply
         #: The revision from which jobs are watched.
         self.jobs_revision = 0
         self.known = asyncio.Event()
+        self.early = EarlyReports()
+        sockets = term.settings.facts.limits.sockets
+        self.asking = Asking(term.tunables.recovery.asking(sockets))
+        #: Machines on record that have not been seen to be known or gone.
+        self._unknown: dict[str, Machine] = {}
+        self._safe_from: int | None = None
+        if term.predecessor_over_us <= term.won_us:
+            self._safe_from = term.token
+
+    # -- loading -----------------------------------------------------------------------------
 
     async def load_until_done(self) -> None:
         """Read everything, as often as it takes."""
@@ -68,12 +98,24 @@
         )  # fmt: skip
 
     async def load(self) -> None:
-        """Read what is recorded, page by page, and let the loop live in between."""
+        """Read what is recorded, page by page, and let the loop live in between.
+
+        Machines come first: they are asked what they run while the jobs are read.
+        """
         term = self._term
         at_us, wall = now_us(), wall_us()
         term.cluster = Cluster(term.settings.facts.teams, term.token)
         term.chains = Chains(term.cluster.jobs)
         term.demand = Demand(term.tunables.fleet.demand_memory_us)
+        async for entries, _ in term.state.pages(HIRES):
+            for entry in entries:
+                hire = decode(bytes(entry.value), HireRecord)
+                term.ledger.learn(entry.key, entry.version)
+                self._rentals.load(entry.key.removeprefix(HIRES), hire, at_us, wall)
+            await asyncio.sleep(0)
+        self._unknown = {m.name: m for m in term.cluster.machines.values() if m.up}
+        shown = (m for m in self._unknown if not self.early.showed(m, term.token))
+        self.asking.add(shown)
         revision = 0
         async for entries, revision in term.state.pages(JOBS):  # noqa: B007
             for part in parts(entries):
@@ -93,16 +135,12 @@
                 for entry in part:
                     self._load_progress(entry)
                 await asyncio.sleep(0)
-        async for entries, _ in term.state.pages(HIRES):
-            for entry in entries:
-                hire = decode(bytes(entry.value), HireRecord)
-                term.ledger.learn(entry.key, entry.version)
-                self._rentals.load(entry.key.removeprefix(HIRES), hire, at_us, wall)
-            await asyncio.sleep(0)
         self._watch.follow()
         self.jobs_revision = revision
         term.loaded = True
         term.loaded_us = now_us()
+        for early in self.early.take():
+            self._apply(early)
 
     def _load_progress(self, entry: Entry) -> None:
         term = self._term
@@ -127,18 +165,101 @@
         self._term.ledger.learn(job_key(job.id), version)
         return job
 
+    # -- what runs where ---------------------------------------------------------------------
+
+    async def ask(self) -> None:
+        """Ask the machines on record what they run, until all are known; a duty."""
+        while not self.known.is_set():
+            at_us = now_us()
+            for name in self.asking.next(at_us):
+                self._term.duties.once("question", self._ask(name))
+            if self._term.loaded and self._term.valid:
+                self._give_up(at_us)
+            await asyncio.sleep(to_seconds(ASK_PAUSE_US))
+
+    async def _ask(self, name: str) -> None:
+        machine = self._term.cluster.machines.get(name)
+        if machine is None or machine.synced:
+            self.asking.failed(name)
+            self.asking.known(name)
+            return
+        report = await self._dispatcher.question(name, machine.address, max(1, machine.session))
+        if report is None:
+            self.asking.failed(name)
+            return
+        self.asking.answered(name, now_us())
+        if report.token == self._term.token:
+            self.asking.known(name)
+        early = Early(report, True, 0, False)
+        if self._term.loaded:
+            self._apply(early)
+        else:
+            self.early.shown(report)
+
+    def _give_up(self, at_us: int) -> None:
+        """Return machines that were asked in vain, if they look gone rather than cut off.
+
+        Most are gone already and only still on record; the answered deletion proves it.
+        """
+        for name in self.asking.in_vain(at_us, self._pacer.late_us):
+            machine = self._term.cluster.machines.get(name)
+            if machine is not None:
+                machine.asked_in_vain = True
+        live = self._watch.live()
+        unknown = [machine for machine in live if not machine.synced]
+        if unknown and all(m.asked_in_vain for m in unknown) and look_gone(unknown, live):
+            self._rentals.delete({machine.name: machine for machine in unknown})
+
     def check_known(self) -> None:
         """See whether every machine on which something may run has been heard or is gone."""
         if self.known.is_set() or not self._term.loaded:
             return
-        if all(m.synced for m in self._term.cluster.machines.values() if m.up):
+        machines = self._term.cluster.machines
+        for name, machine in list(self._unknown.items()):
+            if machine.synced or name not in machines:
+                del self._unknown[name]
+                self.asking.known(name)
+        if not self._unknown:
             self.known.set()
 
-    async def finish(self, start_deciding: Callable[[], None]) -> None:
+    async def finish(self, start_preempting: Callable[[], None]) -> None:
         """Wait until everything is known; from then on anything may be decided."""
         term = self._term
         await self.known.wait()
         term.ready = True
-        log.info("term %d: ready after %.3f s", term.token, to_seconds(now_us() - term.loaded_us))
-        start_deciding()
+        term.cluster.doubts = {}
+        log.info(
+            "term %d: ready after %.3f s, %d questions; %s",
+            term.token, to_seconds(now_us() - term.won_us), self.asking.sent,
+            term.tally.line(term.cluster),
+        )  # fmt: skip
+        start_preempting()
         term.place.set()
+
+    # -- what may be decided already ---------------------------------------------------------
+
+    async def learn_safe(self) -> None:
+        """Learn from which revision on no earlier leader can have started a job.
+
+        One that was replaced may believe in its lease for a while, and follows the jobs: only
+        what is created after that is surely unknown to it.
+        """
+        term = self._term
+        while self._safe_from is None and not self.known.is_set():
+            left_us = term.predecessor_over_us - now_us()
+            if left_us > 0:
+                await asyncio.sleep(to_seconds(left_us))
+                continue
+            try:
+                async for _, revision in term.state.pages(LEADER_KEY):
+                    self._safe_from = revision
+            except CallFailed as error:
+                log.info("recovery: the store's revision is not known: %s", error)
+                await asyncio.sleep(0.2)
+
+    def partial(self) -> Partial:
+        """Return what is known so far, and draw its bounds on the teams."""
+        cluster = self._term.cluster
+        partial = partial_of(cluster.machines.values(), self._safe_from)
+        cluster.doubts = doubts(cluster, partial)
+        return partial
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -6,14 +6,16 @@
 """
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop, TaskState
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import seconds_us
-from weldhead.protocol.wire import Command, Report, TaskReport, split_task
+from weldhead.protocol.wire import Command, Report, TaskReport
+from weldhead.recovery.squaring import Verdict, judge, locate
 
 log = logging.getLogger(__name__)
 
@@ -32,6 +34,8 @@
     run_times: list[tuple[Job, int]] = field(default_factory=list)
     #: Attempts that failed by themselves.
     failed: list[Attempt] = field(default_factory=list)
+    #: What attempts were judged that this term has not started.
+    verdicts: Counter[Verdict] = field(default_factory=Counter)
     #: Room has become free, or something else that placement should look at.
     room: bool = False
 
@@ -91,6 +95,8 @@
     if report.token == cluster.token and not machine.synced:
         machine.synced = True
         machine.lease_from_us = max(machine.lease_from_us, at_us)
+        if direct:
+            machine.met_us = at_us
     for attempt in list(machine.attempts.values()):
         if attempt.task in seen or attempt.posted or attempt.limbo_us:
             continue
@@ -180,40 +186,34 @@
 def _unknown(
     cluster: Cluster, machine: Machine, task: TaskReport, at_us: int, outcome: Outcome
 ) -> Attempt | None:
-    """Deal with an attempt that this leader has not started here."""
-    try:
-        job_id, index = split_task(task.task)
-    except ValueError:
-        log.error("%s reports a task with a malformed name: %r", machine.name, task.task)
-        machine.ghosts.add((task.task, task.attempt))
-        return None
-    job = cluster.jobs.get(job_id)
+    """Deal with an attempt that this leader has not started here, as its verdict says."""
     key = (task.task, task.attempt)
     if key in machine.forget:
         return None
-    known = job is not None and index < job.spec.tasks
-    state = job.states[index] if job is not None and known else None
-    if task.state == "ended":
-        machine.forget.add(key)
-        if (
-            task.why == "done"
-            and job is not None
-            and state == TaskState.WAITING
-            and not job.cancelled
-        ):
-            job.complete_waiting(index)
-            outcome.completed.append(job)
-        return None
-    if (
-        job is None
-        or state != TaskState.WAITING
-        or task.task in machine.attempts
-        or machine.fits(job) < 1
-    ):
-        # Over, completed, or active elsewhere: it must go, and until then nothing new is
-        # placed on this machine.
-        machine.ghosts.add(key)
-        return None
+    verdict = judge(cluster, machine, task)
+    job, index = locate(cluster, task)
+    if key not in machine.ghosts:
+        outcome.verdicts[verdict] += 1
+    match verdict:
+        case Verdict.FINISHED | Verdict.ENDED:
+            machine.forget.add(key)
+            if verdict is Verdict.FINISHED and job is not None:
+                job.complete_waiting(index)
+                outcome.completed.append(job)
+            return None
+        case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT if job is not None:
+            return _adopt(cluster, machine, job, index, task, at_us)
+    if verdict is Verdict.UNRECORDED and key not in machine.ghosts:
+        log.info("%s reports %s, which nothing on record names", machine.name, task.task)
+    # It must go, and until then nothing new is placed on this machine.
+    machine.ghosts.add(key)
+    return None
+
+
+def _adopt(
+    cluster: Cluster, machine: Machine, job: Job, index: int, task: TaskReport, at_us: int
+) -> Attempt:
+    """Count an attempt that an earlier leader started."""
     attempt = Attempt(job, index, task.attempt, machine.name, at_us)
     attempt.phase = _PHASES[task.state]
     attempt.adopted = attempt.phase is not Phase.PULLING
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -16,6 +16,7 @@
 from weldhead.duties import Duties
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.wire import MachineType
+from weldhead.recovery.squaring import Tally
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.http import HttpClient
 from weldhead.transport.state import StateClient
@@ -65,12 +66,15 @@
         self.demand = Demand(tunables.fleet.demand_memory_us)
         self.goals = Goals(settings.facts.objectives)
         self.market = Market(types=types)
+        self.tally = Tally()
         self.duties = Duties()
         workers = settings.facts.workers
         self.lease_us = seconds_us(workers.lease_s)
         self.cancel_us = seconds_us(workers.cancel_s)
         self.report_us = seconds_us(workers.report_s)
         self.silence_us = 2 * self.report_us + SECOND_US
+        #: When the token was won.
+        self.won_us = now_us()
         #: The store has been read; since when (0: not yet).
         self.loaded = False
         self.loaded_us = 0
@@ -87,5 +91,8 @@
         return self._authority.token == self.token and self._authority.valid(now_us())
 
     def floor_us(self) -> int:
-        """Return when an earlier leader may last have answered a worker."""
-        return max(self.predecessor_over_us, self.loaded_us)
+        """Return when an earlier leader may last have answered a worker.
+
+        What this one answers is known of each machine, also before the term is loaded.
+        """
+        return self.predecessor_over_us
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -15,10 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-#: A new leader returns machines that have not answered by then, if they are few: a deletion
-#: that is answered proves sooner than the end of their leases that nothing runs there.
-UNKNOWN_PATIENCE_US = 1 * SECOND_US
-
 #: How many silent machines are named to the other nodes at once.
 SILENT_NAMED = 1_000
 
@@ -92,12 +88,6 @@
                 continue
             at_us = now_us()
             doomed = self.expired_or_silent(at_us)
-            if not self._term.ready and at_us - self._term.loaded_us > UNKNOWN_PATIENCE_US:
-                # Recovery waits for them; most are gone already and only still on record.
-                live = self.live()
-                unknown = [m for m in live if not m.synced]
-                if all(m.asked_in_vain for m in unknown) and look_gone(unknown, live):
-                    doomed += unknown
             doomed += self.in_trouble(at_us)
             doomed += [m for m in self.noticed.values() if self.taken(m, at_us)]
             self._return({m.name: m for m in doomed if not m.deleting})
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -59,6 +59,9 @@
     jobs: dict[str, Told] = field(default_factory=dict)
     done: dict[str, set[int]] = field(default_factory=lambda: defaultdict(set))
     on: dict[str, dict[str, Site]] = field(default_factory=lambda: defaultdict(dict))
+    #: When the first task ran under each token, and when tasks were stopped by command.
+    first_starts: dict[int, int] = field(default_factory=dict)
+    stops: list[int] = field(default_factory=list)
     _begun: set[tuple[str, int]] = field(default_factory=set)
     _polls: Counter[bool] = field(default_factory=Counter)
     _digest: "hashlib._Hash" = field(default_factory=hashlib.sha256)
@@ -84,6 +87,7 @@
         """A task has its image and runs from now on."""
         self.note("start", task, attempt, site.machine)
         self.counts["starts"] += 1
+        self.first_starts.setdefault(attempt >> 20, self.now_us())
         if (task, attempt) in self._begun:
             self.breaks("attempt_reused", f"{task} attempt {attempt} starts again")
         self._begun.add((task, attempt))
@@ -110,6 +114,8 @@
             return
         self.counts[why] += 1
         job_id, index = split_task(task)
+        if why == "stopped":
+            self.stops.append(self.now_us())
         if why == "done":
             self.done[job_id].add(index)
         told = self.jobs.get(job_id)
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -41,7 +41,7 @@
 from weldhead.tunables.defaults import Tunables
 
 #: How often it is looked whether somebody decides.
-LOOK_S = 0.1
+LOOK_S = 0.02
 
 
 @dataclass
@@ -57,8 +57,12 @@
     #: Seconds without a controller that decides, and the longest stretch of them.
     undecided_s: float = 0.0
     longest_s: float = 0.0
-    #: From winning the key to being ready, by term, in seconds.
+    #: From winning the key to being ready, and to the first task that runs, in seconds; a
+    #: term for each, the first of all (an empty fleet) left out.
     ready_s: list[float] = field(default_factory=list)
+    first_start_s: list[float] = field(default_factory=list)
+    #: The most tasks stopped in any 2 s of the first 10 s after a term was ready.
+    stopped_then: int = 0
 
 
 class Controller:
@@ -137,7 +141,7 @@
         self.users = Users(loop, self.network, self.checker, scenario, self.jobs, self.addresses,
             random.Random(rng.random()))  # fmt: skip
         self.undecided: list[float] = []
-        self._led: dict[int, float] = {}
+        self.led_s: dict[int, float] = {}
         self.ready_s: dict[int, float] = {}
 
     def _fair(self) -> Weather:
@@ -229,11 +233,10 @@
                 leader = node.leader if node is not None else None
                 if leader is None or life is None or life.frozen:
                     continue
-                self._led.setdefault(leader.token, self.loop.true_s)
+                self.led_s.setdefault(leader.token, self.loop.true_s)
                 if leader.term.ready and life.context.run(_valid, leader):
                     ready = True
-                    since_s = self._led[leader.token]
-                    self.ready_s.setdefault(leader.token, self.loop.true_s - since_s)
+                    self.ready_s.setdefault(leader.token, self.loop.true_s)
             if not ready:
                 self.undecided.append(self.loop.true_s)
 
@@ -367,19 +370,36 @@
     return longest
 
 
+def _result(experiment: Experiment, seed: int) -> Result:
+    checker, led = experiment.checker, experiment.led_s
+    checker.counts["writes"] = experiment.store.writes
+    checker.counts["cloud calls"] = experiment.cloud.calls
+    checker.counts["bytes"] = experiment.network.bytes
+    # Until the first leader of all there is nothing to decide, and its fleet is empty.
+    first_s = min(led.values(), default=0.0)
+    undecided = [at_s for at_s in experiment.undecided if at_s > first_s + 1.0]
+    later = {token: at_s for token, at_s in led.items() if at_s > first_s}
+    ready = {token: at_s for token, at_s in experiment.ready_s.items() if token in later}
+    begun = {token: at_us / SECOND_US for token, at_us in checker.first_starts.items()}
+    stops = [at_us / SECOND_US for at_us in checker.stops]
+    return Result(
+        experiment.scenario.name, seed, checker.broken, checker.details, checker.counts,
+        checker.digest, len(undecided) * LOOK_S, _longest(undecided),
+        [at_s - later[token] for token, at_s in ready.items()],
+        [begun[token] - at_s for token, at_s in later.items() if token in begun],
+        max((_most_within(stops, at_s) for at_s in ready.values()), default=0),
+    )  # fmt: skip
+
+
+def _most_within(stops: list[float], from_s: float) -> int:
+    """Return the most of these in any 2 s of the 10 s from then on."""
+    then = [at_s for at_s in stops if from_s <= at_s < from_s + 10.0]
+    return max((sum(a <= b < a + 2.0 for b in then) for a in then), default=0)
+
+
 def play(scenario: Scenario, seed: int, tunables: Tunables | None = None) -> Result:
     """Play a scenario with a seed's luck; the same seed gives the same run."""
     with simulated() as loop:
         experiment = Experiment(loop, scenario, seed, tunables or Tunables())
         loop.run_until_complete(experiment.run())
-        checker = experiment.checker
-        checker.counts["writes"] = experiment.store.writes
-        checker.counts["cloud calls"] = experiment.cloud.calls
-        checker.counts["bytes"] = experiment.network.bytes
-        # Until the first leader of all there is nothing to decide.
-        first_s = min(experiment._led.values(), default=0.0)
-        undecided = [at_s for at_s in experiment.undecided if at_s > first_s + 1.0]
-        return Result(
-            scenario.name, seed, checker.broken, checker.details, checker.counts, checker.digest,
-            len(undecided) * LOOK_S, _longest(undecided), list(experiment.ready_s.values()),
-        )  # fmt: skip
+        return _result(experiment, seed)
--- /dev/null
+++ b/weldhead/recovery/early.py
@@ -0,0 +1,70 @@
+"""Reports that come before the term is loaded: answered at once, kept, and applied later.
+
+An answer renews a worker's lease and needs the token only. So from the moment the token is
+won every report is answered; what it says waits here for the records, the newest message of
+each machine. Times are microseconds of the steady clock.
+"""
+
+from dataclasses import dataclass
+
+from weldhead.protocol.wire import Report
+
+
+@dataclass
+class Early:
+    """The newest message of a machine, and when its last report was answered (0: never)."""
+
+    report: Report
+    #: It was the body of a direct command's answer.
+    direct: bool
+    answered_us: int
+    relayed: bool
+
+
+class EarlyReports:
+    """What machines said before their records were known."""
+
+    def __init__(self) -> None:
+        self._kept: dict[str, Early] = {}
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def showed(self, machine: str, token: int) -> bool:
+        """Whether a machine has shown that token in a message of its own."""
+        kept = self._kept.get(machine)
+        return kept is not None and kept.report.token >= token
+
+    def answer(self, report: Report, at_us: int, *, relayed: bool) -> bool:
+        """Keep a report; whether to answer it.
+
+        One that is older than what was seen was held back on the way: its sender has given
+        up, and to count it as an answer would be wrong for whoever is silent now.
+        """
+        kept = self._kept.get(report.machine)
+        if kept is None:
+            self._kept[report.machine] = Early(report, False, at_us, relayed)
+            return True
+        if _order(report) < _order(kept.report):
+            return False
+        kept.report, kept.direct = report, False
+        kept.answered_us, kept.relayed = at_us, relayed
+        return True
+
+    def shown(self, report: Report) -> None:
+        """Keep what a machine answered to a direct request, unless something newer is here."""
+        kept = self._kept.get(report.machine)
+        if kept is None:
+            self._kept[report.machine] = Early(report, True, 0, False)
+        elif _order(report) > _order(kept.report):
+            kept.report, kept.direct = report, True
+
+    def take(self) -> list[Early]:
+        """Return everything, and keep nothing."""
+        kept = list(self._kept.values())
+        self._kept.clear()
+        return kept
+
+
+def _order(report: Report) -> tuple[int, int]:
+    return report.session, report.sequence
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -9,6 +9,7 @@
 from weldhead.clock import MILLISECOND_US, SECOND_US
 from weldhead.coordination.fleet import FleetSettings
 from weldhead.coordination.preemptor import PreemptorSettings
+from weldhead.recovery.asking import AskSettings
 
 
 @dataclass
@@ -82,6 +83,20 @@
         )
 
 
+@dataclass
+class RecoveryTunables:
+    """The start of a term: how workers are asked what they run."""
+
+    questions: int = 200
+    ask_again_us: int = 150 * MILLISECOND_US
+    quiet_us: int = 400 * MILLISECOND_US
+
+    def asking(self, sockets: int) -> AskSettings:
+        """Return how workers are asked by a process with that many sockets."""
+        at_once = max(4, min(self.questions, sockets // 8))
+        return AskSettings(at_once, self.ask_again_us, quiet_us=self.quiet_us)
+
+
 @dataclass
 class Tunables:
     """All settings."""
@@ -99,3 +114,4 @@
     leadership: LeadershipTunables = field(default_factory=LeadershipTunables)
     preemptor: PreemptorTunables = field(default_factory=PreemptorTunables)
     fleet: FleetTunables = field(default_factory=FleetTunables)
+    recovery: RecoveryTunables = field(default_factory=RecoveryTunables)
