Start: former promises end when nobody leads; questions in turn; stops paced

Change: a pong (format 3) says whether its sender is in a term; once all others have said no, nobody relies on a former promise. A leader that was replaced is promised nothing, and promises to a term that is over do not count for the next. Machines asked least come first, for 0.4 s. For 10 s after a start stops for others are paced by what runs (recovery.stop_share).

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -119,6 +119,12 @@
         self.authority[node] = Authority(TIMING, frozenset(NODES) - {node})
         self.candidacy[node] = Candidacy(TIMING, self.clock(node))
 
+    @rule(node=st.sampled_from(NODES))
+    def hear_that_nobody_leads(self, node: str) -> None:
+        """A node that hears from all others that they are in no term waits for nothing."""
+        if not any(self.authority[peer].token for peer in NODES if peer != node):
+            self.candidacy[node].nobody_leads()
+
     @invariant()
     def one_commander(self) -> None:
         valid = [n for n in NODES if self.authority[n].valid(self.clock(n))]
@@ -158,6 +164,24 @@
     assert candidacy.may_lead(10_000_000 + TIMING.promise_us * 102 // 100)
 
 
+def test_a_promise_given_in_this_life_binds_also_when_nobody_leads() -> None:
+    candidacy = Candidacy(TIMING, 10_000_000)
+    candidacy.nobody_leads()
+    assert candidacy.may_lead(10_000_000)
+    candidacy.promise(10_000_000)
+    candidacy.nobody_leads()
+    assert not candidacy.may_lead(10_000_000 + TIMING.promise_us)
+
+
+def test_nobody_else_led_when_the_first_of_all_promises_was_asked_for() -> None:
+    authority = Authority(TIMING, frozenset({"n-1", "n-2"}))
+    authority.begin(5, 7, 0)
+    authority.promised("n-1", 700)
+    assert authority.alone_us == 0
+    authority.promised("n-2", 500)
+    assert authority.alone_us == 500
+
+
 def test_a_replaced_leader_counts_as_active_for_its_full_lease() -> None:
     assert predecessor_over_us(100, 3_000_000) > 3_000_100
     assert predecessor_over_us(100, 0) == 100
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -26,6 +26,7 @@
     cancelled_record,
     decode_progress,
 )
+from weldhead.clock import now_us
 from weldhead.coordination.node import Node
 from weldhead.protocol import peer
 from weldhead.protocol.settings import parse_settings
@@ -319,7 +320,7 @@
     node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables())
     node._state = cast(Any, SimpleNamespace(ok=True))
     pong = asyncio.run(node._peer_request("n-1", peer.Ping(7, 0, True)))
-    assert pong == peer.Pong(7, True, FORMAT)
+    assert pong == peer.Pong(7, True, FORMAT, False)
 
     class Writer:
         transport = SimpleNamespace(abort=lambda: None)
@@ -349,3 +350,16 @@
         "peer n-1 has format 2",
     ]
     assert node._links["n-1"].format == 0
+
+
+def test_an_older_pong_does_not_say_that_its_sender_is_in_no_term() -> None:
+    """Beside an older version a node that has just started keeps its former promises."""
+    node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables(), started_us=now_us())
+    older = msgspec.msgpack.encode(("pong", 7, True, 2))
+    for name in node._links:
+        node._heard_pong(name, cast(peer.Pong, peer.decode_message(older)))
+    assert not node.candidacy.may_lead(now_us())
+    for name in node._links:
+        assert not node.candidacy.may_lead(now_us())
+        node._heard_pong(name, peer.Pong(7, True, FORMAT, False))
+    assert node.candidacy.may_lead(now_us())
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -14,6 +14,7 @@
 from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
+from weldhead.recovery.pace import StopPace
 from weldhead.recovery.readiness import Partial
 
 log = logging.getLogger(__name__)
@@ -30,6 +31,7 @@
         self._dispatcher = dispatcher
         self.pacer = pacer
         self.reclaims = ReclaimLists()
+        self._pace = StopPace(term.tunables.recovery.pace())
         self.last_plan = Plan()
         #: What placement and forecasts keep in order; made when first needed, and made anew
         #: after a failure.
@@ -124,7 +126,7 @@
             for victim in entry.victims:
                 if victim.job.active.get(victim.index) is victim:
                     self.stop(victim, Stop.HARD, at_us, "room, overdue")
-        for reclaim in plan_reclaims(
+        planned = plan_reclaims(
             self._term.cluster,
             self.reclaims,
             self.last_plan,
@@ -133,7 +135,17 @@
             settings,
             self._term.goals,
             free=self.scene.free if self.scene is not None else None,
-        ):
+        )
+        running = sum(len(job.active) for job in self._term.cluster.holders.values())
+        allowed = self._pace.allowed(self._term.ready_us, running, at_us)
+        for reclaim in planned:
+            if allowed is not None:
+                if allowed <= 0:
+                    # Asked for again at the next run, if it is still wanted then.
+                    self._pace.put_off += 1
+                    continue
+                allowed -= len(reclaim.victims)
+                self._pace.stopped(len(reclaim.victims))
             self.reclaims.add(reclaim)
             for victim in reclaim.victims:
                 log.info(
--- a/weldhead/coordination/dispatch.py
+++ b/weldhead/coordination/dispatch.py
@@ -14,7 +14,7 @@
 log = logging.getLogger(__name__)
 
 #: For how long a worker that is asked what it runs may be silent before others get its turn.
-ASK_US = 700 * MILLISECOND_US
+ASK_US = 400 * MILLISECOND_US
 
 
 class Dispatcher:
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -12,7 +12,8 @@
 * While the state service refuses this node, every other node can promise not to become
   leader for a moment. With the promises of *all* others the holder may go on: nobody can
   take over meanwhile. A node keeps its promise by not campaigning, and a node that has
-  just started does not campaign for as long as a promise of its former life may last.
+  just started does not campaign for as long as a promise of its former life may last,
+  unless every other node has told it since that it is in no term.
 """
 
 import logging
@@ -42,6 +43,7 @@
         self.lease = 0
         self._lease_until_us = 0
         self._promised_until_us: dict[str, int] = {}
+        self._promised_us: dict[str, int] = {}
 
     def begin(self, token: int, lease: int, sent_us: int) -> None:
         """Start a term whose lease was asked for at ``sent_us``."""
@@ -49,6 +51,7 @@
         self.lease = lease
         self._lease_until_us = surely_valid_us(sent_us, self._timing.ttl_us)
         self._promised_until_us.clear()
+        self._promised_us.clear()
 
     def renewed(self, sent_us: int) -> None:
         """Record an answered renewal."""
@@ -59,6 +62,7 @@
         """Record a peer's promise that was asked for at ``sent_us``."""
         until_us = surely_valid_us(sent_us, self._timing.promise_us)
         self._promised_until_us[peer] = max(self._promised_until_us.get(peer, 0), until_us)
+        self._promised_us[peer] = max(self._promised_us.get(peer, 0), sent_us)
 
     def end(self) -> None:
         """Give everything up."""
@@ -66,6 +70,7 @@
         self.lease = 0
         self._lease_until_us = 0
         self._promised_until_us.clear()
+        self._promised_us.clear()
 
     def until_us(self) -> int:
         """Return until when this node may command."""
@@ -76,6 +81,13 @@
             promised_us = min(self._promised_until_us[peer] for peer in self._peers)
         return max(self._lease_until_us, promised_us)
 
+    @property
+    def alone_us(self) -> int:
+        """The latest moment at which, by the promises of all others, nobody else led; or 0."""
+        if not self._peers or len(self._promised_us) < len(self._peers):
+            return 0
+        return min(self._promised_us.values())
+
     @property
     def lease_until_us(self) -> int:
         """Until when the lease alone entitles to command."""
@@ -92,8 +104,17 @@
 
     def __init__(self, timing: Timing, started_us: int) -> None:
         self._timing = timing
-        # A promise given in a former life of this process may still be relied on.
-        self._promise_until_us = surely_over_us(started_us, timing.promise_us)
+        self._promise_until_us = 0
+        #: A promise given in a former life of this process may still be relied on.
+        self._former_until_us = surely_over_us(started_us, timing.promise_us)
+
+    def nobody_leads(self) -> None:
+        """Every other node has said, in this life of ours, that it is in no term.
+
+        So nobody relies on a promise of a former life: who asked for it is in that term no
+        more, and whoever begins one asks anew.
+        """
+        self._former_until_us = 0
 
     def promise(self, at_us: int) -> None:
         """Promise not to become leader for the agreed time from now."""
@@ -102,11 +123,11 @@
 
     def may_lead(self, at_us: int) -> bool:
         """Whether no promise stands in the way."""
-        return at_us >= self._promise_until_us
+        return self.wait_us(at_us) == 0
 
     def wait_us(self, at_us: int) -> int:
         """Return how long the promise still lasts."""
-        return max(0, self._promise_until_us - at_us)
+        return max(0, max(self._promise_until_us, self._former_until_us) - at_us)
 
 
 def predecessor_over_us(taken_us: int, believes_us: int) -> int:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -41,6 +41,9 @@
 #: How long a user's or worker's request may take on its way through another node.
 FORWARD_US = 900 * MILLISECOND_US
 
+#: Between two pings.
+PING_S = 0.4
+
 
 class Node:
     """One controller process."""
@@ -72,6 +75,8 @@
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._relays = Relays()
+        #: Peers that have said, in this process's life, that they are in no term.
+        self._in_no_term: set[str] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -155,9 +160,8 @@
         """
         if record.nonce in self._nonces:
             return
-        await asyncio.sleep(to_seconds(self.candidacy.wait_us(now_us())))
-        while not self.catalog:  # noqa: ASYNC110
-            await asyncio.sleep(0.05)
+        while not self.catalog or not self.candidacy.may_lead(now_us()):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
         if self.leader is None and self._known_token == token:
             log.info("%s led until it ended: taking up again", record.name)
             await self._stand(token, 0)
@@ -196,7 +200,8 @@
                 continue
             wait_us = self.candidacy.wait_us(now_us())
             if wait_us:
-                await asyncio.sleep(to_seconds(wait_us))
+                # The promises of a former life may turn out to bind nobody.
+                await asyncio.sleep(to_seconds(min(wait_us, 20 * MILLISECOND_US)))
                 continue
             await self._stand(0, 0)
 
@@ -277,6 +282,7 @@
         links = list(self._links.values())
         if not links or not all(link.connected for link in links):
             return
+        token = self.authority.token
         sent_us = now_us()
         asked = [
             link.ask(
@@ -287,11 +293,14 @@
             for link in links
         ]
         answers = await asyncio.gather(*asked, return_exceptions=True)
+        if self.authority.token != token:
+            # Promised to a term that is over: counted for the next one, they would bind
+            # nobody who has said since that it knows of no term.
+            return
         for link, answer in zip(links, answers, strict=True):
             if isinstance(answer, Held) and answer.promised:
                 self.authority.promised(link.name, sent_us)
             elif isinstance(answer, Held) and self.leader is not None:
-                token = self.authority.token
                 self._step_down(f"the state service serves {link.name} but not this node")
                 link.send(Resigned(0, token))
                 return
@@ -304,6 +313,9 @@
         except CallFailed:
             if self.leader is not None or hold.duration_us > self.timing.promise_us:
                 raise
+            if hold.token < self._known_token:
+                # Replaced, and does not know it: a later leader may have answered workers.
+                return False
             # From here on until the promise is over, this node does not become leader.
             self.candidacy.promise(now_us())
             return True
@@ -328,17 +340,25 @@
 
     async def _ping(self, link: PeerLink) -> None:
         while True:
-            await asyncio.sleep(0.4)
-            if not link.connected:
-                continue
+            await link.up.wait()
             at_us = now_us()
             token = self.authority.token if self.authority.valid(at_us) else 0
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
             ping = Ping(link.next_id(), token, self._state.ok, silent)
             try:
-                await link.ask(ping, Pong, 2 * SECOND_US)
+                pong = await link.ask(ping, Pong, 2 * SECOND_US)
+                self._heard_pong(link.name, pong)
             except CallFailed:
                 link.drop()
+            await asyncio.sleep(PING_S)
+
+    def _heard_pong(self, name: str, pong: Pong) -> None:
+        if pong.leads:
+            self._in_no_term.discard(name)
+            return
+        self._in_no_term.add(name)
+        if len(self._in_no_term) == len(self._links):
+            self.candidacy.nobody_leads()
 
     async def _peer_request(self, name: str, message: Message) -> Message | None:
         at_us = now_us()
@@ -347,7 +367,7 @@
                 if message.token:
                     self._hear_leader(name, message.token)
                     self._relays.leader_misses(message.silent, at_us)
-                return Pong(message.id, self._state.ok, FORMAT)
+                return Pong(message.id, self._state.ok, FORMAT, self.leader is not None)
             case Ask():
                 answer = await self._answer_peer(message)
                 return Answer(message.id, answer.status, answer.body)
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -226,7 +226,7 @@
         """Wait until everything is known; from then on anything may be decided."""
         term = self._term
         await self.known.wait()
-        term.ready = True
+        term.ready, term.ready_us = True, now_us()
         term.cluster.doubts = {}
         log.info(
             "term %d: ready after %.3f s, %d questions; %s",
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -80,6 +80,7 @@
         self.loaded_us = 0
         #: Recovery is over: work may be started and evicted.
         self.ready = False
+        self.ready_us = 0
         #: Something that placement should look at.
         self.place = asyncio.Event()
         #: Jobs may be over, or have completions to commit.
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -33,11 +33,16 @@
 
 
 class Pong(msgspec.Struct, array_like=True, tag="pong"):
-    """The answer to a ping, with the answerer's own view and format (``versions.py``)."""
+    """The answer to a ping, with the answerer's own view and format (``versions.py``).
+
+    ``leads``: it is in a term, whether or not it may command at this moment. A version that
+    does not say so may be.
+    """
 
     id: int
     state_ok: bool
     format: int = FIRST_FORMAT
+    leads: bool = True
 
 
 class Ask(msgspec.Struct, array_like=True, tag="ask"):
--- a/weldhead/protocol/versions.py
+++ b/weldhead/protocol/versions.py
@@ -12,6 +12,7 @@
 2       job chains. A submission, and so the ``spec`` of a ``j/`` record, may have the
         list of needed jobs; an ``f/`` record may have ``ended_us`` and ``service``; a pong
         ends with the answerer's format. Keys and messages are the same
+3       a pong ends with whether the answerer is in a term. Nothing else is new
 ======  =============================================================================
 
 Rules that keep it so:
@@ -25,6 +26,8 @@
 * A peer's format is what its last pong said; format 1 says nothing. A link that knows no
   such message drops the connection, so a message of a newer format goes only to peers that
   have said that format.
+* A pong of format 1 or 2 does not say whether its sender is in a term: it counts as if it
+  were, so a controller that has just started waits for its former promises beside one.
 * Whoever knows format 1 only would start the tasks of a job that waits. So a submission
   that names needed jobs is neither passed to such a peer nor accepted beside one.
 """
@@ -32,6 +35,6 @@
 #: What a peer has that says nothing.
 FIRST_FORMAT = 1
 #: The format of this version.
-FORMAT = 2
+FORMAT = 3
 #: The first that knows job chains.
-CHAINS_FORMAT = 2
+CHAINS_FORMAT = 3
--- a/weldhead/recovery/asking.py
+++ b/weldhead/recovery/asking.py
@@ -22,8 +22,8 @@
     at_once: int = 100
     #: After so long without an answer a machine is asked once more.
     again_us: int = 150 * MILLISECOND_US
-    #: Between two questions that both have failed.
-    pause_us: int = 300 * MILLISECOND_US
+    #: Between two further questions.
+    pause_us: int = 1_000 * MILLISECOND_US
     #: Nobody has answered for so long: who was asked twice by then was asked in vain.
     quiet_us: int = 300 * MILLISECOND_US
 
@@ -69,10 +69,14 @@
             if name not in self._done:
                 self._asked[name] = _Asked(at_us, at_us)
                 found.append(name)
-        for name, asked in self._asked.items():
-            if len(found) >= room:
-                break
-            if self._due(asked, at_us):
+        if len(found) < room:
+            # Who was asked least comes first: in the order of asking, those that are gone
+            # held all turns, and the last of them was never asked twice (found on an own day).
+            due = [(a.times, a.last_us, name) for name, a in self._asked.items()]
+            for _, _, name in sorted(d for d in due if self._due(self._asked[d[2]], at_us)):
+                if len(found) >= room:
+                    break
+                asked = self._asked[name]
                 asked.last_us = at_us
                 asked.times += 1
                 asked.open += 1
@@ -82,10 +86,9 @@
         return found
 
     def _due(self, asked: _Asked, at_us: int) -> bool:
-        if asked.last_us == at_us or asked.open > 1:
-            return False
-        pause_us = self._settings.again_us if asked.open else self._settings.pause_us
-        return at_us - asked.last_us >= pause_us
+        if asked.times == 1:
+            return at_us - asked.last_us >= self._settings.again_us
+        return asked.open == 0 and at_us - asked.last_us >= self._settings.pause_us
 
     def answered(self, name: str, at_us: int) -> None:
         """A question was answered."""
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -54,6 +54,8 @@
         self._next_id = 0
         self.heard_us = 0
         self.refused = False
+        #: Set while a connection is up.
+        self.up = asyncio.Event()
         self.state_ok = False
         #: The format that the peer's process has said to know; 0: it has not answered yet.
         self.format = 0
@@ -101,6 +103,7 @@
         self.heard_us = now_us()
         try:
             writer.write(encode_frame(Hello(self._own_name)))
+            self.up.set()
             while True:
                 message = await read_message(reader)
                 self.heard_us = now_us()
@@ -118,6 +121,7 @@
             log.info("peer %s: connection ended: %r", self.name, error)
         finally:
             self._writer = None
+            self.up.clear()
             self.state_ok = False
             self.format = 0
             writer.transport.abort()
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -10,6 +10,7 @@
 from weldhead.coordination.fleet import FleetSettings
 from weldhead.coordination.preemptor import PreemptorSettings
 from weldhead.recovery.asking import AskSettings
+from weldhead.recovery.pace import PaceSettings
 
 
 @dataclass
@@ -85,11 +86,17 @@
 
 @dataclass
 class RecoveryTunables:
-    """The start of a term: how workers are asked what they run."""
+    """The start of a term: how workers are asked, and how fast work is stopped for other work."""
 
     questions: int = 200
     ask_again_us: int = 150 * MILLISECOND_US
     quiet_us: int = 400 * MILLISECOND_US
+    settle_us: int = 10 * SECOND_US
+    stop_share: float = 0.001
+
+    def pace(self) -> PaceSettings:
+        """Return how fast work is stopped for other work at first."""
+        return PaceSettings(self.settle_us, self.stop_share)
 
     def asking(self, sockets: int) -> AskSettings:
         """Return how workers are asked by a process with that many sockets."""
