Watch: a lease is over only once it is proven that nobody else led by then

Need: a leader that was replaced and does not know it (its lease lasts up to 3 s more) hears nothing of workers that its successor answers. It took their leases to be over and could start their tasks on machines that still obey it. Found by reading, for the argument of docs/design/recovery.md.

Change: a lease counts as over only if the leader's key was still ours after its end: by a committed write, a read, or all promises. A test of a leader whose key was replaced; a test expected format 2.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -70,6 +70,7 @@
         for module in CLOCKED:
             for name in ("now_us", "wall_us"):
                 self.patch.setattr(f"weldhead.coordination.{module}.{name}", clock, raising=False)
+        self.patch.setattr("weldhead.bookkeeping.ledger.now_us", clock)
         return clock
 
     def __exit__(self, *_: object) -> None:
@@ -289,3 +290,32 @@
         assert (job.cancelled, job.version, job.waiting) == (True, 99, 0)
 
     asyncio.run(scenario())
+
+
+def test_a_leader_that_was_replaced_ends_no_lease(clock: Clock) -> None:
+    """Its successor may be answering the worker: what was started elsewhere would run twice."""
+    state = StandInState()
+    put_job(state, job_spec(1))
+    worker = put_machine(state, "vm-000001")
+    worker.tasks["run-000001/0"] = StandInTask(77, "running")
+    leader = new_leader(state, clock())
+    deposed: list[str] = []
+    leader.term.on_deposed = deposed.append
+    for _ in range(2):
+        report(leader, worker, clock())
+    watch, term, machine = leader.watch, leader.term, leader.cluster.machines["vm-000001"]
+    clock.us += term.lease_us + S
+    assert watch.over_unproven(clock())
+    watch.expired_or_silent(clock(), term.proven_us)
+    assert machine.attempts
+    # A successor has replaced the key: the proof fails, and the task counts as running.
+    held = state.keys[LEADER_KEY]
+    state.put(LEADER_KEY, {"name": "n-1", "nonce": "y", "ttl_us": 3 * S})
+    asyncio.run(watch._prove())
+    watch.expired_or_silent(clock(), term.proven_us)
+    assert deposed and machine.attempts
+    state.keys[LEADER_KEY] = held
+    asyncio.run(watch._prove())
+    assert not watch.over_unproven(clock())
+    assert watch.expired_or_silent(clock(), term.proven_us) == [machine]
+    assert not machine.attempts
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -347,7 +347,7 @@
     said = [record.getMessage() for record in caplog.records]
     assert [line for line in said if "format" in line] == [
         "peer n-1 has format 1",
-        "peer n-1 has format 2",
+        f"peer n-1 has format {FORMAT}",
     ]
     assert node._links["n-1"].format == 0
 
--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from weldhead.bookkeeping.records import LEADER_KEY
+from weldhead.clock import now_us
 from weldhead.protocol.wire import Condition, Delete, Put
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import Conflict, Refused, Rejected, StateClient
@@ -55,6 +56,17 @@
         self._latest: dict[str, _Write] = {}
         self._wake = asyncio.Event()
         self._closed = False
+        #: The latest moment at which the leader's key was surely still ours: when a request
+        #: was sent whose answer showed it (steady clock, 0: never).
+        self.proven_us = 0
+
+    async def prove(self) -> None:
+        """Show that the leader's key is still ours; Deposed if it is not."""
+        sent_us = now_us()
+        leader = await self._state.get(LEADER_KEY, urgent=True)
+        if leader is None or leader.version != self._token:
+            raise Deposed
+        self.proven_us = max(self.proven_us, sent_us)
 
     def learn(self, key: str, version: int) -> None:
         """Note a key's version, read from the store or its watch."""
@@ -181,8 +193,10 @@
             writes: list[Put | Delete] = [
                 Delete(key) if value is None else Put(key, value) for key, value in changes.items()
             ]
+            sent_us = now_us()
             try:
                 revision = await self._state.transact(conditions, writes)
+                self.proven_us = max(self.proven_us, sent_us)
                 for key, value in changes.items():
                     if value is None:
                         self._versions.pop(key, None)
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -91,6 +91,11 @@
         """Whether this node may command now."""
         return self._authority.token == self.token and self._authority.valid(now_us())
 
+    @property
+    def proven_us(self) -> int:
+        """The latest moment at which surely nobody else led."""
+        return max(self.ledger.proven_us, self._authority.alone_us)
+
     def floor_us(self) -> int:
         """Return when an earlier leader may last have answered a worker.
 
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -6,12 +6,15 @@
 
 from weldhead.bookkeeping.feeds import Feed
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
+from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import SECOND_US, now_us
 from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.goals import FOR_EVER_US
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term
+from weldhead.transport.http import CallFailed
 
 log = logging.getLogger(__name__)
 
@@ -86,8 +89,10 @@
             await asyncio.sleep(0.2)
             if not self._term.valid:
                 continue
+            if self.over_unproven(now_us()):
+                await self._prove()
             at_us = now_us()
-            doomed = self.expired_or_silent(at_us)
+            doomed = self.expired_or_silent(at_us, self._term.proven_us)
             doomed += self.in_trouble(at_us)
             doomed += [m for m in self.noticed.values() if self.taken(m, at_us)]
             self._return({m.name: m for m in doomed if not m.deleting})
@@ -101,8 +106,31 @@
         silent = self.silent(at_us, self._term.silence_us, self._term.floor_us())
         return [machine for machine in silent if machine.up and not machine.deleting]
 
-    def expired_or_silent(self, at_us: int) -> list[Machine]:
-        """Return machines whose leases are over, or that are silent and look gone."""
+    def over_unproven(self, at_us: int) -> bool:
+        """Whether leases look over of which it is not proven that nobody renewed them.
+
+        A leader that was replaced and does not know it hears nothing of workers that its
+        successor answers: to it their leases run out, and what it started elsewhere would run
+        twice. So it must have been the leader still after the lease's end; a successor that
+        came later did not answer in time.
+        """
+        proven_us, floor_us = self._term.proven_us, self._term.floor_us()
+        overs = (m.lease_over_us(self._term.lease_us, floor_us) for m in self._silent_live(at_us))
+        return any(proven_us <= over_us < at_us for over_us in overs)
+
+    async def _prove(self) -> None:
+        try:
+            await self._term.ledger.prove()
+        except CallFailed as error:
+            log.info("leases are over, but not whether this node still leads: %s", error)
+        except Deposed:
+            self._term.on_deposed("the leader's key is not ours any more")
+
+    def expired_or_silent(self, at_us: int, proven_us: int = FOR_EVER_US) -> list[Machine]:
+        """Return machines whose leases are over, or that are silent and look gone.
+
+        ``proven_us`` is the latest moment at which surely nobody else led.
+        """
         floor_us = self._term.floor_us()
         silent = self._silent_live(at_us)
         if not silent:
@@ -112,7 +140,7 @@
         gone = look_gone(silent, live)
         found = []
         for machine in silent:
-            if at_us > machine.lease_over_us(self._term.lease_us, floor_us):
+            if min(at_us, proven_us) > machine.lease_over_us(self._term.lease_us, floor_us):
                 self.expire(machine)
                 found.append(machine)
             elif gone and max(machine.heard_us, floor_us) < limit_us:
