Start: direct commands in order and in turns; tests of each verdict and of starts

Need: after a start hundreds of machines are sent commands in the order in which placement met them, as many at once as there are sockets.

Change: an outbox: what rules need first, then stops whose room is waited for, guaranteed starts by deadline, the rest; at most direct_at_once under way, and who does not answer in 0.3 s keeps no turn. Tests: every verdict with its order, early reports, questions, partial readiness against whatever an earlier leader may have hidden (hypothesis), pacing, 17 kinds of starts in the emulator, the decisions' imports. A sixth planted error: everything counts as settled.

--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,399 @@
+"""The start of a term: what is decided, and several machines that fail around it."""
+
+import asyncio
+import random
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import add_job, add_machine, cluster, job_spec, machine_type, report
+from tests.stand_ins import StandInState, StandInTask
+from tests.test_recovery import Clock, clock, leader_of, put_job, put_machine
+from weldhead.bookkeeping.jobs import Stop
+from weldhead.bookkeeping.machines import Machine
+from weldhead.coordination.estimates import Estimates
+from weldhead.coordination.goals import Goals
+from weldhead.coordination.placement import Scene, plan_pass
+from weldhead.coordination.reports import apply_report, pending_commands
+from weldhead.emulator.experiment import play
+from weldhead.emulator.scenario import Fault, Scenario, read_scenario
+from weldhead.protocol.settings import Team
+from weldhead.protocol.wire import Report, TaskReport
+from weldhead.recovery.asking import Asking, AskSettings
+from weldhead.recovery.early import EarlyReports
+from weldhead.recovery.outbox import Errand, Outbox, rank
+from weldhead.recovery.pace import PaceSettings, StopPace
+from weldhead.recovery.readiness import doubts, partial_of
+from weldhead.recovery.squaring import Standing, Tally, Verdict, judge, standing
+
+S = 1_000_000
+MS = 1_000
+ROOT = Path(__file__).parents[1]
+__all__ = ["clock"]
+
+
+def test_decisions_can_import_nothing_that_waits_or_sends() -> None:
+    program = """
+import sys
+sys.path[:0] = ["target/deps", "."]
+import pkgutil, weldhead.recovery
+names = [m.name for m in pkgutil.iter_modules(weldhead.recovery.__path__, "weldhead.recovery.")]
+for name in names:
+    __import__(name)
+bad = {"asyncio", "aiohttp", "socket", "selectors", "threading", "weldhead.transport"}
+bad |= {"weldhead.coordination", "weldhead.duties"}
+print(len(names), sorted(bad & set(sys.modules)))
+"""
+    ran = subprocess.run([sys.executable, "-S", "-c", program], cwd=ROOT, capture_output=True)
+    # What the interpreter and msgspec load by themselves is not the decisions' doing.
+    plain = "import sys; sys.path[:0] = ['target/deps']; import msgspec, dataclasses, collections"
+    plain += "; print(sorted({'asyncio', 'socket', 'selectors', 'threading'} & set(sys.modules)))"
+    base = subprocess.run([sys.executable, "-S", "-c", plain], cwd=ROOT, capture_output=True)
+    count, found = ran.stdout.decode().split(" ", 1)
+    assert int(count) >= 6, ran.stderr.decode()
+    assert found == base.stdout.decode()
+
+
+# -- verdicts ------------------------------------------------------------------------------
+
+
+def judged(name: str, state: Any = "running", why: str | None = None, **of: Any) -> Any:
+    """A cluster with one machine, on which a former term's attempt of a task is reported."""
+    into = cluster(Team("red", 8, of.pop("limit", 100)))
+    machine = add_machine(into)
+    job = add_job(into, job_spec(1, tasks=4, **of.pop("spec", {})))
+    return into, machine, job, TaskReport(name, 7, state, why)
+
+
+@pytest.mark.parametrize(
+    ("verdict", "task", "prepare", "active", "commands"),
+    [
+        (Verdict.ADOPTED, ("run-000001/0", "running", None), "", 1, []),
+        (Verdict.FINISHED, ("run-000001/0", "ended", "done"), "", 0, ["forget"]),
+        (Verdict.ENDED, ("run-000001/0", "ended", "halted"), "", 0, ["forget"]),
+        (Verdict.ENDED, ("run-000009/0", "ended", "done"), "", 0, ["forget"]),
+        (Verdict.ENDED, ("run-000001/0", "ended", "done"), "cancelled", 0, ["forget"]),
+        (Verdict.CANCELLED, ("run-000001/0", "saving", None), "cancelled", 1, ["kill"]),
+        (Verdict.OVER, ("run-000001/0", "running", None), "completed", 0, ["kill"]),
+        (Verdict.UNRECORDED, ("run-000009/0", "running", None), "", 0, ["kill"]),
+        (Verdict.UNRECORDED, ("run-000001/4", "running", None), "", 0, ["kill"]),
+        (Verdict.UNRECORDED, ("nonsense", "pulling", None), "", 0, ["kill"]),
+        (Verdict.SECOND, ("run-000001/0", "running", None), "elsewhere", 1, ["kill"]),
+        (Verdict.OVER_LIMIT, ("run-000001/0", "running", None), "limit", 1, []),
+        (Verdict.CROWDED, ("run-000001/0", "running", None), "large", 0, ["kill"]),
+    ],
+)
+def test_each_verdict_has_its_order(
+    verdict: Verdict, task: Any, prepare: str, active: int, commands: list[str]
+) -> None:
+    spec = {"cpus": 5.0} if prepare == "large" else {}
+    into, machine, job, told = judged(*task, spec=spec, limit=1 if prepare == "limit" else 100)
+    if prepare == "cancelled":
+        job.cancelled = True
+    if prepare == "completed":
+        job.complete_waiting(0)
+    if prepare == "elsewhere":
+        into.start(job, 0, add_machine(into, "vm-000002"), 0)
+    assert judge(into, machine, told) is verdict
+    outcome = apply_report(into, machine, report(machine, 2, [told]), 0, direct=False)
+    assert outcome.verdicts == {verdict: 1}
+    orders = pending_commands(machine, lambda _: True, may_start=True, sequence=2)
+    assert [order.op for order in orders] == commands
+    assert len(job.active) == active
+    into.check()
+    # Said again, it is the same attempt: judged once.
+    again = apply_report(into, machine, report(machine, 3, [told]), 0, direct=False)
+    assert not again.verdicts
+    tally = Tally()
+    tally.tasks.update(outcome.verdicts)
+    assert f"attempts: 1 {verdict.value}" in tally.line(into)
+
+
+def test_each_standing_of_a_machine() -> None:
+    into = cluster()
+    known, silent, unused, leaving, gone = (add_machine(into, f"vm-{n}") for n in range(5))
+    silent.synced = unused.synced = False
+    unused.up, leaving.deleting = False, True
+    gone.expired_session = gone.session
+    found = [standing(m) for m in (known, silent, unused, leaving, gone, None)]
+    assert found == [
+        Standing.KNOWN, Standing.SILENT, Standing.UNUSED, Standing.LEAVING, Standing.GONE,
+        Standing.UNKNOWN,
+    ]  # fmt: skip
+
+
+# -- answered from the first moment --------------------------------------------------------
+
+
+def test_reports_before_the_load_are_answered_kept_and_applied(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=4))
+    worker, other = put_machine(state, "vm-000001"), put_machine(state, "vm-000002")
+    worker.tasks["run-000001/0"] = StandInTask(7, "running")
+    leader = leader_of(state, clock())
+    first = worker.report()
+    answer = leader.report(first, clock(), relayed=False)
+    assert answer is not None and (answer.token, answer.commands) == (leader.token, [])
+    worker.answered(answer)
+    clock.us += S
+    answered_us = clock()
+    assert leader.report(worker.report(), answered_us, relayed=True) is not None
+    # Held back on the way: its sender has given up, so it renewed nothing.
+    assert leader.report(first, clock(), relayed=False) is None
+    stranger = msgspec.structs.replace(first, machine="vm-000009", tasks=[])
+    assert leader.report(stranger, clock(), relayed=False) is not None
+    clock.us += S
+    asyncio.run(leader.recovery.load())
+    machine = leader.cluster.machines["vm-000001"]
+    assert machine.synced and machine.relayed and "run-000001/0" in machine.attempts
+    assert machine.heard_us == machine.lease_from_us == answered_us
+    # Whoever has shown the token is not asked for it.
+    assert leader.recovery.asking.next(clock()) == [other.name]
+
+
+def test_the_newest_message_of_a_machine_is_kept() -> None:
+    early, into = EarlyReports(), cluster()
+    machine = add_machine(into)
+    messages: list[Report] = [report(machine, n, []) for n in range(5)]
+    assert early.answer(messages[1], 10, relayed=False)
+    early.shown(messages[0])
+    early.shown(messages[3])
+    (kept,) = early.take()
+    assert (kept.report, kept.direct, kept.answered_us) == (messages[3], True, 10)
+    early.shown(messages[2])
+    assert early.answer(messages[4], 20, relayed=True)
+    (kept,) = early.take()
+    assert (kept.report, kept.direct, kept.answered_us) == (messages[4], False, 20)
+    assert len(early) == 0
+
+
+# -- asking --------------------------------------------------------------------------------
+
+
+@given(gone=st.sets(st.integers(0, 59)), at_once=st.integers(4, 80), answer_ms=st.integers(1, 120))
+def test_everybody_is_asked_twice_before_anybody_is_given_up(
+    gone: set[int], at_once: int, answer_ms: int
+) -> None:
+    """In the order of asking, those that are gone held all turns (found on an own day)."""
+    asking = Asking(AskSettings(at_once))
+    asking.add(f"vm-{n}" for n in range(60))
+    events: list[tuple[int, str, bool]] = []
+    at_us = 0
+    while at_us < 30 * S and not asking.over:
+        due = [event for event in events if event[0] <= at_us]
+        events = [event for event in events if event[0] > at_us]
+        for _, name, answers in due:
+            if answers:
+                asking.answered(name, at_us)
+                asking.known(name)
+            else:
+                asking.failed(name)
+        for name in asking.next(at_us):
+            answers = int(name[3:]) not in gone
+            events.append((at_us + (answer_ms if answers else 400) * MS, name, answers))
+        assert asking.under_way <= at_once
+        vain = asking.in_vain(at_us, 0)
+        assert vain <= {f"vm-{n}" for n in gone}
+        if len(vain) == len(gone) > 0:
+            break
+        at_us += 20 * MS
+    assert asking.over == (not gone)
+    if gone:
+        assert len(vain) == len(gone) and at_us < 20 * S
+
+
+def test_silence_while_the_loop_is_late_tells_nothing() -> None:
+    asking = Asking(AskSettings())
+    asking.add(["vm-1"])
+    assert asking.next(0) == ["vm-1"] and asking.next(100 * MS) == []
+    assert asking.next(150 * MS) == ["vm-1"]
+    assert asking.in_vain(S, 2 * S) == set()
+    assert asking.in_vain(S, 0) == {"vm-1"}
+
+
+# -- ready by parts ------------------------------------------------------------------------
+
+
+@given(seed=st.integers(0, 1 << 32), silent=st.integers(0, 6))
+def test_what_starts_early_runs_nowhere_else_and_stays_in_the_limit(seed: int, silent: int) -> None:
+    """Whatever an earlier leader has on unknown machines by its own rules."""
+    rng = random.Random(seed)
+    into = cluster(Team("red", 8, rng.choice((6, 12, 30))), Team("blue", 4, 20))
+    machines = [add_machine(into, f"vm-{n:06}", zone=rng.choice("ab")) for n in range(8)]
+    unknown, known = machines[:silent], machines[silent:]
+    for machine in unknown:
+        machine.synced = False
+    for number in range(8):
+        spec = job_spec(
+            number, team=rng.choice(("red", "blue")), tasks=rng.randint(1, 6),
+            cpus=rng.choice((1.0, 2.0)), zone=rng.choice((None, None, "a")),
+        )  # fmt: skip
+        add_job(into, spec).version = rng.choice((5, 50))
+    hidden: set[tuple[str, int]] = set()
+    hidden_cpus = dict.fromkeys(into.teams, 0.0)
+    for job in into.jobs.values():
+        if job.version > 10:
+            continue
+        for index in range(job.spec.tasks):
+            machine = rng.choice(machines)
+            room = into.teams[job.team].cpus_max - into.usage[job.team].cpus
+            room -= hidden_cpus[job.team]
+            if room < job.spec.cpus or not machine.allows(job) or machine.fits(job) < 1:
+                continue
+            if machine in known:
+                into.start(job, index, machine, 0)
+            elif rng.random() < 0.8:
+                hidden.add((job.id, index))
+                hidden_cpus[job.team] += job.spec.cpus
+                machine.cpus -= job.spec.cpus
+    partial = partial_of(into.machines.values(), 10)
+    into.doubts = doubts(into, partial)
+    scene = Scene(into, Estimates(), Goals([]), 0)
+    plan = plan_pass(scene, 0, 10 * S, 1.0, partial.settled)
+    used = {team: into.usage[team].cpus + hidden_cpus[team] for team in into.teams}
+    for start in plan.starts:
+        assert (start.job.id, start.index) not in hidden
+        assert start.machine in known
+        used[start.job.team] += start.job.spec.cpus
+    assert all(used[name] <= team.cpus_max for name, team in into.teams.items())
+    if not unknown:
+        assert not into.doubts
+
+
+def test_a_cancelled_job_is_not_taken_for_a_new_one() -> None:
+    """Its cancellation wrote its record anew; what runs of it was started long before."""
+    into = cluster()
+    machine = add_machine(into)
+    machine.synced = False
+    job = add_job(into, job_spec(1, tasks=4))
+    job.version, job.cancelled = 50, True
+    partial = partial_of(into.machines.values(), 10)
+    assert not partial.settled(job)
+    assert doubts(into, partial)["red"].cpus == 4.0
+
+
+def test_a_type_that_left_the_catalog_may_hold_anything() -> None:
+    into = cluster()
+    lost = machine_type(cpus=0, memory_gb=0)
+    machine = Machine("vm-000001", lost, "a", False, 0)
+    machine.up = True
+    into.machines[machine.name] = machine
+    job = add_job(into, job_spec(1, tasks=4))
+    partial = partial_of(into.machines.values(), None)
+    assert not partial.settled(job)
+    assert doubts(into, partial)["red"].cpus == 8.0
+
+
+# -- no storm ------------------------------------------------------------------------------
+
+
+def test_stops_are_paced_until_the_start_is_settled() -> None:
+    pace = StopPace(PaceSettings(settle_us=10 * S, stop_share=0.001))
+    stopped = []
+    for at_us in range(0, 10 * S, 250 * MS):
+        allowed = pace.allowed(0, 5_000, at_us)
+        assert allowed is not None
+        pace.stopped(allowed)
+        stopped.append(allowed)
+    # Five a second, and in no 2 s more than a burst beyond that.
+    assert 45 <= sum(stopped) <= 50
+    assert max(sum(stopped[n : n + 8]) for n in range(32)) <= 12
+    assert pace.allowed(0, 5_000, 10 * S) is None
+
+
+def test_the_most_urgent_machine_is_told_first() -> None:
+    into = cluster(Team("red", 4, 100), Team("blue", 0, 100))
+    rest, start, stop, cancelled, ghost = (add_machine(into, f"vm-{n}") for n in range(5))
+    jobs = [add_job(into, job_spec(n, team="blue" if n == 0 else "red")) for n in range(4)]
+    jobs[3].cancelled = True
+    into.start(jobs[0], 0, rest, 0)
+    into.start(jobs[1], 0, start, 0)
+    into.stop(into.start(jobs[2], 0, stop, 0), Stop.SOFT, 0, "room")
+    into.jobs["run-000003"].cancelled = False
+    into.stop(into.start(jobs[3], 0, cancelled, 0), Stop.HARD, 0, "cancelled")
+    jobs[3].cancelled = True
+    ghost.ghosts.add(("run-000009/0", 1))
+    into.usage["red"].cpus = 4.0
+    outbox = Outbox()
+    for machine in (rest, start, stop, cancelled, ghost, rest):
+        outbox.put(machine.name, rank(into, machine))
+    assert [rank(into, m)[0] for m in (rest, start, stop)] == [
+        Errand.REST, Errand.GUARANTEED, Errand.ROOM,
+    ]  # fmt: skip
+    # What became more urgent meanwhile moves up, and has one turn.
+    outbox.put(rest.name, (Errand.RULES, -1))
+    assert rest.name in outbox and len(outbox) == 5
+    order = [outbox.pop() for _ in range(6)]
+    assert order == [rest.name, cancelled.name, ghost.name, stop.name, start.name, None]
+
+
+# -- several machines that fail ------------------------------------------------------------
+
+
+def down(at_s: float, for_s: float = 3.0) -> Fault:
+    return Fault("controllers_end", at_s, for_s)
+
+
+def cut(share: float, at_s: float, for_s: float) -> Fault:
+    return Fault("machines_cut", at_s, for_s, share=share)
+
+
+STARTS: dict[str, list[Fault]] = {
+    "shorter than a lease": [down(30, 6)],
+    "as long as a lease": [down(30, 13.6)],
+    "longer than a lease": [down(30, 20)],
+    "twice in a row": [down(30), down(34.2)],
+    "during a recovery": [down(30), cut(0.5, 29, 20), down(37)],
+    "store down": [down(30), Fault("store_down", 29, 12)],
+    "store slow": [down(30), Fault("store_slow", 25, 30, most_s=0.4)],
+    "store serves one": [down(30), Fault("store_refuses", 28, 15, count=2)],
+    "a tenth silent": [down(30), cut(0.1, 29, 25)],
+    "a third silent": [down(30), cut(0.33, 29, 25)],
+    "half silent": [down(30), cut(0.5, 29, 10), cut(0.5, 45, 20)],
+    "nine tenths silent": [down(30), cut(0.9, 29, 25)],
+    "new sessions": [down(30), Fault("machines_restart", 31, share=0.5)],
+    "dead": [down(30), Fault("machines_die", 29, share=0.4)],
+    "late commands": [
+        Fault("messages_late", 10, 30, chance=0.2, most_s=25), down(30), cut(0.3, 28, 12),
+    ],
+    "late changes": [Fault("store_late", 20, 12, chance=0.3, most_s=20), down(30)],
+    "two leaders": [
+        Fault("controllers_freeze", 30, 6, count=1, leader=True),
+        Fault("controllers_peers", 45, 8, count=1, leader=True, mode="refuse"),
+        Fault("controllers_from_workers", 45, 8, count=1, leader=True, mode="hold"),
+    ],
+}  # fmt: skip
+
+
+def starts_site(faults: list[Fault]) -> Scenario:
+    site = read_scenario(ROOT / "deploy" / "scenarios" / "all-down.toml")
+    return msgspec.structs.replace(site, machines=16, seconds=80.0, faults=faults)
+
+
+@pytest.mark.parametrize("name", STARTS)
+def test_no_rule_is_broken_around_a_start(name: str) -> None:
+    for seed in range(2):
+        result = play(starts_site(STARTS[name]), seed)
+        assert not result.broken, result.details
+        assert result.counts["done"] > 60 and result.ready_s
+
+
+def test_no_task_is_lost_to_a_lease_while_controllers_are_away_for_less() -> None:
+    """The lease is 14 s, the controllers are back after 10 s and lead a second later."""
+    for seed in range(3):
+        result = play(starts_site([down(30, 10.0)]), seed)
+        assert result.counts["killed by a lease"] == 0
+        assert result.counts["reports 503"] == 0
+
+
+def test_guaranteed_work_starts_while_half_of_the_machines_are_silent() -> None:
+    for seed in range(3):
+        result = play(starts_site([down(30), cut(0.5, 29, 25)]), seed)
+        assert not result.broken, result.details
+        assert max(result.ready_s) > 10 and min(result.first_start_s) < 3
--- a/weldhead/coordination/dispatch.py
+++ b/weldhead/coordination/dispatch.py
@@ -1,13 +1,15 @@
 """Direct commands to workers: what must not wait for a report, and recovery's questions."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 
 from weldhead.bookkeeping.machines import Machine
-from weldhead.clock import MILLISECOND_US, now_us
+from weldhead.clock import MILLISECOND_US, now_us, to_seconds
 from weldhead.coordination.reports import pending_commands
 from weldhead.coordination.term import Term
 from weldhead.protocol.wire import Command, Report
+from weldhead.recovery.outbox import Outbox, rank
 from weldhead.transport import workers
 from weldhead.transport.http import CallFailed, NotConnected
 
@@ -16,6 +18,9 @@
 #: For how long a worker that is asked what it runs may be silent before others get its turn.
 ASK_US = 400 * MILLISECOND_US
 
+#: For how long a machine that is sent commands counts against the turns of others.
+TURN_US = 300 * MILLISECOND_US
+
 
 class Dispatcher:
     """Sends direct commands; ``apply`` takes what the workers answer."""
@@ -23,6 +28,12 @@
     def __init__(self, term: Term, apply: Callable[[Machine, Report], None]) -> None:
         self._term = term
         self._apply = apply
+        self._outbox = Outbox()
+        #: Turns that have begun and count.
+        self._turns: set[int] = set()
+        self._count = 0
+        sockets = term.settings.facts.limits.sockets
+        self._at_once = max(4, min(term.tunables.direct_at_once, sockets // 8))
 
     def _crowded(self) -> bool:
         """Whether every worker's connection to us and ours to it would be too many."""
@@ -61,12 +72,34 @@
     # -- commands ------------------------------------------------------------------------
 
     def post_soon(self, machine: Machine) -> None:
-        """Send what a machine has to do, unless that is under way already."""
-        if not machine.posting and machine.synced and machine.address and not machine.relayed:
-            machine.posting = True
-            self._term.duties.once("direct commands", self._post(machine))
+        """Send what a machine has to do in its turn, unless that is under way already."""
+        if not machine.synced or not machine.address or machine.relayed:
+            return
+        if machine.posting and machine.name not in self._outbox:
+            return
+        machine.posting = True
+        self._outbox.put(machine.name, rank(self._term.cluster, machine))
+        self._pump()
+
+    def _pump(self) -> None:
+        """Begin as many turns as there may be at once, the most urgent machines first."""
+        while len(self._turns) < self._at_once and (name := self._outbox.pop()) is not None:
+            machine = self._term.cluster.machines.get(name)
+            if machine is None:
+                continue
+            self._count += 1
+            self._turns.add(self._count)
+            # Who does not answer at once keeps nobody else waiting.
+            loop = asyncio.get_running_loop()
+            loop.call_later(to_seconds(TURN_US), self._end_turn, self._count)
+            self._term.duties.once("direct commands", self._post(machine, self._count))
+
+    def _end_turn(self, turn: int) -> None:
+        if turn in self._turns:
+            self._turns.discard(turn)
+            self._pump()
 
-    async def _post(self, machine: Machine) -> None:
+    async def _post(self, machine: Machine, turn: int) -> None:
         """Send what the machine has to do without waiting for its report."""
         term = self._term
         try:
@@ -106,3 +139,4 @@
                     return
         finally:
             machine.posting = False
+            self._end_turn(turn)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -16,6 +16,7 @@
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.recovery import Recovery
 from weldhead.protocol.wire import JobStatus
+from weldhead.recovery.readiness import Partial
 
 
 def _lease_from_the_answer() -> Iterator[Any]:
@@ -50,6 +51,11 @@
     yield patch.object(Recovery, "check_known", lambda self: self.known.set())
 
 
+def _everything_settled() -> Iterator[Any]:
+    """While machines are unknown, any waiting task is taken to run nowhere."""
+    yield patch.object(Partial, "settled", lambda self, job: True)
+
+
 def _in_flight_not_counted() -> Iterator[Any]:
     """A team's usage leaves out attempts that no worker has listed yet."""
     start, release, known = Cluster.start, Cluster.release, reports._known
@@ -84,6 +90,7 @@
     "told-before-committed": _told_before_committed,
     "does-not-wait": _does_not_wait,
     "in-flight-not-counted": _in_flight_not_counted,
+    "everything-settled": _everything_settled,
 }
 
 
--- /dev/null
+++ b/weldhead/recovery/outbox.py
@@ -0,0 +1,84 @@
+"""The order in which machines are sent direct commands, where many have to be. No I/O.
+
+After a start hundreds of machines have something to do at once. First goes what rules need,
+then what frees room for others, then starts that a team is guaranteed, by deadline, then the
+rest. Times are microseconds of the steady clock.
+"""
+
+import enum
+from heapq import heappop, heappush
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Attempt, Phase, Stop
+from weldhead.bookkeeping.machines import Machine
+
+_NO_DUE_US = 1 << 62
+
+
+class Errand(enum.IntEnum):
+    """What a machine has to be told, the most urgent first."""
+
+    #: Cancelled work, and attempts that nothing on record wants, must go in time.
+    RULES = 0
+    #: A stop whose room somebody waits for.
+    ROOM = 1
+    #: A start inside its team's guarantee.
+    GUARANTEED = 2
+    REST = 3
+
+
+#: What comes first: the errand, then by when the most urgent job in it has to be done.
+Rank = tuple[Errand, int]
+
+
+def _rank_of(cluster: Cluster, attempt: Attempt) -> Rank:
+    job = attempt.job
+    if attempt.stop is not Stop.NO:
+        return (Errand.RULES if job.cancelled else Errand.ROOM), 0
+    if attempt.phase is not Phase.ASSIGNED:
+        return Errand.REST, _NO_DUE_US
+    due_us = job.chain_due_us[0] if job.chain_due_us else _NO_DUE_US
+    team, usage = cluster.teams.get(job.team), cluster.usage[job.team]
+    inside = team is not None and usage.cpus <= team.cpus and usage.gpus <= team.gpus
+    return (Errand.GUARANTEED if inside else Errand.REST), due_us
+
+
+def rank(cluster: Cluster, machine: Machine) -> Rank:
+    """Return how urgent it is to tell a machine what it has to do."""
+    if machine.ghosts:
+        return Errand.RULES, 0
+    ranks = (_rank_of(cluster, attempt) for attempt in machine.attempts.values())
+    return min(ranks, default=(Errand.REST, _NO_DUE_US))
+
+
+class Outbox:
+    """Machines that wait for their turn; one that is put in again keeps its best rank."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[Rank, int, str]] = []
+        self._best: dict[str, Rank] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._best)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._best
+
+    def put(self, name: str, rank: Rank) -> None:
+        """Let a machine wait for its turn."""
+        best = self._best.get(name)
+        if best is not None and best <= rank:
+            return
+        self._best[name] = rank
+        self._count += 1
+        heappush(self._heap, (rank, self._count, name))
+
+    def pop(self) -> str | None:
+        """Return whose turn it is; None: nobody waits."""
+        while self._heap:
+            rank, _, name = heappop(self._heap)
+            if self._best.get(name) == rank:
+                del self._best[name]
+                return name
+        return None
--- a/weldhead/recovery/pace.py
+++ b/weldhead/recovery/pace.py
@@ -11,7 +11,7 @@
 from weldhead.clock import SECOND_US
 
 #: How much of a second's stops may come at once.
-BURST_S = 0.2
+BURST_S = 0.4
 
 
 @dataclass(frozen=True)
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -109,6 +109,7 @@
     """All settings."""
 
     direct_runs: bool = True
+    direct_at_once: int = 100
     fetch_weight: float = 1.0
     placement_pause_us: int = 50 * MILLISECOND_US
     commit_gather_us: int = 100 * MILLISECOND_US
