--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -170,13 +170,15 @@
     async def ask(self) -> None:
         """Ask the machines on record what they run, until all are known; a duty."""
         while not self.known.is_set():
-            at_us = now_us()
-            for name in self.asking.next(at_us):
-                self._term.duties.once("question", self._ask(name))
+            self._ask_some()
             if self._term.loaded and self._term.valid:
-                self._give_up(at_us)
+                self._give_up(now_us())
             await asyncio.sleep(to_seconds(ASK_PAUSE_US))
 
+    def _ask_some(self) -> None:
+        for name in self.asking.next(now_us()):
+            self._term.duties.once("question", self._ask(name))
+
     async def _ask(self, name: str) -> None:
         machine = self._term.cluster.machines.get(name)
         if machine is None or machine.synced:
@@ -190,6 +192,8 @@
         self.asking.answered(name, now_us())
         if report.token == self._term.token:
             self.asking.known(name)
+        # Its turn is another's at once, not at the next look.
+        self._ask_some()
         early = Early(report, True, 0, False)
         if self._term.loaded:
             self._apply(early)
--- a/weldhead/duties.py
+++ b/weldhead/duties.py
@@ -14,7 +14,7 @@
     """Runs duties until closed; one that fails is logged and begun again."""
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
 
     def start(self, name: str, duty: Callable[[], Awaitable[None]], pause_s: float = 0.5) -> None:
         """Keep a duty running: it is expected never to return."""
@@ -26,8 +26,8 @@
 
     def _add(self, job: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
         task = asyncio.create_task(job, name=name)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
         return task
 
     async def _keep(self, name: str, duty: Callable[[], Awaitable[None]], pause_s: float) -> None:
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -110,6 +110,8 @@
     delay_s: float = 0.001
     lost: float = 0.0
     drift: float = 0.0005
+    #: Jobs of the first class, of one task each, that are on record from the beginning.
+    stored_jobs: int = 0
     faults: list[Fault] = []
     drawn: Drawn | None = None
 
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -5,12 +5,14 @@
 
 import msgspec
 
+from weldhead.bookkeeping.records import JobRecord, job_key
 from weldhead.clock import SECOND_US
 from weldhead.emulator.checker import Checker
 from weldhead.emulator.loop import Life, VirtualLoop
 from weldhead.emulator.network import Network
 from weldhead.emulator.scenario import JobClass, Scenario
 from weldhead.protocol.wire import JobSpec, JobStatus
+from weldhead.site.store.model import Batch, Store, Write
 from weldhead.transport.http import CallFailed
 from weldhead.transport.server import Response
 
@@ -77,15 +79,27 @@
             await asyncio.sleep(self._rng.expovariate(job.rate))
             self._arrive(job)
 
-    def _arrive(self, job: JobClass) -> None:
+    def store(self, store: Store) -> None:
+        """Put the jobs on record that the scenario begins with; nobody asks for them."""
+        job = self._scenario.jobs[0]
+        for _ in range(self._scenario.stored_jobs):
+            spec = self._draw(job, 1)
+            self._checker.submitted(spec)
+            record = msgspec.Raw(_encode(JobRecord(spec, self._loop.true_us)))
+            store.commit(Batch([], [Write(set=job_key(spec.id), value=record)]), 0)
+
+    def _draw(self, job: JobClass, tasks: int) -> JobSpec:
         self._count += 1
         spec = JobSpec(
-            f"run-{self._count:06}", job.name, job.team, "batch", job.priority,
-            self._rng.randint(1, 2 * job.tasks), job.cpus, 0.0, 1.0, f"img-{job.name}", 1.0,
-            job.one_zone, job.spread, True, self._rng.uniform(0.2, 2.0) * job.run_s,
-            job.saves_every_s, job.save_s,
+            f"run-{self._count:06}", job.name, job.team, "batch", job.priority, tasks, job.cpus,
+            0.0, 1.0, f"img-{job.name}", 1.0, job.one_zone, job.spread, True,
+            self._rng.uniform(0.2, 2.0) * job.run_s, job.saves_every_s, job.save_s,
         )  # fmt: skip
         self._jobs[spec.id] = spec
+        return spec
+
+    def _arrive(self, job: JobClass) -> None:
+        spec = self._draw(job, self._rng.randint(1, 2 * job.tasks))
         asyncio.create_task(self._follow(spec, job))  # noqa: RUF006 - the life holds it
 
     async def _follow(self, spec: JobSpec, job: JobClass) -> None:
