--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -14,6 +14,7 @@
 from tests.test_wire import SETTINGS
 from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
 from weldhead.clock import now_us
+from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.leadership import (
     Authority,
     Candidacy,
@@ -187,9 +188,9 @@
     assert predecessor_over_us(100, 0) == 100
 
 
-def restarted_node(record: LeaderRecord) -> tuple[Node, list[tuple[int, int]]]:
+def restarted_node(record: LeaderRecord) -> tuple[Campaign, list[tuple[int, int]]]:
     """A node that has just started and finds the record in the leader's key."""
-    node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables())
+    node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables()).campaign
     state = StandInState()
     state.put(LEADER_KEY, record)
     stood: list[tuple[int, int]] = []
@@ -198,7 +199,7 @@
         stood.append((replaced, believes_us))
 
     node._state = cast(StateClient, state)
-    node._stand = stand  # type: ignore[method-assign]
+    node.stand = stand  # type: ignore[method-assign]
     node.catalog = [machine_type()]
     # Whatever a former life promised is over.
     node.candidacy = Candidacy(node.timing, now_us() - 60 * S)
@@ -208,8 +209,8 @@
 def test_a_nodes_own_former_life_is_replaced_without_waiting_for_its_lease() -> None:
     """All controllers ended in an outage, after which each lease had its full time again."""
 
-    async def read(node: Node) -> None:
-        await node._read_leader()
+    async def read(node: Campaign) -> None:
+        await node.read_leader()
         for _ in range(5):
             await asyncio.sleep(0)
 
@@ -233,7 +234,7 @@
     node.candidacy = Candidacy(node.timing, now_us())
 
     async def read() -> None:
-        await node._read_leader()
+        await node.read_leader()
         for _ in range(5):
             await asyncio.sleep(0)
 
@@ -251,20 +252,22 @@
     async def no_pause(seconds: float) -> None:
         waited.append(seconds)
         if taken:
-            node._known_token += 1
+            node.known_token += 1
 
     async def take_over() -> None:
-        await node._read_leader()
-        record = node._known_leader
+        await node.read_leader()
+        record = node.known_leader
         assert record is not None
-        await node._take_over(record, node._known_token)
+        await node.take_over(record, node.known_token)
 
-    monkeypatch.setattr("weldhead.coordination.node.asyncio.sleep", no_pause)
+    monkeypatch.setattr("weldhead.coordination.campaign.asyncio.sleep", no_pause)
     # Its only peer is the leader that looks dead: there is nobody to wait for.
     taken = False
     asyncio.run(take_over())
     assert (waited, stood) == ([0.0], [(2, 3 * S)])
-    node._links["n-2"] = PeerLink(PeerNode("n-2", "b", "10.0.0.3:1"), "n-0")
+    cast(dict[str, PeerLink], node._links)["n-2"] = PeerLink(
+        PeerNode("n-2", "b", "10.0.0.3:1"), "n-0"
+    )
     asyncio.run(take_over())
     assert (waited[1:], len(stood)) == ([0.1], 2)
     taken = True
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -357,9 +357,9 @@
     node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables(), started_us=now_us())
     older = msgspec.msgpack.encode(("pong", 7, True, 2))
     for name in node._links:
-        node._heard_pong(name, cast(peer.Pong, peer.decode_message(older)))
-    assert not node.candidacy.may_lead(now_us())
+        node.campaign.heard_pong(name, cast(peer.Pong, peer.decode_message(older)))
+    assert not node.campaign.candidacy.may_lead(now_us())
     for name in node._links:
-        assert not node.candidacy.may_lead(now_us())
-        node._heard_pong(name, peer.Pong(7, True, FORMAT, False))
-    assert node.candidacy.may_lead(now_us())
+        assert not node.campaign.candidacy.may_lead(now_us())
+        node.campaign.heard_pong(name, peer.Pong(7, True, FORMAT, False))
+    assert node.campaign.candidacy.may_lead(now_us())
--- /dev/null
+++ b/weldhead/coordination/campaign.py
@@ -0,0 +1,321 @@
+"""Who leads: following the leader's key, standing for it, keeping it, and handing it over.
+
+The rules are in ``leadership.py``; this asks the state service and the other controllers.
+"""
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Mapping
+
+from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
+from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership import (
+    Authority,
+    Candidacy,
+    default_timing,
+    handicap_us,
+    predecessor_over_us,
+)
+from weldhead.coordination.term import Term
+from weldhead.duties import Duties
+from weldhead.protocol.peer import Held, Hold, Pong, Resigned
+from weldhead.protocol.settings import Settings
+from weldhead.protocol.wire import Condition, MachineType, Put
+from weldhead.transport.cloud import CloudClient
+from weldhead.transport.http import CallFailed, HttpClient
+from weldhead.transport.peers import PeerLink
+from weldhead.transport.state import Compacted, Conflict, LeaseGone, StateClient, decode
+from weldhead.tunables.defaults import Tunables
+
+log = logging.getLogger(__name__)
+
+
+class Campaign:
+    """One controller's part in who leads; ``leader`` is its own term, if it has one."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        tunables: Tunables,
+        links: Mapping[str, PeerLink],
+        duties: Duties,
+        started_us: int,
+    ) -> None:
+        self.settings = settings
+        self.tunables = tunables
+        self._links = links
+        self._duties = duties
+        self.timing = default_timing(tunables.leadership.ttl_us)
+        self.authority = Authority(self.timing, frozenset(links))
+        self.candidacy = Candidacy(self.timing, started_us)
+        self.leader: Leader | None = None
+        self.catalog: list[MachineType] = []
+        self.known_leader: LeaderRecord | None = None
+        self.known_token = 0
+        self._leader_revision = 0
+        #: Nonces of this process's own records: any other under our name is a former life's.
+        self._nonces: set[str] = set()
+        self._vacant = asyncio.Event()
+        #: Peers that have said, in this process's life, that they are in no term.
+        self._in_no_term: set[str] = set()
+
+    def open(self, state: StateClient, cloud: CloudClient, worker_http: HttpClient) -> None:
+        """Use these from now on."""
+        self._state = state
+        self._cloud = cloud
+        self._worker_http = worker_http
+
+    def start(self) -> None:
+        """Begin the duties."""
+        for link in self._links.values():
+            link.on_lost = self.peer_lost
+        self._duties.start("leader watch", self.watch, 0.2)
+        self._duties.start("campaign", self.run, 0.2)
+
+    async def close(self) -> None:
+        """End the term, if there is one."""
+        if self.leader is not None:
+            await self.leader.close()
+
+    def new_catalog(self, catalog: list[MachineType]) -> None:
+        """Take up the machine types and prices that the cloud states now."""
+        self.catalog = catalog
+        if self.leader is not None:
+            self.leader.new_catalog(catalog)
+
+    async def watch(self) -> None:
+        """Follow the leader's key."""
+        await self.read_leader()
+        while True:
+            try:
+                changes = await self._state.watch(LEADER_KEY, self._leader_revision, 10 * SECOND_US)
+            except Compacted:
+                await self.read_leader()
+                continue
+            for event in changes.events:
+                if event.put == LEADER_KEY or event.delete == LEADER_KEY:
+                    await self.read_leader()
+                    break
+            self._leader_revision = max(self._leader_revision, changes.revision)
+
+    async def read_leader(self) -> None:
+        """Read the leader's key."""
+        entry = await self._state.get(LEADER_KEY, urgent=True)
+        if entry is None:
+            self.known_leader = None
+            self._vacant.set()
+            return
+        self.known_leader = decode(bytes(entry.value), LeaderRecord)
+        self.known_token = entry.version
+        self._leader_revision = max(self._leader_revision, entry.version)
+        self._vacant.clear()
+        if self.known_leader.name == self.settings.name:
+            self._duties.once("return", self._come_back(self.known_leader, entry.version))
+
+    async def _come_back(self, record: LeaderRecord, token: int) -> None:
+        """Replace the key of this node's own former life, which surely commands nothing.
+
+        Without this all controllers, ending at once, waited for a dead leader's lease: up
+        to its whole length after an outage, when every lease has its full time again.
+        """
+        if record.nonce in self._nonces:
+            return
+        while not self.catalog or not self.candidacy.may_lead(now_us()):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        if self.leader is None and self.known_token == token:
+            log.info("%s led until it ended: taking up again", record.name)
+            await self.stand(token, 0)
+
+    def peer_lost(self, name: str) -> None:
+        """The leader's process looks dead: do not wait for its lease to run out."""
+        record = self.known_leader
+        if record is not None and record.name == name and self.catalog:
+            self._duties.once("takeover", self.take_over(record, self.known_token))
+
+    async def take_over(self, record: LeaderRecord, token: int) -> None:
+        """Replace a leader that looks dead.
+
+        Replacing its key at once, instead of ending its lease, leaves no moment in which a
+        third node could take a leader that was pushed out for one whose lease ran out.
+        """
+        at_us = now_us()
+        others = (link for link in self._links.values() if link.name != record.name)
+        unreached = sum(1 for link in others if not link.alive(at_us))
+        await asyncio.sleep(to_seconds(handicap_us(unreached)))
+        if self.known_token != token:
+            return
+        if self.leader is None and self.candidacy.may_lead(now_us()):
+            log.info("%s looks dead: taking over", record.name)
+            await self.stand(token, record.ttl_us)
+
+    async def run(self) -> None:
+        """Stand whenever the key is free; a duty."""
+        while True:
+            try:
+                await asyncio.wait_for(self._vacant.wait(), 5.0)
+            except asyncio.TimeoutError:
+                await self.read_leader()
+                continue
+            if self.leader is not None or not self.catalog:
+                await asyncio.sleep(0.1)
+                continue
+            wait_us = self.candidacy.wait_us(now_us())
+            if wait_us:
+                # The promises of a former life may turn out to bind nobody.
+                await asyncio.sleep(to_seconds(min(wait_us, 20 * MILLISECOND_US)))
+                continue
+            await self.stand(0, 0)
+
+    async def stand(self, replaced: int, believes_us: int) -> None:
+        """Try to write the leader's key.
+
+        ``replaced`` is the token of the leader to be replaced, or 0 if the key has to be
+        absent; ``believes_us`` is for how long that leader may still believe in its lease.
+        """
+        sent_us = now_us()
+        lease = await self._state.grant(self.timing.ttl_us)
+        record = LeaderRecord(self.settings.name, secrets.token_hex(8), self.timing.ttl_us)
+        self._nonces.add(record.nonce)
+        try:
+            token = await self._state.transact(
+                [Condition(LEADER_KEY, replaced)], [Put(LEADER_KEY, record, lease)], urgent=True
+            )
+        except (Conflict, LeaseGone):
+            self._duties.once("lease returned", self._state.revoke(lease))
+            await self.read_leader()
+            return
+        except CallFailed:
+            # It may have been applied: only the key itself can tell.
+            entry = await self._state.get(LEADER_KEY, urgent=True)
+            if entry is None or decode(bytes(entry.value), LeaderRecord).nonce != record.nonce:
+                return
+            token = entry.version
+        at_us = now_us()
+        if not self.candidacy.may_lead(at_us):
+            # Promised to another meanwhile: the key goes with its lease.
+            await self._state.revoke(lease)
+            return
+        self.authority.begin(token, lease, sent_us)
+        if not self.authority.valid(at_us):
+            self.authority.end()
+            return
+        self.known_leader, self.known_token = record, token
+        self._vacant.clear()
+        over_us = predecessor_over_us(at_us, believes_us)
+        log.info("%s leads with token %d", self.settings.name, token)
+        term = Term(
+            self.settings, self.tunables, self.authority, self._state, self._cloud,
+            self._worker_http, self.catalog, over_us, self.step_down,
+        )  # fmt: skip
+        self.leader = Leader(term)
+        self.leader.start()
+        self._duties.once("lease renewal", self._renew(self.leader))
+
+    async def _renew(self, leader: Leader) -> None:
+        """Keep the lease; the term ends with the authority."""
+        pause_us = self.timing.renew_us
+        failing = False
+        while self.leader is leader:
+            await asyncio.sleep(to_seconds(pause_us))
+            sent_us = now_us()
+            try:
+                await self._state.extend(self.authority.lease, self.timing.renew_us)
+                self.authority.renewed(sent_us)
+                pause_us = self.timing.renew_us
+                failing = False
+            except LeaseGone:
+                self.step_down("the lease is gone")
+            except CallFailed as error:
+                # Said once for each trouble, not at each of its many attempts.
+                log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
+                failing = True
+                pause_us = self.timing.renew_us // 3
+                await self._hold_on()
+                if self.leader is leader and not self.authority.valid(now_us()):
+                    self.step_down("the lease ran out")
+
+    async def _hold_on(self) -> None:
+        """The state service does not serve the leader: is it an outage, or only us?
+
+        In an outage all peers promise not to lead for a moment, and the term goes on; if
+        one of them is served, it takes over at once.
+        """
+        links = list(self._links.values())
+        if not links or not all(link.connected for link in links):
+            return
+        token = self.authority.token
+        sent_us = now_us()
+        asked = [
+            link.ask(
+                Hold(link.next_id(), self.authority.token, self.timing.promise_us),
+                Held,
+                self.timing.renew_us,
+            )
+            for link in links
+        ]
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        if self.authority.token != token:
+            # Promised to a term that is over: counted for the next one, they would bind
+            # nobody who has said since that it knows of no term.
+            return
+        for link, answer in zip(links, answers, strict=True):
+            if isinstance(answer, Held) and answer.promised:
+                self.authority.promised(link.name, sent_us)
+            elif isinstance(answer, Held) and self.leader is not None:
+                self.step_down(f"the state service serves {link.name} but not this node")
+                link.send(Resigned(0, token))
+                return
+
+    async def promise(self, hold: Hold) -> bool:
+        """Whether to promise the leader not to campaign: only if we are not served either."""
+        try:
+            await self._state.get(LEADER_KEY, urgent=True, timeout_us=self.timing.renew_us // 2)
+            return False
+        except CallFailed:
+            if self.leader is not None or hold.duration_us > self.timing.promise_us:
+                raise
+            if hold.token < self.known_token:
+                # Replaced, and does not know it: a later leader may have answered workers.
+                return False
+            # From here on until the promise is over, this node does not become leader.
+            self.candidacy.promise(now_us())
+            return True
+
+    async def succeed(self, message: Resigned) -> None:
+        """The leader says that it has stopped commanding: replace it at once."""
+        if self.leader is None and self.catalog and self.candidacy.may_lead(now_us()):
+            await self.stand(message.token, 0)
+
+    def step_down(self, reason: str) -> None:
+        """End this node's term."""
+        leader = self.leader
+        if leader is None:
+            return
+        log.info("%s leads no more: %s", self.settings.name, reason)
+        self.leader = None
+        self.authority.end()
+        self.known_leader = None
+        self._duties.once("end of term", leader.close())
+        self._duties.once("leader lookup", self.read_leader())
+
+    def hear_leader(self, name: str, token: int) -> None:
+        """A peer says that it leads: a node that the store does not serve learns it so.
+
+        Without this a follower cut off from the store sent workers to nobody, or to the
+        leader before last, while it could have relayed their reports.
+        """
+        if token > self.known_token or (self.known_leader is None and self.leader is None):
+            if self.leader is None:
+                self.known_leader = LeaderRecord(name, "", self.timing.ttl_us)
+                self.known_token = token
+
+    def heard_pong(self, name: str, pong: Pong) -> None:
+        """A peer has said whether it is in a term."""
+        if pong.leads:
+            self._in_no_term.discard(name)
+            return
+        self._in_no_term.add(name)
+        if len(self._in_no_term) == len(self._links):
+            self.candidacy.nobody_leads()
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -41,8 +41,13 @@
 class NodeView(Protocol):
     """What the front desk needs of its node."""
 
-    leader: Leader | None
-    catalog: list[MachineType]
+    @property
+    def leader(self) -> Leader | None:
+        """This node's term, if it leads."""
+
+    @property
+    def catalog(self) -> list[MachineType]:
+        """The machine types, as far as they are known."""
 
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
         """Have the leader answer; None if it cannot be reached."""
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -186,9 +186,9 @@
     def check_lease(self, controller: Controller, what: str) -> None:
         """Who answers as a leader must hold a lease that the store knows, or all promises."""
         node = controller.node
-        if node is None or not node.authority.token:
+        if node is None or not node.campaign.authority.token:
             return
-        authority = node.authority
+        authority = node.campaign.authority
         if now_us() < authority.lease_until_us and not self.store.service.store.has_grant(
             authority.lease
         ):
