Membership: a refusal is suspicion, not a verdict

Need: where connections between controllers are refused, two followers replaced a leader that served all workers and the store, 0.15 s later. And CHAINS_FORMAT had become 3 with the format of pongs, so submissions of chains would have been refused beside format 2: set right, with a test.

Change: weldhead/membership judges by what this node has of all controllers and what third ones see of the suspect, having asked it just now (look, seen; format 3). Whom somebody reaches is not dead; who loses all links at once doubts itself, and the leader's lease decides. One log line a verdict with its evidence. doubts.toml; the emulator counts terms.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,120 @@
+"""Suspicion before verdict: who is judged dead, by whose evidence."""
+
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from weldhead.emulator.experiment import Result, play
+from weldhead.emulator.scenario import Fault, read_scenario
+from weldhead.membership.verdict import Observed, Sight, State, Verdict, View, judge
+
+S = 1_000_000
+ROOT = Path(__file__).parents[1]
+NOW = 100 * S
+#: Refused since a moment ago, after its connection ended.
+SUSPECT = Observed("x", False, NOW - 1_000, NOW - 200_000, NOW - 300_000)
+UP = Observed("p", True, 0, 0, NOW)
+#: Lost at the same moment, and long ago.
+LOST = Observed("q", False, NOW - 900, NOW - 150_000, NOW - 200_000)
+GONE = Observed("r", False, NOW - 50 * S, NOW - 60 * S, NOW - 60 * S)
+
+
+@pytest.mark.parametrize(
+    ("suspect", "others", "sights", "state"),
+    [
+        (SUSPECT, [], [], State.DEAD),
+        (SUSPECT, [UP], [("p", Sight.REFUSED)], State.DEAD),
+        (SUSPECT, [UP], [("p", Sight.LOST)], State.DEAD),
+        (SUSPECT, [UP], [("p", Sight.HEARD)], State.SUSPECTED),
+        (SUSPECT, [UP, LOST], [("p", Sight.CONNECTED)], State.SUSPECTED),
+        # An older version cannot be asked: as it was before.
+        (SUSPECT, [UP], [], State.DEAD),
+        # All links at once: rather this node, or a packet filter.
+        (SUSPECT, [LOST], [], State.SUSPECTED),
+        (SUSPECT, [LOST, GONE], [], State.SUSPECTED),
+        # The others have been down for long: nothing speaks against its death.
+        (SUSPECT, [GONE], [], State.DEAD),
+        (replace(SUSPECT, refused_us=0), [UP], [("p", Sight.REFUSED)], State.SUSPECTED),
+        (replace(SUSPECT, heard_us=NOW), [GONE], [], State.ALIVE),
+        (replace(SUSPECT, connected=True), [LOST], [], State.ALIVE),
+    ],
+)
+def test_verdicts(
+    suspect: Observed, others: list[Observed], sights: list[tuple[str, Sight]], state: State
+) -> None:
+    assert judge(suspect, others, sights, NOW).state is state
+
+
+@given(
+    sights=st.lists(st.sampled_from(Sight), max_size=4),
+    refused=st.booleans(), connected=st.booleans(), heard_us=st.integers(0, NOW),
+)  # fmt: skip
+def test_nobody_is_judged_dead_whom_somebody_reaches_or_nobody_refuses(
+    sights: list[Sight], refused: bool, connected: bool, heard_us: int
+) -> None:
+    suspect = Observed("x", connected, NOW if refused else 0, NOW - S, heard_us)
+    named = [(f"p{n}", sight) for n, sight in enumerate(sights)]
+    verdict = judge(suspect, [UP], named, NOW)
+    if connected or not refused or {Sight.HEARD, Sight.CONNECTED} & set(sights):
+        assert verdict.state is not State.DEAD
+    else:
+        assert verdict.state is State.DEAD
+    for name, sight in named:
+        if verdict.state is State.DEAD:
+            assert f"{name}: {sight.value}" in verdict.evidence
+
+
+def test_a_change_is_told_once() -> None:
+    view = View()
+    dead = Verdict(State.DEAD, "refused")
+    assert view.state("x") is State.ALIVE
+    assert view.enter("x", dead) and not view.enter("x", dead)
+    assert view.enter("x", Verdict(State.ALIVE, "")) and view.state("x") is State.ALIVE
+
+
+def test_the_decisions_import_nothing_that_waits_or_sends() -> None:
+    program = "import sys; sys.path[:0] = ['target/deps', '.']; import weldhead.membership.verdict"
+    program += (
+        "; print([m for m in ('asyncio', 'aiohttp', 'weldhead.transport') if m in sys.modules])"
+    )
+    ran = subprocess.run([sys.executable, "-S", "-c", program], cwd=ROOT, capture_output=True)
+    assert ran.stdout.decode().strip() == "set()", ran.stderr.decode()
+
+
+def doubted(controllers: int, *faults: Fault) -> Result:
+    site = read_scenario(ROOT / "deploy" / "scenarios" / "doubts.toml")
+    site = msgspec.structs.replace(site, controllers=controllers, seconds=50.0, faults=faults)
+    return play(msgspec.structs.replace(site, faults=list(faults)), 1)
+
+
+@pytest.mark.parametrize("controllers", [3, 5])
+def test_a_packet_filter_between_all_controllers_replaces_nobody(controllers: int) -> None:
+    """Two followers said "looks dead" 0.15 s after it began (found on own days)."""
+    result = doubted(controllers, Fault("controllers_peers", 20, 20, mode="refuse"))
+    assert not result.broken, result.details
+    assert result.counts["terms"] == 1
+
+
+@pytest.mark.parametrize("controllers", [2, 3, 5])
+def test_a_leader_that_ends_is_replaced_at_once(controllers: int) -> None:
+    result = doubted(controllers, Fault("controllers_end", 20, 15, count=1, leader=True))
+    assert not result.broken, result.details
+    assert result.counts["terms"] == 2
+    assert result.longest_s < 1.0
+
+
+def test_a_leader_that_ends_behind_a_packet_filter_is_replaced_after_its_lease() -> None:
+    result = doubted(
+        3,
+        Fault("controllers_peers", 18, 25, mode="refuse"),
+        Fault("controllers_end", 22, 15, count=1, leader=True),
+    )
+    assert not result.broken, result.details
+    assert result.counts["terms"] == 2
+    assert 2.0 < result.longest_s < 4.5
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -243,6 +243,8 @@
     link.format = 1
     assert not node.peers_know_chains()
     assert (ask(chained=True), ask(chained=False)) == ([], ["submit"])
+    link.format = 2
+    assert node.peers_know_chains()
     link.format = FORMAT
     assert node.peers_know_chains()
     assert (ask(chained=True), ask(chained=False)) == (["submit"], ["submit"])
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -24,7 +24,15 @@
 from weldhead.tomlfiles import FileProblem  # noqa: E402
 
 #: What the table has a column for.
-COLUMNS = ("starts", "stopped", "direct requests", "writes", "cloud calls", "killed by a lease")
+COLUMNS = (
+    "terms",
+    "starts",
+    "stopped",
+    "direct requests",
+    "writes",
+    "cloud calls",
+    "killed by a lease",
+)
 
 
 def one(scenario: Scenario, seed: int, plant: str | None, log: str) -> tuple[Result, float]:
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -20,8 +20,10 @@
 )
 from weldhead.coordination.term import Term
 from weldhead.duties import Duties
-from weldhead.protocol.peer import Held, Hold, Pong, Resigned
+from weldhead.membership.verdict import Sight, State, Verdict, View, judge
+from weldhead.protocol.peer import Held, Hold, Look, Ping, Pong, Resigned, Seen
 from weldhead.protocol.settings import Settings
+from weldhead.protocol.versions import LOOK_FORMAT
 from weldhead.protocol.wire import Condition, MachineType, Put
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.http import CallFailed, HttpClient
@@ -31,6 +33,11 @@
 
 log = logging.getLogger(__name__)
 
+#: How long another controller has to say what it sees of a third.
+LOOK_US = 300 * MILLISECOND_US
+#: Between two looks at a suspect.
+LOOK_AGAIN_US = 200 * MILLISECOND_US
+
 
 class Campaign:
     """One controller's part in who leads; ``leader`` is its own term, if it has one."""
@@ -58,6 +65,7 @@
         #: Nonces of this process's own records: any other under our name is a former life's.
         self._nonces: set[str] = set()
         self._vacant = asyncio.Event()
+        self.view = View()
         #: Peers that have said, in this process's life, that they are in no term.
         self._in_no_term: set[str] = set()
 
@@ -128,11 +136,65 @@
             log.info("%s led until it ended: taking up again", record.name)
             await self.stand(token, 0)
 
+    # -- others -----------------------------------------------------------------------------
+
     def peer_lost(self, name: str) -> None:
-        """The leader's process looks dead: do not wait for its lease to run out."""
-        record = self.known_leader
-        if record is not None and record.name == name and self.catalog:
-            self._duties.once("takeover", self.take_over(record, self.known_token))
+        """A controller refuses connections: is it dead?"""
+        self._duties.once(f"suspicion of {name}", self._suspect(name))
+
+    async def _suspect(self, name: str) -> None:
+        """Judge a controller until it is alive again, or dead; then its term is taken over."""
+        link = self._links[name]
+        while link.refused_us:
+            sights = await self._sights(name)
+            others = [other.observed() for other in self._links.values() if other is not link]
+            verdict = judge(link.observed(), others, sights, now_us())
+            record = self.known_leader
+            if self.view.enter(name, verdict):
+                # Who was never seen has not started yet, most likely, and leads nobody.
+                seen = link.lost_us or (record is not None and record.name == name)
+                level = logging.INFO if seen else logging.DEBUG
+                log.log(level, "%s: %s: %s", name, verdict.state.value, verdict.evidence)
+            if verdict.state is State.DEAD:
+                if record is not None and record.name == name and self.catalog:
+                    await self.take_over(record, self.known_token)
+                return
+            if verdict.state is State.ALIVE:
+                return
+            await asyncio.sleep(to_seconds(LOOK_AGAIN_US))
+        if self.view.enter(name, Verdict(State.ALIVE, "connections are taken again")):
+            log.info("%s: alive: connections are taken again", name)
+
+    async def _sights(self, name: str) -> list[tuple[str, Sight]]:
+        """Ask the others what they see of a controller."""
+        at_us = now_us()
+        asked = [
+            link for link in self._links.values()
+            if link.name != name and link.alive(at_us) and link.format >= LOOK_FORMAT
+        ]  # fmt: skip
+        looks = [link.ask(Look(link.next_id(), name), Seen, LOOK_US) for link in asked]
+        answers = await asyncio.gather(*looks, return_exceptions=True)
+        known = {sight.value: sight for sight in Sight}
+        return [
+            (link.name, known[answer.sight])
+            for link, answer in zip(asked, answers, strict=True)
+            if isinstance(answer, Seen) and answer.sight in known
+        ]
+
+    async def look(self, name: str) -> Sight:
+        """Say for another controller whether this one reaches a third, asking it first."""
+        link = self._links.get(name)
+        if link is None:
+            return Sight.LOST
+        if link.connected:
+            try:
+                ping = Ping(link.next_id(), 0, self._state.ok)
+                await link.ask(ping, Pong, LOOK_US // 2)
+                return Sight.HEARD
+            except CallFailed:
+                if link.connected:
+                    return Sight.CONNECTED
+        return Sight.REFUSED if link.refused_us else Sight.LOST
 
     async def take_over(self, record: LeaderRecord, token: int) -> None:
         """Replace a leader that looks dead.
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -13,7 +13,18 @@
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.relays import Relays
 from weldhead.duties import Duties
-from weldhead.protocol.peer import Answer, Ask, Held, Hold, Message, Ping, Pong, Resigned
+from weldhead.protocol.peer import (
+    Answer,
+    Ask,
+    Held,
+    Hold,
+    Look,
+    Message,
+    Ping,
+    Pong,
+    Resigned,
+    Seen,
+)
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.versions import CHAINS_FORMAT, FORMAT
 from weldhead.protocol.wire import MachineType, Redirect, Report
@@ -129,6 +140,7 @@
         at_us = now_us()
         match message:
             case Ping():
+                self._links[name].word_us = at_us
                 if message.token:
                     self.campaign.hear_leader(name, message.token)
                     self._relays.leader_misses(message.silent, at_us)
@@ -138,6 +150,8 @@
                 return Answer(message.id, answer.status, answer.body)
             case Hold():
                 return Held(message.id, await self.campaign.promise(message))
+            case Look():
+                return Seen(message.id, (await self.campaign.look(message.name)).value)
             case Resigned():
                 self._duties.once("succession", self.campaign.succeed(message))
                 return None
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -397,6 +397,7 @@
     checker, led = experiment.checker, experiment.led_s
     checker.counts["writes"] = experiment.store.writes
     checker.counts["cloud calls"] = experiment.cloud.calls
+    checker.counts["terms"] = len(led)
     checker.counts["bytes"] = experiment.network.bytes
     # Until the first leader of all there is nothing to decide, and its fleet is empty.
     first_s = min(led.values(), default=0.0)
--- /dev/null
+++ b/weldhead/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of the other controllers: observations in, verdicts out, nothing else."""
--- /dev/null
+++ b/weldhead/membership/verdict.py
@@ -0,0 +1,119 @@
+"""Is another controller dead, or is it the network, or this node? No I/O.
+
+A refused connection does not show that a process is gone: a packet filter refuses as well, and
+so does a process without free sockets. So a refusal is suspicion. It becomes a verdict only if
+nobody who can be asked still holds a connection to the suspect, and only if this node has no
+reason to doubt itself. What is only silent is never judged dead: its lease decides.
+
+From SWIM (Das, Gupta, Motivala, DSN 2002) comes the question through third members and the
+state between alive and dead; from Lifeguard (Dadgar, Phillips, Currey, 2017) that who loses
+everybody at once doubts itself first. Left out: gossip, and incarnation numbers, as a connection
+that is up again is a refutation. Times are microseconds of this node's steady clock.
+"""
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from weldhead.clock import SECOND_US, to_seconds
+
+#: Links that were lost within this were lost at once.
+AT_ONCE_US = 1 * SECOND_US
+
+
+class State(enum.Enum):
+    """What another controller is taken to be."""
+
+    ALIVE = "alive"
+    SUSPECTED = "suspected"
+    DEAD = "judged dead"
+
+
+class Sight(enum.Enum):
+    """What a third controller sees of one, having asked it just now."""
+
+    #: It has answered.
+    HEARD = "heard"
+    #: It has not, but the connection stands, so its process does.
+    CONNECTED = "connected"
+    #: New connections are refused.
+    REFUSED = "refused"
+    #: No connection comes about, for another reason or for none yet.
+    LOST = "lost"
+
+
+@dataclass(frozen=True)
+class Observed:
+    """What this node has of another one; times are 0 for never."""
+
+    name: str
+    #: Its connection is up.
+    connected: bool
+    #: Since when new connections have been refused.
+    refused_us: int
+    #: When its connection ended last.
+    lost_us: int
+    #: When it last said anything, on a connection of either side.
+    heard_us: int
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """A state, and the evidence in words."""
+
+    state: State
+    evidence: str
+
+
+def judge(
+    suspect: Observed,
+    others: Sequence[Observed],
+    sights: Sequence[tuple[str, Sight]],
+    at_us: int,
+) -> Verdict:
+    """Judge one controller by what this node has of all, and what the others see of it."""
+    if suspect.connected:
+        return Verdict(State.ALIVE, "connected")
+    if suspect.heard_us > max(suspect.refused_us, suspect.lost_us):
+        return Verdict(State.ALIVE, "it has spoken since")
+    if not suspect.refused_us:
+        return Verdict(State.SUSPECTED, "no connection, and none is refused")
+    since_s = to_seconds(at_us - suspect.refused_us)
+    said = f"refused for {since_s:.2f} s"
+    holding = [name for name, sight in sights if sight in (Sight.HEARD, Sight.CONNECTED)]
+    if holding:
+        return Verdict(State.SUSPECTED, f"{said}, but {', '.join(holding)} still reach it")
+    if not sights:
+        lost = [o.name for o in others if _lost_with(o, suspect)]
+        if lost and not any(o.connected for o in others):
+            return Verdict(
+                State.SUSPECTED, f"{said}, and {', '.join(lost)} with it: it may be this node"
+            )
+        return Verdict(State.DEAD, f"{said}, and nobody else can be asked")
+    seen = ", ".join(f"{name}: {sight.value}" for name, sight in sights)
+    return Verdict(State.DEAD, f"{said}; {seen}")
+
+
+def _lost_with(other: Observed, suspect: Observed) -> bool:
+    """Whether another link was lost at the same moment."""
+    if other.connected or not other.lost_us:
+        return False
+    return abs(other.lost_us - suspect.lost_us) <= AT_ONCE_US
+
+
+class View:
+    """The other controllers' states; tells of changes once."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, State] = {}
+
+    def state(self, name: str) -> State:
+        """Return what a controller is taken to be."""
+        return self._states.get(name, State.ALIVE)
+
+    def enter(self, name: str, verdict: Verdict) -> bool:
+        """Take up a verdict; whether it is another state than before."""
+        if self.state(name) is verdict.state:
+            return False
+        self._states[name] = verdict.state
+        return True
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -83,6 +83,20 @@
     promised: bool
 
 
+class Look(msgspec.Struct, array_like=True, tag="look"):
+    """Whether the answerer reaches another controller; it asks it before it answers."""
+
+    id: int
+    name: str
+
+
+class Seen(msgspec.Struct, array_like=True, tag="seen"):
+    """The answer to a look: ``heard``, ``connected``, ``refused`` or ``lost``."""
+
+    id: int
+    sight: str
+
+
 class Resigned(msgspec.Struct, array_like=True, tag="resigned"):
     """The leader has stopped commanding; whoever gets this may take over at once."""
 
@@ -90,7 +104,7 @@
     token: int
 
 
-Message = Hello | Ping | Pong | Ask | Answer | Hold | Held | Resigned
+Message = Hello | Ping | Pong | Ask | Answer | Hold | Held | Resigned | Look | Seen
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/weldhead/protocol/versions.py
+++ b/weldhead/protocol/versions.py
@@ -12,7 +12,7 @@
 2       job chains. A submission, and so the ``spec`` of a ``j/`` record, may have the
         list of needed jobs; an ``f/`` record may have ``ended_us`` and ``service``; a pong
         ends with the answerer's format. Keys and messages are the same
-3       a pong ends with whether the answerer is in a term. Nothing else is new
+3       a pong ends with whether the answerer is in a term; messages look and seen
 ======  =============================================================================
 
 Rules that keep it so:
@@ -37,4 +37,6 @@
 #: The format of this version.
 FORMAT = 3
 #: The first that knows job chains.
-CHAINS_FORMAT = 3
+CHAINS_FORMAT = 2
+#: The first that can be asked whether it reaches a third controller.
+LOOK_FORMAT = 3
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -12,6 +12,7 @@
 
 from weldhead.clock import SECOND_US, now_us
 from weldhead.duties import Duties
+from weldhead.membership.verdict import Observed
 from weldhead.protocol.peer import (
     Answer,
     Held,
@@ -20,6 +21,7 @@
     PeerProtocolError,
     Ping,
     Pong,
+    Seen,
     decode_message,
     encode_frame,
     frame_length,
@@ -29,7 +31,7 @@
 
 log = logging.getLogger(__name__)
 
-M = TypeVar("M", Answer, Pong, Held)
+M = TypeVar("M", Answer, Pong, Held, Seen)
 
 #: More waiting bytes than this to one peer: it does not read, the connection is dropped.
 WRITE_LIMIT = 1024 * 1024
@@ -54,6 +56,11 @@
         self._next_id = 0
         self.heard_us = 0
         self.refused = False
+        #: Since when connections are refused, and when one ended last (0: never).
+        self.refused_us = 0
+        self.lost_us = 0
+        #: When the peer last spoke on its own connection to us.
+        self.word_us = 0
         #: Set while a connection is up.
         self.up = asyncio.Event()
         self.state_ok = False
@@ -71,6 +78,11 @@
         """Whether the peer answered lately."""
         return self.connected and at_us - self.heard_us < within_us
 
+    def observed(self) -> Observed:
+        """Return what there is of the peer."""
+        heard_us = max(self.heard_us, self.word_us)
+        return Observed(self.name, self.connected, self.refused_us, self.lost_us, heard_us)
+
     def next_id(self) -> int:
         """Return a request id."""
         self._next_id += 1
@@ -91,14 +103,15 @@
         except ConnectionRefusedError:
             if not self.refused:
                 self.refused = True
+                self.refused_us = now_us()
                 self.on_lost(self.name)
             await asyncio.sleep(0.2)
             return
         except (OSError, asyncio.TimeoutError):
-            self.refused = False
+            self.refused, self.refused_us = False, 0
             await asyncio.sleep(0.2)
             return
-        self.refused = False
+        self.refused, self.refused_us = False, 0
         self._writer = writer
         self.heard_us = now_us()
         try:
@@ -121,6 +134,7 @@
             log.info("peer %s: connection ended: %r", self.name, error)
         finally:
             self._writer = None
+            self.lost_us = now_us()
             self.up.clear()
             self.state_ok = False
             self.format = 0
