--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -80,17 +80,15 @@
 
 def test_the_decisions_import_nothing_that_waits_or_sends() -> None:
     program = "import sys; sys.path[:0] = ['target/deps', '.']; import weldhead.membership.verdict"
-    program += (
-        "; print([m for m in ('asyncio', 'aiohttp', 'weldhead.transport') if m in sys.modules])"
-    )
+    program += "; print({'asyncio', 'aiohttp', 'weldhead.transport'} & set(sys.modules))"
     ran = subprocess.run([sys.executable, "-S", "-c", program], cwd=ROOT, capture_output=True)
     assert ran.stdout.decode().strip() == "set()", ran.stderr.decode()
 
 
 def doubted(controllers: int, *faults: Fault) -> Result:
     site = read_scenario(ROOT / "deploy" / "scenarios" / "doubts.toml")
-    site = msgspec.structs.replace(site, controllers=controllers, seconds=50.0, faults=faults)
-    return play(msgspec.structs.replace(site, faults=list(faults)), 1)
+    changes = {"controllers": controllers, "seconds": 50.0, "faults": list(faults)}
+    return play(msgspec.structs.replace(site, **changes), 1)
 
 
 @pytest.mark.parametrize("controllers", [3, 5])
