Emulator: verdicts are counted over all terms; only the ordinary ones come about

Need: each verdict was shown on models only; what several failing machines bring about was not counted.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -13,6 +13,7 @@
 from weldhead.emulator.planted import ERRORS, planted
 from weldhead.emulator.scenario import Scenario, parse_scenario, read_scenario
 from weldhead.protocol.settings import StateLimits, Team
+from weldhead.recovery.squaring import Verdict
 from weldhead.site.store.model import Store
 from weldhead.tomlfiles import FileProblem
 
@@ -20,6 +21,8 @@
 #: Each planted error is found within so many seeds of the scenario.
 FOUND_IN = dict.fromkeys(ERRORS, "drawn") | {"lease-from-the-answer": "slow-store"}
 MOST_SEEDS = 6
+#: What is found on machines while nothing is wrong with the controllers.
+ORDINARY = {Verdict.ADOPTED, Verdict.FINISHED, Verdict.ENDED, Verdict.CANCELLED}
 
 
 def scenario(name: str) -> Scenario:
@@ -44,6 +47,8 @@
         result = play(scenario(name), seed)
         assert not result.broken, (seed, result.details)
         assert result.counts["starts"] > 50
+        # Whatever else a report may hold is judged and stopped, and does not come about.
+        assert set(result.verdicts) <= ORDINARY
 
 
 @pytest.mark.parametrize(
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -74,6 +74,9 @@
     if counts["submit 201"]:
         click.echo(f"  {'submissions over 1 s':24} "
             f"{counts['submissions over 1 s'] / counts['submit 201']:10.3f} of all")  # fmt: skip
+    verdicts = sum((result.verdicts for result in results), Counter())
+    said = ", ".join(f"{verdict.value} {count}" for verdict, count in verdicts.most_common())
+    click.echo(f"  verdicts: {said or 'none'}")
     click.echo(f"  rules broken: {dict(broken) or 'none'}")
 
 
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -36,6 +36,7 @@
 )
 from weldhead.protocol.settings import Node as Peer
 from weldhead.protocol.wire import JobSpec, MachineType
+from weldhead.recovery.squaring import Tally, Verdict
 from weldhead.site.pool import Machine as PoolMachine
 from weldhead.transport.server import Handler, Response
 from weldhead.tunables.defaults import Tunables
@@ -63,6 +64,8 @@
     first_start_s: list[float] = field(default_factory=list)
     #: What crossed the network in the first 10 s of each of those terms, by whom it was for.
     first_calls: list[Counter[str]] = field(default_factory=list)
+    #: What attempts were judged that the term had not started, over all terms.
+    verdicts: Counter[Verdict] = field(default_factory=Counter)
     #: The most tasks stopped in any 2 s of the first 10 s after a term was ready.
     stopped_then: int = 0
 
@@ -146,6 +149,7 @@
         self.led_s: dict[int, float] = {}
         self.ready_s: dict[int, float] = {}
         self.first_calls: list[Counter[str]] = []
+        self._tallies: dict[int, Tally] = {}
         self._counting: list[asyncio.Task[None]] = []
 
     def _fair(self) -> Weather:
@@ -238,6 +242,7 @@
                 leader = node.leader if node is not None else None
                 if leader is None or life is None or life.frozen:
                     continue
+                self._tallies[leader.token] = leader.term.tally
                 if leader.token not in self.led_s:
                     self.led_s[leader.token] = self.loop.true_s
                     self._counting.append(asyncio.create_task(self._count_calls()))
@@ -247,6 +252,10 @@
             if not ready:
                 self.undecided.append(self.loop.true_s)
 
+    def verdicts(self) -> Counter[Verdict]:
+        """Return how often each verdict was given, over all terms."""
+        return sum((tally.tasks for tally in self._tallies.values()), Counter[Verdict]())
+
     def _calls(self) -> Counter[str]:
         """What the controllers have sent so far, by whom it was for."""
         names, calls = {c.name for c in self.controllers}, Counter[str]()
@@ -412,6 +421,7 @@
         [at_s - later[token] for token, at_s in ready.items()],
         [begun[token] - at_s for token, at_s in later.items() if token in begun],
         experiment.first_calls[1:],
+        experiment.verdicts(),
         max((_most_within(stops, at_s) for at_s in ready.values()), default=0),
     )  # fmt: skip
 
