A team's limit of 0 is no limit, as the platform's page says

A guest team without guarantee and limit was refused with 422 for every job: 0 was taken for a limit of nothing. Whoever decides now sees an infinite limit; amounts below 0 and teams named twice are refused with the field.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,6 @@
 """Formats: the wire's names, records, peer frames."""
 
+import math
 from typing import cast
 
 import msgspec
@@ -7,10 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.builders import job_spec
+from tests.builders import job_spec, machine_type
 from weldhead.bookkeeping.records import decode_progress, encode_progress
 from weldhead.protocol import peer
 from weldhead.protocol.settings import SettingsError, StateLimits, parse_settings
+from weldhead.protocol.validation import check_feasible
 from weldhead.protocol.wire import (
     Command,
     Condition,
@@ -166,6 +168,17 @@
     assert settings.facts.objectives[0].job_class == "x"
 
 
+def test_a_limit_of_0_is_none_and_survives_being_written_again() -> None:
+    """Guests have neither guarantee nor limit: their work was refused with 422."""
+    document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
+    document["facts"]["teams"] = [{"name": "guest", "cpus": 0.0, "cpus_max": 0.0}]
+    settings = parse_settings(msgspec.json.encode(document))
+    again = parse_settings(msgspec.json.encode(settings))
+    for (guest,) in (settings.facts.teams, again.facts.teams):
+        assert (guest.cpus, guest.cpus_max, guest.gpus_max) == (0.0, math.inf, math.inf)
+        check_feasible(job_spec(team="guest", tasks=50), {"guest": guest}, [machine_type()])
+
+
 def test_the_tighter_of_present_and_coming_limits_is_kept_to() -> None:
     """The change comes without notice: there is no moment to learn of it in time."""
     document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
@@ -193,6 +206,9 @@
         (("facts", "state", "next"), {"txn_ops": 3}, "facts.state.txn_ops"),
         (("facts", "state", "next"), {"value_kb": 1.0}, "facts.state.value_kb"),
         (("facts", "teams"), None, "teams"),
+        (("facts", "teams"), [{"name": "red", "cpus": -1}], "facts.teams: red: cpus"),
+        (("facts", "teams"), [{"name": "red", "cpus_max": -4}], "facts.teams: red: cpus_max"),
+        (("facts", "teams"), [{"name": "red"}, {"name": "red"}], "facts.teams: two"),
         (("label",), 7, "label"),
     ],
 )
--- a/weldhead/protocol/settings.py
+++ b/weldhead/protocol/settings.py
@@ -3,6 +3,7 @@
 Unknown fields are ignored; a missing or invalid one is reported with its name.
 """
 
+import math
 from pathlib import Path
 
 import msgspec
@@ -28,13 +29,28 @@
 
 
 class Team(msgspec.Struct, frozen=True):
-    """A team's guarantee and limit."""
+    """A team's guarantee and limit, in CPUs and cards.
+
+    In the platform's file a 0 means none: no guarantee, and no limit. Taken for a limit of
+    nothing, it refused all of a guest team's work (found on the operations' sites). Whoever
+    decides sees a limit that does not exist as infinite.
+    """
 
     name: str
-    cpus: float
-    cpus_max: float
+    cpus: float = 0.0
+    stated_cpus_max: float = msgspec.field(default=0.0, name="cpus_max")
     gpus: float = 0.0
-    gpus_max: float = 0.0
+    stated_gpus_max: float = msgspec.field(default=0.0, name="gpus_max")
+
+    @property
+    def cpus_max(self) -> float:
+        """The limit in CPUs."""
+        return self.stated_cpus_max or math.inf
+
+    @property
+    def gpus_max(self) -> float:
+        """The limit in cards."""
+        return self.stated_gpus_max or math.inf
 
 
 class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
@@ -155,6 +171,14 @@
         raise SettingsError(f"{name}: must be above 0, is {value}")
 
 
+def _check_team(team: Team) -> None:
+    """SettingsError if a team's amounts can be neither given nor kept to."""
+    for field, amount in msgspec.structs.asdict(team).items():
+        if field != "name" and not (math.isfinite(amount) and amount >= 0):
+            wire = field.removeprefix("stated_")
+            raise SettingsError(f"facts.teams: {team.name}: {wire}: {amount} is no amount")
+
+
 def parse_settings(body: bytes) -> Settings:
     """Decode and check the settings; SettingsError names the field."""
     try:
@@ -186,6 +210,10 @@
         raise SettingsError("facts.state.txn_ops: at least 4 are needed to finish a job")
     if tightest.value_kb < 2:
         raise SettingsError("facts.state.value_kb: at least 2 are needed for a job's progress")
+    for team in facts.teams:
+        _check_team(team)
+    if len({team.name for team in facts.teams}) != len(facts.teams):
+        raise SettingsError("facts.teams: two teams have the same name")
     names = [settings.name, *(peer.name for peer in settings.peers)]
     if len(set(names)) != len(names):
         raise SettingsError("seeds: two nodes have the same label")
