Boots: a machine that boots is judged by those hired beside it

Need: where all machines come up late, whoever counts them as lost rents the fleet twice; where many never come, each kept its place for four boots. Change: weldhead/boots (pure, tested) compares a machine with those hired in its zone at about the same time or later: all late, none is lost; many came, one that takes clearly longer is returned, never later than before.

--- a/tests/plain.py
+++ b/tests/plain.py
@@ -16,7 +16,7 @@
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import seconds_us
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Coming, FleetSettings, _Queue, is_late
+from weldhead.coordination.fleet import Coming, FleetSettings, _Queue, usual_boots
 from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.placement import Plan, Room, Rooms, _place, usable
 from weldhead.coordination.preemptor import PreemptorSettings, _Pass, within_guarantee
@@ -209,7 +209,7 @@
             if machine.deleting or machine.draining:
                 continue
             if machine.booting:
-                if not is_late(machine, at_us, settings.boot_patience):
+                if not usual_boots(settings).is_late(machine, at_us):
                     ready_us = max(at_us, machine.hired_us + seconds_us(machine.type.boot_s))
                     self._heap.append((ready_us, machine.cpus))
                 continue
--- a/tests/test_equivalence.py
+++ b/tests/test_equivalence.py
@@ -14,7 +14,7 @@
 from weldhead.bookkeeping.reclaim import ReclaimLists
 from weldhead.coordination.backlog import Unplaced
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Coming, _Queue, forecast_missing
+from weldhead.coordination.fleet import Coming, _Queue, forecast_missing, usual_boots
 from weldhead.coordination.forecast import boots_of, forecast_us
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.outlook import BootWatch
@@ -223,7 +223,7 @@
         """Compare before anything is stopped for it, as plan and plain plan count alike then."""
         coming = [Coming(machine_type(), self.dice.randint(0, 3))]
         queues = (
-            _Queue(self.cluster, coming, self.estimates, self.now, FLEET),
+            _Queue(self.cluster, coming, self.estimates, self.now, usual_boots(FLEET)),
             PlainQueue(self.cluster, coming, self.estimates, self.now, FLEET),
         )
         rest = (self.estimates, GOALS, self.now, 20 * S, lambda job: 1.5, FLEET)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -41,6 +41,7 @@
     forecast_missing,
     plan_hires,
     replacements,
+    usual_boots,
 )
 from weldhead.coordination.goals import Goals
 from weldhead.coordination.outlook import Outlook
@@ -180,7 +181,7 @@
     job = add_job(into, job_spec(9, tasks=50_000, cpus=1.0))
     scene = scene_of(into)
     plan = plan_pass(scene, 2 * S, 10 * S)
-    queue = _Queue(into, [], Estimates(), 2 * S, FLEET)
+    queue = _Queue(into, [], Estimates(), 2 * S, usual_boots(FLEET))
     pushed = itertools.count()
     take = queue.take
 
@@ -205,7 +206,8 @@
     plan = plan_pass(scene, 2 * S, 10 * S)
     few, all_of_them = (
         forecast_missing(
-            into, plan, _Queue(into, [], Estimates(), 2 * S, FLEET), Estimates(), Goals([]), 2 * S,
+            into, plan, _Queue(into, [], Estimates(), 2 * S, usual_boots(FLEET)),
+            Estimates(), Goals([]), 2 * S,
             20 * S, lambda job: 1.0, settings, (), 5_000,
         )
         for settings in (FLEET, FleetTunables(most_considered=10_000).settings())
--- a/tools/measure_size.py
+++ b/tools/measure_size.py
@@ -32,7 +32,12 @@
 from weldhead.clock import now_us  # noqa: E402
 from weldhead.coordination.backlog import Unplaced  # noqa: E402
 from weldhead.coordination.estimates import Estimates  # noqa: E402
-from weldhead.coordination.fleet import Missing, _Queue, forecast_missing  # noqa: E402
+from weldhead.coordination.fleet import (  # noqa: E402
+    Missing,
+    _Queue,
+    forecast_missing,
+    usual_boots,
+)
 from weldhead.coordination.forecast import boots_of, forecast_us  # noqa: E402
 from weldhead.coordination.goals import Goals  # noqa: E402
 from weldhead.coordination.leader import Leader  # noqa: E402
@@ -168,7 +173,7 @@
         return forecast_missing(into, listed, queue, *rest)
 
     def fleet_now() -> Missing:
-        queue = _Queue(into, [], estimates, at_us, FLEET)
+        queue = _Queue(into, [], estimates, at_us, usual_boots(FLEET))
         return forecast_missing(into, plan, queue, *rest)
 
     figures = (plain, still, moved, told, quiet, looked, cost(plain_fleet), cost(fleet_now), first)
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -13,6 +13,7 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
+from weldhead.boots.expect import Expectations, Expected
 from weldhead.clock import seconds_us
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
@@ -33,8 +34,7 @@
     goal_margin: float
     reserve: float
     minimum_charge_us: int
-    boot_patience: float
-    boot_give_up: float
+    boots: Expected
     most_per_look: int
     move_worth_us: int
     most_moves: int
@@ -145,10 +145,9 @@
     return found
 
 
-def is_late(machine: Machine, at_us: int, factor: float) -> bool:
-    """Whether a machine takes much longer to boot than its type usually does."""
-    limit_us = seconds_us(machine.type.boot_s * factor + 5.0)
-    return machine.booting and at_us - machine.hired_us > limit_us
+def usual_boots(settings: FleetSettings) -> Expectations:
+    """Return what is expected of machines that boot while nothing is known of others."""
+    return Expectations(settings.boots, settings.minimum_charge_us)
 
 
 #: How much sooner, in times of the fetch, a machine must go for a move that costs a fetch.
@@ -164,7 +163,7 @@
         coming: Iterable[Coming],
         estimates: Estimates,
         at_us: int,
-        settings: FleetSettings,
+        boots: Expectations,
         silent: Collection[str] = (),
     ) -> None:
         pools: dict[int, float] = defaultdict(float)
@@ -175,9 +174,8 @@
             if machine.deleting or machine.draining or machine.name in away:
                 away.add(machine.name)
             elif machine.booting:
-                if not is_late(machine, at_us, settings.boot_patience):
-                    ready_us = max(at_us, machine.hired_us + seconds_us(machine.type.boot_s))
-                    pools[ready_us] += machine.cpus
+                if not boots.is_late(machine, at_us):
+                    pools[boots.ready_us(machine, at_us)] += machine.cpus
             elif machine.cpus > EPSILON:
                 pools[at_us] += machine.cpus
         for job in cluster.holders.values():
@@ -318,6 +316,7 @@
     upcoming: Sequence[Upcoming] = (),
     backlog: int = 0,
     silent: Collection[str] = (),
+    boots: Expectations | None = None,
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -342,7 +341,8 @@
         return stretch_at(job.level)
 
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
-    queue = _Queue(cluster, coming, estimates, at_us, settings, silent)
+    boots = boots or usual_boots(settings)
+    queue = _Queue(cluster, coming, estimates, at_us, boots, silent)
     missing = forecast_missing(
         cluster,
         plan,
@@ -558,13 +558,16 @@
     return True
 
 
-def plan_returns(cluster: Cluster, at_us: int, settings: FleetSettings) -> list[Machine]:
+def plan_returns(
+    cluster: Cluster, at_us: int, settings: FleetSettings, boots: Expectations | None = None
+) -> list[Machine]:
     """Decide which machines to return: idle ones, and those that never came up."""
+    boots = boots or usual_boots(settings)
     found = []
     for machine in cluster.machines.values():
         if machine.deleting or machine.posting:
             continue
-        if is_late(machine, at_us, settings.boot_give_up):
+        if boots.is_given_up(machine, at_us):
             found.append(machine)
             continue
         if machine.booting or machine.attempts or machine.ghosts or not machine.synced:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -259,6 +259,9 @@
         if not is_newer(machine, report):
             return
         at_us = now_us()
+        if machine.booting and not machine.up and machine.hired_us > self.term.loaded_us:
+            # Those of earlier terms may have come up long ago.
+            self.term.boots.came(machine, at_us)
         had_notice = machine.notice_until_us
         outcome = apply_report(self.cluster, machine, report, at_us, direct=direct)
         self._digest(machine, outcome, at_us)
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -122,7 +122,14 @@
             self._term.silence_us,
         ):  # fmt: skip
             self._empty(machine, at_us)
-        self._rentals.delete({m.name: m for m in plan_returns(self._term.cluster, at_us, settings)})
+        boots = self._term.boots.look(
+            self._term.cluster.machines.values(), at_us, settings.boots, settings.minimum_charge_us
+        )
+        returned = plan_returns(self._term.cluster, at_us, settings, boots)
+        hopeless = [machine.name for machine in returned if machine.booting]
+        if hopeless:
+            log.info("%d machines never came up: %s", len(hopeless), ", ".join(hopeless))
+        self._rentals.delete({m.name: m for m in returned})
         if self._rentals.busy:
             return
         hires = plan_hires(
@@ -138,6 +145,7 @@
             upcoming,
             len(self._deciding.scene.backlog) if self._deciding.scene is not None else 0,
             {machine.name for machine in silent},
+            boots,
         )
         for offer, count in hires.items():
             self._rentals.hire(offer, count)
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -7,6 +7,7 @@
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.ledger import Ledger
+from weldhead.boots.expect import Boots
 from weldhead.clock import SECOND_US, now_us, seconds_us
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
@@ -66,6 +67,7 @@
         self.demand = Demand(tunables.fleet.demand_memory_us)
         self.goals = Goals(settings.facts.objectives)
         self.market = Market(types=types)
+        self.boots = Boots()
         self.tally = Tally()
         self.duties = Duties()
         workers = settings.facts.workers
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -218,6 +218,7 @@
         for job, standing in review.changed:
             job.broken = standing is Standing.BROKEN
             job.probing = standing is not Standing.SOUND
+            job.touch()
             log.info("%s is %s: failed %d times, on %d machines", job.id, standing.value,
                 job.failures, len(job.failed_on))  # fmt: skip
             self._tried[job.id] = job
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from weldhead.boots.expect import Expected
 from weldhead.clock import MILLISECOND_US, SECOND_US
 from weldhead.coordination.fleet import FleetSettings
 from weldhead.coordination.preemptor import PreemptorSettings
@@ -74,8 +75,7 @@
             goal_margin=self.goal_margin,
             reserve=self.reserve,
             minimum_charge_us=self.minimum_charge_us,
-            boot_patience=self.boot_patience,
-            boot_give_up=self.boot_give_up,
+            boots=Expected(1.0, self.boot_patience, self.boot_give_up),
             most_per_look=self.most_per_look,
             move_worth_us=self.move_worth_us,
             most_moves=self.most_moves,
