Standstill: who stood still acts on nothing that it knew before

Need: a controller freezes for seconds while its clocks run on. Deletions that waited for the cloud's turn went out without a look at the lease, though a successor may use those machines by then; rentals likewise; its own silence was taken for its peers' and their connections dropped; a silent leader was asked on behalf of each user, for 0.9 s each. The emulator's eager users do not wait for their last answer; its checker tells an older answer from one overtaken.

--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -43,6 +43,10 @@
 #: How long a user's or worker's request may take on its way through another node.
 FORWARD_US = 900 * MILLISECOND_US
 
+#: A peer that has not answered a ping by then has its connection made anew.
+PONG_US = 2 * SECOND_US
+#: A timer that fires so much too late shows that this process stood still.
+STOOD_STILL_US = 500 * MILLISECOND_US
 #: Between two pings.
 PING_S = 0.4
 
@@ -130,10 +134,13 @@
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
             ping = Ping(link.next_id(), token, self._state.ok, silent)
             try:
-                pong = await link.ask(ping, Pong, 2 * SECOND_US)
+                pong = await link.ask(ping, Pong, PONG_US)
                 self.campaign.heard_pong(link.name, pong)
             except CallFailed:
-                link.drop()
+                # Where this process stood still, the silence was its own: what the peer has
+                # sent meanwhile is read next.
+                if now_us() - at_us < PONG_US + STOOD_STILL_US:
+                    link.drop()
             await asyncio.sleep(PING_S)
 
     async def _peer_request(self, name: str, message: Message) -> Message | None:
@@ -182,7 +189,10 @@
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
         """Have the leader answer; None if it cannot be reached."""
         link = self._leader_link()
-        return await self._forward(link, kind, job_id, body) if link is not None else None
+        if link is None or not link.alive(now_us()):
+            # Asked in vain, a silent leader kept each user waiting for most of a second.
+            return None
+        return await self._forward(link, kind, job_id, body)
 
     async def ask_served_peer(
         self, kind: str, job_id: str, body: bytes, *, chained: bool = False
@@ -209,10 +219,14 @@
     ) -> Response | None:
         if not link.connected:
             return None
+        at_us = now_us()
         try:
             answer = await link.ask(Ask(link.next_id(), kind, job_id, body), Answer, FORWARD_US)
         except CallFailed:
             return None
+        if now_us() - at_us > FORWARD_US:
+            # Read only after this process stood still: others may have answered newer since.
+            return None
         return Response(answer.status, answer.body, 1 if answer.status == 503 else 0)
 
     # -- HTTP -------------------------------------------------------------------------
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -260,8 +260,12 @@
         return self._term.market.refused_until_us.get(offer, 0) <= now_us()
 
     def _send(self, name: str) -> bool:
-        """The cloud's turn has come: from here on the rental may have been asked for."""
-        wanted = self._wanted(name)
+        """The cloud's turn has come: from here on the rental may have been asked for.
+
+        A process that stood still may have been replaced since it last looked, and its
+        successor have settled the rental otherwise.
+        """
+        wanted = self._term.valid and self._wanted(name)
         if wanted:
             self._unsent.discard(name)
         return wanted
@@ -340,14 +344,23 @@
                 # What holds work up goes first.
                 order = sorted(self._doomed.values(), key=lambda m: m.synced and not m.attempts)
                 batch = order[:MOST_DELETED]
+                if not self._term.valid:
+                    # Decided before this process stood still: a successor may use them now.
+                    await asyncio.sleep(0.1)
+                    continue
                 try:
-                    await self._term.cloud.delete([m.name for m in batch])
+                    await self._term.cloud.delete([m.name for m in batch], self._may_delete)
+                except NotAsked:
+                    continue
                 except CallFailed as error:
                     log.info("deletion failed: %s", error)
                     await asyncio.sleep(0.5)
                     continue
                 self._deleted(batch)
 
+    def _may_delete(self) -> bool:
+        return self._term.valid
+
     def _deleted(self, machines: list[Machine]) -> None:
         """Answered, so the machines and everything on them are gone."""
         hires = set()
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -40,6 +40,8 @@
     spec: JobSpec
     accepted: bool = False
     final: str = ""
+    #: When that was told first.
+    final_us: int = 0
     cancel_asked: bool = False
     cancelled_us: int = 0
     failing_since_us: int = 0
@@ -186,8 +188,10 @@
         self.note("submit", spec.id)
         self.jobs.setdefault(spec.id, Told(spec))
 
-    def answered(self, job_id: str, verb: str, status: int, state: str) -> None:
-        """A user was answered (status 0: not at all)."""
+    def answered(
+        self, job_id: str, verb: str, status: int, state: str, asked_us: int | None = None
+    ) -> None:
+        """A user was answered (status 0: not at all) what was asked then (None: just now)."""
         self.note("told", job_id, verb, status, state)
         self.counts[f"{verb} {status}"] += 1
         told, at_us = self.jobs.get(job_id), self.now_us()
@@ -203,7 +207,7 @@
             self.breaks("forgotten", f"{job_id}: 404 to a {verb}")
         if status in (200, 201):
             told.accepted = True
-            self._state(told, state, at_us)
+            self._state(told, state, at_us, at_us if asked_us is None else asked_us)
 
     def _polled(self, told: Told, good: bool, at_us: int) -> None:
         self._polls[good] += 1
@@ -216,9 +220,13 @@
         ):
             self.breaks("forgotten", f"{told.spec.id}: every poll fails")
 
-    def _state(self, told: Told, state: str, at_us: int) -> None:
+    def _state(self, told: Told, state: str, at_us: int, asked_us: int) -> None:
         spec = told.spec
         if told.final and state != told.final:
+            if asked_us < told.final_us:
+                # Asked twice at once: the older answer has only come later.
+                self.counts["answers overtaken"] += 1
+                return
             self.breaks("went_back", f"{spec.id}: {told.final}, then {state}")
         if state == "withdrawn":
             if not told.cancel_asked:
@@ -230,6 +238,7 @@
             missing = spec.tasks - len(self.done[spec.id])
             self.breaks("not_done", f"{spec.id}: {missing} tasks are not done")
         if state in ("done", "withdrawn"):
+            told.final_us = told.final_us or at_us
             told.final = state
         if not self._committed(spec.id, state):
             self.breaks("told_uncommitted", f"{spec.id}: told {state!r}, and the store has it not")
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -126,7 +126,11 @@
             cancels, cancel_s = True, cancel_s + 20
         while told.final == "":
             await asyncio.sleep(self._rng.uniform(4, 6) / self.eager)
-            await self._poll(spec.id)
+            if self.eager > 1:
+                # Who asks so often does not wait for the last answer.
+                asyncio.create_task(self._poll(spec.id))  # noqa: RUF006 - the life holds it
+            else:
+                await self._poll(spec.id)
             if cancels and self._loop.true_s > cancel_s and not told.final:
                 told.cancel_asked = True
                 await self._repeat("cancel", f"/submissions/{spec.id}/cancel", b"", spec.id)
@@ -138,21 +142,25 @@
     async def _repeat(self, verb: str, path: str, body: bytes, job_id: str) -> bool:
         until_s = self._loop.true_s + 60
         while self._loop.true_s < until_s:
+            asked_us = self._loop.true_us
             answer = await self._ask("POST", path, body, 5.0)
-            self._tell(job_id, verb, answer)
+            self._tell(job_id, verb, answer, asked_us)
             if answer is not None and answer.status in (200, 201, 400, 404, 422):
                 return True
             await asyncio.sleep(max(1.0, answer.retry_after_s if answer else 1.0))
         return False
 
     async def _poll(self, job_id: str) -> None:
-        self._tell(job_id, "poll", await self._ask("GET", f"/submissions/{job_id}", b"", 2.0))
+        asked_us = self._loop.true_us
+        answer = await self._ask("GET", f"/submissions/{job_id}", b"", 2.0)
+        self._tell(job_id, "poll", answer, asked_us)
 
-    def _tell(self, job_id: str, verb: str, answer: Response | None) -> None:
+    def _tell(self, job_id: str, verb: str, answer: Response | None, asked_us: int) -> None:
         state = ""
         if answer is not None and answer.status in (200, 201):
             state = msgspec.json.decode(answer.body, type=JobStatus).state
-        self._checker.answered(job_id, verb, answer.status if answer is not None else 0, state)
+        status = answer.status if answer is not None else 0
+        self._checker.answered(job_id, verb, status, state, asked_us)
 
     async def _strangers(self) -> None:
         """Users ask about jobs that nobody has submitted."""
--- a/weldhead/transport/cloud.py
+++ b/weldhead/transport/cloud.py
@@ -83,11 +83,16 @@
             raise CallFailed(f"cloud: {status}")
         return decode(body, MachineNames).machines
 
-    async def delete(self, names: list[str]) -> None:
-        """Delete machines; when this returns, they and all on them are gone."""
+    async def delete(self, names: list[str], wanted: Callable[[], bool] | None = None) -> None:
+        """Delete machines; when this returns, they and all on them are gone.
+
+        ``wanted`` as for ``rent``.
+        """
         for start in range(0, len(names), 100):
             body = msgspec.json.encode(MachineNames(names[start : start + 100]))
-            status, _ = await self._call("POST", "/rentals/delete", body, urgent=True)
+            status, _ = await self._call(
+                "POST", "/rentals/delete", body, urgent=True, wanted=wanted
+            )
             if status != 200:
                 raise CallFailed(f"cloud: {status}")
 
