Admission: what the store can hold is shared, and who must wait is told for how long

Need: a burst of single jobs above the store's changes a second. Polls without a leader had the store refuse 159 calls. Change: weldhead/admission (pure, tested) shares what is to be had among the teams that submit; who is refused is told when to come back, at once; a rate that the store calls used up is given up by a third and taken up again; the leader's writes keep half; ends of jobs go in turns among teams; polls have a share of the store's requests.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -23,6 +23,7 @@
     TaskReport,
 )
 from weldhead.site.store.model import Batch, Failed, Store, StoreError, Write
+from weldhead.transport.budget import Budget
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import Conflict, Refused, Rejected
 
@@ -102,6 +103,7 @@
     def __init__(self) -> None:
         self.store = Store(StateLimits(1e6, 1e6, 8.0, 12))
         self.store.revision = 1
+        self.creates = Budget(1e6, 1e6)
         self.max_writes = 12
         self.value_bytes = 8192
         #: What happens to the next transactions: ok, refused, lost, unanswered or late.
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,65 @@
+"""Which submissions are taken when more come than the store can hold, and who waits how long."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from weldhead.admission.shares import LEAST_WAIT_S, MOST_WAIT_S, Shares, in_turns
+from weldhead.clock import MILLISECOND_US
+from weldhead.clock import SECOND_US as S
+from weldhead.transport.budget import Budget
+
+RATE, BURST = 10.0, 8.0
+ARRIVALS = st.lists(st.tuples(st.integers(0, 400_000), st.sampled_from("abc")), max_size=200)
+
+
+@given(ARRIVALS)
+def test_no_more_is_taken_than_there_is_and_whoever_waits_is_told_for_how_long(
+    arrivals: list[tuple[int, str]],
+) -> None:
+    shares, at_us, taken = Shares(BURST), 1, 0
+    for pause_us, team in arrivals:
+        at_us += pause_us
+        wait_s = shares.admit(team, RATE, at_us)
+        taken += not wait_s
+        assert wait_s == 0 or LEAST_WAIT_S <= wait_s <= MOST_WAIT_S
+        assert taken <= BURST + RATE * at_us / S + 1
+
+
+@given(st.integers(1, 40), st.integers(4, 20))
+def test_a_flood_of_one_team_keeps_nobody_else_waiting(flood: int, every: int) -> None:
+    """A guest's single tasks, forty a second, had other teams' jobs wait for 47 s."""
+    shares, refused = Shares(BURST), 0
+    for step in range(400):
+        at_us = 1 + step * 100 * MILLISECOND_US
+        for _ in range(flood):
+            refused += bool(shares.admit("guest", RATE, at_us))
+        if step % every == every - 1:
+            assert shares.admit("red", RATE, at_us) == 0
+    # The rest is the flood's: 10 a second for 40 s, less what the others took.
+    assert refused <= max(0, flood * 400 - (400 - 400 // every) + BURST)
+
+
+def test_who_is_told_that_a_rate_is_used_up_slows_down_and_recovers() -> None:
+    budget = Budget(20.0, 8.0)
+    budget.drain()
+    budget.drain()
+    assert 20.0 * 4 / 9 <= budget.rate < 20.0 * 4 / 9 + 0.1
+    for _ in range(20):
+        budget.drain()
+    assert 2.0 <= budget.rate < 2.1
+    at_us = budget.filled_us + 30 * S
+    assert budget.try_take(1.0, at_us)
+    assert budget.rate == 20.0
+
+
+@given(st.lists(st.sampled_from("abc"), max_size=60))
+def test_turns_keep_everybodys_order_and_let_nobody_wait_for_anothers_second(
+    owners: list[str],
+) -> None:
+    numbered = list(enumerate(owners))
+    turns = in_turns(numbered, lambda item: item[1])
+    assert sorted(turns) == numbered
+    for owner in "abc":
+        assert [i for i in turns if i[1] == owner] == [i for i in numbered if i[1] == owner]
+        before = turns.index(min(i for i in numbered if i[1] == owner)) if owner in owners else 0
+        assert before < 3
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from weldhead.admission.shares import in_turns
 from weldhead.bookkeeping.jobs import Job, TaskState
 from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.records import (
@@ -124,7 +125,13 @@
                 # An earlier leader could still tell users an older state.
                 asyncio.get_running_loop().call_later(to_seconds(wait_us), term.flush.set)
                 continue
-            await asyncio.gather(*(self._end(job) for job in over))
+            # What takes longer than a second is not begun at once: ends of other teams' jobs
+            # that come meanwhile waited behind hundreds of one team's (found in the emulator).
+            most = max(term.state.max_writes, round(term.settings.facts.state.write_rps / 2))
+            turn = in_turns(over, lambda job: job.team)[:most]
+            await asyncio.gather(*(self._end(job) for job in turn))
+            if len(turn) < len(over):
+                term.flush.set()
 
     def _hasten(self, job: Job) -> None:
         for chunk in range(-(-job.spec.tasks // CHUNK_TASKS)):
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -11,13 +11,14 @@
 
 import msgspec
 
+from weldhead.admission.shares import Shares
 from weldhead.bookkeeping.records import (
     FinalRecord,
     JobRecord,
     final_key,
     job_key,
 )
-from weldhead.clock import wall_us
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, wall_us
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.protocol.settings import Team
 from weldhead.protocol.validation import (
@@ -29,12 +30,23 @@
     refuse_need,
 )
 from weldhead.protocol.wire import Condition, JobSpec, JobStatus, MachineType, Put
+from weldhead.transport.budget import Budget
 from weldhead.transport.http import CallFailed
 from weldhead.transport.server import Response, refusal
-from weldhead.transport.state import Conflict, Rejected, StateClient, decode
+from weldhead.transport.state import Busy, Conflict, Rejected, StateClient, decode
 
 log = logging.getLogger(__name__)
 
+#: What of the store's requests the polls of all controllers together may use.
+POLL_SHARE = 0.3
+#: How many requests a poll may cost.
+POLL_REQUESTS = 2.0
+#: What the store said so long ago is told to nobody: this process may have stood still, and
+#: others have said something newer since.
+STALE_US = SECOND_US
+#: For how long a submission may wait for its turn at the store.
+CREATE_WAIT_US = 600 * MILLISECOND_US
+
 _encode = msgspec.json.Encoder().encode
 
 
@@ -64,10 +76,17 @@
 class FrontDesk:
     """Answers users."""
 
-    def __init__(self, node: NodeView, state: StateClient, teams: list[Team]) -> None:
+    def __init__(
+        self, node: NodeView, state: StateClient, teams: list[Team], controllers: int = 1
+    ) -> None:
         self._node = node
         self._state = state
         self._teams = {team.name: team for team in teams}
+        # All controllers' polls together leave the store to its leader and to submissions:
+        # in a storm of polls without a leader it refused both (found on an own day).
+        rate = state.limits.rps * POLL_SHARE / controllers
+        self._poll_reads = Budget(rate, 2 * rate)
+        self._shares = Shares(state.limits.write_rps * 0.4)
 
     async def submit(self, body: bytes, *, forwarded: bool = False) -> Response:
         """Accept a job: 201 only when it is in the store."""
@@ -80,8 +99,16 @@
             return Response(200, _encode(known))
         if not self._node.catalog:
             return refusal(503, "machine types not known yet", retry_after_s=1)
+        wait_s = self._shares.admit(spec.team, self._state.creates.rate, now_us())
+        if wait_s:
+            return refusal(503, "too much is submitted at once", retry_after_s=wait_s)
         try:
             return await self._accept(spec)
+        except Busy as busy:
+            # Another controller uses the same rate: passed on, it would cost two.
+            log.debug("submission of %s: %s", spec.id, busy)
+            wait_s = self._shares.turned_away(now_us())
+            return refusal(503, "too much is submitted at once", retry_after_s=wait_s)
         except CallFailed as error:
             log.info("submission of %s not committed: %s", spec.id, error)
             if not forwarded:
@@ -143,8 +170,9 @@
         conditions = [Condition(job_key(spec.id), 0), Condition(final_key(spec.id), 0)]
         try:
             version = await self._state.transact(
-                conditions, [Put(job_key(spec.id), record)], urgent=True, timeout_us=1_000_000
-            )
+                conditions, [Put(job_key(spec.id), record)], timeout_us=1_000_000,
+                patience_us=CREATE_WAIT_US,
+            )  # fmt: skip
         except Rejected as error:
             # Lower limits than were announced: no promise that cannot be kept.
             log.error("submission of %s is never taken: %s", spec.id, error)
@@ -166,7 +194,10 @@
 
     async def _from_store(self, job_id: str) -> JobStatus | None:
         """Read a job's status; it moves from j/ to f/ only, so that order is safe."""
+        at_us = now_us()
         stored = await self._read(job_id)
+        if now_us() - at_us > STALE_US:
+            raise CallFailed("what the store said may be old by now")
         if isinstance(stored, FinalRecord):
             return JobStatus(job_id, stored.status, stored.done, 0)
         if stored is None:
@@ -224,6 +255,8 @@
             answer = await self._node.ask_leader("poll", job_id, b"")
             if answer is not None and answer.status in (200, 404):
                 return answer
+        if not self._poll_reads.try_take(POLL_REQUESTS, now_us()):
+            return refusal(503, "too many ask at once", retry_after_s=1)
         try:
             stored = await self._from_store(job_id)
         except CallFailed:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -96,7 +96,7 @@
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
         self.campaign.open(self._state, self._cloud, self._worker_http)
-        self._desk = FrontDesk(self, self._state, self.settings.facts.teams)
+        self._desk = FrontDesk(self, self._state, self.settings.facts.teams, 1 + len(self._links))
         server = self._serve(self._handle)
         peer_server = PeerServer(self._peer_request, self._duties, set(self._links))
         try:
--- a/weldhead/transport/budget.py
+++ b/weldhead/transport/budget.py
@@ -4,25 +4,40 @@
 
 from weldhead.clock import SECOND_US, now_us
 
+#: In so long a rate that was given up is taken up again.
+RECOVERY_US = 20 * SECOND_US
+
 
 class Budget:
     """A token bucket of ``rate`` a second that holds ``burst`` at most.
 
     Waiters are served in order of urgency only in so far as the urgent ones may use the
     ``reserve`` that others leave untouched.
+
+    Several processes share a service's rate and cannot see one another: whoever is told that
+    it is used up slows down by a third, to the share ``least``, and recovers by and by. With
+    each at its whole rate most of their calls were refused (found on a flood of jobs).
     """
 
-    def __init__(self, rate: float, burst: float, reserve: float = 0.0) -> None:
-        self._rate = rate
+    def __init__(self, rate: float, burst: float, reserve: float = 0.0, least: float = 0.1) -> None:
+        self._least = rate * least
+        self._rate = self._whole = rate
         self._burst = burst
         self._reserve = min(reserve, burst / 2)
         self._level = burst
-        self._filled_us = now_us()
+        self.filled_us = now_us()
+
+    @property
+    def rate(self) -> float:
+        """How much a second is to be had of late."""
+        return self._rate
 
     def _fill(self, at_us: int) -> None:
-        gained = (at_us - self._filled_us) * self._rate / SECOND_US
+        passed_us = max(0, at_us - self.filled_us)
+        gained = passed_us * self._rate / SECOND_US
+        self._rate = min(self._whole, self._rate + self._whole * passed_us / RECOVERY_US)
         self._level = min(self._burst, self._level + gained)
-        self._filled_us = at_us
+        self.filled_us = at_us
 
     def try_take(self, amount: float, at_us: int, *, urgent: bool = False) -> bool:
         """Take the amount if it is there."""
@@ -38,8 +53,9 @@
         self._level = min(self._burst, self._level + amount)
 
     def drain(self) -> None:
-        """Empty the bucket: the service says that the rate is used up."""
+        """Empty the bucket and slow down: the service says that the rate is used up."""
         self._fill(now_us())
+        self._rate = max(self._least, self._rate * 2 / 3)
         self._level = min(self._level, 0.0)
 
     def wait_us(self, amount: float, *, urgent: bool = False) -> int:
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -39,6 +39,14 @@
     """The service said that it did not execute the request (503, 429)."""
 
 
+class Busy(Refused):
+    """The rate is used up for the moment; when to come back is known."""
+
+    def __init__(self, text: str, wait_us: int) -> None:
+        super().__init__(text)
+        self.retry_after_s = max(1, -(-wait_us // SECOND_US))
+
+
 class Rejected(CallFailed):
     """The service takes no such transaction (400): the same one again is as useless."""
 
@@ -76,7 +84,11 @@
         # the rate: the leader writes most, so it may use what the others rarely need.
         self.requests = Budget(limits.rps * 0.6, limits.rps * 0.4, limits.rps * 0.1)
         burst = max(limits.write_rps * 0.6, 4.0)
-        self.writes = Budget(limits.write_rps * 0.85, burst, limits.write_rps * 0.1)
+        # The leader's: ends of jobs, machines, progress. They keep half of the rate when
+        # more is submitted than there is room for, or nothing would be told done.
+        self.writes = Budget(limits.write_rps * 0.85, burst, limits.write_rps * 0.1, 0.6)
+        #: Submissions, on every controller.
+        self.creates = Budget(limits.write_rps * 0.85, burst, limits.write_rps * 0.1, 0.05)
         #: A transaction larger than the burst would wait for ever.
         self.max_writes = min(limits.txn_ops, int(burst))
         #: When a call was last served, and when one last failed (steady clock, 0: never).
@@ -97,12 +109,15 @@
         urgent: bool,
         writes: int = 0,
         passive: bool = False,
+        patience_us: int | None = None,
     ) -> tuple[int, bytes]:
-        limit_us = None if urgent else SECOND_US
-        if writes and not await self.writes.take(writes, urgent=urgent, limit_us=limit_us):
-            raise Refused("state service: write budget used up")
+        limit_us = patience_us if urgent or patience_us is not None else SECOND_US
+        budget = self.writes if patience_us is None else self.creates
+        if writes and not await budget.take(writes, urgent=urgent, limit_us=limit_us):
+            raise Busy("state service: write budget used up", budget.wait_us(writes))
         if not await self.requests.take(urgent=urgent, limit_us=limit_us):
-            raise Refused("state service: request budget used up")
+            budget.give_back(writes)
+            raise Busy("state service: request budget used up", self.requests.wait_us(1))
         started_us = now_us()
         try:
             status, answer = await self._http.call(method, self._base + path, body, timeout_us)
@@ -115,7 +130,8 @@
                 self.failed_us = now_us()
             else:
                 # Others use the same rate: what this node had saved up is not there.
-                (self.writes if writes else self.requests).drain()
+                (budget if writes else self.requests).drain()
+                raise Busy("state service: 429", SECOND_US)
             raise Refused(f"state service: {status}")
         if status not in (200, 400, 404, 409, 410):
             raise CallFailed(f"state service: {status}")
@@ -174,16 +190,21 @@
         *,
         urgent: bool = False,
         timeout_us: int = 1500 * MILLISECOND_US,
+        patience_us: int | None = None,
     ) -> int:
         """Apply a transaction and return its revision.
 
-        Conflict if a condition failed, LeaseGone if a lease is over, Refused if it was
-        surely not executed, Rejected if it never will be, CallFailed if that is not known.
+        ``patience_us``: for how long a submission may wait for its turn; None: it is the
+        leader's, and waits for a second, or for ever where it is urgent.
+        Busy if that was not long enough, or others had used the rate up, Conflict if a
+        condition failed, LeaseGone if a lease is over, Refused if it was surely not executed,
+        Rejected if it never will be, CallFailed if that is not known.
         """
         body = msgspec.json.encode(Transaction(conditions, writes))
         status, answer = await self._call(
-            "POST", "/multi", body, timeout_us, urgent, writes=len(writes)
-        )
+            "POST", "/multi", body, timeout_us, urgent, writes=len(writes),
+            patience_us=patience_us,
+        )  # fmt: skip
         if status == 200:
             return decode(answer, Committed).revision
         if status == 409:
