--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -199,7 +199,11 @@
         self.next += request.count
         return [f"vm-{self.next - n:06}" for n in range(request.count)]
 
-    async def delete(self, names: list[str]) -> None:
+    async def delete(self, names: list[str], wanted: Callable[[], bool] = lambda: True) -> None:
+        # Another call has its turn first.
+        await asyncio.sleep(0)
+        if not wanted():
+            raise NotAsked
         self.deleted.append(names)
 
 
--- /dev/null
+++ b/tests/test_standstill.py
@@ -0,0 +1,170 @@
+"""A process that stood still while its clocks ran on acts on nothing that it knew before."""
+
+import asyncio
+from typing import Any, cast
+
+import msgspec
+import pytest
+
+from tests.builders import machine_type
+from tests.stand_ins import StandInState
+from tests.test_recovery import new_leader
+from tests.test_size import StandInCloud, settle
+from tests.test_users import GOOD_BODY, JOB, StandInNode, desk, run
+from tests.test_wire import SETTINGS
+from weldhead.clock import SECOND_US as S
+from weldhead.clock import now_us
+from weldhead.coordination import frontdesk, node
+from weldhead.coordination.fleet import Offer
+from weldhead.coordination.node import FORWARD_US, PONG_US, Node
+from weldhead.protocol.peer import Answer
+from weldhead.protocol.settings import parse_settings
+from weldhead.protocol.wire import Entry
+from weldhead.transport.http import CallFailed
+from weldhead.transport.peers import PeerLink
+from weldhead.tunables.defaults import Tunables
+
+
+def test_what_waited_for_the_clouds_turn_is_not_sent_by_a_leader_of_the_past(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its successor may use the machines by then, or have settled the rental otherwise."""
+    state, cloud = StandInState(), StandInCloud()
+    leader = new_leader(state, now_us())
+    leader.term.cloud = cast(Any, cloud)
+    monkeypatch.setattr("weldhead.coordination.rentals.DELETE_GATHER_S", 0)
+    rentals, authority = leader.rentals, leader.term._authority
+
+    async def scenario() -> None:
+        duty = asyncio.create_task(leader.ledger.run())
+        leader.term.duties.start("deletions", rentals._delete)
+        rentals.hire(Offer(machine_type(), "a", True), 3)
+        await settle()
+        assert len(leader.cluster.machines) == 3
+        async with cloud.turn:
+            # The lease runs out while both wait for their turn.
+            rentals.hire(Offer(machine_type(), "a", True), 5)
+            await settle()
+            monkeypatch.setattr(authority, "valid", lambda at_us: False)
+        machines = dict(leader.cluster.machines)
+        rentals.delete(machines)
+        await settle()
+        assert [request.count for request in cloud.rented] == [3]
+        assert cloud.deleted == []
+        monkeypatch.undo()
+        # Valid again by proof, it does what is still wanted.
+        await asyncio.sleep(0.15)
+        await settle()
+        assert [set(names) for names in cloud.deleted] == [set(machines)]
+        await leader.close()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
+class Clock:
+    """Time that stands in for the steady clock, and jumps."""
+
+    def __init__(self) -> None:
+        self.at_us = 1_000 * S
+
+    def __call__(self) -> int:
+        return self.at_us
+
+
+def test_what_the_store_said_before_a_standstill_is_told_to_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock, state = Clock(), StandInState()
+    monkeypatch.setattr(frontdesk, "now_us", clock)
+    assert run(desk(state).submit(GOOD_BODY))[0] == 201
+    front, read = desk(state), state.get
+
+    async def get(key: str, **more: Any) -> Entry | None:
+        found = await read(key, **more)
+        clock.at_us += frontdesk.STALE_US + 1
+        return found
+
+    assert run(front.poll(JOB))[0] == 200
+    monkeypatch.setattr(state, "get", get)
+    assert run(front.poll(JOB))[0] == 503
+
+
+def test_polls_leave_the_store_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock, state = Clock(), StandInState()
+    monkeypatch.setattr(frontdesk, "now_us", clock)
+    front, asked = desk(state), []
+    monkeypatch.setattr(front._poll_reads, "filled_us", clock.at_us)
+    limit = 2 * state.limits.rps * frontdesk.POLL_SHARE / frontdesk.POLL_REQUESTS
+    front._poll_reads._level = 10 * frontdesk.POLL_REQUESTS
+    assert limit > 10
+    for _ in range(50):
+        asked.append(run(front.poll("run-999999"))[0])
+    assert asked == [404] * 10 + [503] * 40
+
+
+class SilentLink:
+    """A peer's link whose answers are late by as much as is set."""
+
+    name = "n-1"
+
+    def __init__(self, clock: Clock, late_us: int, answer: Any) -> None:
+        self._clock, self._late_us, self._answer = clock, late_us, answer
+        self.dropped = 0
+        self.connected = True
+        self.up = asyncio.Event()
+        self.up.set()
+
+    def next_id(self) -> int:
+        return 1
+
+    async def ask(self, message: object, kind: type, timeout_us: int) -> Any:
+        await asyncio.sleep(0)
+        self._clock.at_us += self._late_us
+        if isinstance(self._answer, Exception):
+            raise self._answer
+        return self._answer
+
+    def drop(self) -> None:
+        self.dropped += 1
+
+
+def controller() -> Node:
+    return Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables())
+
+
+@pytest.mark.parametrize(("late_us", "dropped"), [(PONG_US, 1), (PONG_US + 5 * S, 0)])
+def test_whose_timer_fires_late_does_not_blame_its_peer(
+    monkeypatch: pytest.MonkeyPatch, late_us: int, dropped: int
+) -> None:
+    clock = Clock()
+    monkeypatch.setattr(node, "now_us", clock)
+    link = SilentLink(clock, late_us, CallFailed("no answer"))
+
+    async def scenario() -> None:
+        here = controller()
+        here._state = cast(Any, StandInNode())
+        monkeypatch.setattr(here._state, "ok", True, raising=False)
+        duty = asyncio.create_task(here._ping(cast(PeerLink, link)))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        duty.cancel()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    asyncio.run(scenario())
+    assert link.dropped == dropped
+
+
+@pytest.mark.parametrize(("late_us", "told"), [(FORWARD_US // 2, True), (FORWARD_US * 3, False)])
+def test_a_leaders_answer_that_was_read_late_is_not_passed_on(
+    monkeypatch: pytest.MonkeyPatch, late_us: int, told: bool
+) -> None:
+    clock = Clock()
+    monkeypatch.setattr(node, "now_us", clock)
+    link = SilentLink(clock, late_us, Answer(1, 200, b"{}"))
+
+    async def scenario() -> bool:
+        answer = await controller()._forward(cast(PeerLink, link), "poll", JOB, b"")
+        return answer is not None
+
+    assert asyncio.run(scenario()) == told
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -99,7 +99,9 @@
             return Response(200, _encode(known))
         if not self._node.catalog:
             return refusal(503, "machine types not known yet", retry_after_s=1)
-        wait_s = self._shares.admit(spec.team, self._state.creates.rate, now_us())
+        # Names that the settings do not know share one part, or many of them took all.
+        team = spec.team if spec.team in self._teams else ""
+        wait_s = self._shares.admit(team, self._state.creates.rate, now_us())
         if wait_s:
             return refusal(503, "too much is submitted at once", retry_after_s=wait_s)
         try:
