Moves: a machine is emptied though tasks begin anew, where little is lost

Change: while nothing waits, such tasks begin anew elsewhere if what they have run is less than a quarter (fleet.move_loss) of what the machine would cost until they end, and if they are in time all the same.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -18,6 +18,7 @@
 from weldhead.coordination.estimates import Estimates
 from weldhead.coordination.fleet import (
     Market,
+    Move,
     Offer,
     plan_closings,
     plan_hires,
@@ -546,7 +547,7 @@
 def moves(into: Cluster, plan: Plan | None = None) -> list[str]:
     fleet = TUNABLES.fleet.settings()
     chosen = plan_moves(into, plan or Plan(), Estimates(), 2 * S, fleet, SILENCE)
-    return [machine.name for machine in chosen]
+    return [move.machine.name for move in chosen]
 
 
 def test_a_closing_machine_is_emptied_only_if_that_pays() -> None:
@@ -582,6 +583,39 @@
     assert moves(into) == []  # No room for it.
 
 
+def test_a_task_begins_anew_elsewhere_only_where_little_is_lost_and_it_is_still_in_time() -> None:
+    """A guest's long small tasks kept hundreds of CPUs idle, and could not be moved."""
+    into = cluster(Team("red", 0, 1_000))
+    large = add_machine(into, "vm-000001", cpus=16.0, memory_gb=64.0)
+    add_machine(into, "vm-000002").note_image("img", 1.0)
+    large.closing = True
+    job = add_job(into, job_spec(1, tasks=9, cpus=0.25, estimate_s=150.0))
+    small = run_on(into, job, 0, large, S)
+    fleet = TUNABLES.fleet.settings()
+
+    def chosen(at_us: int, goals: Goals = GOALS) -> list[Move]:
+        for machine in into.machines.values():
+            machine.heard_us = at_us
+        return plan_moves(into, Plan(), Estimates(), at_us, fleet, SILENCE, goals)
+
+    (move,) = chosen(40 * S)
+    assert (move.machine, move.attempts) == (large, [small])
+    assert move.gain_us == 111 * S
+    # Whoever may not be late: 150 s again, and as estimates are rough, are not in time.
+    assert chosen(40 * S, Goals([Objective("finished", "train", 0.9, 240.0)])) == []
+    assert chosen(40 * S, Goals([Objective("finished", "train", 0.9, 300.0)]))
+    # Nearly done, the machine would not go much sooner.
+    assert chosen(135 * S) == []
+    # Of many, more would be lost than is won.
+    for index in range(1, 8):
+        run_on(into, job, index, large, S)
+    assert len(chosen(40 * S)) == 1
+    assert chosen(110 * S) == []
+    # Nobody knows for how long one runs that an earlier leader started.
+    small.adopted = True
+    assert chosen(40 * S) == []
+
+
 def test_two_machines_are_not_emptied_into_the_same_room() -> None:
     into = cluster(Team("red", 0, 1_000))
     saves = add_job(into, job_spec(1, tasks=9, cpus=4.0, checkpoint_s=30.0, save_s=3.0))
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/coordination/fleet.py
@@ -14,10 +14,10 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.boots.expect import Expectations, Expected
-from weldhead.clock import seconds_us
+from weldhead.clock import SECOND_US, seconds_us
 from weldhead.coordination.demand import Demand
 from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals
+from weldhead.coordination.goals import Goals, slack_us
 from weldhead.coordination.placement import Plan, usable
 from weldhead.protocol.wire import MachineType
 
@@ -37,6 +37,7 @@
     boots: Expected
     most_per_look: int
     move_worth_us: int
+    move_loss: float
     most_moves: int
     foresight_us: int
     most_considered: int
@@ -152,6 +153,8 @@
 
 #: How much sooner, in times of the fetch, a machine must go for a move that costs a fetch.
 FETCH_WEIGHT = 4
+#: A task that begins anew must be in time by so much more: it may have to fetch its image.
+ANEW_US = 15 * SECOND_US
 
 
 class _Queue:
@@ -464,6 +467,16 @@
     return closing
 
 
+@dataclass(frozen=True)
+class Move:
+    """A machine to be emptied, and which of its tasks go on or begin anew elsewhere."""
+
+    machine: Machine
+    attempts: list[Attempt]
+    #: How much sooner the machine can go.
+    gain_us: int
+
+
 def plan_moves(
     cluster: Cluster,
     plan: Plan,
@@ -471,18 +484,19 @@
     at_us: int,
     settings: FleetSettings,
     silence_us: int,
-) -> list[Machine]:
+    goals: Goals | None = None,
+) -> list[Move]:
     """Choose closing machines to be emptied by moving their tasks, the dearest first.
 
-    Only while nothing waits; only tasks that save, to machines that stay; and only if the
-    machine can go ``move_worth`` sooner for it. Machines that have the image come first; to
-    fetch it must be worth FETCH_WEIGHT times its time. After a backlog long tasks hold
-    machines that are otherwise empty: without moves a seventh of a day's money went there
-    (found at size).
+    Only while nothing waits; only to machines that stay; and only if the machine can go
+    ``move_worth`` sooner for it. Tasks that save go on there, others begin anew where little
+    is lost (``_unloading``). Machines that have the image come first; to fetch it must be
+    worth FETCH_WEIGHT times its time. After a backlog long tasks hold machines that are
+    otherwise empty: without moves a seventh of a day's money went there (found at size).
     """
     if plan.unplaced:
         return []
-    closing: list[tuple[float, int, Machine]] = []
+    closing: list[tuple[float, Move]] = []
     targets: list[tuple[Machine, list[float]]] = []
     for machine in cluster.machines.values():
         if not usable(machine, at_us, silence_us):
@@ -491,48 +505,78 @@
             if machine.cpus > EPSILON:
                 targets.append((machine, [machine.cpus, machine.gpus, machine.memory_gb]))
         elif machine.attempts:
-            gain_us = _gain_us(machine, estimates, at_us)
-            if gain_us >= settings.move_worth_us:
-                closing.append((machine.price * gain_us, gain_us, machine))
-    closing.sort(key=lambda item: (-item[0], item[2].name))
+            move = _unloading(machine, estimates, goals, at_us, settings.move_loss)
+            if move is not None and move.gain_us >= settings.move_worth_us:
+                closing.append((machine.price * move.gain_us, move))
+    closing.sort(key=lambda item: (-item[0], item[1].machine.name))
     # Fullest first, so that others stay empty.
     targets.sort(key=lambda item: item[1][0])
     return [
-        machine
-        for _, gain_us, machine in closing[: settings.most_moves]
-        if _find_places(machine, targets, gain_us, settings.move_worth_us)
+        move
+        for _, move in closing[: settings.most_moves]
+        if _find_places(move, targets, settings.move_worth_us)
     ]
 
 
 def movable(attempt: Attempt) -> bool:
     """Whether a task may go on elsewhere at little cost, whatever its job's other tasks do."""
+    return attempt.job.spec.checkpoint_s > 0 and _may_move(attempt)
+
+
+def _may_move(attempt: Attempt) -> bool:
     spec = attempt.job.spec
-    return spec.checkpoint_s > 0 and not spec.is_service and not spec.one_zone and not spec.spread
+    return not spec.is_service and not spec.one_zone and not spec.spread
 
 
-def _gain_us(machine: Machine, estimates: Estimates, at_us: int) -> int:
-    """How much sooner a machine falls idle if what can be moved is moved; 0: not at all."""
-    movable_us = staying_us = 0
+def _may_begin_anew(attempt: Attempt, estimates: Estimates, goals: Goals, at_us: int) -> bool:
+    """Whether a task that saves nothing would be in time if it began anew elsewhere now."""
+    if not _may_move(attempt) or attempt.adopted:
+        return False
+    job, task_us = attempt.job, estimates.task_us(attempt.job)
+    remaining_us = estimates.remaining_us(attempt, at_us)
+    bound_us = goals.target_us(job, remaining_us, at_us)
+    # As late as estimates are rough, or later still.
+    return at_us + task_us + slack_us(task_us) + ANEW_US <= bound_us
+
+
+def _unloading(
+    machine: Machine, estimates: Estimates, goals: Goals | None, at_us: int, most_loss: float
+) -> Move | None:
+    """Return which tasks would have to leave a machine for it to go sooner; None: nothing helps.
+
+    A task that saves nothing loses what it has run. Where that is a small part of what the
+    machine would cost until it ends, it is the cheaper of the two: a burst of long small
+    tasks kept hundreds of CPUs idle for minutes (found with a guest's, on its sites).
+    """
+    leaving: list[Attempt] = []
+    anew: list[Attempt] = []
+    saving_us = staying_us = leaving_us = anew_us = 0
+    lost = 0.0
     for attempt in machine.attempts.values():
         if attempt.phase is not Phase.RUNNING or attempt.stop is not Stop.NO:
-            return 0
+            return None
         remaining_us = estimates.remaining_us(attempt, at_us)
         if movable(attempt):
-            movable_us = max(movable_us, remaining_us)
-            staying_us = max(staying_us, seconds_us(attempt.job.spec.save_s))
+            leaving.append(attempt)
+            leaving_us = max(leaving_us, remaining_us)
+            saving_us = max(saving_us, seconds_us(attempt.job.spec.save_s))
+        elif goals is not None and _may_begin_anew(attempt, estimates, goals, at_us):
+            anew.append(attempt)
+            anew_us = max(anew_us, remaining_us)
+            lost += attempt.job.spec.cpus * attempt.elapsed_us(at_us)
         else:
             staying_us = max(staying_us, remaining_us)
-    return movable_us - staying_us
+    gain_us = max(leaving_us, anew_us) - max(staying_us, saving_us)
+    if anew and lost <= most_loss * machine.type.cpus * gain_us:
+        return Move(machine, leaving + anew, gain_us)
+    staying_us = max(staying_us, anew_us, saving_us)
+    return Move(machine, leaving, leaving_us - staying_us) if leaving else None
 
 
-def _find_places(
-    machine: Machine, targets: list[tuple[Machine, list[float]]], gain_us: int, worth_us: int
-) -> bool:
-    """Whether all that can be moved fits elsewhere; if so its room is taken there."""
+def _find_places(move: Move, targets: list[tuple[Machine, list[float]]], worth_us: int) -> bool:
+    """Whether all that is to leave fits elsewhere; if so its room is taken there."""
     taken: list[tuple[list[float], Job]] = []
-    for attempt in machine.attempts.values():
-        if not movable(attempt):
-            continue
+    for attempt in move.attempts:
         job = attempt.job
         best: tuple[int, int] | None = None
         for number, (target, room) in enumerate(targets):
@@ -542,7 +586,7 @@
                 best = (0, number)
                 break
             fetch_us = seconds_us(job.spec.image_gb / (target.type.fetch_gb_per_s or 1.0))
-            if gain_us - FETCH_WEIGHT * fetch_us >= worth_us and (
+            if move.gain_us - FETCH_WEIGHT * fetch_us >= worth_us and (
                 best is None or fetch_us < best[0]
             ):
                 best = (fetch_us, number)
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -3,10 +3,10 @@
 import logging
 
 from weldhead.bookkeeping.jobs import Stop
-from weldhead.bookkeeping.machines import Machine
-from weldhead.clock import SECOND_US, now_us
+from weldhead.clock import SECOND_US, now_us, to_seconds
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.fleet import (
+    Move,
     Upcoming,
     endangered,
     movable,
@@ -117,11 +117,11 @@
         closing = plan_closings(self._term.cluster, self._deciding.last_plan, settings, upcoming)
         for machine in self._term.cluster.machines.values():
             machine.closing = machine.name in closing
-        for machine in plan_moves(
+        for move in plan_moves(
             self._term.cluster, self._deciding.last_plan, self._term.estimates, at_us, settings,
-            self._term.silence_us,
+            self._term.silence_us, self._term.goals,
         ):  # fmt: skip
-            self._empty(machine, at_us)
+            self._empty(move, at_us)
         boots = self._term.boots.look(
             self._term.cluster.machines.values(), at_us, settings.boots, settings.minimum_charge_us
         )
@@ -160,13 +160,17 @@
             and job.team in self._term.cluster.teams
         ]
 
-    def _empty(self, machine: Machine, at_us: int) -> None:
-        """Have a machine's tasks that save go on elsewhere; it is returned when it is empty."""
-        log.info("machine %s is emptied: %d tasks", machine.name, len(machine.attempts))
+    def _empty(self, move: Move, at_us: int) -> None:
+        """Have a machine's tasks go on or begin anew elsewhere; it is returned when empty."""
+        machine = move.machine
+        log.info(
+            "machine %s is emptied: %d of %d tasks, %.0f s sooner",
+            machine.name, len(move.attempts), len(machine.attempts), to_seconds(move.gain_us),
+        )  # fmt: skip
         machine.draining = True
-        for attempt in list(machine.attempts.values()):
-            if movable(attempt):
-                self._deciding.stop(attempt, Stop.SOFT, at_us, "moved")
+        for attempt in move.attempts:
+            stop = Stop.SOFT if movable(attempt) else Stop.HARD
+            self._deciding.stop(attempt, stop, at_us, "moved")
 
     def _log_fleet(self) -> None:
         """Say how the fleet's CPUs are used, for operators and for measured rounds."""
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -60,6 +60,7 @@
     refusal_backoff_us: int = 15 * SECOND_US
     most_per_look: int = 300
     move_worth_us: int = 30 * SECOND_US
+    move_loss: float = 0.25
     most_moves: int = 20
     foresight_us: int = 45 * SECOND_US
     most_considered: int = 2_000
@@ -78,6 +79,7 @@
             boots=Expected(1.0, self.boot_patience, self.boot_give_up),
             most_per_look=self.most_per_look,
             move_worth_us=self.move_worth_us,
+            move_loss=self.move_loss,
             most_moves=self.most_moves,
             foresight_us=self.foresight_us,
             most_considered=self.most_considered,
