--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -8,7 +8,7 @@
 
 from tests.builders import machine_type
 from tests.stand_ins import StandInState
-from tests.test_recovery import new_leader
+from tests.test_recovery import Clock, new_leader
 from tests.test_size import StandInCloud, settle
 from tests.test_users import GOOD_BODY, JOB, StandInNode, desk, run
 from tests.test_wire import SETTINGS
@@ -62,16 +62,6 @@
     asyncio.run(scenario())
 
 
-class Clock:
-    """Time that stands in for the steady clock, and jumps."""
-
-    def __init__(self) -> None:
-        self.at_us = 1_000 * S
-
-    def __call__(self) -> int:
-        return self.at_us
-
-
 def test_what_the_store_said_before_a_standstill_is_told_to_nobody(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -82,7 +72,7 @@
 
     async def get(key: str, **more: Any) -> Entry | None:
         found = await read(key, **more)
-        clock.at_us += frontdesk.STALE_US + 1
+        clock.us += frontdesk.STALE_US + 1
         return found
 
     assert run(front.poll(JOB))[0] == 200
@@ -94,7 +84,7 @@
     clock, state = Clock(), StandInState()
     monkeypatch.setattr(frontdesk, "now_us", clock)
     front, asked = desk(state), []
-    monkeypatch.setattr(front._poll_reads, "filled_us", clock.at_us)
+    monkeypatch.setattr(front._poll_reads, "filled_us", clock.us)
     limit = 2 * state.limits.rps * frontdesk.POLL_SHARE / frontdesk.POLL_REQUESTS
     front._poll_reads._level = 10 * frontdesk.POLL_REQUESTS
     assert limit > 10
@@ -120,7 +110,7 @@
 
     async def ask(self, message: object, kind: type, timeout_us: int) -> Any:
         await asyncio.sleep(0)
-        self._clock.at_us += self._late_us
+        self._clock.us += self._late_us
         if isinstance(self._answer, Exception):
             raise self._answer
         return self._answer
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -443,6 +443,7 @@
     checker.counts["cloud calls"] = experiment.cloud.calls
     checker.counts["terms"] = len(led)
     checker.counts["bytes"] = experiment.network.bytes
+    checker.counts["requests to the store"] = experiment._calls()["state"]
     # Until the first leader of all there is nothing to decide, and its fleet is empty.
     first_s = min(led.values(), default=0.0)
     undecided = [at_s for at_s in experiment.undecided if at_s > first_s + 1.0]
