--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -228,7 +228,7 @@
         if active.run.sends and not active.run.phase.final:
             await self._try(active, Step.POLL, Span(None))
             active.poke.set()
-        return self._answer(active)
+        return _tell(active)
 
     async def cancel(self, key: str, timeout_s: float | None = None) -> Answer:
         """Withdraw the submission; its final answer may still be ``done``."""
@@ -296,7 +296,7 @@
     def known(self, key: str) -> Answer | None:
         """Return what is known without asking anybody; None if it is not driven here."""
         active = self._active.get(key)
-        return None if active is None else active.answer or self._answer(active)
+        return None if active is None else active.answer or _tell(active)
 
     async def changed(self, key: str, timeout_s: float) -> None:
         """Wait until something new is known of a submission, or for the timeout."""
@@ -340,7 +340,7 @@
                 break
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(active.moved.wait(), left_s)
-        return active.answer or self._answer(active)
+        return active.answer or _tell(active)
 
     async def _drive(self, active: _Active) -> None:
         """Take a submission to its final answer; nothing but the journal stops it."""
@@ -366,7 +366,7 @@
         if run.phase.final and active.answer is None:
             if repeats(active.policy, active.runs, cancelled=active.cancelled):
                 return not await self._repeat(active)
-            answer = self._answer(active, final=True)
+            answer = _tell(active, final=True)
             active.answer = await self._journal.finish(active.key, answer)
             self.telemetry.count(f"final {active.answer.outcome.value}")
             span.event("final", outcome=active.answer.outcome.value)
@@ -391,7 +391,9 @@
             # It is over: whoever waits gets the answer now, not after a poll's pause.
             return False
         if reply is not None:
-            await self._pause(active, self._pause_us(active, step, reply))
+            await self._pause(
+                active, _pause_us(active, step, reply, len(self._active), self._chance)
+            )
         return False
 
     async def _try(self, active: _Active, step: Step, span: Span) -> Reply | None:
@@ -452,20 +454,6 @@
             active.trouble = ""
         span.event(step.value, answer=type(reply).__name__)
 
-    def _pause_us(self, active: _Active, step: Step, reply: Reply) -> int:
-        if isinstance(reply, Failed):
-            return retry_pause_us(active.failures, reply, self._chance)
-        if step is Step.POLL or (step is Step.SUBMIT and not active.run.phase.final):
-            active.polls = active.polls + 1 if step is Step.POLL else 0
-            return poll_pause_us(active.polls, len(self._active), self._chance)
-        if isinstance(reply, Missing) and step is Step.CANCEL:
-            if active.run.phase.final:
-                return WATCH_PERIOD_US
-            # Not known as it was perhaps never accepted: made so at once. Otherwise it was
-            # accepted, and a 404 is the service's fault: asked again after a while.
-            return 0 if active.run.phase is Phase.SENT else RETRY_MOST_US // 10
-        return 0
-
     async def _pause(self, active: _Active, pause_us: int) -> None:
         if active.run.phase is Phase.ACCEPTED and active.tells_outcomes:
             await self._look_for_failures(active)
@@ -530,76 +518,95 @@
             text = f"task {worst.task} failed {worst.failures} times, last with {how}"
             active.replace(await self._journal.change(run.id, News(cancel=True, failed=text)))
 
-    # Telling
 
-    def _answer(self, active: _Active, *, final: bool = False) -> Answer:
-        """Say what is known of a submission; ``final`` only for what the journal gets.
+def _tell(active: _Active, *, final: bool = False) -> Answer:
+    """Say what is known of a submission; ``final`` only for what the journal gets.
 
-        Nobody is given a final answer that is not in the journal: another process might
-        still give another one.
-        """
-        run = active.run
-        outcome = _OUTCOMES.get(run.phase, Outcome.UNKNOWN) if final else Outcome.UNKNOWN
-        told = active.told
-        return Answer(
-            key=active.key,
-            id=run.id,
-            outcome=outcome,
-            known=self._known(active),
-            tasks=active.job.tasks,
-            done=active.job.tasks if outcome is Outcome.DONE else told.done if told else None,
-            running=told.running if told and outcome is Outcome.UNKNOWN else None,
-            accepted=active.accepted,
-            status=run.status,
-            field=own_name(run.field) or None,
-            reason=run.reason,
-            forecast_s=told.forecast_s if told else None,
-            late_by_s=told.late_by_s if told else None,
-            runs=[
-                RunAnswer(
-                    id=one.id,
-                    outcome=_OUTCOMES.get(one.phase, Outcome.UNKNOWN),
-                    tries=one.sends,
-                    failed=one.failed,
-                    suspect=one.suspect,
-                )
-                for one in active.runs
-            ],
-        )
-
-    def _known(self, active: _Active) -> str:
-        run, told = active.run, active.told
-        repeated = repeats(active.policy, active.runs, cancelled=active.cancelled)
-        match run.phase:
-            case Phase.DONE:
-                return "done"
-            case Phase.WITHDRAWN if repeated:
-                return f"withdrawn ({run.failed or 'not by this client'}); it will be repeated"
-            case Phase.WITHDRAWN if not active.told:
-                return "withdrawn before anything was sent"
-            case Phase.WITHDRAWN:
-                return f"withdrawn: {run.failed}" if run.failed else "withdrawn"
-            case Phase.REFUSED:
-                late = " (a try without an answer may still arrive: watched)" if run.loose else ""
-                return f"refused with {run.status}: {run.reason}{late}"
-            case Phase.FOREIGN if not repeated:
-                return f"withdrawn before it was accepted; {run.reason}"
-            case Phase.FOREIGN:
-                return f"{run.reason}; it gets another id"
-            case Phase.ACCEPTED:
-                state = told.state if told else "state not asked yet"
-                text = f"accepted, {state}"
-                if told and told.done is not None:
-                    text += f", {told.done} of {active.job.tasks} tasks done"
-            case Phase.SENT if run.loose:
-                text = f"sent {run.sends} times, not known yet whether it was accepted"
-                if is_undecided(run, active.policy, wall_us()) or run.cancel:
-                    text += "; it is being withdrawn"
-            case _:
-                text = "not sent yet"
-        if run.cancel and run.phase is Phase.ACCEPTED:
-            text += "; it is being withdrawn"
-        return f"{text} ({active.trouble})" if active.trouble else text
+    Nobody is given a final answer that is not in the journal: another process might
+    still give another one.
+    """
+    run = active.run
+    outcome = _OUTCOMES.get(run.phase, Outcome.UNKNOWN) if final else Outcome.UNKNOWN
+    told = active.told
+    return Answer(
+        key=active.key,
+        id=run.id,
+        outcome=outcome,
+        known=_in_words(active),
+        tasks=active.job.tasks,
+        done=active.job.tasks if outcome is Outcome.DONE else told.done if told else None,
+        running=told.running if told and outcome is Outcome.UNKNOWN else None,
+        accepted=active.accepted,
+        status=run.status,
+        field=own_name(run.field) or None,
+        reason=run.reason,
+        forecast_s=told.forecast_s if told else None,
+        late_by_s=told.late_by_s if told else None,
+        runs=[
+            RunAnswer(
+                id=one.id,
+                outcome=_OUTCOMES.get(one.phase, Outcome.UNKNOWN),
+                tries=one.sends,
+                failed=one.failed,
+                suspect=one.suspect,
+            )
+            for one in active.runs
+        ],
+    )
+
+
+def _in_words(active: _Active) -> str:
+    """Say in words how a submission stands."""
+    run, told = active.run, active.told
+    repeated = repeats(active.policy, active.runs, cancelled=active.cancelled)
+    match run.phase:
+        case Phase.DONE:
+            return "done"
+        case Phase.WITHDRAWN if repeated:
+            return f"withdrawn ({run.failed or 'not by this client'}); it will be repeated"
+        case Phase.WITHDRAWN if not active.told:
+            return "withdrawn before anything was sent"
+        case Phase.WITHDRAWN:
+            return f"withdrawn: {run.failed}" if run.failed else "withdrawn"
+        case Phase.REFUSED:
+            late = " (a try without an answer may still arrive: watched)" if run.loose else ""
+            return f"refused with {run.status}: {run.reason}{late}"
+        case Phase.FOREIGN if not repeated:
+            return f"withdrawn before it was accepted; {run.reason}"
+        case Phase.FOREIGN:
+            return f"{run.reason}; it gets another id"
+        case Phase.ACCEPTED:
+            state = told.state if told else "state not asked yet"
+            text = f"accepted, {state}"
+            if told and told.done is not None:
+                text += f", {told.done} of {active.job.tasks} tasks done"
+        case Phase.SENT if run.loose:
+            text = f"sent {run.sends} times, not known yet whether it was accepted"
+            if is_undecided(run, active.policy, wall_us()) or run.cancel:
+                text += "; it is being withdrawn"
+        case _:
+            text = "not sent yet"
+    if run.cancel and run.phase is Phase.ACCEPTED:
+        text += "; it is being withdrawn"
+    return f"{text} ({active.trouble})" if active.trouble else text
+
+
+def _pause_us(
+    active: _Active, step: Step, reply: Reply, waiting: int, chance: random.Random
+) -> int:
+    """Return the pause after a try; ``waiting`` submissions are followed beside it."""
+    if isinstance(reply, Failed):
+        return retry_pause_us(active.failures, reply, chance)
+    if step is Step.POLL or (step is Step.SUBMIT and not active.run.phase.final):
+        active.polls = active.polls + 1 if step is Step.POLL else 0
+        return poll_pause_us(active.polls, waiting, chance)
+    if isinstance(reply, Missing) and step is Step.CANCEL:
+        if active.run.phase.final:
+            return WATCH_PERIOD_US
+        # Not known as it was perhaps never accepted: made so at once. Otherwise it was
+        # accepted, and a 404 is the service's fault: asked again after a while.
+        return 0 if active.run.phase is Phase.SENT else RETRY_MOST_US // 10
+    return 0
 
 
 def advance_matters(run: Run, news: News) -> bool:
