Admission: what was taken long ago is forgotten; Busy carries nothing nobody reads

Found on reading the change again: times of submissions taken were dropped only when somebody was turned away, so that on a quiet service each one ever taken stayed in a controller's memory (a test shows it). Answers are the same. Busy's time to come back was read by nobody, since Shares reckons it.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from weldhead.admission.shares import LEAST_WAIT_S, MOST_WAIT_S, Shares, in_turns
+from weldhead.admission.shares import ACTIVE_US, LEAST_WAIT_S, MOST_WAIT_S, Shares, in_turns
 from weldhead.clock import MILLISECOND_US
 from weldhead.clock import SECOND_US as S
 from weldhead.transport.budget import Budget
@@ -39,6 +39,13 @@
     assert refused <= max(0, flood * 400 - (400 - 400 // every) + BURST)
 
 
+def test_what_was_taken_long_ago_is_not_kept() -> None:
+    shares = Shares(BURST)
+    for second in range(1, 200):
+        assert shares.admit("red", RATE, second * S) == 0
+    assert len(shares._taken) <= ACTIVE_US // S + 1
+
+
 def test_who_is_told_that_a_rate_is_used_up_slows_down_and_recovers() -> None:
     budget = Budget(20.0, 8.0)
     budget.drain()
--- a/weldhead/admission/shares.py
+++ b/weldhead/admission/shares.py
@@ -61,7 +61,7 @@
         self._rate = rate
         for name in [n for n, b in self._teams.items() if at_us - b.seen_us > ACTIVE_US]:
             del self._teams[name]
-        share = 1.0 / max(1, len(self._teams.keys() | {team}))
+        share = 1.0 / len(self._teams.keys() | {team})
         bucket = self._teams.setdefault(team, _Bucket(self._burst * share, at_us))
         bucket.seen_us = at_us
         self._fill(self._all, 1.0, at_us)
@@ -74,33 +74,40 @@
         elif bucket.level >= 1.0:
             least = self._burst / 4
         if self._all.level < max(1.0, least):
-            self._note(self._refused, at_us)
-            return self.come_back_s(at_us)
+            return self._come_back_s(at_us)
         self._all.level -= 1.0
         bucket.level = max(0.0, bucket.level - 1.0)
-        self._note(self._taken, at_us)
+        _note(self._taken, at_us)
         return 0
 
-    def come_back_s(self, at_us: int) -> int:
-        """Return in how many seconds those turned away of late will have had their turn."""
-        for noted in (self._refused, self._taken):
-            while noted and at_us - noted[0] > ACTIVE_US:
-                noted.popleft()
-        taken_s = max(1.0, len(self._taken) * SECOND_US / ACTIVE_US)
-        wait_s = round(len(self._refused) / taken_s)
-        return min(MOST_WAIT_S, max(LEAST_WAIT_S, wait_s))
-
     def turned_away(self, at_us: int) -> int:
         """The store did not take one that was admitted; return when to come back."""
         self._all.level = min(self._all.level, 0.0)
-        self._note(self._refused, at_us)
-        return self.come_back_s(at_us)
+        return self._come_back_s(at_us)
 
-    @staticmethod
-    def _note(noted: deque[int], at_us: int) -> None:
-        noted.append(at_us)
+    def _come_back_s(self, at_us: int) -> int:
+        """Return in how many seconds those turned away of late will have had their turn."""
+        _note(self._refused, at_us)
+        _forget(self._taken, at_us)
+        taken_s = max(1.0, len(self._taken) * SECOND_US / ACTIVE_US)
+        wait_s = round(len(self._refused) / taken_s)
+        return min(MOST_WAIT_S, max(LEAST_WAIT_S, wait_s))
 
     def _fill(self, bucket: _Bucket, share: float, at_us: int) -> None:
         gained = (at_us - bucket.filled_us) * self._rate * share / SECOND_US
         bucket.level = min(self._burst * share, bucket.level + gained)
         bucket.filled_us = at_us
+
+
+def _note(noted: deque[int], at_us: int) -> None:
+    """Note that something happened now; what is older than it counts is not kept.
+
+    Forgotten only when somebody was turned away, each submission ever taken stayed in memory.
+    """
+    noted.append(at_us)
+    _forget(noted, at_us)
+
+
+def _forget(noted: deque[int], at_us: int) -> None:
+    while noted and at_us - noted[0] > ACTIVE_US:
+        noted.popleft()
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -40,11 +40,7 @@
 
 
 class Busy(Refused):
-    """The rate is used up for the moment; when to come back is known."""
-
-    def __init__(self, text: str, wait_us: int) -> None:
-        super().__init__(text)
-        self.retry_after_s = max(1, -(-wait_us // SECOND_US))
+    """The rate is used up for the moment; the service itself is well."""
 
 
 class Rejected(CallFailed):
@@ -114,10 +110,10 @@
         limit_us = patience_us if urgent or patience_us is not None else SECOND_US
         budget = self.writes if patience_us is None else self.creates
         if writes and not await budget.take(writes, urgent=urgent, limit_us=limit_us):
-            raise Busy("state service: write budget used up", budget.wait_us(writes))
+            raise Busy("state service: write budget used up")
         if not await self.requests.take(urgent=urgent, limit_us=limit_us):
             budget.give_back(writes)
-            raise Busy("state service: request budget used up", self.requests.wait_us(1))
+            raise Busy("state service: request budget used up")
         started_us = now_us()
         try:
             status, answer = await self._http.call(method, self._base + path, body, timeout_us)
@@ -131,7 +127,7 @@
             else:
                 # Others use the same rate: what this node had saved up is not there.
                 (budget if writes else self.requests).drain()
-                raise Busy("state service: 429", SECOND_US)
+                raise Busy("state service: 429")
             raise Refused(f"state service: {status}")
         if status not in (200, 400, 404, 409, 410):
             raise CallFailed(f"state service: {status}")
