--- a/tests/plain.py
+++ b/tests/plain.py
@@ -15,11 +15,11 @@
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import seconds_us
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Coming, FleetSettings, _Queue, usual_boots
-from weldhead.coordination.goals import Goals, Press
-from weldhead.coordination.placement import Plan, Room, Rooms, _place, usable
-from weldhead.coordination.preemptor import PreemptorSettings, _Pass, within_guarantee
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import Coming, FleetSettings, _Queue, usual_boots
+from weldhead.planning.goals import Goals, Press
+from weldhead.planning.placement import Plan, Room, Rooms, _place, usable
+from weldhead.planning.preemptor import PreemptorSettings, _Pass, within_guarantee
 
 
 class PlainPlan(Plan):
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -15,7 +15,7 @@
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import SECOND_US as S
-from weldhead.coordination.placement import Plan
+from weldhead.planning.placement import Plan
 
 ACCUSATIONS = st.lists(st.builds(Accusation, st.integers(1, 9), st.booleans(), st.booleans()))
 
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -33,15 +33,15 @@
     job_key,
     progress_key,
 )
-from weldhead.coordination import urgency
-from weldhead.coordination.backlog import entry_of
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Market, Upcoming, plan_closings, plan_hires
-from weldhead.coordination.forecast import forecast_chains
-from weldhead.coordination.goals import Goals, Press
 from weldhead.coordination.leader import NotReady
-from weldhead.coordination.placement import Plan, plan_starts
-from weldhead.coordination.preemptor import plan_reclaims
+from weldhead.planning import urgency
+from weldhead.planning.backlog import entry_of
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import Market, Upcoming, plan_closings, plan_hires
+from weldhead.planning.forecast import forecast_chains
+from weldhead.planning.goals import Goals, Press
+from weldhead.planning.placement import Plan, plan_starts
+from weldhead.planning.preemptor import plan_reclaims
 from weldhead.protocol.settings import Objective, Team
 from weldhead.protocol.wire import Delete, JobSpec
 from weldhead.transport.http import CallFailed
@@ -515,7 +515,7 @@
         calls.append(job.id)
         return entry_of(job, *rest)
 
-    monkeypatch.setattr("weldhead.coordination.backlog.entry_of", placed)
+    monkeypatch.setattr("weldhead.planning.backlog.entry_of", placed)
     plan_starts(into, Estimates(), Goals([]), S, 10 * S, 45 * S)
     assert sorted(calls) == [name(1), name(2)]
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -14,10 +14,11 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
-from weldhead.coordination.backlog import Unplaced
-from weldhead.coordination.demand import Demand
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import (
+from weldhead.coordination.reports import apply_report
+from weldhead.planning.backlog import Unplaced
+from weldhead.planning.demand import Demand
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import (
     Market,
     Move,
     Offer,
@@ -26,11 +27,10 @@
     plan_moves,
     plan_returns,
 )
-from weldhead.coordination.forecast import Boots, forecast_us
-from weldhead.coordination.goals import Goals, Press
-from weldhead.coordination.placement import Plan, plan_starts
-from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
-from weldhead.coordination.reports import apply_report
+from weldhead.planning.forecast import Boots, forecast_us
+from weldhead.planning.goals import Goals, Press
+from weldhead.planning.placement import Plan, plan_starts
+from weldhead.planning.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.protocol.settings import Objective, Team
 from weldhead.tunables.defaults import Tunables
 
--- a/tests/test_equivalence.py
+++ b/tests/test_equivalence.py
@@ -12,15 +12,15 @@
 from weldhead.bookkeeping.jobs import Attempt, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import ReclaimLists
-from weldhead.coordination.backlog import Unplaced
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Coming, _Queue, forecast_missing, usual_boots
-from weldhead.coordination.forecast import boots_of, forecast_us
-from weldhead.coordination.goals import Goals
-from weldhead.coordination.outlook import BootWatch
-from weldhead.coordination.placement import Plan, Scene, plan_pass, plan_starts
-from weldhead.coordination.preemptor import plan_reclaims
 from weldhead.coordination.reports import request_stop
+from weldhead.planning.backlog import Unplaced
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import Coming, _Queue, forecast_missing, usual_boots
+from weldhead.planning.forecast import boots_of, forecast_us
+from weldhead.planning.goals import Goals
+from weldhead.planning.outlook import BootWatch
+from weldhead.planning.placement import Plan, Scene, plan_pass, plan_starts
+from weldhead.planning.preemptor import plan_reclaims
 from weldhead.protocol.settings import Objective, Team
 from weldhead.tunables.defaults import Tunables
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -30,9 +30,12 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.records import HireRecord
-from weldhead.coordination import backlog, outlook, placement
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import (
+from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
+from weldhead.coordination.recovery import Recovery
+from weldhead.coordination.term import LOADED_AT_ONCE
+from weldhead.planning import backlog, outlook, placement
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import (
     Market,
     Offer,
     Upcoming,
@@ -43,12 +46,9 @@
     replacements,
     usual_boots,
 )
-from weldhead.coordination.goals import Goals
-from weldhead.coordination.outlook import Outlook
-from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
-from weldhead.coordination.placement import Plan, Scene, plan_pass
-from weldhead.coordination.recovery import Recovery
-from weldhead.coordination.term import LOADED_AT_ONCE
+from weldhead.planning.goals import Goals
+from weldhead.planning.outlook import Outlook
+from weldhead.planning.placement import Plan, Scene, plan_pass
 from weldhead.protocol.settings import StateLimits
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.state import Refused, StateClient
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -16,15 +16,15 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Stop, TaskState
 from weldhead.bookkeeping.machines import Machine
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import Scene, plan_pass
 from weldhead.coordination.reports import (
     apply_report,
     is_newer,
     pending_commands,
     request_stop,
 )
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import Goals
+from weldhead.planning.placement import Scene, plan_pass
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import Command, Report, split_task
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -21,13 +21,13 @@
 from weldhead.bookkeeping.reclaim import ReclaimLists
 from weldhead.bookkeeping.records import HIRES, LEADER_KEY, HireRecord, divide_machines
 from weldhead.clock import now_us
-from weldhead.coordination import placement, preemptor
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Coming, Market, Offer, plan_hires
-from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import plan_starts
-from weldhead.coordination.preemptor import plan_reclaims
-from weldhead.coordination.silence import look_gone
+from weldhead.planning import placement, preemptor
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import Coming, Market, Offer, plan_hires
+from weldhead.planning.goals import Goals
+from weldhead.planning.placement import plan_starts
+from weldhead.planning.preemptor import plan_reclaims
+from weldhead.planning.silence import look_gone
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import RentalRequest
 from weldhead.transport.cloud import NoCapacity, NotAsked
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -15,9 +15,9 @@
 from weldhead.clock import SECOND_US as S
 from weldhead.clock import now_us
 from weldhead.coordination import frontdesk, node
-from weldhead.coordination.fleet import Offer
 from weldhead.coordination.leadership import default_timing
 from weldhead.coordination.node import FORWARD_US, PONG_US, Node
+from weldhead.planning.fleet import Offer
 from weldhead.protocol.peer import Answer
 from weldhead.protocol.settings import parse_settings
 from weldhead.protocol.wire import Entry
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -17,12 +17,12 @@
 from tests.test_recovery import Clock, clock, leader_of, put_job, put_machine
 from weldhead.bookkeeping.jobs import Stop
 from weldhead.bookkeeping.machines import Machine
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals
-from weldhead.coordination.placement import Scene, plan_pass
 from weldhead.coordination.reports import apply_report, pending_commands
 from weldhead.emulator.experiment import play
 from weldhead.emulator.scenario import Fault, Scenario, read_scenario
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import Goals
+from weldhead.planning.placement import Scene, plan_pass
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import Report, TaskReport
 from weldhead.recovery.asking import Asking, AskSettings
@@ -39,7 +39,8 @@
 
 
 @pytest.mark.parametrize(
-    ("package", "least"), [("recovery", 6), ("blame", 2), ("boots", 1), ("admission", 1)]
+    ("package", "least"),
+    [("recovery", 6), ("blame", 2), ("boots", 1), ("admission", 1), ("planning", 11)],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
     program = f"""
@@ -50,7 +51,7 @@
 for name in names:
     __import__(name)
 bad = {{"asyncio", "aiohttp", "socket", "selectors", "threading", "weldhead.transport"}}
-bad |= {{"weldhead.coordination", "weldhead.duties"}}
+bad |= {{"weldhead.coordination"}}
 print(len(names), sorted(bad & set(sys.modules)))
 """
     ran = subprocess.run([sys.executable, "-S", "-c", program], cwd=ROOT, capture_output=True)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,7 +13,6 @@
 
 from tests.loopback import served
 from weldhead.clock import MILLISECOND_US, SECOND_US
-from weldhead.duties import Duties
 from weldhead.protocol.settings import StateLimits
 from weldhead.protocol.wire import Condition, Delete, Put
 from weldhead.site.records import DamagedRecords, RecordFile
@@ -30,6 +29,7 @@
     Write,
 )
 from weldhead.site.store.server import StateService
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.state import Compacted, Conflict, LeaseGone, Refused, Rejected, StateClient
 
--- a/tools/measure_ops.py
+++ b/tools/measure_ops.py
@@ -19,11 +19,11 @@
 
 from tests.builders import add_job, cluster, job_spec  # noqa: E402
 from tools.measure_size import cost  # noqa: E402
-from weldhead.coordination.estimates import Estimates  # noqa: E402
-from weldhead.coordination.goals import Goals  # noqa: E402
-from weldhead.coordination.placement import Scene, plan_pass  # noqa: E402
 from weldhead.emulator.experiment import Result, play  # noqa: E402
 from weldhead.emulator.scenario import Fault, JobClass, Scenario, TeamPart  # noqa: E402
+from weldhead.planning.estimates import Estimates  # noqa: E402
+from weldhead.planning.goals import Goals  # noqa: E402
+from weldhead.planning.placement import Scene, plan_pass  # noqa: E402
 from weldhead.protocol.settings import Team  # noqa: E402
 
 COUNTED = ("requests to the store", "writes", "direct requests", "bytes")
--- a/tools/measure_size.py
+++ b/tools/measure_size.py
@@ -30,19 +30,19 @@
 from weldhead.bookkeeping.machines import Machine  # noqa: E402
 from weldhead.bookkeeping.records import HireRecord  # noqa: E402
 from weldhead.clock import now_us  # noqa: E402
-from weldhead.coordination.backlog import Unplaced  # noqa: E402
-from weldhead.coordination.estimates import Estimates  # noqa: E402
-from weldhead.coordination.fleet import (  # noqa: E402
+from weldhead.coordination.leader import Leader  # noqa: E402
+from weldhead.planning.backlog import Unplaced  # noqa: E402
+from weldhead.planning.estimates import Estimates  # noqa: E402
+from weldhead.planning.fleet import (  # noqa: E402
     Missing,
     _Queue,
     forecast_missing,
     usual_boots,
 )
-from weldhead.coordination.forecast import boots_of, forecast_us  # noqa: E402
-from weldhead.coordination.goals import Goals  # noqa: E402
-from weldhead.coordination.leader import Leader  # noqa: E402
-from weldhead.coordination.outlook import Outlook  # noqa: E402
-from weldhead.coordination.placement import Plan, Scene, plan_pass  # noqa: E402
+from weldhead.planning.forecast import boots_of, forecast_us  # noqa: E402
+from weldhead.planning.goals import Goals  # noqa: E402
+from weldhead.planning.outlook import Outlook  # noqa: E402
+from weldhead.planning.placement import Plan, Scene, plan_pass  # noqa: E402
 from weldhead.protocol.settings import Objective, Team  # noqa: E402
 from weldhead.tunables.defaults import Tunables  # noqa: E402
 
--- a/weldhead/cli/site.py
+++ b/weldhead/cli/site.py
@@ -12,9 +12,9 @@
 import uvloop
 
 from weldhead.cli.structured import configure_structured_logging
-from weldhead.duties import Duties
 from weldhead.site.http import Handler, SiteServer
 from weldhead.site.processes import until_told
+from weldhead.transport.duties import Duties
 
 T = TypeVar("T")
 
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -19,13 +19,13 @@
     predecessor_over_us,
 )
 from weldhead.coordination.term import Term
-from weldhead.duties import Duties
 from weldhead.membership.verdict import Sight, State, Verdict, View, judge
 from weldhead.protocol.peer import Held, Hold, Look, Ping, Pong, Resigned, Seen
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.versions import LOOK_FORMAT
 from weldhead.protocol.wire import Condition, MachineType, Put
 from weldhead.transport.cloud import CloudClient
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.peers import PeerLink
 from weldhead.transport.state import Compacted, Conflict, LeaseGone, Refused, StateClient, decode
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -10,10 +10,10 @@
 from weldhead.clock import MILLISECOND_US, now_us
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.pacing import Pacer, Rank
-from weldhead.coordination.placement import Plan, Scene, plan_pass
-from weldhead.coordination.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
+from weldhead.planning.placement import Plan, Scene, plan_pass
+from weldhead.planning.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.recovery.pace import StopPace
 from weldhead.recovery.readiness import Partial
 
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -17,7 +17,6 @@
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.forecast import due_us
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.lookahead import LookAhead
 from weldhead.coordination.pacing import Pacer
@@ -27,6 +26,7 @@
 from weldhead.coordination.sizing import Sizing
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
+from weldhead.planning.forecast import due_us
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
 from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
--- a/weldhead/coordination/linking.py
+++ b/weldhead/coordination/linking.py
@@ -11,7 +11,7 @@
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import Term
-from weldhead.coordination.urgency import fetch_rate, refresh, stage_us
+from weldhead.planning.urgency import fetch_rate, refresh, stage_us
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import decode
 
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -5,10 +5,10 @@
 
 from weldhead.bookkeeping.jobs import Job
 from weldhead.clock import now_us, to_seconds
-from weldhead.coordination.forecast import due_us, holding_up, looks_unable
-from weldhead.coordination.outlook import Outlook
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.term import Term
+from weldhead.planning.forecast import due_us, holding_up, looks_unable
+from weldhead.planning.outlook import Outlook
 
 log = logging.getLogger(__name__)
 
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -12,7 +12,6 @@
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.relays import Relays
-from weldhead.duties import Duties
 from weldhead.protocol.peer import (
     Answer,
     Ask,
@@ -29,6 +28,7 @@
 from weldhead.protocol.versions import CHAINS_FORMAT, FORMAT
 from weldhead.protocol.wire import MachineType, Redirect, Report
 from weldhead.transport.cloud import CloudClient
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.peers import PeerLink, PeerServer
 from weldhead.transport.server import Handler, HttpServer, Listening, Response, refusal
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -23,14 +23,14 @@
 )
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
-from weldhead.coordination.demand import Demand
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.rentals import Rentals
-from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
+from weldhead.planning.demand import Demand
+from weldhead.planning.silence import look_gone
 from weldhead.protocol.wire import Entry
 from weldhead.recovery.asking import Asking
 from weldhead.recovery.early import Early, EarlyReports
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -14,8 +14,8 @@
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import HIRES, HireRecord, divide_machines
 from weldhead.clock import now_us, seconds_us, wall_us
-from weldhead.coordination.fleet import Coming, Offer
 from weldhead.coordination.term import Term
+from weldhead.planning.fleet import Coming, Offer
 from weldhead.protocol.wire import ListedMachine, MachineType, RentalRequest, Report
 from weldhead.transport.cloud import BadRental, NoCapacity, NotAsked
 from weldhead.transport.http import CallFailed
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -5,7 +5,11 @@
 from weldhead.bookkeeping.jobs import Stop
 from weldhead.clock import SECOND_US, now_us, to_seconds
 from weldhead.coordination.deciding import Deciding
-from weldhead.coordination.fleet import (
+from weldhead.coordination.pacing import Rank
+from weldhead.coordination.rentals import Rentals
+from weldhead.coordination.term import Term
+from weldhead.coordination.watching import MachineWatch
+from weldhead.planning.fleet import (
     Move,
     Upcoming,
     endangered,
@@ -16,11 +20,7 @@
     plan_returns,
     replacements,
 )
-from weldhead.coordination.pacing import Rank
-from weldhead.coordination.placement import plan_nothing
-from weldhead.coordination.rentals import Rentals
-from weldhead.coordination.term import Term
-from weldhead.coordination.watching import MachineWatch
+from weldhead.planning.placement import plan_nothing
 
 log = logging.getLogger(__name__)
 
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -9,16 +9,16 @@
 from weldhead.bookkeeping.ledger import Ledger
 from weldhead.boots.expect import Boots
 from weldhead.clock import SECOND_US, now_us, seconds_us
-from weldhead.coordination.demand import Demand
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.fleet import Market
-from weldhead.coordination.goals import Goals
 from weldhead.coordination.leadership import Authority
-from weldhead.duties import Duties
+from weldhead.planning.demand import Demand
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import Market
+from weldhead.planning.goals import Goals
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.wire import MachineType
 from weldhead.recovery.squaring import Tally
 from weldhead.transport.cloud import CloudClient
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import HttpClient
 from weldhead.transport.state import StateClient
 from weldhead.tunables.defaults import Tunables
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -12,10 +12,10 @@
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import SECOND_US, now_us
 from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.goals import FOR_EVER_US
 from weldhead.coordination.reports import request_stop
-from weldhead.coordination.silence import look_gone
 from weldhead.coordination.term import Term
+from weldhead.planning.goals import FOR_EVER_US
+from weldhead.planning.silence import look_gone
 from weldhead.transport.http import CallFailed
 
 log = logging.getLogger(__name__)
--- a/weldhead/emulator/services.py
+++ b/weldhead/emulator/services.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from weldhead.clock import SECOND_US, now_us
-from weldhead.duties import Duties
 from weldhead.emulator.loop import Life, VirtualLoop
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
@@ -18,6 +17,7 @@
 from weldhead.site.pool import Pool, PoolError
 from weldhead.site.store.server import StateService
 from weldhead.transport.budget import Budget
+from weldhead.transport.duties import Duties
 from weldhead.transport.server import Response, refusal
 
 STATE_ADDRESS = "10.2.0.1:2379"
--- a/weldhead/coordination/backlog.py
+++ b/weldhead/planning/backlog.py
@@ -20,8 +20,8 @@
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import how_many
 from weldhead.bookkeeping.timers import Timers
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import FOR_EVER_US, Goals, Press
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import FOR_EVER_US, Goals, Press
 
 #: How many jobs of a class whose estimate has changed are put in place anew in one look.
 #: Until its turn a job stands where the last estimate put it.
--- a/weldhead/coordination/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -15,10 +15,10 @@
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.boots.expect import Expectations, Expected
 from weldhead.clock import SECOND_US, seconds_us
-from weldhead.coordination.demand import Demand
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals, slack_us
-from weldhead.coordination.placement import Plan, usable
+from weldhead.planning.demand import Demand
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import Goals, slack_us
+from weldhead.planning.placement import Plan, usable
 from weldhead.protocol.wire import MachineType
 
 
--- a/weldhead/coordination/forecast.py
+++ b/weldhead/planning/forecast.py
@@ -9,7 +9,7 @@
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import seconds_us
-from weldhead.coordination.estimates import Estimates
+from weldhead.planning.estimates import Estimates
 
 
 @dataclass(frozen=True)
--- a/weldhead/coordination/outlook.py
+++ b/weldhead/planning/outlook.py
@@ -17,8 +17,8 @@
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.timers import Timers
 from weldhead.clock import SECOND_US, seconds_us
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.forecast import (
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.forecast import (
     Boots,
     due_us,
     forecast_chains,
--- a/weldhead/coordination/placement.py
+++ b/weldhead/planning/placement.py
@@ -18,9 +18,9 @@
 from weldhead.bookkeeping.machines import Machine, how_many
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import SECOND_US, seconds_us
-from weldhead.coordination.backlog import Backlog, Entry, Reserve, Shape, Unplaced
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals
+from weldhead.planning.backlog import Backlog, Entry, Reserve, Shape, Unplaced
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import Goals
 
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
 #: is rented at the ordinary price: those are to fall idle and be returned.
--- a/weldhead/coordination/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -19,10 +19,10 @@
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import seconds_us
-from weldhead.coordination.backlog import Walk
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals, Press
-from weldhead.coordination.placement import Plan, usable
+from weldhead.planning.backlog import Walk
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import Goals, Press
+from weldhead.planning.placement import Plan, usable
 
 
 @dataclass(frozen=True)
--- a/weldhead/coordination/urgency.py
+++ b/weldhead/planning/urgency.py
@@ -13,8 +13,8 @@
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import how_many
 from weldhead.clock import SECOND_US, seconds_us
-from weldhead.coordination.estimates import Estimates
-from weldhead.coordination.goals import Goals
+from weldhead.planning.estimates import Estimates
+from weldhead.planning.goals import Goals
 from weldhead.protocol.wire import MachineType
 
 #: How many inherited bounds a job keeps.
--- a/weldhead/site/front.py
+++ b/weldhead/site/front.py
@@ -12,7 +12,6 @@
 from aiohttp import web
 
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us
-from weldhead.duties import Duties
 from weldhead.protocol.validation import is_job_id
 from weldhead.protocol.wire import MAX_TASKS
 from weldhead.site.http import Reply, error, integer, reply
@@ -20,6 +19,7 @@
 from weldhead.site.parts import FrontSettings
 from weldhead.site.routing import PROBE_US, Backend, Balancer
 from weldhead.site.worker import Work
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient, NotConnected
 
 log = logging.getLogger(__name__)
--- a/weldhead/site/keeper.py
+++ b/weldhead/site/keeper.py
@@ -14,13 +14,13 @@
 import msgspec
 
 from weldhead.clock import SECOND_US, now_us
-from weldhead.duties import Duties
 from weldhead.site.backoff import Backoff
 from weldhead.site.description import Description, NextPart, controller_settings
 from weldhead.site.http import listen
 from weldhead.site.layout import Layout, write_whole
 from weldhead.site.parts import FrontSettings, PoolSettings, StateSettings
 from weldhead.site.processes import LIFELINE, Process, spawn, until_told
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 
 log = logging.getLogger(__name__)
--- a/weldhead/site/pool_process.py
+++ b/weldhead/site/pool_process.py
@@ -11,7 +11,6 @@
 from aiohttp import web
 
 from weldhead.clock import SECOND_US, now_us, seconds_us, wall_us
-from weldhead.duties import Duties
 from weldhead.protocol.wire import Catalog, MachineNames, RentalRequest
 from weldhead.site import guard
 from weldhead.site.backoff import Backoff
@@ -31,6 +30,7 @@
 from weldhead.site.processes import Process, lifeline, spawn
 from weldhead.site.records import RecordFile
 from weldhead.transport.budget import Budget
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 
 log = logging.getLogger(__name__)
--- a/weldhead/site/store/server.py
+++ b/weldhead/site/store/server.py
@@ -9,13 +9,13 @@
 from aiohttp import web
 
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us
-from weldhead.duties import Duties
 from weldhead.protocol.settings import StateLimits
 from weldhead.protocol.wire import Changes, Committed, Grant, GrantRequest, Page
 from weldhead.site.http import Reply, error, integer, reply
 from weldhead.site.records import RecordFile
 from weldhead.site.store.model import Batch, Change, Failed, Store, StoreError
 from weldhead.transport.budget import Budget
+from weldhead.transport.duties import Duties
 
 log = logging.getLogger(__name__)
 
--- a/weldhead/site/worker_process.py
+++ b/weldhead/site/worker_process.py
@@ -15,7 +15,6 @@
 from aiohttp import web
 
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, seconds_us
-from weldhead.duties import Duties
 from weldhead.protocol.wire import DirectCommands, Redirect, ReportAnswer, split_task
 from weldhead.site import guard as guard_program
 from weldhead.site.http import Reply, SiteServer, error, reply
@@ -32,6 +31,7 @@
     Work,
     Worker,
 )
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 
 log = logging.getLogger(__name__)
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -11,7 +11,6 @@
 from typing import TypeVar
 
 from weldhead.clock import SECOND_US, now_us
-from weldhead.duties import Duties
 from weldhead.membership.verdict import Observed
 from weldhead.protocol.peer import (
     Answer,
@@ -27,6 +26,7 @@
     frame_length,
 )
 from weldhead.protocol.settings import Node, split_address
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, NotConnected
 
 log = logging.getLogger(__name__)
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -8,8 +8,8 @@
 
 from weldhead.boots.expect import Expected
 from weldhead.clock import MILLISECOND_US, SECOND_US
-from weldhead.coordination.fleet import FleetSettings
-from weldhead.coordination.preemptor import PreemptorSettings
+from weldhead.planning.fleet import FleetSettings
+from weldhead.planning.preemptor import PreemptorSettings
 from weldhead.recovery.asking import AskSettings
 from weldhead.recovery.pace import PaceSettings
 
