Planning: machines are held for tasks that take most of one

From a stated age on such a job now has machines held: nobody else's work is placed there, the preemptor empties them as a set where its rules allow, and the job takes the room before anybody else. Held are those that have room soonest, within a share of the fleet.

--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -12,7 +12,8 @@
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
-from weldhead.planning.placement import Plan, Scene, plan_pass
+from weldhead.planning.holding import Holding
+from weldhead.planning.placement import Plan, Scene, plan_pass, usable
 from weldhead.planning.preemptor import overdue, plan_reclaims, stop_for
 from weldhead.recovery.pace import StopPace
 from weldhead.recovery.readiness import Partial
@@ -36,6 +37,7 @@
         #: What placement and forecasts keep in order; made when first needed, and made anew
         #: after a failure.
         self.scene: Scene | None = None
+        self._holding: Holding | None = None
         #: What is known while recovery goes on.
         self.partial: Callable[[], Partial] | None = None
 
@@ -46,8 +48,24 @@
                 self._term.cluster, self._term.estimates, self._term.goals,
                 self._term.tunables.preemptor.patience_us,
             )  # fmt: skip
+            if self._holding is not None:
+                self._holding.close()
+            self._holding = Holding(
+                self._term.cluster, self.scene.backlog, self._term.estimates,
+                self._term.tunables.holding.settings(),
+            )  # fmt: skip
         return self.scene
 
+    def _hold(self, scene: Scene, at_us: int) -> None:
+        """Decide what is kept free for wide work; nothing while machines are unknown."""
+        if self._holding is None or not self._term.ready:
+            return
+        scene.holds = self._holding.look(
+            at_us,
+            lambda machine: usable(machine, at_us, self._term.silence_us),
+            ((entry.machine, entry.job_id) for entry in self.reclaims.entries()),
+        )
+
     async def fill_scene(self) -> None:
         """Put all waiting jobs in order while workers are still being asked what they run."""
         backlog = self.kept_scene().backlog
@@ -82,6 +100,7 @@
             assert self.partial is not None
             may_start = self.partial().settled
         try:
+            self._hold(scene, at_us)
             plan = plan_pass(
                 scene, at_us, self._term.silence_us, self._term.tunables.fetch_weight, may_start
             )
@@ -135,6 +154,7 @@
             settings,
             self._term.goals,
             free=self.scene.free if self.scene is not None else None,
+            held=self.scene.holds.machines if self.scene is not None else None,
         )
         running = sum(len(job.active) for job in self._term.cluster.holders.values())
         allowed = self._pace.allowed(self._term.ready_us, running, at_us)
--- /dev/null
+++ b/weldhead/planning/holding.py
@@ -0,0 +1,379 @@
+"""Which machines are kept free for whom: for tasks that find no room between small ones.
+
+Where machines are full, each piece that falls free is given to whoever fits into it. A task
+that takes most of a machine never does, however long it waits, and however early its turn
+is (found on an own day: such jobs waited for seven minutes, until arrivals ended). From a
+stated age on such a job has machines *held*: nobody else's work is placed there, what runs
+there ends or gives way by the preemptor's rules, and the job takes the room as soon as it
+is enough.
+
+Decided anew at each look from what every leader knows: the age of jobs since their
+acceptance, what runs where, and which machines were chosen at the last look. A new leader
+knows all but the last, and as a machine that was held is emptier than others it is the
+soonest again: so nothing about it is kept in the store.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Attempt, Job, Stop
+from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
+from weldhead.clock import SECOND_US, seconds_us
+from weldhead.planning.backlog import Backlog, Shape
+from weldhead.planning.estimates import Estimates
+from weldhead.protocol.wire import JobSpec, MachineType
+
+#: How often it is decided anew which machines are held.
+LOOK_US = 250_000
+
+#: A machine that is held already is kept unless another one is sooner by more than this, as
+#: estimates waver.
+KEEP_US = 15 * SECOND_US
+
+#: A level above another counts as so much more waiting.
+LEVEL_US = 30 * SECOND_US
+
+#: Of very many jobs that might hold machines only so many are looked at.
+MOST_JOBS = 500
+
+
+@dataclass(frozen=True)
+class HoldingSettings:
+    """The operators' choices."""
+
+    #: How long a job waits before machines are emptied for it.
+    age_us: int
+    #: A task that takes this part of every machine that it may run on counts as wide.
+    least: float
+    #: At most this part of the fleet's CPUs is on machines that are being emptied; one always is.
+    share: float
+
+
+@dataclass
+class Holds:
+    """What is kept free, and for whom."""
+
+    #: By machine: the job.
+    machines: dict[str, str] = field(default_factory=dict)
+    #: By team: CPUs and GPUs of its limit that nobody else of the team gets.
+    limits: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+
+def portion(spec: JobSpec, machine_type: MachineType) -> float:
+    """Return which part of a machine a task takes, of what it takes most of; 1 or less fits."""
+    return max(
+        need / have if have > 0 else (float("inf") if need > 0 else 0.0)
+        for need, have in (
+            (spec.cpus, machine_type.cpus),
+            (spec.gpus, machine_type.gpus),
+            (spec.memory_gb, machine_type.memory_gb),
+        )
+    )
+
+
+def is_wide(spec: JobSpec, types: Iterable[MachineType], least: float) -> bool:
+    """Whether a task takes a large part of each of these machines that it may run on."""
+    portions = [portion(spec, t) for t in types if t.fits(spec)]
+    return bool(portions) and min(portions) >= least
+
+
+class Holding:
+    """Chooses the machines that are held; follows the machines."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        backlog: Backlog,
+        estimates: Estimates,
+        settings: HoldingSettings,
+    ) -> None:
+        self._cluster = cluster
+        self._backlog = backlog
+        self._estimates = estimates
+        self._settings = settings
+        self._feed = cluster.machines.feeds.subscribe()
+        self._types: dict[str, MachineType] = {}
+        self._by_type: dict[str, dict[str, Machine]] = {}
+        self._entered: dict[str, Machine] = {}
+        self._cpus = 0.0
+        self._wide: dict[Shape, bool] = {}
+        #: When a machine will have room, while nothing changes there: by machine, shape, level.
+        self._soon: dict[str, dict[tuple[Shape, int], int | None]] = {}
+        self._looked_us: int | None = None
+        self.holds = Holds()
+        for machine in cluster.machines.values():
+            self._enter(machine)
+
+    def close(self) -> None:
+        """Stop following the machines, and hold none."""
+        self._feed.close()
+        self._replace(Holds())
+
+    def _enter(self, machine: Machine) -> None:
+        name = machine.name
+        self._soon.pop(name, None)
+        known = self._cluster.machines.get(name) is machine
+        if known and self._entered.get(name) is machine:
+            return
+        before = self._entered.pop(name, None)
+        if before is not None:
+            self._cpus -= before.type.cpus
+            of_type = self._by_type[before.type.name]
+            del of_type[name]
+            if not of_type:
+                del self._by_type[before.type.name]
+                del self._types[before.type.name]
+                self._wide.clear()
+        if known:
+            self._entered[name] = machine
+            self._cpus += machine.type.cpus
+            if machine.type.name not in self._types:
+                self._types[machine.type.name] = machine.type
+                self._wide.clear()
+            self._by_type.setdefault(machine.type.name, {})[name] = machine
+
+    def wide(self, job: Job) -> bool:
+        """Whether a task takes a large part of each machine of ours that it may run on."""
+        shape = Shape.of(job)
+        found = self._wide.get(shape)
+        if found is None:
+            types = self._types.values()
+            found = self._wide[shape] = is_wide(job.spec, types, self._settings.least)
+        return found
+
+    def look(
+        self,
+        at_us: int,
+        usable: Callable[[Machine], bool],
+        claims: Iterable[tuple[str, str]] = (),
+    ) -> Holds:
+        """Decide what is held, if it is time to; ``claims`` are machines that are freed for jobs.
+
+        (machine and job of each). What is given up is told of as room that may have appeared.
+        """
+        if self._looked_us is not None and at_us - self._looked_us < LOOK_US:
+            return self.holds
+        self._looked_us = at_us
+        for machine in self._feed.take():
+            self._enter(machine)
+        self._replace(self._choose(at_us, usable, claims))
+        return self.holds
+
+    def _replace(self, holds: Holds) -> None:
+        for name in self.holds.machines.keys() - holds.machines.keys():
+            machine = self._cluster.machines.get(name)
+            if machine is not None:
+                # Shapes that found no room without it are looked for again.
+                machine.touch()
+        self.holds = holds
+
+    # -- who ------------------------------------------------------------------------------
+
+    def _waiting(self, at_us: int) -> list[Job]:
+        """Return the wide jobs that have waited for long enough, whose turn is first first."""
+        found: list[Job] = []
+        for kind, queue in self._backlog.queues.items():
+            if not self._wide.get(kind.shape, True) or not self.wide(queue[0].job):
+                continue
+            for entry in queue[:MOST_JOBS]:
+                job = entry.job
+                if at_us - job.ready_us >= self._settings.age_us and not job.probing:
+                    found.append(job)
+        found.sort(key=lambda job: (job.ready_us - job.level * LEVEL_US, job.serial))
+        return found[:MOST_JOBS]
+
+    def _choose(
+        self,
+        at_us: int,
+        usable: Callable[[Machine], bool],
+        claims: Iterable[tuple[str, str]],
+    ) -> Holds:
+        holds = Holds()
+        waiting = self._waiting(at_us)
+        claimed: dict[str, str] = {}
+        for name, job_id in claims:
+            job = self._cluster.jobs.get(job_id)
+            if job is not None and job.waiting > 0 and self.wide(job):
+                claimed.setdefault(name, job_id)
+        if not waiting and not claimed:
+            return holds
+        choice = _Choice(self, holds, at_us, usable, claimed)
+        for job in waiting:
+            choice.hold_for(job)
+        return holds
+
+    def soon_us(self, machine: Machine, job: Job, at_us: int) -> int | None:
+        """Estimate when a machine has room for a task of the job; None: not by itself."""
+        if machine.booting:
+            return max(at_us, machine.hired_us + seconds_us(machine.type.boot_s))
+        known = self._soon.setdefault(machine.name, {})
+        key = Shape.of(job), job.level
+        if key not in known:
+            known[key] = room_us(machine, job, self._estimates, at_us)
+        found = known[key]
+        return None if found is None else max(at_us, found)
+
+
+def room_us(machine: Machine, job: Job, estimates: Estimates, at_us: int) -> int | None:
+    """Estimate when what runs on a machine leaves room for a task of the job; None: never.
+
+    Nothing else starts there. Work of a lower priority gives way at once.
+    """
+    spec = job.spec
+    cpus, gpus, memory_gb = machine.cpus, machine.gpus, machine.memory_gb
+    if how_many(spec, cpus, gpus, memory_gb):
+        return at_us
+    ends = [
+        (end_us, number, attempt)
+        for number, attempt in enumerate(machine.attempts.values())
+        if (end_us := _end_us(attempt, job, estimates, at_us)) is not None
+    ]
+    ends.sort(key=lambda end: end[:2])
+    for end_us, _, attempt in ends:
+        cpus += attempt.job.spec.cpus
+        gpus += attempt.job.spec.gpus
+        memory_gb += attempt.job.spec.memory_gb
+        if how_many(spec, cpus, gpus, memory_gb):
+            return end_us
+    return None
+
+
+def _end_us(attempt: Attempt, job: Job, estimates: Estimates, at_us: int) -> int | None:
+    """Estimate when an attempt leaves its machine to the job; None: it does not by itself."""
+    spec = attempt.job.spec
+    if attempt.stop is not Stop.NO or attempt.job.level < job.level:
+        return at_us + seconds_us(spec.save_s)
+    if spec.is_service:
+        return None
+    return at_us + estimates.remaining_us(attempt, at_us)
+
+
+class _Choice:
+    """One choice of all that is held."""
+
+    def __init__(
+        self,
+        holding: Holding,
+        holds: Holds,
+        at_us: int,
+        usable: Callable[[Machine], bool],
+        claimed: dict[str, str],
+    ) -> None:
+        self._holding = holding
+        self._holds = holds
+        self._at_us = at_us
+        self._usable = usable
+        self._before = holding.holds.machines
+        self._left = holding._settings.share * holding._cpus
+        self._given: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        self._emptying = 0
+        # What the preemptor frees for a wide job is kept for it, whatever the share: else the
+        # pieces are given away one by one while the last of them is still being freed.
+        for name, job_id in claimed.items():
+            holds.machines[name] = job_id
+            self._count(holding._cluster.machines.get(name))
+
+    def _count(self, machine: Machine | None) -> None:
+        if machine is not None:
+            self._left -= machine.type.cpus
+            self._emptying += 1
+
+    def hold_for(self, job: Job) -> None:
+        """Hold as many machines as the job's tasks need, and its limit and the share allow."""
+        cluster, spec = self._holding._cluster, job.spec
+        if job.waiting <= 0 or job.finishing:
+            # It has changed since it was put in its place.
+            return
+        given = self._given[job.team]
+        allowed = min(job.waiting, cluster.within_limit(job, given[0], given[1]))
+        if allowed <= 0:
+            self._hold_limit(job)
+            return
+        zones: dict[str, int] = defaultdict(int)
+        for name, holder in self._holds.machines.items():
+            if holder == job.id and (machine := cluster.machines.get(name)) is not None:
+                fits = self._fitting(machine, job)
+                allowed -= fits
+                zones[machine.zone] += fits
+        while allowed > 0:
+            machine = self._best(job, zones)
+            if machine is None:
+                return
+            self._holds.machines[machine.name] = job.id
+            if self._is_emptied(machine, job):
+                self._count(machine)
+            count = min(allowed, self._fitting(machine, job))
+            allowed -= count
+            zones[machine.zone] += count
+            given[0] += spec.cpus * count
+            given[1] += spec.gpus * count
+            cpus, gpus = self._holds.limits.get(job.team, (0.0, 0.0))
+            self._holds.limits[job.team] = cpus + spec.cpus * count, gpus + spec.gpus * count
+
+    def _hold_limit(self, job: Job) -> None:
+        """Keep the limit of a job's team free for one task: it fills with small work otherwise.
+
+        Machines are held once it is free, and nothing of the kind for what cannot fall free.
+        """
+        if job.team in self._holds.limits or job.active:
+            return
+        cluster, spec = self._holding._cluster, job.spec
+        team = cluster.teams[job.team]
+        services = [
+            other
+            for other in cluster.holders.values()
+            if other.team == job.team and other.spec.is_service
+        ]
+        cpus = team.cpus_max - sum(len(other.active) * other.spec.cpus for other in services)
+        gpus = team.gpus_max - sum(len(other.active) * other.spec.gpus for other in services)
+        if how_many(spec, cpus, gpus):
+            self._holds.limits[job.team] = spec.cpus, spec.gpus
+
+    def _fitting(self, machine: Machine, job: Job) -> int:
+        kind = machine.type
+        return max(1, how_many(job.spec, kind.cpus, kind.gpus, kind.memory_gb))
+
+    def _is_emptied(self, machine: Machine, job: Job) -> bool:
+        """Whether holding a machine keeps room free that others would use.
+
+        Not where it is coming up, or is used by wide work already: the next takes its place.
+        """
+        if machine.booting or machine.fits(job):
+            return False
+        wide = sum(a.job.spec.cpus for a in machine.attempts.values() if self._holding.wide(a.job))
+        return wide < machine.type.cpus / 2
+
+    def _best(self, job: Job, zones: dict[str, int]) -> Machine | None:
+        """Return the machine that has room for a task of the job soonest."""
+        best: tuple[int, int, Machine] | None = None
+        for name, kind in self._holding._types.items():
+            if not kind.fits(job.spec):
+                continue
+            for machine in self._holding._by_type[name].values():
+                if machine.name in self._holds.machines or not self._may_hold(machine, job, zones):
+                    continue
+                soon_us = self._holding.soon_us(machine, job, self._at_us)
+                if soon_us is None or (best is not None and soon_us - KEEP_US > best[0]):
+                    continue
+                if machine.name in self._before:
+                    soon_us -= KEEP_US
+                rank = soon_us, machine.serial, machine
+                if best is None or rank[:2] < best[:2]:
+                    best = rank
+        return best[2] if best is not None else None
+
+    def _may_hold(self, machine: Machine, job: Job, zones: dict[str, int]) -> bool:
+        if machine.draining or machine.deleting or not machine.allows(job):
+            return False
+        if machine.name in job.failed_on or not (machine.booting or self._usable(machine)):
+            return False
+        zone = machine.zone
+        if job.spec.one_zone and any(n for z, n in zones.items() if z != zone):
+            return False
+        if job.room_in_zone(zone) - zones.get(zone, 0) <= 0:
+            return False
+        # One machine is always emptied, however small the share of a small fleet is.
+        enough = self._left + EPSILON >= machine.type.cpus or not self._emptying
+        return enough or not self._is_emptied(machine, job)
--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -8,7 +8,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heapreplace
 from itertools import islice
@@ -21,6 +21,7 @@
 from weldhead.planning.backlog import Backlog, Entry, Reserve, Shape, Unplaced
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
+from weldhead.planning.holding import Holds
 
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
 #: is rented at the ordinary price: those are to fall idle and be returned.
@@ -95,8 +96,12 @@
     between passes not before some appears (``FreeRooms``).
     """
 
-    def __init__(self, free: FreeRooms, at_us: int, silence_us: int) -> None:
+    def __init__(
+        self, free: FreeRooms, at_us: int, silence_us: int, held: Container[str] = ()
+    ) -> None:
         self._free = free
+        #: Machines that take only the work that they are held for.
+        self._held = held
         self._at_us = at_us
         self._silence_us = silence_us
         self._rooms: dict[str, Room] = {}
@@ -115,6 +120,8 @@
         for machine in self._free.candidates(shape, job.spec.cpus, job.spec.memory_gb):
             if not machine.allows(job) or not usable(machine, self._at_us, self._silence_us):
                 continue
+            if machine.name in self._held:
+                continue
             room = self._rooms.get(machine.name)
             if room is None:
                 room = self._rooms[machine.name] = Room(machine)
@@ -126,6 +133,17 @@
         return fitting
 
 
+class HeldRoom:
+    """A machine that is held, for the job that it is held for."""
+
+    def __init__(self, machine: Machine) -> None:
+        self._room = Room(machine)
+
+    def for_job(self, job: Job) -> list[Room]:
+        """Return the machine if it has room for the job's tasks."""
+        return [self._room] if self._room.fits(job) > 0 else []
+
+
 def usable(machine: Machine, at_us: int, silence_us: int) -> bool:
     """Whether new work may be placed on a machine."""
     return (
@@ -172,6 +190,8 @@
         self.cluster = cluster
         self.backlog = Backlog(cluster, estimates, goals, patience_us)
         self.free = FreeRooms(cluster.machines)
+        #: What is kept free for wide work; nothing unless somebody decides it.
+        self.holds = Holds()
 
     def refresh(self, at_us: int) -> None:
         """Take up what has changed, and what time has brought."""
@@ -240,8 +260,10 @@
     plan = Plan()
     if not scene.backlog.queues:
         return plan
-    rooms = Rooms(scene.free, at_us, silence_us)
+    rooms = Rooms(scene.free, at_us, silence_us, scene.holds.machines)
     run = _PlacementPass(scene, plan, rooms, fetch_weight, may_start)
+    if scene.holds.machines or scene.holds.limits:
+        run.give_held(scene, at_us, silence_us, may_start)
     # Two rounds: first what each team is guaranteed, then what it borrows.
     run.give(guaranteed=True)
     run.give(guaranteed=False)
@@ -278,6 +300,40 @@
         self._planned: dict[str, int] = defaultdict(int)
         self._zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
 
+    def give_held(
+        self,
+        scene: Scene,
+        at_us: int,
+        silence_us: int,
+        may_start: Callable[[Job], bool] | None,
+    ) -> None:
+        """Give held machines to those that they are held for, before anything else.
+
+        What is kept of their teams' limits is out of the others' reach.
+        """
+        kept = {team: list(limit) for team, limit in scene.holds.limits.items()}
+        for name, job_id in scene.holds.machines.items():
+            place, machine = scene.backlog.place_of(job_id), self._cluster.machines.get(name)
+            if place is None or machine is None or not usable(machine, at_us, silence_us):
+                continue
+            job = place[1].job
+            if not machine.allows(job) or (may_start is not None and not may_start(job)):
+                continue
+            reserve = self._reserves[job.team]
+            allowed = min(
+                job.waiting - self._planned[job.id], self._most(job, reserve, guaranteed=False)
+            )
+            if allowed <= 0:
+                continue
+            placed = self._place(job, allowed, reserve, HeldRoom(machine))
+            if job.team in kept:
+                kept[job.team][0] -= placed * job.spec.cpus
+                kept[job.team][1] -= placed * job.spec.gpus
+        for team, (cpus, gpus) in kept.items():
+            if team in self._reserves:
+                self._reserves[team].most_cpus -= max(0.0, cpus)
+                self._reserves[team].most_gpus -= max(0.0, gpus)
+
     def give(self, *, guaranteed: bool) -> None:
         """Go through the queues in one order, and leave those where no more is to be had."""
         if not guaranteed:
@@ -324,10 +380,12 @@
             most = min(most, how_many(job.spec, cpus, gpus))
         return most
 
-    def _place(self, job: Job, allowed: int, reserve: Reserve) -> int:
+    def _place(
+        self, job: Job, allowed: int, reserve: Reserve, rooms: Rooms | HeldRoom | None = None
+    ) -> int:
         placed = _place(
-            self._plan, job, allowed, self._rooms, self._planned[job.id], self._zones[job.id],
-            self._fetch_weight,
+            self._plan, job, allowed, rooms or self._rooms, self._planned[job.id],
+            self._zones[job.id], self._fetch_weight,
         )  # fmt: skip
         if placed:
             self._planned[job.id] += placed
@@ -340,7 +398,7 @@
     plan: Plan,
     job: Job,
     most: int,
-    rooms: Rooms,
+    rooms: Rooms | HeldRoom,
     skip: int,
     zones: dict[str, int],
     fetch_weight: float,
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -11,6 +11,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from weldhead.bookkeeping.cluster import Cluster
@@ -94,7 +95,10 @@
         at_us: int,
         settings: PreemptorSettings,
         free: FreeRooms,
+        held: Mapping[str, str] | None = None,
     ) -> None:
+        #: Machines that are held, and the job that each is held for.
+        self.held = held or {}
         self.cluster = cluster
         self.estimates = estimates
         self.at_us = at_us
@@ -244,6 +248,8 @@
         return [machine.name for machine in found]
 
     def _may_be_on(self, claimant: Job, machine: Machine) -> bool:
+        if self.held.get(machine.name, claimant.id) != claimant.id:
+            return False
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
 
     def choose(self, claimant: Job) -> Reclaim | None:
@@ -281,6 +287,22 @@
             claim.attempt = 0
         return None
 
+    def empty_held(self, claimant: Job, name: str) -> Reclaim | None:
+        """Choose what must go on a machine that is held for the claimant.
+
+        None: not yet, as what may not be stopped leaves too little; or nothing need be.
+        """
+        machine, room = self.cluster.machines.get(name), self.room(name)
+        if machine is None or room is None or not self._may_be_on(claimant, machine):
+            return None
+        if self._fits(room, claimant):
+            return None
+        guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
+        if not self.order or self.nobody_to_stop(claimant, guaranteed):
+            return None
+        victims = self._add_victims(claimant, [], machine, list(room), guaranteed)
+        return self._take(claimant, name, room, victims) if victims else None
+
     def _complete(
         self,
         claimant: Job,
@@ -295,10 +317,21 @@
         self._add(room, first.job, 1)
         if self._fits(room, claimant):
             return victims
+        return self._add_victims(claimant, victims, machine, room, guaranteed)
+
+    def _add_victims(
+        self,
+        claimant: Job,
+        victims: list[Attempt],
+        machine: Machine,
+        room: list[float],
+        guaranteed: bool,
+    ) -> list[Attempt]:
+        """Add tasks of a machine until what they leave is enough; nothing if it never is."""
         others = [
             attempt
             for attempt in machine.attempts.values()
-            if attempt is not first and self.may_stop(claimant, attempt, guaranteed)
+            if attempt not in victims and self.may_stop(claimant, attempt, guaranteed)
         ]
         others.sort(key=lambda a: (self._rank[a.job.id], victim_key(a, self.estimates, self.at_us)))
         for attempt in others:
@@ -334,6 +367,7 @@
     goals: Goals,
     most: int = 64,
     free: FreeRooms | None = None,
+    held: Mapping[str, str] | None = None,
 ) -> list[Reclaim]:
     """Return the new requests of one run; ``plan`` says who found no room."""
     walk = plan.unplaced.walk()
@@ -341,7 +375,11 @@
     try:
         following.refresh()
         return _reclaims(
-            _Pass(cluster, lists, estimates, at_us, settings, following), walk, lists, goals, most
+            _Pass(cluster, lists, estimates, at_us, settings, following, held),
+            walk,
+            lists,
+            goals,
+            most,
         )
     finally:
         if free is None:
@@ -357,6 +395,7 @@
     found nobody to stop, as then none behind it can or does.
     """
     reclaims: list[Reclaim] = []
+    held = _empty_held(run, lists, reclaims, most) if run.held else {}
     while (found := walk.next()) is not None:
         job, unplaced = found
         press = run.press(job, goals)
@@ -365,7 +404,7 @@
             # late already claims, and comes after what can be in time.
             walk.skip_to(Press.LATE)
             continue
-        for _ in range(max(0, unplaced - lists.count(job.id))):
+        for _ in range(max(0, unplaced - lists.count(job.id) - held.get(job.id, 0))):
             if len(reclaims) >= most:
                 return reclaims
             reclaim = run.choose(job)
@@ -379,6 +418,25 @@
     return reclaims
 
 
+def _empty_held(
+    run: _Pass, lists: ReclaimLists, reclaims: list[Reclaim], most: int
+) -> dict[str, int]:
+    """Empty held machines as far as the rules let; return by job how many are not asked for yet.
+
+    Their jobs wait for them, and ask for so much less elsewhere.
+    """
+    asked = {(entry.machine, entry.job_id) for entry in lists.entries()}
+    held: dict[str, int] = defaultdict(int)
+    for name, job_id in run.held.items():
+        job = run.cluster.jobs.get(job_id)
+        if job is None or job.waiting <= 0 or (name, job_id) in asked:
+            continue
+        held[job_id] += 1
+        if len(reclaims) < most and (reclaim := run.empty_held(job, name)) is not None:
+            reclaims.append(reclaim)
+    return held
+
+
 def stop_for(claimant: Job, victim: Job, goals: Goals) -> Stop:
     """Whether a victim may save first: not if the claimant's start cannot wait for that."""
     wait_us = goals.wait_us(claimant)
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -9,6 +9,7 @@
 from weldhead.boots.expect import Expected
 from weldhead.clock import MILLISECOND_US, SECOND_US
 from weldhead.planning.fleet import FleetSettings
+from weldhead.planning.holding import HoldingSettings
 from weldhead.planning.preemptor import PreemptorSettings
 from weldhead.recovery.asking import AskSettings
 from weldhead.recovery.pace import PaceSettings
@@ -86,6 +87,19 @@
         )
 
 
+@dataclass
+class HoldingTunables:
+    """Machines kept free for tasks that take most of one."""
+
+    age_us: int = 15 * SECOND_US
+    least: float = 0.5
+    share: float = 0.15
+
+    def settings(self) -> HoldingSettings:
+        """Return what one look needs."""
+        return HoldingSettings(self.age_us, self.least, self.share)
+
+
 @dataclass
 class RecoveryTunables:
     """The start of a term: how workers are asked, and how fast work is stopped for other work."""
@@ -124,4 +138,5 @@
     leadership: LeadershipTunables = field(default_factory=LeadershipTunables)
     preemptor: PreemptorTunables = field(default_factory=PreemptorTunables)
     fleet: FleetTunables = field(default_factory=FleetTunables)
+    holding: HoldingTunables = field(default_factory=HoldingTunables)
     recovery: RecoveryTunables = field(default_factory=RecoveryTunables)
