Holding: only when it is time to, and what ends before may still run there

A machine that has to be emptied is held no earlier than its job needs it, by one and a half times the estimates of what runs there; work that surely ends before may be placed there.

--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -60,11 +60,16 @@
         """Decide what is kept free for wide work; nothing while machines are unknown."""
         if self._holding is None or not self._term.ready:
             return
+        before = scene.holds
         scene.holds = self._holding.look(
             at_us,
             lambda machine: usable(machine, at_us, self._term.silence_us),
             ((entry.machine, entry.job_id) for entry in self.reclaims.entries()),
         )
+        if scene.holds is not before:
+            for name, job_id in scene.holds.machines.items():
+                if name not in before.machines:
+                    log.info("%s is held for %s", name, job_id)
 
     async def fill_scene(self) -> None:
         """Put all waiting jobs in order while workers are still being asked what they run."""
--- a/weldhead/planning/holding.py
+++ b/weldhead/planning/holding.py
@@ -35,6 +35,9 @@
 #: A level above another counts as so much more waiting.
 LEVEL_US = 30 * SECOND_US
 
+#: What runs on a machine is taken to take so many times as long as it is estimated.
+DRAIN_FACTOR = 1.5
+
 #: Of very many jobs that might hold machines only so many are looked at.
 MOST_JOBS = 500
 
@@ -43,8 +46,10 @@
 class HoldingSettings:
     """The operators' choices."""
 
-    #: How long a job waits before machines are emptied for it.
+    #: How long a job waits before machines are held for it.
     age_us: int
+    #: Within what time its tasks are to start: machines are emptied for it when it is time to.
+    within_us: int
     #: A task that takes this part of every machine that it may run on counts as wide.
     least: float
     #: At most this part of the fleet's CPUs is on machines that are being emptied; one always is.
@@ -57,6 +62,9 @@
 
     #: By machine: the job.
     machines: dict[str, str] = field(default_factory=dict)
+    #: By machine: what surely ends before then may still run there; and for which moment of
+    #: its job's that was said, as it only comes nearer until another task of it starts.
+    until_us: dict[str, tuple[int, int]] = field(default_factory=dict)
     #: By team: CPUs and GPUs of its limit that nobody else of the team gets.
     limits: dict[str, tuple[float, float]] = field(default_factory=dict)
 
@@ -162,6 +170,7 @@
         return self.holds
 
     def _replace(self, holds: Holds) -> None:
+        """Hold these instead; what is held no longer is room that may have appeared."""
         for name in self.holds.machines.keys() - holds.machines.keys():
             machine = self._cluster.machines.get(name)
             if machine is not None:
@@ -302,6 +311,7 @@
             if machine is None:
                 return
             self._holds.machines[machine.name] = job.id
+            self._set_until(machine, job)
             if self._is_emptied(machine, job):
                 self._count(machine)
             count = min(allowed, self._fitting(machine, job))
@@ -312,6 +322,16 @@
             cpus, gpus = self._holds.limits.get(job.team, (0.0, 0.0))
             self._holds.limits[job.team] = cpus + spec.cpus * count, gpus + spec.gpus * count
 
+    def _set_until(self, machine: Machine, job: Job) -> None:
+        """Say until when others may use the machine."""
+        until_us = self._holding.soon_us(machine, job, self._at_us) or self._at_us
+        earlier = self._holding.holds.until_us.get(machine.name)
+        if earlier is not None and self._before[machine.name] == job.id:
+            if earlier[1] == job.waiting:
+                # What runs over its estimate is no reason to put more there.
+                until_us = min(until_us, earlier[0])
+        self._holds.until_us[machine.name] = until_us, job.waiting
+
     def _hold_limit(self, job: Job) -> None:
         """Keep the limit of a job's team free for one task: it fills with small work otherwise.
 
@@ -357,6 +377,8 @@
                 soon_us = self._holding.soon_us(machine, job, self._at_us)
                 if soon_us is None or (best is not None and soon_us - KEEP_US > best[0]):
                     continue
+                if not self._is_time(machine, job, soon_us):
+                    continue
                 if machine.name in self._before:
                     soon_us -= KEEP_US
                 rank = soon_us, machine.serial, machine
@@ -364,6 +386,17 @@
                     best = rank
         return best[2] if best is not None else None
 
+    def _is_time(self, machine: Machine, job: Job, soon_us: int) -> bool:
+        """Whether a machine is to be held for the job now, if any is.
+
+        One that has to be emptied costs what could run there until then: not before the job
+        needs it. One that is held already is not filled again.
+        """
+        if machine.name in self._before or not self._is_emptied(machine, job):
+            return True
+        wanted_us = job.ready_us + self._holding._settings.within_us
+        return self._at_us + DRAIN_FACTOR * (soon_us - self._at_us) >= wanted_us
+
     def _may_hold(self, machine: Machine, job: Job, zones: dict[str, int]) -> bool:
         if machine.draining or machine.deleting or not machine.allows(job):
             return False
--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -8,7 +8,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heapreplace
 from itertools import islice
@@ -30,6 +30,10 @@
 DEAR_PENALTY = 8.0
 CLOSING_PENALTY = 60.0
 
+#: Work that ends before a held machine is wanted may still run there: its estimate counts so
+#: many times, as estimates are rough.
+FILL_FACTOR = 2
+
 
 @dataclass(frozen=True)
 class Start:
@@ -97,11 +101,18 @@
     """
 
     def __init__(
-        self, free: FreeRooms, at_us: int, silence_us: int, held: Container[str] = ()
+        self,
+        free: FreeRooms,
+        at_us: int,
+        silence_us: int,
+        holds: Holds | None = None,
+        estimates: Estimates | None = None,
     ) -> None:
         self._free = free
-        #: Machines that take only the work that they are held for.
-        self._held = held
+        #: Machines that are held for others' work, and until when that cannot begin there.
+        self._held = holds.machines if holds is not None else {}
+        self._until_us = holds.until_us if holds is not None else {}
+        self._estimates = estimates
         self._at_us = at_us
         self._silence_us = silence_us
         self._rooms: dict[str, Room] = {}
@@ -111,6 +122,24 @@
         """Whether it is known that no machine has room for the job's tasks."""
         return Shape.of(job) in self._hopeless
 
+    def room_of(self, machine: Machine) -> Room:
+        """Return what is left of a machine in this pass."""
+        room = self._rooms.get(machine.name)
+        if room is None:
+            room = self._rooms[machine.name] = Room(machine)
+        return room
+
+    def _may_fill(self, job: Job, room: Room) -> bool:
+        """Whether a task surely ends before a held machine can be used as it is to be."""
+        until_us, _ = self._until_us.get(room.machine.name, (0, 0))
+        if until_us <= self._at_us or self._estimates is None or job.spec.is_service:
+            return False
+        task_us = self._estimates.task_us(job)
+        # One of no estimate may run for ever.
+        return task_us > 0 and (
+            self._at_us + fetch_delay_us(job, room) + FILL_FACTOR * task_us <= until_us
+        )
+
     def for_job(self, job: Job) -> list[Room]:
         """Return the machines with room for the job's tasks."""
         shape = Shape.of(job)
@@ -120,11 +149,9 @@
         for machine in self._free.candidates(shape, job.spec.cpus, job.spec.memory_gb):
             if not machine.allows(job) or not usable(machine, self._at_us, self._silence_us):
                 continue
-            if machine.name in self._held:
+            room = self.room_of(machine)
+            if machine.name in self._held and not self._may_fill(job, room):
                 continue
-            room = self._rooms.get(machine.name)
-            if room is None:
-                room = self._rooms[machine.name] = Room(machine)
             if room.fits(job) > 0:
                 fitting.append(room)
         self._free.found(shape, bool(fitting))
@@ -136,8 +163,8 @@
 class HeldRoom:
     """A machine that is held, for the job that it is held for."""
 
-    def __init__(self, machine: Machine) -> None:
-        self._room = Room(machine)
+    def __init__(self, room: Room) -> None:
+        self._room = room
 
     def for_job(self, job: Job) -> list[Room]:
         """Return the machine if it has room for the job's tasks."""
@@ -188,6 +215,7 @@
         self, cluster: Cluster, estimates: Estimates, goals: Goals, patience_us: int
     ) -> None:
         self.cluster = cluster
+        self.estimates = estimates
         self.backlog = Backlog(cluster, estimates, goals, patience_us)
         self.free = FreeRooms(cluster.machines)
         #: What is kept free for wide work; nothing unless somebody decides it.
@@ -260,7 +288,7 @@
     plan = Plan()
     if not scene.backlog.queues:
         return plan
-    rooms = Rooms(scene.free, at_us, silence_us, scene.holds.machines)
+    rooms = Rooms(scene.free, at_us, silence_us, scene.holds, scene.estimates)
     run = _PlacementPass(scene, plan, rooms, fetch_weight, may_start)
     if scene.holds.machines or scene.holds.limits:
         run.give_held(scene, at_us, silence_us, may_start)
@@ -325,7 +353,7 @@
             )
             if allowed <= 0:
                 continue
-            placed = self._place(job, allowed, reserve, HeldRoom(machine))
+            placed = self._place(job, allowed, reserve, HeldRoom(self._rooms.room_of(machine)))
             if job.team in kept:
                 kept[job.team][0] -= placed * job.spec.cpus
                 kept[job.team][1] -= placed * job.spec.gpus
--- a/weldhead/tunables/defaults.py
+++ b/weldhead/tunables/defaults.py
@@ -92,12 +92,13 @@
     """Machines kept free for tasks that take most of one."""
 
     age_us: int = 15 * SECOND_US
+    within_us: int = 150 * SECOND_US
     least: float = 0.5
     share: float = 0.15
 
     def settings(self) -> HoldingSettings:
         """Return what one look needs."""
-        return HoldingSettings(self.age_us, self.least, self.share)
+        return HoldingSettings(self.age_us, self.within_us, self.least, self.share)
 
 
 @dataclass
