--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from weldhead.bookkeeping.jobs import Attempt, Stop
 from weldhead.bookkeeping.machines import Machine
@@ -12,9 +12,10 @@
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
-from weldhead.planning.holding import Holding
+from weldhead.planning.holding import Ahead, Holding, Holds
 from weldhead.planning.placement import Plan, Scene, plan_pass, usable
 from weldhead.planning.preemptor import overdue, plan_reclaims, stop_for
+from weldhead.protocol.wire import MachineType
 from weldhead.recovery.pace import StopPace
 from weldhead.recovery.readiness import Partial
 
@@ -56,6 +57,12 @@
             )  # fmt: skip
         return self.scene
 
+    def ahead(self, coming: Iterable[tuple[MachineType, int]], up_us: int) -> Ahead:
+        """Return which wide tasks will find machines by a time."""
+        holds = self.scene.holds if self.scene is not None else Holds()
+        least = self._term.tunables.holding.least
+        return Ahead(self._term.cluster.machines.values(), coming, holds, least, up_us)
+
     def _hold(self, scene: Scene, at_us: int) -> None:
         """Decide what is kept free for wide work; nothing while machines are unknown."""
         if self._holding is None or not self._term.ready:
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -146,6 +146,9 @@
             len(self._deciding.scene.backlog) if self._deciding.scene is not None else 0,
             {machine.name for machine in silent},
             boots,
+            lambda up_us: self._deciding.ahead(
+                ((item.type, item.count) for item in self._rentals.coming()), up_us
+            ),
         )
         for offer, count in hires.items():
             self._rentals.hire(offer, count)
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -18,6 +18,7 @@
 from weldhead.planning.demand import Demand
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, slack_us
+from weldhead.planning.holding import Ahead
 from weldhead.planning.placement import Plan, usable
 from weldhead.protocol.wire import MachineType
 
@@ -249,6 +250,7 @@
     settings: FleetSettings,
     upcoming: Sequence[Upcoming] = (),
     backlog: int = 0,
+    ahead: Ahead | None = None,
 ) -> Missing:
     """Forecast what waits too long if nothing more is rented.
 
@@ -293,6 +295,8 @@
                 slow += together
             if never or start_us > bound_us:
                 late += together
+        if ahead is not None and (short := ahead.short(job, count)):
+            slow, late = max(slow, short), max(late, short)
         # Tasks that a new machine can run one after the other and still be in time.
         turns = max(1, (target_us - up_us) // max(1, task_us))
         if slow:
@@ -320,6 +324,7 @@
     backlog: int = 0,
     silent: Collection[str] = (),
     boots: Expectations | None = None,
+    ahead: Callable[[int], Ahead] | None = None,
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -358,6 +363,7 @@
         settings,
         upcoming,
         backlog,
+        ahead(at_us + boot_us) if ahead is not None else None,
     )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
--- a/weldhead/planning/holding.py
+++ b/weldhead/planning/holding.py
@@ -50,7 +50,7 @@
     age_us: int
     #: Within what time its tasks are to start: machines are emptied for it when it is time to.
     within_us: int
-    #: A task that takes this part of every machine that it may run on counts as wide.
+    #: A task that takes more than this part of every machine that it may run on is wide.
     least: float
     #: At most this part of the fleet's CPUs is on machines that are being emptied; one always is.
     share: float
@@ -84,7 +84,7 @@
 def is_wide(spec: JobSpec, types: Iterable[MachineType], least: float) -> bool:
     """Whether a task takes a large part of each of these machines that it may run on."""
     portions = [portion(spec, t) for t in types if t.fits(spec)]
-    return bool(portions) and min(portions) >= least
+    return bool(portions) and min(portions) > least + EPSILON
 
 
 class Holding:
@@ -225,6 +225,62 @@
         return None if found is None else max(at_us, found)
 
 
+class Ahead:
+    """Which wide tasks will find a machine by the time at which one rented now would be up.
+
+    A forecast that counts CPUs takes a hundred pieces on as many machines for room, and
+    nothing was ever rented for a task that needs them in one place.
+    """
+
+    def __init__(
+        self,
+        machines: Iterable[Machine],
+        coming: Iterable[tuple[MachineType, int]],
+        holds: Holds,
+        least: float,
+        up_us: int,
+    ) -> None:
+        self._least = least
+        self._types: dict[str, MachineType] = {}
+        #: What is left of each: of what is about to be up, and of what is held until then.
+        self._rooms: list[tuple[Machine | None, MachineType, list[float], str | None]] = []
+        for machine in machines:
+            if machine.deleting or machine.draining:
+                continue
+            self._types[machine.type.name] = machine.type
+            holder = holds.machines.get(machine.name)
+            until_us, _ = holds.until_us.get(machine.name, (0, 0))
+            if machine.booting or (holder is not None and until_us <= up_us):
+                self._rooms.append((machine, machine.type, _whole(machine.type), holder))
+        for kind, count in coming:
+            self._types[kind.name] = kind
+            self._rooms += [(None, kind, _whole(kind), None) for _ in range(count)]
+
+    def short(self, job: Job, count: int) -> int:
+        """Return how many of a job's waiting tasks none of them takes; 0 if they are not wide."""
+        spec = job.spec
+        portions = [portion(spec, t) for t in self._types.values() if t.fits(spec)]
+        if portions and min(portions) <= self._least + EPSILON:
+            return 0
+        for machine, kind, left, holder in self._rooms:
+            if count <= 0:
+                break
+            if holder not in (None, job.id) or not kind.fits(spec):
+                continue
+            if machine is not None and not machine.allows(job):
+                continue
+            taken = min(count, how_many(spec, *left))
+            left[0] -= spec.cpus * taken
+            left[1] -= spec.gpus * taken
+            left[2] -= spec.memory_gb * taken
+            count -= taken
+        return max(0, count)
+
+
+def _whole(kind: MachineType) -> list[float]:
+    return [kind.cpus, kind.gpus, kind.memory_gb]
+
+
 def room_us(machine: Machine, job: Job, estimates: Estimates, at_us: int) -> int | None:
     """Estimate when what runs on a machine leaves room for a task of the job; None: never.
 
