Holding: jobs of any width begin by their age

Where work that presses keeps arriving, what is late already never has its turn. For up to four jobs at once that waited for 150 s and never began, those of most tasks first, a machine is held until one task of it fits; that task is not stopped for higher priorities' sake in its first half minute (as a start that is stopped by then counts for nothing), a guarantee's apart.

--- a/weldhead/planning/holding.py
+++ b/weldhead/planning/holding.py
@@ -13,6 +13,7 @@
 soonest again: so nothing about it is kept in the store.
 """
 
+from bisect import bisect_left, insort
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -20,6 +21,7 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
+from weldhead.bookkeeping.timers import Timers
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.planning.backlog import Backlog, Shape
 from weldhead.planning.estimates import Estimates
@@ -38,6 +40,9 @@
 #: What runs on a machine is taken to take so many times as long as it is estimated.
 DRAIN_FACTOR = 1.5
 
+#: For so many jobs at once that have not begun a machine is held for their first task.
+MOST_FIRST = 4
+
 #: Of very many jobs that might hold machines only so many are looked at.
 MOST_JOBS = 500
 
@@ -87,6 +92,49 @@
     return bool(portions) and min(portions) > least + EPSILON
 
 
+class Unbegun:
+    """Jobs none of whose tasks has ever started, from a stated age on; follows the jobs.
+
+    Where work that presses keeps arriving, what is late already never has its turn: such a
+    job is to begin all the same, with one task. Those of most tasks come first.
+    """
+
+    def __init__(self, cluster: Cluster, age_us: int) -> None:
+        self._jobs = cluster.jobs
+        self._age_us = age_us
+        self._feed = cluster.jobs.feeds.subscribe()
+        self._ages = Timers()
+        #: Those that are of age, by their tasks.
+        self._aged: list[tuple[int, int, str]] = []
+        self._places: dict[str, tuple[int, int, str]] = {}
+        for job in cluster.jobs.values():
+            self._enter(job)
+
+    def close(self) -> None:
+        """Stop following the jobs."""
+        self._feed.close()
+
+    def _enter(self, job: Job) -> None:
+        place = self._places.pop(job.id, None)
+        if place is not None:
+            del self._aged[bisect_left(self._aged, place)]
+        self._ages.drop(job.id)
+        # One that began and was stopped has had its turn.
+        begun = job.active or job.done or job.last_machine
+        if self._jobs.get(job.id) is job and job.waiting > 0 and not begun:
+            self._ages.set(job.id, job.serial, job.ready_us + self._age_us)
+
+    def first(self, at_us: int, most: int) -> list[Job]:
+        """Return so many of those that are of age."""
+        for job in self._feed.take():
+            self._enter(job)
+        while (name := self._ages.pop(at_us)) is not None:
+            job = self._jobs[name]
+            self._places[name] = place = (-job.spec.tasks, job.serial, name)
+            insort(self._aged, place)
+        return [self._jobs[name] for _, _, name in self._aged[:most]]
+
+
 class Holding:
     """Chooses the machines that are held; follows the machines."""
 
@@ -101,6 +149,7 @@
         self._backlog = backlog
         self._estimates = estimates
         self._settings = settings
+        self._unbegun = Unbegun(cluster, settings.within_us)
         self._feed = cluster.machines.feeds.subscribe()
         self._types: dict[str, MachineType] = {}
         self._by_type: dict[str, dict[str, Machine]] = {}
@@ -117,6 +166,7 @@
     def close(self) -> None:
         """Stop following the machines, and hold none."""
         self._feed.close()
+        self._unbegun.close()
         self._replace(Holds())
 
     def _enter(self, machine: Machine) -> None:
@@ -206,11 +256,18 @@
             job = self._cluster.jobs.get(job_id)
             if job is not None and job.waiting > 0 and self.wide(job):
                 claimed.setdefault(name, job_id)
-        if not waiting and not claimed:
+        first = [
+            job
+            for job in self._unbegun.first(at_us, MOST_FIRST)
+            if self._backlog.place_of(job.id) is not None and not job.probing and not self.wide(job)
+        ]
+        if not waiting and not claimed and not first:
             return holds
         choice = _Choice(self, holds, at_us, usable, claimed)
         for job in waiting:
-            choice.hold_for(job)
+            choice.hold_for(job, job.waiting)
+        for job in first:
+            choice.hold_for(job, 1)
         return holds
 
     def soon_us(self, machine: Machine, job: Job, at_us: int) -> int | None:
@@ -345,14 +402,15 @@
             self._left -= machine.type.cpus
             self._emptying += 1
 
-    def hold_for(self, job: Job) -> None:
-        """Hold as many machines as the job's tasks need, and its limit and the share allow."""
+    def hold_for(self, job: Job, most: int) -> None:
+        """Hold machines for so many tasks of the job, as its limit and the share allow."""
         cluster, spec = self._holding._cluster, job.spec
-        if job.waiting <= 0 or job.finishing:
+        most = min(most, job.waiting)
+        if most <= 0 or job.finishing:
             # It has changed since it was put in its place.
             return
         given = self._given[job.team]
-        allowed = min(job.waiting, cluster.within_limit(job, given[0], given[1]))
+        allowed = min(most, cluster.within_limit(job, given[0], given[1]))
         if allowed <= 0:
             self._hold_limit(job)
             return
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -19,12 +19,17 @@
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.bookkeeping.rooms import FreeRooms
-from weldhead.clock import seconds_us
+from weldhead.clock import SECOND_US, seconds_us
 from weldhead.planning.backlog import Walk
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, Press
 from weldhead.planning.placement import Plan, usable
 
+#: The first task of a job that waited for so long is not stopped for higher priorities' sake
+#: (a guarantee's apart) before it has run for so long.
+WAITED_US = 120 * SECOND_US
+BEGUN_US = 32 * SECOND_US
+
 
 @dataclass(frozen=True)
 class PreemptorSettings:
@@ -66,6 +71,19 @@
     return (1, attempt.elapsed_us(at_us))
 
 
+def just_begun(attempt: Attempt, at_us: int) -> bool:
+    """Whether it is the first task of a job that waited for long, and has run for a moment.
+
+    Where work that presses keeps arriving, such a job begins by its age (``holding.py``). Were
+    its task stopped at once, that would have been for nothing.
+    """
+    job = attempt.job
+    if job.spec.tasks < 2 or job.done or len(job.active) > 1 or attempt.adopted:
+        return False
+    begun_us = attempt.running_us or at_us
+    return at_us - begun_us < BEGUN_US and begun_us - job.ready_us >= WAITED_US
+
+
 class _Claim:
     """How far the claimants of one kind have looked in this pass.
 
@@ -211,6 +229,7 @@
             victim.stop is Stop.NO
             and id(victim) not in self.taken
             and self.may_stop_of(claimant, victim.job, guaranteed)
+            and (guaranteed or not just_begun(victim, self.at_us))
         )
 
     def press(self, claimant: Job, goals: Goals) -> Press:
@@ -276,6 +295,8 @@
                     claim.attempt += 1
                     if attempt.stop is not Stop.NO or id(attempt) in self.taken:
                         continue
+                    if not guaranteed and just_begun(attempt, self.at_us):
+                        continue
                     machine = self.cluster.machines[attempt.machine]
                     room = self.room(attempt.machine)
                     if room is None or not self._may_be_on(claimant, machine):
