Documents: editions of calendars and gates that all controllers share

Calendars and gates need a versioned document that every controller has, that survives controllers and comes into force whole. weldhead/documents decides which edition wins and by which changes it is brought into force: documents are written first and never changed, the head that names them is one change, what is left of former editions is cleared afterwards. A job's record may carry what bound it, written on the condition of the marks by which that was decided. Without the option there is no key, no watch and no call. Format 4 in protocol/versions.py. Tested with leaders that end after any step.

--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,193 @@
+"""Documents: editions come into force whole, whoever fails in between."""
+
+import asyncio
+from typing import Any, cast
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import job_spec
+from tests.stand_ins import StandInState
+from tests.test_recovery import START, put_job
+from weldhead.bookkeeping.ledger import Ledger
+from weldhead.bookkeeping.records import Binding, Bound, JobRecord, job_key
+from weldhead.coordination.documents import Documents, Publisher
+from weldhead.documents.editions import Verdict, judge, leftovers, steps
+from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key, edition_of
+from weldhead.documents.shelf import Shelf
+from weldhead.documents.source import parse_source
+from weldhead.protocol.wire import Condition
+from weldhead.tomlfiles import FileProblem
+from weldhead.transport.state import StateClient
+
+SOURCE = """
+edition = 3
+
+[[calendar]]
+name = "morning"
+zone = "Europe/Zagreb"
+rule = "FREQ=WEEKLY;BYDAY=MO,TU,WE,TH,FR"
+first-day = 2026-01-01
+hour = "06:30"
+classes = ["balance"]
+
+[[gate]]
+name = "book"
+holds = ["cuts"]
+rebuild = { job-class = "rebuild" }
+approval = { job-class = "approve", team = "sales" }
+publication = { job-class = "publish" }
+"""
+
+
+def offers(number: int) -> st.SearchStrategy[Offer]:
+    names = st.sampled_from(["gate/a", "gate/b", "calendar/a", "calendar/b", "gate/c"])
+    bodies = st.integers(0, 9).map(lambda n: msgspec.Raw(b'{"n":%d}' % n))
+    return st.dictionaries(names, bodies, max_size=5).map(lambda found: Offer(number, found))
+
+
+def seen(shelf: Shelf) -> dict[str, bytes] | None:
+    """What a reader takes to be in force; None: a document of it is missing."""
+    head = shelf.head
+    found = {}
+    for name in head.documents if head is not None else ():
+        kept = shelf.kept(document_key(head.edition if head else 0, name), msgspec.Raw)
+        if kept is None:
+            return None
+        found[name] = bytes(kept.value)
+    return found
+
+
+@given(st.data())
+def test_an_edition_is_in_force_whole_or_not_at_all(data: Any) -> None:
+    # Leaders end after any step; the next one brings the same or another edition into force.
+    shelf, revision = Shelf(), 0
+    numbers = st.integers(1, 4)
+    last: dict[str, bytes] = {}
+    for _ in range(data.draw(st.integers(1, 5))):
+        offer = data.draw(numbers.flatmap(offers))
+        verdict = judge(shelf.head, offer, 1_000)
+        if verdict is not Verdict.TAKEN:
+            assert shelf.head is not None and shelf.head.edition >= offer.edition
+            continue
+        changes = steps(offer, shelf.documents(), data.draw(st.integers(1, 3)))
+        changes += [{key: None} for key in leftovers(shelf.head, shelf.documents())]
+        for step in changes[: data.draw(st.integers(0, len(changes)))]:
+            revision += 1
+            for key, value in step.items():
+                if value is None:
+                    shelf.drop(key, revision)
+                else:
+                    shelf.put(key, msgspec.json.encode(value), revision)
+            if HEAD_KEY in step:
+                last = {name: bytes(body) for name, body in offer.documents.items()}
+            assert seen(shelf) == last
+    # What the end has left behind is of no edition that is in force.
+    head = shelf.head
+    strays = leftovers(head, shelf.documents())
+    assert all(edition_of(key) != (head.edition if head else 0) for key in strays)
+
+
+def test_the_same_number_with_other_content_is_refused() -> None:
+    offer = Offer(4, {"gate/a": msgspec.Raw(b"1")})
+    head = HeadRecord(4, Offer(4, {"gate/a": msgspec.Raw(b"2")}).digest, ("gate/a",))
+    assert judge(head, offer, 100) is Verdict.CONTRADICTS
+    assert judge(HeadRecord(4, offer.digest), offer, 100) is Verdict.SAME
+    assert judge(HeadRecord(5, offer.digest), offer, 100) is Verdict.OLDER
+    assert judge(None, offer, 0) is Verdict.TOO_LARGE
+
+
+@given(st.permutations([("put", b"1", 3), ("put", b"2", 5), ("drop", b"", 7), ("put", b"3", 9)]))
+def test_a_copy_never_goes_back(order: list[tuple[str, bytes, int]]) -> None:
+    shelf = Shelf()
+    newest = 0
+    for what, body, mark in order:
+        before = shelf.mark("d/x")
+        if what == "put":
+            shelf.put("d/x", body, mark)
+        else:
+            shelf.drop("d/x", mark)
+        newest = max(newest, mark)
+        assert shelf.mark("d/x") in (0, before, mark) and shelf.mark("d/x") <= newest
+        assert not shelf.mark("d/x") or shelf.mark("d/x") >= before or what == "drop"
+
+
+@pytest.mark.parametrize(
+    ("change", "line", "word"),
+    [
+        (("edition = 3", "edition = 0"), 2, "from 1 on"),
+        (('hour = "06:30"', 'hour = "6:30"'), 9, "HH:MM"),
+        (('name = "book"', 'name = "Book!"'), 13, "letters"),
+        (('classes = ["balance"]', "classes = []"), 5, "binds no class"),
+        (('holds = ["cuts"]', 'holds = ["cuts"]\nhold = 1'), 15, "unknown"),
+        (('"rebuild" }', '"cuts" }'), 15, "would wait for it"),
+    ],
+)
+def test_errors_name_the_line(change: tuple[str, str], line: int, word: str) -> None:
+    with pytest.raises(FileProblem) as problem:
+        parse_source("days.toml", SOURCE.replace(*change), 8_000)
+    assert word in str(problem.value) and f"days.toml:{line}" in str(problem.value)
+
+
+def test_a_document_that_no_record_takes_is_refused_with_its_line() -> None:
+    with pytest.raises(FileProblem, match=r"days.toml:4: .*100 at most"):
+        parse_source("days.toml", SOURCE, 100)
+
+
+def publisher(state: StandInState, offer: Offer | None) -> tuple[Publisher, Ledger]:
+    token = state.put("leader", {"name": "n-0", "nonce": "x", "ttl_us": 3})
+    client = cast(StateClient, state)
+    ledger = Ledger(client, token)
+
+    async def nobody(kind: str, job_id: str, body: bytes) -> None:
+        return None
+
+    documents = Documents(client, offer, nobody)
+    return Publisher(documents, client, lambda: ledger, lambda: True), ledger
+
+
+def test_a_successor_goes_on_where_a_leader_ended() -> None:
+    async def play() -> None:
+        state = StandInState()
+        offer = parse_source("days.toml", SOURCE, 8_000)
+        first, ledger = publisher(state, offer)
+        await first.load()
+        # It ends after the first step of the edition, before the head.
+        running = asyncio.create_task(ledger.run())
+        await first.write(steps(offer, [], 1)[0])
+        running.cancel()
+        assert HEAD_KEY not in state.keys
+        second, ledger = publisher(state, offer)
+        await second.load()
+        assert len(second.shelf.documents()) == 1 and second.shelf.head is None
+        tasks = [asyncio.create_task(ledger.run()), asyncio.create_task(second.publish())]
+        for _ in range(200):
+            await asyncio.sleep(0)
+        for task in tasks:
+            task.cancel()
+        head = second.shelf.kept(HEAD_KEY, HeadRecord)
+        assert head is not None and head.value.edition == 3
+        assert seen(second.shelf) == {n: bytes(b) for n, b in offer.documents.items()}
+        # Another one reads the same, and takes no older edition.
+        third, _ = publisher(state, None)
+        await third.load()
+        assert seen(third.shelf) == seen(second.shelf)
+        older = msgspec.json.encode(Offer(2, {}))
+        assert third.take(older).body == b'"older"'
+
+    asyncio.run(play())
+
+
+def test_what_bound_a_job_is_loaded_with_it() -> None:
+    state = StandInState()
+    bound = Bound("morning", 3, START + 5)
+    put_job(state, job_spec(1), bound=bound)
+    record = msgspec.json.decode(
+        msgspec.json.encode(state.keys[job_key(job_spec(1).id)][0]), type=JobRecord
+    )
+    assert record.bound == bound
+    earlier = Binding(Bound("noon", 3, START), conditions=(Condition("d/a", 1),))
+    both = Binding(bound, conditions=(Condition("d/b", 2),)).joined(earlier)
+    assert both.bound == earlier.bound and len(both.conditions) == 2
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -13,6 +13,7 @@
 from tests.stand_ins import StandInState
 from tests.test_validation import GOOD
 from weldhead.bookkeeping.records import FinalRecord, final_key, job_key
+from weldhead.coordination.documents import Documents
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.protocol.settings import Team
@@ -30,6 +31,7 @@
     def __init__(self) -> None:
         self.leader: Leader | None = None
         self.all_know_chains = True
+        self.documents: Documents | None = None
         self.catalog: list[MachineType] = [machine_type()]
 
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
@@ -40,7 +42,7 @@
     ) -> Response | None:
         return None
 
-    def peers_know_chains(self) -> bool:
+    def peers_know(self, least_format: int) -> bool:
         return self.all_know_chains
 
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -30,7 +30,7 @@
 from weldhead.coordination.node import Node
 from weldhead.protocol import peer
 from weldhead.protocol.settings import parse_settings
-from weldhead.protocol.versions import FORMAT
+from weldhead.protocol.versions import CHAINS_FORMAT, FORMAT
 from weldhead.protocol.wire import JobSpec
 from weldhead.tunables.defaults import Tunables
 
@@ -238,15 +238,15 @@
         asyncio.run(node.ask_served_peer("submit", "run-1", b"", chained=chained))
         return list(sent)
 
-    assert (link.format, node.peers_know_chains()) == (0, True)
+    assert (link.format, node.peers_know(CHAINS_FORMAT)) == (0, True)
     assert (ask(chained=True), ask(chained=False)) == ([], ["submit"])
     link.format = 1
-    assert not node.peers_know_chains()
+    assert not node.peers_know(CHAINS_FORMAT)
     assert (ask(chained=True), ask(chained=False)) == ([], ["submit"])
     link.format = 2
-    assert node.peers_know_chains()
+    assert node.peers_know(CHAINS_FORMAT)
     link.format = FORMAT
-    assert node.peers_know_chains()
+    assert node.peers_know(CHAINS_FORMAT)
     assert (ask(chained=True), ask(chained=False)) == (["submit"], ["submit"])
 
 
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -4,7 +4,7 @@
 from collections import Counter, deque
 
 from weldhead.bookkeeping.feeds import Feeds, Noted
-from weldhead.bookkeeping.records import CHUNK_TASKS
+from weldhead.bookkeeping.records import CHUNK_TASKS, Bound, Hold
 from weldhead.protocol.wire import JobSpec
 
 
@@ -115,6 +115,7 @@
         "_stranded",
         "active",
         "blockers",
+        "bound",
         "broken",
         "committed",
         "dirty",
@@ -124,6 +125,7 @@
         "feeds",
         "forecast_at_us",
         "forecast_us",
+        "hold",
         "id",
         "last_machine",
         "late",
@@ -163,6 +165,9 @@
         self.version = version
         #: When its last needed job was done: users' times but the deadline count from then.
         self._ready_us = at_us
+        #: What documents said of it when it was accepted.
+        self.bound: Bound | None = None
+        self.hold: Hold | None = None
         #: Needed jobs that are not known to be committed as done.
         self.blockers: set[str] = set()
         #: Its priority, or that of a job that needs it; and by when it has to be done for
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -8,6 +8,7 @@
 p/ID/N    the completed tasks of a job, N-th chunk of a bitmap
 f/ID      FinalRecord: how a job ended, kept for good
 h/NAME    HireRecord: a rental that may have been asked for, and its machines
+d/...     documents, see ``documents/records.py``
 ========  =========================================================================
 
 Only the leader writes anything but ``leader`` and new ``j/`` keys, and each of its
@@ -19,7 +20,7 @@
 
 import msgspec
 
-from weldhead.protocol.wire import JobSpec
+from weldhead.protocol.wire import Condition, JobSpec
 
 LEADER_KEY = "leader"
 JOBS = "j/"
@@ -45,12 +46,49 @@
     ttl_us: int
 
 
+class Bound(msgspec.Struct, omit_defaults=True, frozen=True):
+    """The instant that a calendar binds a job to (time of day, UTC)."""
+
+    calendar: str
+    edition: int
+    due_us: int
+
+
+class Hold(msgspec.Struct, omit_defaults=True, frozen=True):
+    """The gate that holds a job, and the edition of what it waits for."""
+
+    gate: str
+    edition: int
+
+
+class Binding(msgspec.Struct, frozen=True):
+    """What documents say of a job at its acceptance, and on which marks that rests."""
+
+    bound: Bound | None = None
+    hold: Hold | None = None
+    conditions: tuple[Condition, ...] = ()
+
+    def joined(self, other: "Binding") -> "Binding":
+        """Return both; of two instants the earlier binds."""
+        bounds = [bound for bound in (self.bound, other.bound) if bound is not None]
+        return Binding(
+            min(bounds, key=lambda bound: bound.due_us, default=None),
+            self.hold or other.hold,
+            (*self.conditions, *other.conditions),
+        )
+
+
 class JobRecord(msgspec.Struct, omit_defaults=True):
-    """A job that is not over."""
+    """A job that is not over.
+
+    The last two fields came with documents (see ``protocol/versions.py``).
+    """
 
     spec: JobSpec
     submitted_us: int
     cancelled: bool = False
+    bound: Bound | None = None
+    hold: Hold | None = None
 
 
 class FinalRecord(msgspec.Struct, omit_defaults=True):
--- a/weldhead/cli/serve.py
+++ b/weldhead/cli/serve.py
@@ -18,7 +18,14 @@
     envvar="WELDHEAD_TUNABLES",
     help="Operators' own settings; see docs/operations.md.",
 )
-def serve(config: Path, tunables_file: Path | None) -> None:
+@click.option(
+    "--documents",
+    "documents_file",
+    type=click.Path(path_type=Path),
+    envvar="WELDHEAD_DOCUMENTS",
+    help="Calendars and gates that all controllers share; see docs/operations.md.",
+)
+def serve(config: Path, tunables_file: Path | None, documents_file: Path | None) -> None:
     """Run a controller with the platform's settings file."""
     configure_logging()
     import uvloop
@@ -41,10 +48,20 @@
         except LanguageError as error:
             raise click.ClickException(f"{tunables_file}:\n{error}") from error
 
+    offer = None
+    if documents_file is not None:
+        from weldhead.documents.source import read_source
+        from weldhead.tomlfiles import FileProblem
+
+        try:
+            offer = read_source(documents_file, settings.facts.state.tightest().value_bytes)
+        except FileProblem as error:
+            raise click.ClickException(str(error)) from error
+
     async def run() -> None:
         # What was loaded so far lives for ever; the collector need not look at it again.
         gc.freeze()
-        await Node(settings, tunables).run()
+        await Node(settings, tunables, offer=offer).run()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run())
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -10,6 +10,7 @@
 
 from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
+from weldhead.coordination.documents import Documents
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import (
     Authority,
@@ -69,8 +70,15 @@
         #: Peers that have said, in this process's life, that they are in no term.
         self._in_no_term: set[str] = set()
 
-    def open(self, state: StateClient, cloud: CloudClient, worker_http: HttpClient) -> None:
+    def open(
+        self,
+        state: StateClient,
+        cloud: CloudClient,
+        worker_http: HttpClient,
+        documents: Documents | None = None,
+    ) -> None:
         """Use these from now on."""
+        self._documents = documents
         self._state = state
         self._cloud = cloud
         self._worker_http = worker_http
@@ -271,7 +279,7 @@
             self.settings, self.tunables, self.authority, self._state, self._cloud,
             self._worker_http, self.catalog, over_us, self.step_down,
         )  # fmt: skip
-        self.leader = Leader(term)
+        self.leader = Leader(term, self._documents)
         self.leader.start()
         self._duties.once("lease renewal", self._renew(self.leader))
 
--- /dev/null
+++ b/weldhead/coordination/documents.py
@@ -0,0 +1,218 @@
+"""Documents: every controller follows them, and the leader brings editions into force."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from weldhead.bookkeeping.ledger import Deposed, Ledger
+from weldhead.bookkeeping.records import Binding
+from weldhead.clock import SECOND_US, now_us
+from weldhead.documents.editions import Verdict, judge, leftovers, steps
+from weldhead.documents.records import HEAD_KEY, PREFIX, Offer
+from weldhead.documents.shelf import Shelf
+from weldhead.protocol.wire import JobSpec
+from weldhead.transport.http import CallFailed
+from weldhead.transport.server import Response, refusal
+from weldhead.transport.state import Compacted, Rejected, StateClient
+
+log = logging.getLogger(__name__)
+
+#: Between two looks whether the edition that this controller brings is in force.
+OFFER_PAUSE_S = 2.0
+
+_encode = msgspec.json.Encoder().encode
+_offer_decoder = msgspec.json.Decoder(Offer)
+
+
+class Unready(Exception):
+    """What decides is not in memory yet; ask again later."""
+
+
+class Binder(Protocol):
+    """What a job is bound to when it is accepted; ``wall_us`` is the time of day."""
+
+    def __call__(self, spec: JobSpec, wall_us: int) -> Binding:
+        """Return it with the conditions on which it holds; Unready if that cannot be told."""
+
+
+class Documents:
+    """One controller's copy of the documents, and the edition that it brings itself.
+
+    ``ask_leader`` has the leader take an edition up; None where it cannot be reached.
+    """
+
+    def __init__(
+        self,
+        state: StateClient,
+        offer: Offer | None,
+        ask_leader: Callable[[str, str, bytes], Awaitable[Response | None]],
+    ) -> None:
+        self._state = state
+        self._ask_leader = ask_leader
+        self._said: tuple[Verdict, int] | None = None
+        self.offer = offer
+        self.shelf = Shelf()
+        #: What binds jobs at acceptance: the packages that use documents add theirs.
+        self.binders: list[Binder] = []
+
+    def bind(self, spec: JobSpec, wall_us: int) -> Binding:
+        """Return all that a job is bound to by what is in memory; Unready if nothing is."""
+        if not self.shelf.loaded:
+            raise Unready
+        bound = Binding()
+        for binder in self.binders:
+            bound = bound.joined(binder(spec, wall_us))
+        return bound
+
+    async def follow(self) -> None:
+        """Keep the copy; a duty."""
+        revision = await self._read()
+        while True:
+            sent_us = now_us()
+            try:
+                changes = await self._state.watch(PREFIX, revision, 10 * SECOND_US)
+            except Compacted:
+                revision = await self._read()
+                continue
+            for event in changes.events:
+                if event.put is not None:
+                    self.shelf.put(event.put, bytes(event.value), event.version)
+                elif event.delete is not None:
+                    self.shelf.drop(event.delete, event.version)
+            self.shelf.as_of_us = max(self.shelf.as_of_us, sent_us)
+            revision = max(revision, changes.revision)
+
+    async def _read(self) -> int:
+        sent_us, revision = now_us(), 0
+        entries: dict[str, tuple[bytes, int]] = {}
+        async for page, revision in self._state.pages(PREFIX):  # noqa: B007
+            entries.update((e.key, (bytes(e.value), e.version)) for e in page)
+        self.shelf.replace(entries, revision)
+        self.shelf.as_of_us = max(self.shelf.as_of_us, sent_us)
+        return revision
+
+    async def bring(self) -> None:
+        """Have the leader take up the edition that this controller brings; a duty."""
+        while True:
+            await asyncio.sleep(OFFER_PAUSE_S)
+            if self.offer is None or not self.shelf.loaded:
+                continue
+            verdict = judge(self.shelf.head, self.offer, self._state.limits.value_bytes)
+            self._say(verdict, self.offer)
+            if verdict is Verdict.TAKEN:
+                await self._ask_leader("documents", "", _encode(self.offer))
+
+    def _say(self, verdict: Verdict, offer: Offer) -> None:
+        """Log what becomes of this controller's edition, when that changes."""
+        head = self.shelf.head
+        said = verdict, head.edition if head is not None else 0
+        if self._said == said:
+            return
+        self._said = said
+        match verdict:
+            case Verdict.SAME:
+                log.info("documents: edition %d is in force", offer.edition)
+            case Verdict.OLDER if head is not None:
+                log.warning("documents: edition %d is ignored: %d is in force", offer.edition,
+                    head.edition)  # fmt: skip
+            case Verdict.CONTRADICTS if head is not None:
+                log.error(
+                    "documents: edition %d is refused: its content is %s, and %s is in force",
+                    offer.edition, offer.digest, head.digest,
+                )  # fmt: skip
+            case Verdict.TOO_LARGE:
+                log.error("documents: edition %d has a document that no record takes",
+                    offer.edition)  # fmt: skip
+
+
+class Publisher:
+    """A term's part: it brings editions into force, on the condition of its token.
+
+    ``load`` reads what is recorded once the token is won. From then on nobody else changes it,
+    so what this term has in memory is what the store has, however late the watch is.
+    """
+
+    def __init__(
+        self,
+        documents: Documents,
+        state: StateClient,
+        ledger: Callable[[], Ledger],
+        valid: Callable[[], bool],
+    ) -> None:
+        self._documents = documents
+        self._state = state
+        self._ledger = ledger
+        self._valid = valid
+        self._offers: asyncio.Queue[Offer] = asyncio.Queue()
+        self.shelf = Shelf()
+        self.loaded = False
+
+    async def load(self) -> None:
+        """Read the documents after the token was won; CallFailed if that is not possible."""
+        entries: dict[str, tuple[bytes, int]] = {}
+        revision = 0
+        async for page, revision in self._state.pages(PREFIX):  # noqa: B007
+            entries.update((e.key, (bytes(e.value), e.version)) for e in page)
+        for key, (_, version) in entries.items():
+            self._ledger().learn(key, version)
+        self.shelf.replace(entries, revision)
+        self.shelf.as_of_us = now_us()
+        self.loaded = True
+
+    async def write(self, changes: dict[str, Any], *, urgent: bool = False) -> None:
+        """Commit changes of documents' keys; they are in memory when this returns.
+
+        Deposed if this leads no more, Rejected if the store never takes them.
+        """
+        encoded = {k: None if v is None else msgspec.Raw(_encode(v)) for k, v in changes.items()}
+        revision = await self._ledger().write(encoded, urgent=urgent)
+        for key, body in encoded.items():
+            if body is None:
+                self.shelf.drop(key, revision)
+            else:
+                self.shelf.put(key, bytes(body), revision)
+        self.shelf.as_of_us = now_us()
+
+    def take(self, body: bytes) -> Response:
+        """Answer another controller that brings an edition."""
+        try:
+            offer = _offer_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return refusal(400, str(error))
+        if not self.loaded or not self._valid():
+            return refusal(503, "not now", retry_after_s=1)
+        verdict = judge(self.shelf.head, offer, self._state.limits.value_bytes)
+        if verdict is Verdict.TAKEN:
+            self._offers.put_nowait(offer)
+        return Response(200, _encode(verdict.value))
+
+    async def publish(self) -> None:
+        """Bring editions into force, one after the other; a duty."""
+        if self._documents.offer is not None:
+            self._offers.put_nowait(self._documents.offer)
+        while True:
+            offer = await self._offers.get()
+            head = self.shelf.head
+            if judge(head, offer, self._state.limits.value_bytes) is not Verdict.TAKEN:
+                continue
+            try:
+                await self._publish(offer)
+            except (Deposed, Rejected, CallFailed) as error:
+                log.info("documents: edition %d not brought into force: %s", offer.edition, error)
+                continue
+            log.info(
+                "documents: edition %d (%s) is in force, %d documents; before it %s",
+                offer.edition, offer.digest, len(offer.documents),
+                "there was none" if head is None else f"{head.edition}",
+            )  # fmt: skip
+
+    async def _publish(self, offer: Offer) -> None:
+        most = self._state.max_writes
+        for changes in steps(offer, self.shelf.documents(), most):
+            await self.write(changes, urgent=HEAD_KEY in changes)
+        old = leftovers(self.shelf.head, self.shelf.documents())
+        for start in range(0, len(old), most):
+            await self.write(dict.fromkeys(old[start : start + most]))
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -13,12 +13,14 @@
 
 from weldhead.admission.shares import Shares
 from weldhead.bookkeeping.records import (
+    Binding,
     FinalRecord,
     JobRecord,
     final_key,
     job_key,
 )
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, wall_us
+from weldhead.coordination.documents import Documents, Unready
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.protocol.settings import Team
 from weldhead.protocol.validation import (
@@ -29,6 +31,7 @@
     parse_submission,
     refuse_need,
 )
+from weldhead.protocol.versions import CHAINS_FORMAT, DOCUMENTS_FORMAT
 from weldhead.protocol.wire import Condition, JobSpec, JobStatus, MachineType, Put
 from weldhead.transport.budget import Budget
 from weldhead.transport.http import CallFailed
@@ -62,6 +65,10 @@
     def catalog(self) -> list[MachineType]:
         """The machine types, as far as they are known."""
 
+    @property
+    def documents(self) -> Documents | None:
+        """The calendars and gates; None: this node is given none."""
+
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
         """Have the leader answer; None if it cannot be reached."""
 
@@ -70,8 +77,8 @@
     ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
 
-    def peers_know_chains(self) -> bool:
-        """Whether no peer is known to run a version that would start jobs that wait."""
+    def peers_know(self, least_format: int) -> bool:
+        """Whether no peer is known to run a version of an earlier format."""
 
 
 class FrontDesk:
@@ -124,13 +131,13 @@
 
     async def _accept(self, spec: JobSpec) -> Response:
         """Judge a job by what the store says, and create it."""
-        record = JobRecord(spec, wall_us())
+        record, binding = self._bound(spec, wall_us())
         try:
             check_feasible(spec, self._teams, self._node.catalog)
             size = len(_encode(record))
             check_size(spec, size, self._state.limits.value_bytes)
             await self._check_needs(spec)
-            return await self._create(record, size)
+            return await self._create(record, size, binding.conditions)
         except Refusal as error:
             # An accepted job stays accepted, whatever has changed since.
             stored = await self._from_store(spec.id)
@@ -138,6 +145,19 @@
                 return Response(200, _encode(stored))
             return refusal(error.status, error.reason, error.field)
 
+    def _bound(self, spec: JobSpec, at_us: int) -> tuple[JobRecord, Binding]:
+        """Return a job's record with what calendars and gates say; CallFailed if unknown."""
+        documents = self._node.documents
+        if documents is None:
+            return JobRecord(spec, at_us), Binding()
+        try:
+            binding = documents.bind(spec, at_us)
+        except Unready:
+            raise CallFailed("calendars and gates are not known yet") from None
+        if binding.hold is not None and not self._node.peers_know(DOCUMENTS_FORMAT):
+            raise CallFailed("a peer's version would start a job that a gate holds")
+        return JobRecord(spec, at_us, bound=binding.bound, hold=binding.hold), binding
+
     async def _check_needs(self, spec: JobSpec) -> None:
         """Refusal(422) if a job is named that cannot be waited for.
 
@@ -148,7 +168,7 @@
             return
         if spec.id in spec.needs:
             raise refuse_need(spec.id, "cannot wait for itself")
-        if not self._node.peers_know_chains():
+        if not self._node.peers_know(CHAINS_FORMAT):
             raise CallFailed("a peer's version does not know job chains yet")
         found = await asyncio.gather(*(self._is_service(name) for name in spec.needs))
         for name, service in zip(spec.needs, found, strict=True):
@@ -168,9 +188,13 @@
             return stored.spec.is_service
         return stored.service if stored is not None else None
 
-    async def _create(self, record: JobRecord, size: int) -> Response:
+    async def _create(
+        self, record: JobRecord, size: int, bound_by: tuple[Condition, ...]
+    ) -> Response:
         spec = record.spec
         conditions = [Condition(job_key(spec.id), 0), Condition(final_key(spec.id), 0)]
+        # What bound it must be so still, or it was bound by an edition that is over.
+        conditions += bound_by
         try:
             version = await self._state.transact(
                 conditions, [Put(job_key(spec.id), record)], timeout_us=1_000_000,
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -17,6 +17,7 @@
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.documents import Documents, Publisher
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.lookahead import LookAhead
 from weldhead.coordination.pacing import Pacer
@@ -44,8 +45,14 @@
 class Leader:
     """One term of leadership."""
 
-    def __init__(self, term: Term) -> None:
+    def __init__(self, term: Term, documents: Documents | None = None) -> None:
         self.term = term
+        #: The term's part in calendars and gates; None: this node is given none.
+        self.publisher: Publisher | None = None
+        if documents is not None:
+            self.publisher = Publisher(
+                documents, term.state, lambda: term.ledger, lambda: term.valid
+            )
         self.token = term.token
         self._duties = term.duties
         self._dispatcher = Dispatcher(term, self._answered)
@@ -58,7 +65,7 @@
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
         self.recovery = Recovery(
             term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
-            self.pacer, self._apply_early,
+            self.pacer, self._apply_early, self.publisher,
         )  # fmt: skip
         self.deciding.partial = self.recovery.partial
         self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
@@ -122,6 +129,8 @@
         duties.start("needed jobs", self.linking.learn_needs, 0.2)
         duties.start("forecasts", self.look_ahead.forecast)
         duties.start("loop watch", self.pacer.watch)
+        if self.publisher is not None:
+            duties.start("documents", self.publisher.publish)
         self.completions.start()
         self.rentals.start()
         term.flush.set()
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -9,9 +9,11 @@
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
 from weldhead.coordination.campaign import Campaign
+from weldhead.coordination.documents import Documents
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.relays import Relays
+from weldhead.documents.records import Offer
 from weldhead.protocol.peer import (
     Answer,
     Ask,
@@ -62,6 +64,7 @@
         client: Callable[..., HttpClient] = HttpClient,
         server: Callable[[Handler], Listening] = HttpServer,
         started_us: int = PROCESS_STARTED_US,
+        offer: Offer | None = None,
     ) -> None:
         self.settings = settings
         self.tunables = tunables
@@ -70,6 +73,8 @@
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._relays = Relays()
+        self._offer = offer
+        self.documents: Documents | None = None
         self.campaign = Campaign(settings, tunables, self._links, self._duties, started_us)
 
     @property
@@ -95,7 +100,11 @@
         self._cloud = CloudClient(
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
-        self.campaign.open(self._state, self._cloud, self._worker_http)
+        if self._offer is not None:
+            self.documents = Documents(self._state, self._offer, self.ask_leader)
+            self._duties.start("documents", self.documents.follow)
+            self._duties.start("edition", self.documents.bring)
+        self.campaign.open(self._state, self._cloud, self._worker_http, self.documents)
         self._desk = FrontDesk(self, self._state, self.settings.facts.teams, 1 + len(self._links))
         server = self._serve(self._handle)
         peer_server = PeerServer(self._peer_request, self._duties, set(self._links))
@@ -178,6 +187,8 @@
                 return await self._desk.cancel(ask.job_id, forwarded=True)
             case "report":
                 return await self._report(ask.body, relayed=True)
+            case "documents" if self.leader is not None and self.leader.publisher is not None:
+                return self.leader.publisher.take(ask.body)
             case _:
                 return refusal(503, "unknown kind", retry_after_s=1)
 
@@ -201,9 +212,9 @@
         link = self._served_peer(now_us(), CHAINS_FORMAT if chained else 0)
         return await self._forward(link, kind, job_id, body) if link is not None else None
 
-    def peers_know_chains(self) -> bool:
-        """Whether no peer is known to run a version that would start jobs that wait."""
-        return all(not 0 < link.format < CHAINS_FORMAT for link in self._links.values())
+    def peers_know(self, least_format: int) -> bool:
+        """Whether no peer is known to run a version of an earlier format."""
+        return all(not 0 < link.format < least_format for link in self._links.values())
 
     def _served_peer(self, at_us: int, least_format: int = 0) -> PeerLink | None:
         """Return a live peer of that format or a later one that the state service serves."""
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -24,6 +24,7 @@
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.documents import Publisher
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.rentals import Rentals
@@ -60,6 +61,7 @@
         dispatcher: Dispatcher,
         pacer: Pacer,
         apply: Callable[[Early], None],
+        publisher: Publisher | None = None,
     ) -> None:
         self._term = term
         self._completions = completions
@@ -69,6 +71,7 @@
         self._dispatcher = dispatcher
         self._pacer = pacer
         self._apply = apply
+        self._publisher = publisher
         #: The revision from which jobs are watched.
         self.jobs_revision = 0
         self.known = asyncio.Event()
@@ -107,6 +110,9 @@
         term.cluster = Cluster(term.settings.facts.teams, term.token)
         term.chains = Chains(term.cluster.jobs)
         term.demand = Demand(term.tunables.fleet.demand_memory_us)
+        if self._publisher is not None:
+            # Before the jobs: whether they are held is judged by this term's own reading.
+            await self._publisher.load()
         async for entries, _ in term.state.pages(HIRES):
             for entry in entries:
                 hire = decode(bytes(entry.value), HireRecord)
@@ -161,6 +167,7 @@
         # into the future.
         job.first_seen_us = job.ready_us = at_us - max(0, wall - record.submitted_us)
         job.cancelled = record.cancelled
+        job.bound, job.hold = record.bound, record.hold
         self._term.cluster.jobs[job.id] = job
         self._term.ledger.learn(job_key(job.id), version)
         return job
--- a/weldhead/protocol/versions.py
+++ b/weldhead/protocol/versions.py
@@ -13,6 +13,8 @@
         list of needed jobs; an ``f/`` record may have ``ended_us`` and ``service``; a pong
         ends with the answerer's format. Keys and messages are the same
 3       a pong ends with whether the answerer is in a term; messages look and seen
+4       documents: keys ``d/``; a ``j/`` record may have ``bound`` and ``hold``; an ask may be
+        of the kind ``documents``, which others refuse
 ======  =============================================================================
 
 Rules that keep it so:
@@ -28,6 +30,10 @@
   have said that format.
 * A pong of format 1 or 2 does not say whether its sender is in a term: it counts as if it
   were, so a controller that has just started waits for its former promises beside one.
+* Whoever does not know documents would start the tasks of a job that a gate holds, and an
+  older leader's rewriting loses what binds it. So a job that a gate holds is neither passed to
+  such a peer nor accepted beside one. Whoever knows the format and is given no documents
+  itself starts no job with a ``hold``: closed when in doubt.
 * Whoever knows format 1 only would start the tasks of a job that waits. So a submission
   that names needed jobs is neither passed to such a peer nor accepted beside one.
 """
@@ -35,8 +41,10 @@
 #: What a peer has that says nothing.
 FIRST_FORMAT = 1
 #: The format of this version.
-FORMAT = 3
+FORMAT = 4
 #: The first that knows job chains.
 CHAINS_FORMAT = 2
 #: The first that can be asked whether it reaches a third controller.
 LOOK_FORMAT = 3
+#: The first that knows documents.
+DOCUMENTS_FORMAT = 4
--- a/weldhead/protocol/wire.py
+++ b/weldhead/protocol/wire.py
@@ -90,7 +90,8 @@
 class JobStatus(msgspec.Struct, rename={"id": "uid", "state": "status"}, omit_defaults=True):
     """The answer to a submission, a poll or a cancellation.
 
-    The last three fields are weldhead's own: a forecast, in seconds from the submission.
+    The fields from ``forecast_s`` on are weldhead's own: a forecast, in seconds from the
+    submission; when it is due by a calendar (RFC 3339, UTC), and which gate holds it.
     """
 
     id: str
@@ -100,6 +101,8 @@
     forecast_s: float | None = None
     late: bool | None = None
     late_by_s: float | None = None
+    due_at: str | None = None
+    held_by: str | None = None
 
 
 class ErrorBody(msgspec.Struct, omit_defaults=True):
