Hearing: machines that are not reached are told from healthy ones; copies prove no life

A machine whose reports arrive while answers and commands do not was taken for a healthy one: work was assigned there and never began. Each report is now held against what the last answer said; from enough evidence on nothing new is placed there, what has not begun goes elsewhere once it surely cannot begin, and a stated price decides on its return.

Reports are judged by session, stamp and token before anything of them is used: copies renew no lease and mark no machine as heard, a machine on no record is asked before it is entered, and one that does not show a new leader's token is not answered for ever.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -40,8 +40,8 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "completions", "deciding", "dispatch", "frontdesk", "leader", "linking", "lookahead",
-    "recovery", "rentals", "sizing", "term", "watching",
+    "completions", "deciding", "dispatch", "frontdesk", "leader", "linking", "listening",
+    "lookahead", "recovery", "rentals", "sizing", "term", "watching",
 )  # fmt: skip
 
 
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -30,6 +30,7 @@
         "attempts",
         "closing",
         "cpus",
+        "deaf",
         "deleting",
         "draining",
         "expired_session",
@@ -53,11 +54,13 @@
         "posting",
         "relayed",
         "report_sequence",
+        "seen_us",
         "serial",
         "spot",
         "synced",
         "token",
         "type",
+        "unshown",
         "up",
         "up_pending",
         "zone",
@@ -84,7 +87,9 @@
         self.order = (0, 0)
         self.report_sequence = 0
         self.token = 0
-        #: When the newest report came that was answered; 0: never.
+        #: When that message came; what has a smaller stamp was sent before.
+        self.seen_us = 0
+        #: When the newest report came that showed this term's token and was answered; 0: never.
         self.heard_us = 0
         #: When it answered this leader directly for the first time, before any report of it
         #: came; it may be used from then on, but that renewed no lease.
@@ -93,6 +98,10 @@
         self.lease_from_us = 0
         #: It has reported under the present leader's token.
         self.synced = False
+        #: Reports of an earlier token that this leader has answered since it last showed its own.
+        self.unshown = 0
+        #: Its reports come, and what it is told does not arrive: nothing new is placed there.
+        self.deaf = False
         self.expired_session = 0
         self.attempts: dict[str, Attempt] = {}
         #: Exited attempts to be forgotten, by (task, attempt).
--- a/weldhead/coordination/dispatch.py
+++ b/weldhead/coordination/dispatch.py
@@ -25,9 +25,15 @@
 class Dispatcher:
     """Sends direct commands; ``apply`` takes what the workers answer."""
 
-    def __init__(self, term: Term, apply: Callable[[Machine, Report], None]) -> None:
+    def __init__(
+        self,
+        term: Term,
+        apply: Callable[[Machine, Report], None],
+        unanswered: Callable[[Machine], None],
+    ) -> None:
         self._term = term
         self._apply = apply
+        self._unanswered = unanswered
         self._outbox = Outbox()
         #: Turns that have begun and count.
         self._turns: set[int] = set()
@@ -109,7 +115,10 @@
                 commands = pending_commands(
                     machine,
                     lambda task: False,
-                    may_start=machine.synced and machine.up and term.tunables.direct_runs,
+                    may_start=machine.synced
+                    and machine.up
+                    and not machine.deaf
+                    and term.tunables.direct_runs,
                     sequence=None,
                 )
                 if not commands:
@@ -120,6 +129,7 @@
                 except NotConnected:
                     for attempt in started:
                         attempt.posted = False
+                    self._unanswered(machine)
                     return
                 except CallFailed as error:
                     at_us = now_us()
@@ -128,6 +138,7 @@
                             attempt.posted = False
                             term.cluster.lose(attempt, at_us)
                     log.info("machine %s: direct commands unanswered: %s", machine.name, error)
+                    self._unanswered(machine)
                     return
                 # Answered: executed, or (409) surely not.
                 for attempt in started:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -18,6 +18,7 @@
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.linking import Linking
+from weldhead.coordination.listening import Listening
 from weldhead.coordination.lookahead import LookAhead
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.recovery import Recovery
@@ -26,6 +27,7 @@
 from weldhead.coordination.sizing import Sizing
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
+from weldhead.hearing.copies import Word
 from weldhead.planning.forecast import due_us
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
 from weldhead.recovery.early import Early
@@ -48,7 +50,7 @@
         self.term = term
         self.token = term.token
         self._duties = term.duties
-        self._dispatcher = Dispatcher(term, self._answered)
+        self._dispatcher = Dispatcher(term, self._answered, self._unanswered)
         self.linking = Linking(term, self._dispatcher, self.job_created)
         self.completions = Completions(term, self._ended, self.linking.withdraw_with_followers)
         self.linking.start(self.completions)
@@ -56,6 +58,9 @@
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
         self.rentals = Rentals(term, self._gone)
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
+        self.listening = Listening(
+            term, self._dispatcher, self._answered, self.rentals.delete, self.watch.silent_live
+        )
         self.recovery = Recovery(
             term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
             self.pacer, self._apply_early,
@@ -119,6 +124,7 @@
         await self.recovery.load_until_done()
         duties.start("job watch", self._watch_jobs)
         duties.start("machine watch", self.watch.watch)
+        duties.start("hearing", self.listening.attend)
         duties.start("needed jobs", self.linking.learn_needs, 0.2)
         duties.start("forecasts", self.look_ahead.forecast)
         duties.start("loop watch", self.pacer.watch)
@@ -139,6 +145,7 @@
 
     def _gone(self, machine: Machine) -> None:
         self.watch.gone(machine)
+        self.listening.gone(machine)
 
     # -- users ------------------------------------------------------------------------
 
@@ -218,42 +225,74 @@
             return ReportAnswer(self.token, []) if kept else None
         machine = self.cluster.machines.get(report.machine)
         if machine is None:
-            self.rentals.unexpected(report)
+            self._stranger(report)
             return ReportAnswer(self.token, [])
-        if machine.deleting or report.session <= machine.expired_session:
-            return None
-        if is_newer(machine, report):
-            self._apply(machine, report, direct=False)
-        elif report.sequence < machine.report_sequence and report.session == machine.session:
-            # Held back on the way: its sender has long given up waiting.
+        word = self.listening.word(machine, report)
+        if machine.deleting or word is Word.COPY:
             return None
-        self.watch.hear(machine, at_us)
+        if word is Word.OVERTAKEN:
+            if not self.listening.answerable(machine):
+                return None
+            machine.lease_from_us = max(machine.lease_from_us, machine.seen_us)
+            return ReportAnswer(self.token, [])
+        self.listening.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
+        self._apply(machine, report, direct=False)
+        if not self._count_answer(machine, word, at_us):
+            return None
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
             self._duties.once("machine up", self.rentals.mark_up(machine))
         commands = pending_commands(
             machine,
             self.completions.is_committed,
-            may_start=machine.synced and machine.up,
+            may_start=machine.synced and machine.up and not machine.deaf,
             sequence=report.sequence,
         )
+        self.listening.told(machine, report, commands, at_us, relayed=relayed)
         return ReportAnswer(self.token, commands)
 
+    def _count_answer(self, machine: Machine, word: Word, at_us: int) -> bool:
+        """Enter that a report is about to be answered; false: it must not be."""
+        if word is Word.FRESH:
+            self.watch.hear(machine, at_us)
+            return True
+        if not self.listening.answerable(machine):
+            return False
+        # The answer may renew a lease; that its machine lives is not shown by it.
+        machine.unshown += 1
+        machine.lease_from_us = max(machine.lease_from_us, at_us)
+        return True
+
+    def _stranger(self, report: Report) -> None:
+        """A report of a machine that no record names."""
+        if self.rentals.is_unexpected(report):
+            self.listening.meet(report, self.rentals.unexpected)
+
     def _answered(self, machine: Machine, report: Report) -> None:
         """Take a worker's answer to direct commands."""
         self._apply(machine, report, direct=True)
+        self.listening.answered(machine)
+
+    def _unanswered(self, machine: Machine) -> None:
+        """A worker did not answer direct commands."""
+        self.listening.unanswered(machine)
 
     def _apply_early(self, early: Early) -> None:
         """Take what a machine said before its records were loaded."""
         machine = self.cluster.machines.get(early.report.machine)
         if machine is None:
-            self.rentals.unexpected(early.report)
+            self._stranger(early.report)
             return
+        word = self.listening.word(machine, early.report)
         self._apply(machine, early.report, direct=early.direct)
         if early.answered_us:
-            self.watch.hear(machine, early.answered_us)
+            self._count_answer(machine, word, early.answered_us)
             machine.relayed = early.relayed
+            if not early.direct:
+                self.listening.told(
+                    machine, early.report, [], early.answered_us, relayed=early.relayed
+                )
 
     def _apply(self, machine: Machine, report: Report, *, direct: bool) -> None:
         if not is_newer(machine, report):
--- /dev/null
+++ b/weldhead/coordination/listening.py
@@ -0,0 +1,225 @@
+"""Machines that speak and do not hear: evidence, questions, and what follows from it."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from weldhead.bookkeeping.machines import Machine
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
+from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.reports import withdraw_unbegun
+from weldhead.coordination.term import Term
+from weldhead.hearing.copies import Word, answerable, word_of
+from weldhead.hearing.evidence import Ear, Sign, told
+from weldhead.hearing.price import to_return
+from weldhead.protocol.wire import Command, Report
+
+log = logging.getLogger(__name__)
+
+#: How often the doubted machines are looked at.
+LOOK_US = 250 * MILLISECOND_US
+#: Between two questions to one of them.
+ASK_PAUSE_US = 2 * SECOND_US
+#: Questions at once at most.
+ASKED_AT_ONCE = 50
+
+
+class Listening:
+    """Weighs what machines say against what they were told; one for each term.
+
+    ``apply`` takes what they answer to direct questions, ``silent`` names those that are silent.
+    """
+
+    def __init__(
+        self,
+        term: Term,
+        dispatcher: Dispatcher,
+        apply: Callable[[Machine, Report], None],
+        give_back: Callable[[dict[str, Machine]], None],
+        silent: Callable[[int], Iterable[Machine]],
+    ) -> None:
+        self._term = term
+        self._dispatcher = dispatcher
+        self._apply = apply
+        self._return = give_back
+        self._silent = silent
+        self._ears: dict[str, Ear] = {}
+        #: Those of which there is evidence.
+        self._doubted: dict[str, Machine] = {}
+        self._asked = 0
+        #: Machines on no record that are being asked whether they exist.
+        self._meeting: set[str] = set()
+
+    # -- reports -----------------------------------------------------------------------------
+
+    def word(self, machine: Machine, report: Report) -> Word:
+        """Say what a report is worth, before it is applied."""
+        return word_of(machine, report, self._term.token)
+
+    def listen(self, machine: Machine, report: Report, at_us: int, *, relayed: bool) -> None:
+        """Hold a report that is newer than all seen against what its machine was told."""
+        ear = self._ears.get(machine.name)
+        if ear is None:
+            return
+        sign = ear.listen(report, machine.order[1], at_us, relayed=relayed)
+        if sign is not Sign.NOTHING:
+            self._note(machine, ear, sign, at_us)
+
+    def told(
+        self,
+        machine: Machine,
+        report: Report,
+        commands: Iterable[Command],
+        at_us: int,
+        *,
+        relayed: bool,
+    ) -> None:
+        """Its report is answered so."""
+        said = told(report, self._term.token, commands, at_us, relayed=relayed)
+        ear = self._ears.get(machine.name)
+        if ear is None:
+            self._ears[machine.name] = Ear(self._term.lease_us, said, at_us)
+        else:
+            ear.last = said
+
+    def answerable(self, machine: Machine) -> bool:
+        """Whether a machine that does not show this term's token is answered."""
+        return answerable(machine)
+
+    def answered(self, machine: Machine) -> None:
+        """It answered a direct request: it hears."""
+        ear = self._ears.get(machine.name)
+        if ear is not None and ear.doubted:
+            self._note(machine, ear, Sign.HEARD, now_us())
+
+    def unanswered(self, machine: Machine) -> None:
+        """It did not answer a direct request.
+
+        One whose reports come over another controller may only be out of our reach.
+        """
+        ear = self._ears.get(machine.name)
+        if ear is None or machine.relayed or machine.name not in self._term.cluster.machines:
+            return
+        at_us = now_us()
+        if at_us - machine.seen_us <= self._term.silence_us:
+            self._note(machine, ear, Sign.UNANSWERED, at_us)
+
+    def gone(self, machine: Machine) -> None:
+        """A machine is gone for good."""
+        self._ears.pop(machine.name, None)
+        self._doubted.pop(machine.name, None)
+
+    def _note(self, machine: Machine, ear: Ear, sign: Sign, at_us: int) -> None:
+        since_us = ear.deaf_us
+        changed = ear.note(sign, at_us)
+        if ear.doubted:
+            self._doubted[machine.name] = machine
+        else:
+            self._doubted.pop(machine.name, None)
+        if not changed:
+            return
+        machine.deaf = ear.deaf_us > 0
+        machine.touch()
+        if machine.deaf:
+            log.info("machine %s hears nothing: %s", machine.name, ear.why())
+            ear.ask_us = 0
+            self._withdraw(machine)
+        else:
+            log.info(
+                "machine %s hears again after %.1f s", machine.name, to_seconds(at_us - since_us)
+            )
+        self._term.place.set()
+
+    def _withdraw(self, machine: Machine) -> None:
+        count = withdraw_unbegun(self._term.cluster, machine)
+        if count:
+            log.info("machine %s: %d tasks that have not begun go elsewhere", machine.name, count)
+            if not machine.attempts:
+                machine.idle_since_us = now_us()
+            self._term.place.set()
+
+    # -- questions ---------------------------------------------------------------------------
+
+    async def attend(self) -> None:
+        """Ask the doubted machines, and give back those that hear nothing; a duty."""
+        while True:
+            await asyncio.sleep(to_seconds(LOOK_US))
+            if self._doubted and self._term.valid:
+                at_us = now_us()
+                self._look(at_us)
+                self._return_some(at_us)
+
+    def _look(self, at_us: int) -> None:
+        for name, machine in list(self._doubted.items()):
+            ear = self._ears[name]
+            if not ear.deaf_us and at_us - ear.evidence_us > 2 * self._term.lease_us:
+                ear.note(Sign.HEARD, at_us)
+                del self._doubted[name]
+                continue
+            if machine.deaf:
+                self._withdraw(machine)
+            speaks = at_us - machine.seen_us <= self._term.silence_us
+            if speaks and at_us >= ear.ask_us and self._asked < ASKED_AT_ONCE and machine.address:
+                ear.ask_us = at_us + ASK_PAUSE_US
+                self._asked += 1
+                self._term.duties.once("hearing", self._ask(machine))
+
+    async def _ask(self, machine: Machine) -> None:
+        try:
+            report = await self._dispatcher.question(
+                machine.name, machine.address, max(1, machine.session)
+            )
+        finally:
+            self._asked -= 1
+        if self._term.cluster.machines.get(machine.name) is not machine:
+            return
+        if report is None or report.machine != machine.name:
+            self.unanswered(machine)
+        else:
+            self._apply(machine, report)
+
+    def _return_some(self, at_us: int) -> None:
+        deaf = {
+            name: self._ears[name].deaf_us
+            for name, machine in self._doubted.items()
+            if machine.deaf and not machine.deleting
+        }
+        if not deaf:
+            return
+        # Whatever is recorded and not being returned: also those that never got as far as ``up``.
+        live = [m for m in self._term.cluster.machines.values() if m.session and not m.deleting]
+        found = to_return(
+            deaf, live, list(self._silent(at_us)), at_us, self._term.lease_us,
+            self._term.tunables.fleet.minimum_charge_us,
+        )  # fmt: skip
+        for machine in found:
+            log.info(
+                "machine %s has heard nothing for %.0f s: replacing it costs no more",
+                machine.name, to_seconds(at_us - deaf[machine.name]),
+            )  # fmt: skip
+        self._return({machine.name: machine for machine in found})
+
+    # -- machines on no record ---------------------------------------------------------------
+
+    def meet(self, report: Report, enter: Callable[[Report], None]) -> None:
+        """Ask a machine that no record names whether it is there; only then is it entered.
+
+        Its report may be a copy from before it was deleted, in an earlier term even: entered by
+        that, it would be waited for as if it booted. One that does not answer and exists is
+        entered by the cloud's list.
+        """
+        name = report.machine
+        if name in self._meeting or len(self._meeting) >= ASKED_AT_ONCE or not report.address:
+            return
+        self._meeting.add(name)
+        self._term.duties.once("stranger", self._meet(report, enter))
+
+    async def _meet(self, report: Report, enter: Callable[[Report], None]) -> None:
+        try:
+            shown = await self._dispatcher.question(
+                report.machine, report.address, max(1, report.session)
+            )
+        finally:
+            self._meeting.discard(report.machine)
+        if shown is not None and shown.machine == report.machine:
+            enter(shown)
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -285,14 +285,18 @@
     # -- machines that nobody expected -----------------------------------------------------
 
     def unexpected(self, report: Report) -> None:
-        """A machine that is not in the books: enter it, then use or return it."""
+        """A machine that is not in the books and surely is: enter it, then use or return it."""
+        if self.is_unexpected(report):
+            record = HireRecord(report.type, report.zone, report.spot, 1, wall_us())
+            self._adopt_soon(report.machine, record)
+
+    def is_unexpected(self, report: Report) -> bool:
+        """Whether a machine that says it reports is one that nobody expects."""
         name = report.machine
-        if name in self._adopting or name in self._returned:
-            return
-        if self._may_be_ours(report.type, report.zone, report.spot):
-            # Up before the answer to its rental: it will be entered in a moment.
-            return
-        self._adopt_soon(name, HireRecord(report.type, report.zone, report.spot, 1, wall_us()))
+        if name in self._adopting or name in self._returned or name in self._term.cluster.machines:
+            return False
+        # Up before the answer to its rental: it will be entered in a moment.
+        return not self._may_be_ours(report.type, report.zone, report.spot)
 
     def _may_be_ours(self, type_name: str, zone: str, spot: bool) -> bool:
         """Whether a rental is open that such a machine could have come of."""
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -62,12 +62,16 @@
     outcome = Outcome()
     if report.session > machine.session and machine.session:
         machine.listing = None
+        machine.report_sequence = 0
         for attempt in cluster.release_all(machine):
             outcome.lost.append((attempt, "new session"))
     if machine.booting:
         machine.touch()
     machine.order = (report.session, report.sequence)
+    machine.seen_us = at_us
     machine.token = max(machine.token, report.token)
+    if report.token == cluster.token:
+        machine.unshown = 0
     if report.address:
         machine.address = report.address
     if report.notice_s is not None:
@@ -244,6 +248,25 @@
     return False
 
 
+def withdraw_unbegun(cluster: Cluster, machine: Machine) -> int:
+    """Take back what was assigned to a machine and surely never begins there; return how many.
+
+    Nothing of it is on its way: it was not sent, or the answer that carried it was dropped, which
+    a later report has shown. What was sent directly and not answered stays.
+    """
+    gone = [
+        attempt
+        for attempt in machine.attempts.values()
+        if attempt.phase is Phase.ASSIGNED
+        and attempt.sent_sequence is None
+        and not attempt.posted
+        and not attempt.limbo_us
+    ]
+    for attempt in gone:
+        cluster.release(attempt)
+    return len(gone)
+
+
 def pending_commands(
     machine: Machine,
     committed: Callable[[str], bool],
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -55,7 +55,7 @@
         self.heard = dict(self._term.cluster.machines)
 
     def hear(self, machine: Machine, at_us: int) -> None:
-        """A report of it is answered."""
+        """A report of it that shows this term's token is answered."""
         machine.hear(at_us, self._term.silence_us)
         machine.lease_from_us = at_us
         self.heard.pop(machine.name, None)
@@ -102,13 +102,14 @@
             doomed = self.expired_or_silent(at_us, self._term.proven_us)
             doomed += self.in_trouble(at_us)
             doomed += [m for m in self.noticed.values() if self.taken(m, at_us)]
+            doomed += self.never_shown(at_us)
             self._return({m.name: m for m in doomed if not m.deleting})
 
     def live(self) -> list[Machine]:
         """Return the machines on which something may run and that are to stay."""
         return [m for m in self._term.cluster.machines.values() if m.up and not m.deleting]
 
-    def _silent_live(self, at_us: int) -> list[Machine]:
+    def silent_live(self, at_us: int) -> list[Machine]:
         """Return the live machines that are silent for so long that nothing is placed there."""
         silent = self.silent(at_us, self._term.silence_us, self._term.floor_us())
         return [machine for machine in silent if machine.up and not machine.deleting]
@@ -122,7 +123,7 @@
         came later did not answer in time.
         """
         proven_us, floor_us = self._term.proven_us, self._term.floor_us()
-        overs = (m.lease_over_us(self._term.lease_us, floor_us) for m in self._silent_live(at_us))
+        overs = (m.lease_over_us(self._term.lease_us, floor_us) for m in self.silent_live(at_us))
         return any(proven_us <= over_us < at_us for over_us in overs)
 
     async def _prove(self) -> None:
@@ -139,7 +140,7 @@
         ``proven_us`` is the latest moment at which surely nobody else led.
         """
         floor_us = self._term.floor_us()
-        silent = self._silent_live(at_us)
+        silent = self.silent_live(at_us)
         if not silent:
             return []
         live = self.live()
@@ -147,19 +148,28 @@
         gone = look_gone(silent, live)
         found = []
         for machine in silent:
+            speaks = machine.deaf and at_us - machine.seen_us <= self._term.silence_us
             if min(at_us, proven_us) > machine.lease_over_us(self._term.lease_us, floor_us):
+                if speaks:
+                    # Its reports come, without this term's token: what it held is over, and it
+                    # may hear again. Whether it is returned is decided by its price.
+                    self.expire(machine, keep=True)
+                    continue
                 self.expire(machine)
                 found.append(machine)
+            elif speaks:
+                continue
             elif gone and max(machine.heard_us, floor_us) < limit_us:
                 found.append(machine)
         return found
 
     def doubtful(self, at_us: int) -> list[Machine]:
-        """Return silent machines that are not given up on as long as their leases last."""
-        silent = self._silent_live(at_us)
+        """Return machines that hear nothing, and silent ones while their leases last."""
+        deaf = [m for m in self.heard.values() if m.deaf and not m.deleting]
+        silent = [machine for machine in self.silent_live(at_us) if not machine.deaf]
         if not silent or look_gone(silent, self.live()):
-            return []
-        return silent
+            return deaf
+        return silent + deaf
 
     def taken(self, machine: Machine, at_us: int) -> bool:
         """Whether a notice has run out, and the machine is silent since."""
@@ -181,12 +191,32 @@
         machines = {a.machine: cluster.machines[a.machine] for a in found}
         return [m for m in machines.values() if m.up and not m.deleting]
 
-    def expire(self, machine: Machine) -> None:
-        """A worker's lease is surely over: all its tasks are gone."""
+    def never_shown(self, at_us: int) -> list[Machine]:
+        """Return machines of which only reports from before this term came, long ago.
+
+        Nothing was ever started there. A copy of what one said before it was gone looks the
+        same: taken for a machine that was up, it stayed on record for good.
+        """
+        limit_us = 2 * self._term.lease_us
+        return [
+            machine
+            for machine in self.silent(at_us, limit_us, self._term.floor_us())
+            if machine.session
+            and not (machine.up or machine.up_pending or machine.synced or machine.deleting)
+            and at_us - machine.seen_us > limit_us
+        ]
+
+    def expire(self, machine: Machine, *, keep: bool = False) -> None:
+        """A worker's lease is surely over: all its tasks are gone.
+
+        ``keep``: it may be used again once it shows this term's token in a new session.
+        """
+        if keep and machine.synced and not machine.attempts:
+            return
         gone = self._term.cluster.release_all(machine)
         machine.expired_session = max(machine.expired_session, machine.session)
         machine.synced = True
-        machine.draining = True
+        machine.draining = machine.draining or not keep
         log.info("machine %s: lease over, %d tasks lost", machine.name, len(gone))
         self.on_known()
         for attempt in gone:
--- /dev/null
+++ b/weldhead/hearing/copies.py
@@ -0,0 +1,58 @@
+"""What a report is worth by its session, stamp and token. No I/O.
+
+A report can come late, and more than once, over whichever controller. Its sender counts every
+message (the stamp; it grows with reports and with answers to direct requests alike), so what is
+newer than all that was seen cannot be a copy of it; and nobody shows this term's token who has
+not heard this term. ``docs/design/end-of-day.md`` has the rule and its argument.
+"""
+
+import enum
+
+from weldhead.bookkeeping.machines import Machine
+from weldhead.protocol.wire import Report
+
+#: Answers to reports of an earlier token after which a machine on which something may run is not
+#: answered any more until it shows this term's: its lease is to end.
+MOST_UNSHOWN = 2
+
+
+class Word(enum.Enum):
+    """What a report says of its machine's life."""
+
+    #: Newer than all that was seen, and with this term's token: its machine lives.
+    FRESH = "fresh"
+    #: Newer than all that was seen, but from before its machine heard of this term: the answer
+    #: may renew its lease, and the report may as well be a copy from long ago.
+    UNTOLD = "untold"
+    #: Not newer, and nobody can say that its sender has given up: answered without orders. It
+    #: was sent before the newest message was, so the lease counts from there.
+    OVERTAKEN = "overtaken"
+    #: A copy, or held back: its sender has long gone on.
+    COPY = "copy"
+
+
+def word_of(machine: Machine, report: Report, token: int) -> Word:
+    """Judge a report of a machine on record before anything of it is used."""
+    if report.session <= machine.expired_session:
+        return Word.COPY
+    if (report.session, report.sequence) > machine.order:
+        return Word.FRESH if report.token == token else Word.UNTOLD
+    if report.session == machine.session and report.sequence >= machine.report_sequence:
+        return Word.OVERTAKEN
+    return Word.COPY
+
+
+def answerable(machine: Machine) -> bool:
+    """Whether a machine that has not shown this term's token is (still) answered.
+
+    Each answer may renew the lease of its worker, and what an earlier leader started there
+    counts until that lease is surely over. A worker that hears shows the token in the next
+    report after the answer; one that does not after several would hold up a new leader for
+    as long as it is answered.
+    """
+    if machine.synced or not machine.up:
+        return True
+    if machine.asked_in_vain and not machine.relayed:
+        # Two direct questions and one answer to a report: that is several as well.
+        return machine.unshown < MOST_UNSHOWN - 1
+    return machine.unshown < MOST_UNSHOWN
--- /dev/null
+++ b/weldhead/hearing/evidence.py
@@ -0,0 +1,172 @@
+"""Whether a machine whose reports arrive hears what it is told. No I/O.
+
+Each report is held against what its predecessor's answer said. Pieces of evidence are added up;
+one lost answer is never enough, and whatever shows that something arrived clears them all.
+Times are microseconds of the steady clock.
+"""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from weldhead.clock import MILLISECOND_US, SECOND_US, surely_over_us
+from weldhead.protocol.wire import Command, Report
+
+#: Evidence that makes a suspect.
+ENOUGH = 2
+#: Reports that come sooner after an answer were read in one go by a process that stood still.
+SOON_US = 400 * MILLISECOND_US
+#: How much later than it was sent a report may ordinarily come.
+TRANSIT_US = 2 * SECOND_US
+
+
+class Sign(enum.Enum):
+    """What a report, or a direct request, shows of a machine's hearing."""
+
+    NOTHING = "nothing"
+    #: It carried out an order, or shows a token, that only arrived if it hears.
+    HEARD = "it hears"
+    UNSHOWN = "orders that its next report does not show"
+    MOVED = "it went on to another controller after an answer"
+    NEW_SESSION = "a new session, although its reports were answered"
+    UNANSWERED = "direct requests unanswered while its reports come"
+
+
+_WEIGHT = {Sign.UNSHOWN: 1, Sign.MOVED: 1, Sign.UNANSWERED: 1, Sign.NEW_SESSION: 2}
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a report's answer said, and which report that was."""
+
+    order: tuple[int, int]
+    #: The token that the report showed, and the one that the answer told.
+    shown: int
+    token: int
+    relayed: bool
+    at_us: int
+    runs: tuple[tuple[str, int], ...] = ()
+    forgets: tuple[tuple[str, int], ...] = ()
+
+
+def told(
+    report: Report, token: int, commands: Iterable[Command], at_us: int, *, relayed: bool
+) -> Told:
+    """Note what a report is answered."""
+    runs, forgets = [], []
+    for command in commands:
+        if command.op == "run":
+            runs.append((command.task, command.attempt))
+        elif command.op == "forget":
+            forgets.append((command.task, command.attempt))
+    return Told(
+        (report.session, report.sequence), report.token, token, relayed, at_us,
+        tuple(runs), tuple(forgets),
+    )  # fmt: skip
+
+
+def sign_of(
+    last: Told, report: Report, seen: int, at_us: int, lease_us: int, *, relayed: bool
+) -> Sign:
+    """Hold a newer report against what the last one was told.
+
+    ``seen`` is the newest stamp seen before it: a worker that took the answer stays where it is,
+    so the next stamp comes next. A kill shows nothing: what is stopped may run on for a while.
+    """
+    if last.shown < last.token <= report.token:
+        return Sign.HEARD
+    if report.session != last.order[0]:
+        if report.token < last.shown or at_us > last.at_us + lease_us * 3 // 4:
+            # A process that began anew without its memory; or its lease could run out.
+            return Sign.NOTHING
+        return Sign.NEW_SESSION
+    if last.runs or last.forgets:
+        listed = {(task.task, task.attempt) for task in report.tasks}
+        if any(run in listed for run in last.runs) or any(f not in listed for f in last.forgets):
+            return Sign.HEARD
+    if at_us - last.at_us < SOON_US:
+        return Sign.NOTHING
+    if last.runs or last.forgets or report.token < last.token:
+        return Sign.UNSHOWN
+    if relayed != last.relayed or report.sequence > seen + 1:
+        return Sign.MOVED
+    return Sign.NOTHING
+
+
+@dataclass(slots=True)
+class Ear:
+    """The evidence on one machine."""
+
+    lease_us: int
+    last: Told
+    #: When its present session was first seen.
+    session_us: int
+    score: int = 0
+    moves: int = 0
+    #: Direct requests unanswered: they count once. Where a filter keeps us from its port, what
+    #: its reports are answered arrives all the same.
+    refusals: int = 0
+    #: Since when it is taken to hear nothing; 0: it is not.
+    deaf_us: int = 0
+    #: When the last evidence came, and what there was.
+    evidence_us: int = 0
+    evidence: set[Sign] = field(default_factory=set)
+    #: A report came since a direct request was last unanswered.
+    spoke: bool = True
+    #: It is asked again from then on.
+    ask_us: int = 0
+
+    def listen(self, report: Report, seen: int, at_us: int, *, relayed: bool) -> Sign:
+        """Take a report that is newer than all seen; return what it shows."""
+        sign = sign_of(self.last, report, seen, at_us, self.lease_us, relayed=relayed)
+        self.spoke = True
+        if report.session != self.last.order[0]:
+            self.session_us = at_us
+        elif self.deaf_us and sign is not Sign.HEARD:
+            since_us = max(self.deaf_us, self.session_us)
+            if at_us > surely_over_us(since_us, self.lease_us) + TRANSIT_US:
+                # Its session would be over if no answer had arrived.
+                sign = Sign.HEARD
+        if sign is Sign.NOTHING:
+            self.moves = 0
+        return sign
+
+    def note(self, sign: Sign, at_us: int) -> bool:
+        """Take a sign; whether that changes what the machine is taken for."""
+        if sign is Sign.HEARD:
+            changed = self.deaf_us > 0
+            self.score = self.moves = self.refusals = self.deaf_us = 0
+            self.evidence.clear()
+            return changed
+        weight = _WEIGHT.get(sign, 0)
+        if sign is Sign.UNANSWERED:
+            if not self.spoke:
+                return False
+            self.spoke = False
+        if not weight:
+            return False
+        if not self.deaf_us and at_us - self.evidence_us > 2 * self.lease_us:
+            # An answer is lost now and then.
+            self.score = self.moves = self.refusals = 0
+            self.evidence.clear()
+        self.evidence_us = at_us
+        self.evidence.add(sign)
+        if sign is Sign.MOVED:
+            self.moves += weight
+        elif sign is Sign.UNANSWERED:
+            self.refusals = weight
+        else:
+            self.score += weight
+        if self.deaf_us or self.score + self.moves + self.refusals < ENOUGH:
+            return False
+        self.deaf_us = at_us
+        return True
+
+    @property
+    def doubted(self) -> bool:
+        """Whether there is anything to be asked."""
+        return bool(self.deaf_us or self.score or self.moves or self.refusals)
+
+    def why(self) -> str:
+        """Say the evidence in words."""
+        return "; ".join(sorted(sign.value for sign in self.evidence))
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -446,7 +446,9 @@
     a reserve besides. Those that cost most for what runs on them go first.
     """
     open_machines = [
-        m for m in cluster.machines.values() if m.synced and not m.draining and not m.deleting
+        m
+        for m in cluster.machines.values()
+        if m.synced and not m.draining and not m.deleting and not m.deaf
     ]
     if plan.unplaced or not open_machines:
         return set()
@@ -616,7 +618,8 @@
     boots = boots or usual_boots(settings)
     found = []
     for machine in cluster.machines.values():
-        if machine.deleting or machine.posting:
+        if machine.deleting or machine.posting or machine.deaf:
+            # What hears nothing is returned by a rule of its own (``hearing/price.py``).
             continue
         if boots.is_given_up(machine, at_us):
             found.append(machine)
--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -132,6 +132,7 @@
         machine.synced
         and not machine.draining
         and not machine.deleting
+        and not machine.deaf
         and not machine.ghosts
         and not machine.notice_until_us
         and at_us - max(machine.heard_us, machine.met_us) < silence_us
--- a/weldhead/recovery/early.py
+++ b/weldhead/recovery/early.py
@@ -47,6 +47,9 @@
             return True
         if _order(report) < _order(kept.report):
             return False
+        if _order(report) == _order(kept.report):
+            # The same once more: its sender had sent it when it was first counted.
+            return True
         kept.report, kept.direct = report, False
         kept.answered_us, kept.relayed = at_us, relayed
         return True
