Emulator: deaf machines, copied reports, lone controllers, lives that follow at once

Fault kinds machines_deaf, reports_copied, controllers_alone; back-s and again for ends and restarts; rules forgotten by 75 s of calm and unserved; users keep their connections and ask every 4 to 6 s.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,10 +8,12 @@
 import pytest
 
 from tests.builders import job_spec, machine_type
+from weldhead.clock import SECOND_US
 from weldhead.emulator.checker import Checker, Site
 from weldhead.emulator.experiment import play
 from weldhead.emulator.planted import ERRORS, planted
 from weldhead.emulator.scenario import Scenario, parse_scenario, read_scenario
+from weldhead.emulator.serving import Course, unserved
 from weldhead.protocol.settings import StateLimits, Team
 from weldhead.recovery.squaring import Verdict
 from weldhead.site.store.model import Store
@@ -22,8 +24,9 @@
 FOUND_IN = dict.fromkeys(ERRORS, "drawn") | {
     "lease-from-the-answer": "slow-store",
     "any-failure-accuses": "broken-jobs",
+    "everything-settled": "half-silent",
 }
-MOST_SEEDS = 6
+MOST_SEEDS = 8
 #: What is found on machines while nothing is wrong with the controllers.
 ORDINARY = {Verdict.ADOPTED, Verdict.FINISHED, Verdict.ENDED, Verdict.CANCELLED}
 
@@ -77,9 +80,20 @@
     assert bool(found) == (name == "broken-jobs")
 
 
+@pytest.mark.parametrize("name", ["deaf", "copies", "alone", "at-once"])
+@pytest.mark.parametrize("controllers", [3, 5])
+def test_new_troubles(name: str, controllers: int) -> None:
+    """Deaf machines, copies of reports, lone controllers, lives that follow at once."""
+    site = scenario(name)
+    site.controllers = controllers
+    result = play(site, controllers)
+    assert not result.broken, result.details
+
+
 @pytest.mark.parametrize(
     ("old", "new", "what"),
     [
+        ("count = 5", "count = 5\nbacks-s = [0.01]", "backs-s: must be at least 0.05"),
         ("seconds = 90.0", "seconds = 0.0", "seconds: must be above 0"),
         ('team = "red"', 'team = "green"', "there is no team 'green'"),
         ("tasks = 4", "taks = 4", "unknown field `taks`"),
@@ -123,6 +137,37 @@
     assert checker.broken["attempt_reused"] == 1
 
 
+def test_who_is_asked_about_in_vain_is_forgotten_once_troubles_are_over() -> None:
+    now = [0]
+    checker = Checker([], 10, lambda: now[0], Store(StateLimits(1e6, 1e6, 8.0, 12)))
+    for number in (1, 2):
+        checker.submitted(job_spec(number))
+        checker.jobs[f"run-00000{number}"].accepted_us = 1
+    for at_s in range(5, 200, 5):
+        now[0] = at_s * SECOND_US
+        checker.calm_us = 100 * SECOND_US if at_s >= 100 else None
+        checker.answered("run-000001", "poll", 0, "")
+        # The other one waits as long, while there is trouble.
+        checker.answered("run-000002", "poll", 404 if at_s == 100 else 0, "")
+        if at_s == 100:
+            checker.broken.clear()
+        assert ("forgotten" in checker.broken) == (at_s > 175), at_s
+
+
+def test_classes_teams_and_the_largest_are_served() -> None:
+    def course(number: int, tasks: int, *, begun_s: int = 5, served: bool = True) -> Course:
+        return Course(job_spec(number, tasks=tasks), SECOND_US, begun_s * SECOND_US, served)
+
+    end_us = 600 * SECOND_US
+    small = [course(n, 1) for n in range(20)]
+    assert not list(unserved([*small, course(20, 9), course(21, 9, served=False)], end_us))
+    said = list(unserved([*small, *(course(n, 9, served=False) for n in (20, 21))], end_us))
+    assert ["by tasks: 0 of 2" in text for text in said] == [True]
+    assert [*unserved([*small, course(20, 9, begun_s=300)], end_us)] == [
+        "run-000020, of the largest of train: 299 s"
+    ]
+
+
 def test_a_machine_past_its_lease_holds_nothing() -> None:
     checker = new_checker()
     checker.submitted(job_spec(1))
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -8,18 +8,21 @@
 
 import hashlib
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.records import FinalRecord, JobRecord, final_key, job_key
 from weldhead.clock import SECOND_US
+from weldhead.emulator.serving import Course, unserved
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import JobSpec, MachineType, split_task
 from weldhead.site.store.model import Store
 from weldhead.transport.state import decode
 
-#: A user that is answered nothing for so long, while others are, was forgotten.
+#: A user that is answered nothing for so long, while most others are, was forgotten; and once
+#: troubles are over, however others fare.
 FORGOTTEN_US = 90 * SECOND_US
+FORGOTTEN_IN_CALM_US = 75 * SECOND_US
 
 
 @dataclass(frozen=True)
@@ -38,7 +41,9 @@
     """What the users of a job know."""
 
     spec: JobSpec
-    accepted: bool = False
+    #: When that was told first, and when the first task ran.
+    accepted_us: int = 0
+    begun_us: int = 0
     final: str = ""
     #: When that was told first.
     final_us: int = 0
@@ -46,6 +51,11 @@
     cancelled_us: int = 0
     failing_since_us: int = 0
 
+    @property
+    def accepted(self) -> bool:
+        """Whether a user was told so."""
+        return bool(self.accepted_us)
+
 
 @dataclass
 class Checker:
@@ -68,6 +78,8 @@
     broken_jobs: set[str] = field(default_factory=set)
     broken_us: float = 0.0
     others_us: float = 0.0
+    #: When the last trouble was over; None while one is to come.
+    calm_us: int | None = None
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
     _begun: set[tuple[str, int]] = field(default_factory=set)
     _polls: Counter[bool] = field(default_factory=Counter)
@@ -103,6 +115,7 @@
         if told is None:
             self.breaks("invented", f"{task} starts, and nobody submitted it")
             return
+        told.begun_us = told.begun_us or self.now_us()
         others = [s for s in self.on[task].values() if s.present() and s.machine != site.machine]
         if others:
             self.breaks(
@@ -200,25 +213,29 @@
                 self.breaks("invented", f"{verb} of {job_id}, which nobody submitted: 200")
             return
         if verb == "poll":
-            self._polled(told, status in (200, 404), at_us)
+            self._polled(told, status in (200, 404), asked_us or at_us)
         if status in (400, 422) and told.accepted and verb == "submit":
             self.breaks("forgotten", f"{job_id}: repeated submission answered {status}")
         if status == 404 and told.accepted:
             self.breaks("forgotten", f"{job_id}: 404 to a {verb}")
         if status in (200, 201):
-            told.accepted = True
+            told.accepted_us = told.accepted_us or at_us
             self._state(told, state, at_us, at_us if asked_us is None else asked_us)
 
-    def _polled(self, told: Told, good: bool, at_us: int) -> None:
+    def _polled(self, told: Told, good: bool, asked_us: int) -> None:
         self._polls[good] += 1
         if good:
             told.failing_since_us = 0
-        elif not told.failing_since_us:
-            told.failing_since_us = at_us
-        elif (
-            at_us - told.failing_since_us > FORGOTTEN_US and self._polls[True] > self._polls[False]
-        ):
+            return
+        told.failing_since_us = told.failing_since_us or asked_us
+        at_us = self.now_us()
+        most_answered = self._polls[True] > self._polls[False]
+        if at_us - told.failing_since_us > FORGOTTEN_US and most_answered:
             self.breaks("forgotten", f"{told.spec.id}: every poll fails")
+        elif self.calm_us is not None:
+            # This counts from the first question after all troubles.
+            if at_us - max(told.failing_since_us, self.calm_us) > FORGOTTEN_IN_CALM_US:
+                self.breaks("forgotten", f"{told.spec.id}: no answer in calm")
 
     def _state(self, told: Told, state: str, at_us: int, asked_us: int) -> None:
         spec = told.spec
@@ -255,9 +272,17 @@
 
     # -- the end ---------------------------------------------------------------------------
 
-    def finish(self) -> None:
-        """The run is over: see what is left."""
+    def _courses(self) -> Iterator[Course]:
+        for told in self.jobs.values():
+            if told.accepted and not told.cancel_asked and told.spec.id not in self.broken_jobs:
+                served = told.final == "done" or (told.spec.is_service and told.begun_us > 0)
+                yield Course(told.spec, told.accepted_us, told.begun_us, served)
+
+    def finish(self, *, serves: bool = False) -> None:
+        """The run is over: see what is left, and who was served if there was room for all."""
         at_us = self.now_us()
+        for text in unserved(self._courses(), at_us) if serves else ():
+            self.breaks("unserved", text)
         for task, here in self.on.items():
             told = self.jobs.get(split_task(task)[0])
             if told is None or not told.cancelled_us:
--- /dev/null
+++ b/weldhead/emulator/controller.py
@@ -0,0 +1,64 @@
+"""A simulated controller: its machine, and the process of the real code that lives there."""
+
+from collections.abc import Callable
+from functools import partial
+
+from weldhead.clock import now_us
+from weldhead.coordination.node import Node
+from weldhead.emulator.loop import Life, VirtualLoop
+from weldhead.emulator.network import Network, SimulatedHttp, SimulatedServer
+from weldhead.protocol.settings import Settings
+from weldhead.transport.server import Handler, Response
+from weldhead.tunables.defaults import Tunables
+
+
+class Controller:
+    """A controller's machine, and the process that lives there now."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        network: Network,
+        settings: Settings,
+        tunables: Tunables,
+        clock: tuple[float, int],
+        answered: Callable[["Controller", str], None],
+    ) -> None:
+        self._loop, self._network, self._tunables = loop, network, tunables
+        self.settings = settings
+        self.name = settings.name
+        self._clock, self._answered = clock, answered
+        self.life: Life | None = None
+        self.node: Node | None = None
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.life is not None:
+            return
+        life = self.life = Life(self.name, *self._clock)
+        network = self._network
+
+        async def run() -> None:
+            node = self.node = Node(
+                self.settings,
+                self._tunables,
+                client=lambda *_: SimulatedHttp(network),
+                server=lambda handler: SimulatedServer(network, partial(watched, handler)),
+                started_us=now_us(),
+            )
+            await node.run()
+
+        async def watched(handler: Handler, method: str, path: str, body: bytes) -> Response:
+            answer = await handler(method, path, body)
+            if answer.status == 200 and path != "/ready":
+                self._answered(self, f"{method} {path}")
+            return answer
+
+        self._loop.spawn(life, run)
+
+    def end(self) -> None:
+        """End the process without a signal."""
+        life, self.life, self.node = self.life, None, None
+        if life is not None:
+            self._loop.end(life)
+            self._network.ended(life)
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -1,22 +1,20 @@
 """One run of a scenario: controllers of the real code, machines, services, users, faults."""
 
 import asyncio
-import contextlib
 import itertools
 import random
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, field
-from functools import partial
 
 from weldhead.clock import SECOND_US, now_us
 from weldhead.coordination.leader import Leader
-from weldhead.coordination.node import Node
 from weldhead.emulator.checker import Checker
-from weldhead.emulator.loop import Life, VirtualLoop, simulated
+from weldhead.emulator.controller import Controller
+from weldhead.emulator.faults import Faults
+from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
-from weldhead.emulator.network import Network, SimulatedHttp, SimulatedServer, Weather
-from weldhead.emulator.scenario import Fault, Scenario
+from weldhead.emulator.network import Network
+from weldhead.emulator.scenario import Scenario
 from weldhead.emulator.services import (
     CLOUD_ADDRESS,
     STATE_ADDRESS,
@@ -38,7 +36,6 @@
 from weldhead.protocol.wire import JobSpec, MachineType
 from weldhead.recovery.squaring import Tally, Verdict
 from weldhead.site.pool import Machine as PoolMachine
-from weldhead.transport.server import Handler, Response
 from weldhead.tunables.defaults import Tunables
 
 #: How often it is looked whether somebody decides.
@@ -74,50 +71,6 @@
     broken_share: float = 0.0
 
 
-class Controller:
-    """A controller's machine, and the process that lives there now."""
-
-    def __init__(self, site: "Experiment", settings: Settings, rate: float, off_us: int) -> None:
-        self._site = site
-        self.settings = settings
-        self.name = settings.name
-        self._rate, self._off_us = rate, off_us
-        self.life: Life | None = None
-        self.node: Node | None = None
-
-    def start(self) -> None:
-        """Start the process, unless it runs."""
-        if self.life is not None:
-            return
-        life = self.life = Life(self.name, self._rate, self._off_us)
-        site = self._site
-
-        async def run() -> None:
-            node = self.node = Node(
-                self.settings,
-                site.tunables,
-                client=lambda *_: SimulatedHttp(site.network),
-                server=lambda handler: SimulatedServer(site.network, partial(watched, handler)),
-                started_us=now_us(),
-            )
-            await node.run()
-
-        async def watched(handler: Handler, method: str, path: str, body: bytes) -> Response:
-            answer = await handler(method, path, body)
-            if answer.status == 200 and path != "/ready":
-                site.check_lease(self, f"{method} {path}")
-            return answer
-
-        site.loop.spawn(life, run)
-
-    def end(self) -> None:
-        """End the process without a signal."""
-        life, self.life, self.node = self.life, None, None
-        if life is not None:
-            self._site.loop.end(life)
-            self._site.network.ended(life)
-
-
 class Experiment:
     """A simulated site."""
 
@@ -127,7 +80,6 @@
         self.loop, self.scenario, self.tunables = loop, scenario, tunables
         self.rng = rng = random.Random(f"{scenario.name}/{seed}")
         self.network = Network(loop, random.Random(rng.random()))
-        self.network.weather = self._fair()
         limits = StateLimits(scenario.store_rps, scenario.store_write_rps, 8.0, 12)
         self.store = SimulatedStore(loop, self.network, limits)
         teams = [Team(t.name, t.cpus, t.cpus_max) for t in scenario.teams]
@@ -149,6 +101,10 @@
         self.addresses = {c.name: c.settings.listen for c in self.controllers}
         self.users = Users(loop, self.network, self.checker, scenario, self.jobs, self.addresses,
             random.Random(rng.random()))  # fmt: skip
+        self.faults = Faults(
+            loop, rng, scenario, self.network, self.store, self.cloud, self.controllers,
+            self.users, self.checker,
+        )  # fmt: skip
         self.undecided: list[float] = []
         self.led_s: dict[int, float] = {}
         self.ready_s: dict[int, float] = {}
@@ -157,9 +113,6 @@
         self._blamed: set[str] = set()
         self._counting: list[asyncio.Task[None]] = []
 
-    def _fair(self) -> Weather:
-        return Weather(delay_s=self.scenario.delay_s, lost=self.scenario.lost)
-
     def _make_controllers(self, teams: list[Team], limits: StateLimits) -> list[Controller]:
         scenario, made = self.scenario, []
         peers = [
@@ -178,7 +131,12 @@
                 Services(CLOUD_ADDRESS, STATE_ADDRESS), facts,
             )  # fmt: skip
             rate = 1 + self.rng.uniform(0, scenario.drift)
-            made.append(Controller(self, settings, rate, self.rng.randint(-500_000, 500_000)))
+            clock = rate, self.rng.randint(-500_000, 500_000)
+            made.append(
+                Controller(
+                    self.loop, self.network, settings, self.tunables, clock, self.check_lease
+                )
+            )
             self.network.known(settings.listen, peer.name)
             self.network.known(peer.address, peer.name)
         return made
@@ -209,33 +167,14 @@
         """Play the scenario from beginning to end."""
         for controller in self.controllers:
             controller.start()
-        faults = [*self.scenario.faults, *self._draw()]
-        duties = [asyncio.create_task(self._befall(fault)) for fault in faults]
+        duties = self.faults.start()
         duties.append(asyncio.create_task(self._look()))
         self.users.store(self.store.service.store)
         self.users.start()
         await asyncio.sleep(self.scenario.seconds)
         for duty in duties:
             duty.cancel()
-        self.checker.finish()
-
-    def _draw(self) -> Iterator[Fault]:
-        drawn = self.scenario.drawn
-        if drawn is None:
-            return
-        for _ in range(drawn.count):
-            yield Fault(
-                kind=self.rng.choice(drawn.kinds),
-                at_s=self.rng.uniform(drawn.from_s, drawn.to_s),
-                for_s=self.rng.uniform(0.5, drawn.most_for_s),
-                count=self.rng.choice((0, 1, 1, self.scenario.controllers - 1)),
-                share=self.rng.choice((0.1, 0.3, 0.5, 0.9)),
-                leader=self.rng.random() < 0.5,
-                mode=self.rng.choice(("hold", "hold", "drop", "reset", "refuse")),
-                one_way=self.rng.random() < 0.3,
-                chance=self.rng.choice((0.05, 0.3)),
-                most_s=self.rng.choice((2.0, 20.0)),
-            )
+        self.checker.finish(serves=self.scenario.serves)
 
     async def _look(self) -> None:
         """See whether somebody decides."""
@@ -287,143 +226,6 @@
         await asyncio.sleep(10.0)
         self.first_calls.append(self._calls() - before)
 
-    # -- faults ----------------------------------------------------------------------------
-
-    def _chosen(self, fault: Fault) -> list[Controller]:
-        count = fault.count or len(self.controllers)
-        order = self.rng.sample(self.controllers, len(self.controllers))
-        if fault.leader:
-            order.sort(key=lambda c: c.node is None or c.node.leader is None)
-        return order[:count]
-
-    def _some_machines(self, fault: Fault) -> list[Machine]:
-        up = self.cloud.up()
-        return self.rng.sample(up, round(len(up) * fault.share))
-
-    async def _befall(self, fault: Fault) -> None:
-        await asyncio.sleep(fault.at_s)
-        self.checker.note("fault", fault.kind)
-        match fault.kind.partition("_")[0]:
-            case "controllers":
-                await self._controllers(fault)
-            case "machines":
-                await self._machines(fault)
-            case "store":
-                await self._store(fault)
-            case "boots":
-                await self._boots(fault)
-            case "users":
-                self.users.eager = fault.factor
-                await asyncio.sleep(fault.for_s)
-                self.users.eager = 1.0
-            case _:
-                await self._messages(fault)
-
-    async def _controllers(self, fault: Fault) -> None:
-        chosen = self._chosen(fault)
-        if fault.kind == "controllers_end":
-            for controller in chosen:
-                controller.end()
-            await asyncio.sleep(max(fault.for_s, self.scenario.back_s))
-            for controller in chosen:
-                controller.start()
-        elif fault.kind == "controllers_freeze":
-            lives = [c.life for c in chosen if c.life is not None]
-            for life in lives:
-                self.loop.freeze(life)
-            await asyncio.sleep(fault.for_s)
-            for life in lives:
-                if life.frozen:
-                    self.loop.thaw(life)
-        else:
-            names = {c.name for c in chosen}
-            everybody = {c.name for c in self.controllers}
-            others = {
-                "controllers_cut": everybody
-                | {"state", "cloud", "users"}
-                | set(self.cloud.machines),
-                "controllers_peers": everybody,
-                "controllers_from_store": {"state"},
-                "controllers_from_workers": set(self.cloud.machines),
-            }[fault.kind]
-            await self._cut(names, others, fault.mode, fault)
-
-    async def _cut(self, names: set[str], others: set[str], mode: str, fault: Fault) -> None:
-        pairs = sorted((a, b) for a in names for b in others - {a})
-        if not fault.one_way:
-            pairs += [(b, a) for a, b in pairs if b not in names]
-        with contextlib.ExitStack() as cuts:
-            for source, target in pairs:
-                self.network.cut(source, target, mode)  # type: ignore[arg-type]
-                cuts.callback(self.network.heal, source, target, mode)  # type: ignore[arg-type]
-            await asyncio.sleep(fault.for_s)
-
-    async def _machines(self, fault: Fault) -> None:
-        chosen = self._some_machines(fault)
-        match fault.kind:
-            case "machines_die":
-                for machine in chosen:
-                    self.cloud.fail(machine)
-            case "machines_restart":
-                for machine in chosen:
-                    machine.restart()
-            case "machines_sick":
-                for machine in chosen:
-                    machine.fall_sick()
-                await asyncio.sleep(fault.for_s)
-                for machine in chosen:
-                    machine.sick = False
-            case "machines_hang":
-                for machine in chosen:
-                    self.loop.freeze(machine.life)
-                await asyncio.sleep(fault.for_s)
-                for machine in chosen:
-                    if machine.life.frozen:
-                        self.loop.thaw(machine.life)
-            case _:
-                everybody = {c.name for c in self.controllers}
-                await self._cut({m.name for m in chosen}, everybody, fault.mode, fault)
-
-    async def _store(self, fault: Fault) -> None:
-        store = self.store
-        match fault.kind:
-            case "store_down":
-                store.service.outage = True
-                await asyncio.sleep(fault.for_s)
-                store.life.context.run(store.service.end_outage)
-            case "store_slow":
-                store.slow_s = min(fault.most_s, 0.4)
-                await asyncio.sleep(fault.for_s)
-                store.slow_s = 0.0
-            case "store_refuses":
-                names = {c.name for c in self._chosen(fault)}
-                store.refused |= names
-                await asyncio.sleep(fault.for_s)
-                store.refused -= names
-            case _:
-                store.late, store.late_s = fault.chance, fault.most_s
-                await asyncio.sleep(fault.for_s)
-                store.late = 0.0
-
-    async def _boots(self, fault: Fault) -> None:
-        if fault.kind == "boots_late":
-            self.cloud.boot_factor = fault.factor
-        else:
-            self.cloud.boots_fail = fault.chance
-        await asyncio.sleep(fault.for_s)
-        self.cloud.boot_factor, self.cloud.boots_fail = 1.0, 0.0
-
-    async def _messages(self, fault: Fault) -> None:
-        fair = self._fair()
-        if fault.kind == "messages_lost":
-            self.network.weather = Weather(fair.delay_s, lost=min(fault.chance, 0.1))
-        else:
-            self.network.weather = Weather(
-                fair.delay_s, lost=fair.lost, late=fault.chance, late_s=fault.most_s
-            )
-        await asyncio.sleep(fault.for_s)
-        self.network.weather = fair
-
 
 def _valid(leader: Leader) -> bool:
     return leader.valid
--- /dev/null
+++ b/weldhead/emulator/faults.py
@@ -0,0 +1,261 @@
+"""What befalls a simulated site, and when all of it is over."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable, Iterator
+
+from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
+from weldhead.emulator.checker import Checker
+from weldhead.emulator.controller import Controller
+from weldhead.emulator.loop import VirtualLoop
+from weldhead.emulator.machines import Machine
+from weldhead.emulator.network import Mode, Network, Weather
+from weldhead.emulator.scenario import Fault, Scenario
+from weldhead.emulator.services import SimulatedCloud, SimulatedStore
+from weldhead.emulator.users import Users
+from weldhead.transport.state import decode
+
+#: How often it is looked whether a term was won or lost.
+LOOK_S = 0.01
+
+
+class Faults:
+    """The faults of one run."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        rng: random.Random,
+        scenario: Scenario,
+        network: Network,
+        store: SimulatedStore,
+        cloud: SimulatedCloud,
+        controllers: list[Controller],
+        users: Users,
+        checker: Checker,
+    ) -> None:
+        self._loop, self._rng, self._scenario = loop, rng, scenario
+        self._network, self._store, self._cloud = network, store, cloud
+        self._controllers, self._users, self._checker = controllers, users, checker
+        self._left = 0
+        network.weather = self._fair()
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Have all faults come at their times."""
+        faults = [*self._scenario.faults, *self._draw()]
+        self._left = len(faults)
+        if not faults:
+            self._checker.calm_us = self._loop.true_us
+        return [asyncio.create_task(self._befall(fault)) for fault in faults]
+
+    def _fair(self) -> Weather:
+        return Weather(delay_s=self._scenario.delay_s, lost=self._scenario.lost)
+
+    def _draw(self) -> Iterator[Fault]:
+        drawn, rng = self._scenario.drawn, self._rng
+        if drawn is None:
+            return
+        for _ in range(drawn.count):
+            fault = Fault(
+                kind=rng.choice(drawn.kinds),
+                at_s=rng.uniform(drawn.from_s, drawn.to_s),
+                for_s=rng.uniform(0.5, drawn.most_for_s),
+                count=rng.choice((0, 1, 1, self._scenario.controllers - 1)),
+                share=rng.choice((0.1, 0.3, 0.5, 0.9)),
+                leader=rng.random() < 0.5,
+                mode=rng.choice(("hold", "hold", "drop", "reset", "refuse")),
+                one_way=rng.random() < 0.3,
+                chance=rng.choice((0.05, 0.3)),
+                most_s=rng.choice((2.0, 20.0, drawn.most_for_s)),
+            )
+            if drawn.backs_s:
+                fault.back_s = rng.choice(drawn.backs_s)
+                fault.again = fault.kind == "controllers_end" and rng.random() < 0.3
+            yield fault
+
+    def _chosen(self, fault: Fault) -> list[Controller]:
+        count = fault.count or len(self._controllers)
+        order = self._rng.sample(self._controllers, len(self._controllers))
+        if fault.leader:
+            order.sort(key=lambda c: c.node is None or c.node.leader is None)
+        return order[:count]
+
+    def _some_machines(self, fault: Fault) -> list[Machine]:
+        up = self._cloud.up()
+        return self._rng.sample(up, round(len(up) * fault.share))
+
+    async def _befall(self, fault: Fault) -> None:
+        duties: dict[str, Callable[[Fault], Awaitable[None]]] = {
+            "controllers": self._befall_controllers,
+            "machines": self._befall_machines,
+            "store": self._befall_store,
+            "boots": self._befall_boots,
+            "users": self._befall_users,
+        }
+        await asyncio.sleep(fault.at_s)
+        self._checker.note("fault", fault.kind)
+        await duties.get(fault.kind.partition("_")[0], self._befall_messages)(fault)
+        self._left -= 1
+        if not self._left:
+            self._checker.calm_us = self._loop.true_us
+
+    # -- controllers -----------------------------------------------------------------------
+
+    async def _befall_controllers(self, fault: Fault) -> None:
+        chosen = self._chosen(fault)
+        names = {c.name for c in chosen}
+        peers, machines = {c.name for c in self._controllers}, set(self._cloud.machines)
+        match fault.kind:
+            case "controllers_end":
+                back_s = fault.back_s or max(fault.for_s, self._scenario.back_s)
+                bounced = [asyncio.create_task(self._bounce(c, back_s)) for c in chosen]
+                if fault.again:
+                    await self._end_winners(self._loop.true_s + fault.for_s, back_s)
+                await asyncio.gather(*bounced)
+            case "controllers_freeze":
+                lives = [c.life for c in chosen if c.life is not None]
+                for life in lives:
+                    self._loop.freeze(life)
+                await asyncio.sleep(fault.for_s)
+                for life in lives:
+                    if life.frozen:
+                        self._loop.thaw(life)
+            case "controllers_cut":
+                await self._cut(names, peers | {"state", "cloud", "users"} | machines, fault)
+            case "controllers_peers":
+                await self._cut(names, peers, fault)
+            case "controllers_alone":
+                await self._cut(names, peers | {"state"}, fault)
+            case "controllers_from_store":
+                await self._cut(names, {"state"}, fault)
+            case _:
+                await self._cut(names, machines, fault)
+
+    async def _bounce(self, controller: Controller, back_s: float) -> None:
+        controller.end()
+        await asyncio.sleep(back_s)
+        controller.start()
+
+    async def _end_winners(self, until_s: float, back_s: float) -> None:
+        """End a controller whenever the leader's key is vacant or has a new owner."""
+        seen, bounced = -1, []
+        while self._loop.true_s < until_s:
+            await asyncio.sleep(LOOK_S)
+            entry = self._store.service.store.get(LEADER_KEY)
+            version = entry.version if entry is not None else 0
+            if version == seen:
+                continue
+            seen = version
+            # Whoever stands or has won is ended at any moment of it.
+            await asyncio.sleep(self._rng.uniform(0, 0.3))
+            victim = self._rng.choice(self._controllers)
+            if entry is not None:
+                name = decode(bytes(entry.value), LeaderRecord).name
+                victim = next(c for c in self._controllers if c.name == name)
+            if victim.life is not None:
+                bounced.append(asyncio.create_task(self._bounce(victim, back_s)))
+        await asyncio.gather(*bounced)
+
+    async def _cut(self, names: set[str], others: set[str], fault: Fault) -> None:
+        pairs = sorted((a, b) for a in names for b in others - {a})
+        if not fault.one_way:
+            pairs += [(b, a) for a, b in pairs if b not in names]
+        await self._cut_pairs(pairs, fault.mode, fault.for_s)
+
+    async def _cut_pairs(self, pairs: list[tuple[str, str]], mode: Mode, for_s: float) -> None:
+        with contextlib.ExitStack() as cuts:
+            for source, target in pairs:
+                self._network.cut(source, target, mode)
+                cuts.callback(self._network.heal, source, target, mode)
+            await asyncio.sleep(for_s)
+
+    # -- machines --------------------------------------------------------------------------
+
+    async def _befall_machines(self, fault: Fault) -> None:
+        chosen = self._some_machines(fault)
+        match fault.kind:
+            case "machines_die":
+                for machine in chosen:
+                    self._cloud.fail(machine)
+            case "machines_restart":
+                for machine in chosen:
+                    machine.end()
+                await asyncio.sleep(fault.back_s)
+                for machine in chosen:
+                    machine.come_back()
+            case "machines_sick":
+                for machine in chosen:
+                    machine.fall_sick()
+                await asyncio.sleep(fault.for_s)
+                for machine in chosen:
+                    machine.sick = False
+            case "machines_hang":
+                for machine in chosen:
+                    self._loop.freeze(machine.life)
+                await asyncio.sleep(fault.for_s)
+                for machine in chosen:
+                    if machine.life.frozen:
+                        self._loop.thaw(machine.life)
+            case "machines_deaf":
+                unheard = self._chosen(fault)
+                pairs = [(c.name, machine.name) for machine in chosen for c in unheard]
+                await self._cut_pairs(pairs, "deaf", fault.for_s)
+            case _:
+                await self._cut(
+                    {m.name for m in chosen}, {c.name for c in self._controllers}, fault
+                )
+
+    # -- services, users, the network ------------------------------------------------------
+
+    async def _befall_store(self, fault: Fault) -> None:
+        store = self._store
+        match fault.kind:
+            case "store_down":
+                store.service.outage = True
+                await asyncio.sleep(fault.for_s)
+                store.life.context.run(store.service.end_outage)
+            case "store_slow":
+                store.slow_s = min(fault.most_s, 0.4)
+                await asyncio.sleep(fault.for_s)
+                store.slow_s = 0.0
+            case "store_refuses":
+                names = {c.name for c in self._chosen(fault)}
+                store.refused |= names
+                await asyncio.sleep(fault.for_s)
+                store.refused -= names
+            case _:
+                store.late, store.late_s = fault.chance, fault.most_s
+                await asyncio.sleep(fault.for_s)
+                store.late = 0.0
+
+    async def _befall_boots(self, fault: Fault) -> None:
+        if fault.kind == "boots_late":
+            self._cloud.boot_factor = fault.factor
+        else:
+            self._cloud.boots_fail = fault.chance
+        await asyncio.sleep(fault.for_s)
+        self._cloud.boot_factor, self._cloud.boots_fail = 1.0, 0.0
+
+    async def _befall_users(self, fault: Fault) -> None:
+        self._users.eager = fault.factor
+        await asyncio.sleep(fault.for_s)
+        self._users.eager = 1.0
+
+    async def _befall_messages(self, fault: Fault) -> None:
+        network, fair = self._network, self._fair()
+        if fault.kind == "reports_copied":
+            network.copied, network.copied_s = fault.chance, fault.most_s
+            await asyncio.sleep(fault.for_s)
+            network.copied = 0.0
+            # The last copies are still on their way.
+            await asyncio.sleep(fault.most_s)
+            return
+        if fault.kind == "messages_lost":
+            network.weather = Weather(fair.delay_s, lost=min(fault.chance, 0.1))
+        else:
+            network.weather = Weather(
+                fair.delay_s, lost=fair.lost, late=fault.chance, late_s=fault.most_s
+            )
+        await asyncio.sleep(fault.for_s)
+        network.weather = fair
--- a/weldhead/emulator/machines.py
+++ b/weldhead/emulator/machines.py
@@ -88,12 +88,16 @@
         """Fail every task that begins from now on."""
         self.sick = self.was_sick = True
 
-    def restart(self) -> None:
-        """End the worker's process and start it again, under a new session."""
+    def end(self) -> None:
+        """End the worker's process and its tasks."""
         self._stop("restarted")
         self._network.ended(self.life)
-        self._session = self.worker.session + 1
-        self.boot()
+
+    def come_back(self) -> None:
+        """Start the worker's process again, under a new session."""
+        if not self.gone and self.life.ended:
+            self._session = self.worker.session + 1
+            self.boot()
 
     def _stop(self, why: str) -> None:
         if hasattr(self, "worker"):
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -19,7 +19,8 @@
 from weldhead.transport.http import CallFailed, HttpClient, NotConnected
 from weldhead.transport.server import Handler, Response
 
-Mode = Literal["hold", "drop", "reset", "refuse"]
+#: ``deaf``: connections come about, and of what is sent on them half arrives after the cut.
+Mode = Literal["hold", "drop", "reset", "refuse", "deaf"]
 #: method, path with query, body -> status, body, seconds after which to come back
 Serve = Callable[[str, str, bytes], Awaitable[Response]]
 
@@ -65,6 +66,10 @@
         #: Calls by (machine that calls, machine called).
         self.calls: Counter[tuple[str, str]] = Counter()
         self.bytes = 0
+        #: The share of reports of which a copy comes again, up to so much later, at any of
+        #: the addresses that reports are sent to; its answer goes nowhere.
+        self.copied, self.copied_s = 0.0, 0.0
+        self._reported_to: dict[str, None] = {}
         loop.dial = self._dial
         loop.answer = self._listen_stream
 
@@ -122,7 +127,8 @@
 
     def _path(self, source: str, target: str) -> Mode | None:
         """Return what stands in the way of a new connection."""
-        return self._mode(source, target) or self._mode(target, source)
+        modes = (self._mode(source, target), self._mode(target, source))
+        return next((mode for mode in modes if mode not in (None, "deaf")), None)
 
     def _delay_s(self) -> float:
         weather = self.weather
@@ -145,7 +151,7 @@
             if stream is not None:
                 arrival_s = stream.last_s = max(stream.last_s + 1e-6, arrival_s)
             self._loop.call_at(arrival_s, deliver, context=target.context)
-        elif mode == "hold":
+        elif mode == "hold" or (mode == "deaf" and self._rng.random() < 0.5):
             held = self._held[source, target.machine]
             held.append(lambda: self._carry(source, target, deliver, stream))
 
@@ -171,6 +177,8 @@
                 listener = await self._connected(life, machine, address, connect_us)
                 self.calls[life.machine, machine] += 1
                 self.bytes += len(body or b"")
+                if self.copied and path == "v1/report" and self._rng.random() < self.copied:
+                    self._copy(life.machine, address, body or b"")
                 return await self._exchange(life, listener, method, "/" + path, body or b"")
         except asyncio.TimeoutError as error:
             raise CallFailed(f"{method} {url}: no answer in time") from error
@@ -197,6 +205,23 @@
                 raise NotConnected(f"{address}: no connection in time")
             await asyncio.sleep(0.05)
 
+    def _copy(self, machine: str, address: str, body: bytes) -> None:
+        """Have a report come once more, whatever has become of its sender by then."""
+        self._reported_to[address] = None
+        target = self._rng.choice([address, *self._reported_to])
+
+        async def serve(listener: _Listener) -> None:
+            self.caller.set(machine)
+            assert listener.serve is not None
+            await listener.serve("POST", "/v1/report", body)
+
+        def arrive() -> None:
+            listener = self._listener(target)
+            if listener is not None:
+                self._loop.spawn(listener.life, lambda: serve(listener))
+
+        self._loop.call_at(self._loop.true_s + self._rng.uniform(0, self.copied_s), arrive)
+
     async def _exchange(
         self, life: Life, listener: _Listener, method: str, path: str, body: bytes
     ) -> Response:
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -12,23 +12,29 @@
 
 from weldhead.tomlfiles import parse, problem_at, read_text
 
+#: No process is back sooner.
+LEAST_BACK_S = 0.05
+
 Kind = Literal[
     "controllers_end",
     "controllers_freeze",
     "controllers_cut",
     "controllers_peers",
     "controllers_from_store",
+    "controllers_alone",
     "controllers_from_workers",
     "machines_die",
     "machines_hang",
     "machines_cut",
     "machines_restart",
+    "machines_deaf",
     "store_down",
     "store_slow",
     "store_refuses",
     "store_late",
     "messages_lost",
     "messages_late",
+    "reports_copied",
     "machines_sick",
     "boots_late",
     "boots_fail",
@@ -43,7 +49,11 @@
     takes the leader first. ``mode`` is what a cut does; ``one_way`` cuts the way out only.
     ``chance`` and ``most_s`` are how many messages come how late; ``chance`` also how many
     machines never come up. ``factor`` is how many times longer boots take, or how many times
-    as often users ask. On sick machines every task fails.
+    as often users ask. On sick machines every task fails. Deaf machines are heard, and hear
+    nothing of ``count`` controllers. Controllers that are alone have neither store nor peers.
+    ``chance`` and ``most_s`` are also how many reports come a second time, and how late.
+    ``back_s``: ended controllers and restarted machines are back after so long, in place of
+    the above. ``again``: until ``for_s`` is over, whoever stands or wins a term next is ended.
     """
 
     kind: Kind
@@ -57,6 +67,8 @@
     chance: float = 0.1
     most_s: float = 20.0
     factor: float = 8.0
+    back_s: float = 0.0
+    again: bool = False
 
 
 class Drawn(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
@@ -67,6 +79,8 @@
     from_s: float
     to_s: float
     most_for_s: float = 20.0
+    #: Of these, ``back_s`` of each; some of the controllers' ends are then ``again``.
+    backs_s: list[float] = []
 
 
 class JobClass(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
@@ -82,6 +96,9 @@
     tasks: int = 4
     run_s: float = 8.0
     cpus: float = 1.0
+    #: Every so many jobs one has tasks that take this; 0: none.
+    large_cpus: float = 0.0
+    large_each: int = 10
     priority: Literal["production", "high", "normal", "idle"] = "normal"
     saves_every_s: float = 0.0
     save_s: float = 0.0
@@ -126,6 +143,8 @@
     drift: float = 0.0005
     #: Jobs of the first class, of one task each, that are on record from the beginning.
     stored_jobs: int = 0
+    #: Whether there is room for all, so that whoever is not served is a broken rule.
+    serves: bool = False
     faults: list[Fault] = []
     drawn: Drawn | None = None
 
@@ -146,6 +165,8 @@
             yield ["jobs", number, "team"], f"there is no team {job.team!r}"
         if not 0 < job.cpus <= scenario.machine_cpus:
             yield ["jobs", number, "cpus"], "fit no machine"
+        if not 0 <= job.large_cpus <= scenario.machine_cpus or job.large_each < 1:
+            yield ["jobs", number, "large-cpus"], "fit no machine, or come every 0 jobs"
         if not 0 <= job.broken <= 1 or not 0 <= job.cancelled <= 1:
             yield ["jobs", number, "name"], "broken and cancelled are shares from 0 to 1"
         for field in ("tasks", "run_s"):
@@ -163,6 +184,12 @@
             yield ["faults", number, "factor"], "must be above 0"
         if not 0 <= fault.count <= scenario.controllers:
             yield ["faults", number, "count"], "there are not so many controllers"
+        if fault.back_s and fault.back_s < LEAST_BACK_S:
+            yield ["faults", number, "back-s"], f"must be 0 or at least {LEAST_BACK_S:g}"
+        if fault.again and fault.kind != "controllers_end":
+            yield ["faults", number, "again"], "is of controllers_end"
+    if scenario.drawn is not None and any(s < LEAST_BACK_S for s in scenario.drawn.backs_s):
+        yield ["drawn", "backs-s"], f"must be at least {LEAST_BACK_S:g}"
     if scenario.drawn is not None and scenario.drawn.from_s >= scenario.drawn.to_s:
         yield ["drawn", "from-s"], "must be before to-s"
 
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -16,6 +16,8 @@
 from weldhead.transport.http import CallFailed
 from weldhead.transport.server import Response
 
+#: The connections of a controller that is unhealthy for so long are reset.
+RESET_S = 5.0
 _encode = msgspec.json.Encoder().encode
 
 
@@ -38,6 +40,9 @@
         self._addresses = list(nodes.values())
         self._healthy = dict.fromkeys(self._addresses, False)
         self._count = 0
+        #: The connections that users keep open, and since when a controller is not healthy.
+        self._connected: dict[str, str] = {}
+        self._ailing_s: dict[str, float] = {}
         #: How many times as often as usual the users ask.
         self.eager = 1.0
 
@@ -53,6 +58,10 @@
         while True:
             answer = await self._call("GET", address, "/ready", b"", 1.0)
             self._healthy[address] = answer is not None and answer.status == 200
+            if self._healthy[address]:
+                self._ailing_s.pop(address, None)
+            else:
+                self._ailing_s.setdefault(address, self._loop.true_s)
             await asyncio.sleep(1.0)
 
     async def _call(
@@ -65,12 +74,24 @@
         except CallFailed:
             return None
 
-    async def _ask(self, method: str, path: str, body: bytes, limit_s: float) -> Response | None:
-        healthy = [address for address in self._addresses if self._healthy[address]]
-        if not healthy:
-            self._checker.counts["no healthy controller"] += 1
-            return None
-        return await self._call(method, self._rng.choice(healthy), path, body, limit_s)
+    async def _ask(
+        self, job_id: str, method: str, path: str, body: bytes, limit_s: float
+    ) -> Response | None:
+        """Ask on the job's connection; a new one only once that is closed."""
+        address = self._connected.get(job_id)
+        since_s = self._ailing_s.get(address or "")
+        if since_s is not None and self._loop.true_s - since_s > RESET_S:
+            address = None
+        if address is None:
+            healthy = [address for address in self._addresses if self._healthy[address]]
+            if not healthy:
+                self._checker.counts["no healthy controller"] += 1
+                return None
+            address = self._connected[job_id] = self._rng.choice(healthy)
+        answer = await self._call(method, address, path, body, limit_s)
+        if answer is None:
+            self._connected.pop(job_id, None)
+        return answer
 
     async def _arrivals(self, job: JobClass) -> None:
         for _ in range(job.initial):
@@ -95,8 +116,11 @@
 
     def _draw(self, job: JobClass, tasks: int) -> JobSpec:
         self._count += 1
+        cpus = job.cpus
+        if job.large_cpus and self._count % job.large_each == 0:
+            cpus = job.large_cpus
         spec = JobSpec(
-            f"run-{self._count:06}", job.name, job.team, "batch", job.priority, tasks, job.cpus,
+            f"run-{self._count:06}", job.name, job.team, "batch", job.priority, tasks, cpus,
             0.0, 1.0, f"img-{job.name}", 1.0, job.one_zone, job.spread, True,
             self._rng.uniform(0.2, 2.0) * job.run_s, job.saves_every_s, job.save_s,
         )  # fmt: skip
@@ -124,16 +148,16 @@
         cancels = self._rng.random() < job.cancelled
         if spec.id in self._checker.broken_jobs:
             cancels, cancel_s = True, cancel_s + 20
+        cancelling: asyncio.Task[bool] | None = None
         while told.final == "":
             await asyncio.sleep(self._rng.uniform(4, 6) / self.eager)
-            if self.eager > 1:
-                # Who asks so often does not wait for the last answer.
-                asyncio.create_task(self._poll(spec.id))  # noqa: RUF006 - the life holds it
-            else:
-                await self._poll(spec.id)
+            # About every 5 s, however long an answer takes, also while a cancellation is tried.
+            asyncio.create_task(self._poll(spec.id))  # noqa: RUF006 - the life holds it
             if cancels and self._loop.true_s > cancel_s and not told.final:
                 told.cancel_asked = True
-                await self._repeat("cancel", f"/submissions/{spec.id}/cancel", b"", spec.id)
+                if cancelling is None or cancelling.done():
+                    path = f"/submissions/{spec.id}/cancel"
+                    cancelling = asyncio.create_task(self._repeat("cancel", path, b"", spec.id))
         # It may be asked for, and submitted again, at any later time.
         await asyncio.sleep(self._rng.uniform(1, 20))
         await self._poll(spec.id)
@@ -143,7 +167,7 @@
         until_s = self._loop.true_s + 60
         while self._loop.true_s < until_s:
             asked_us = self._loop.true_us
-            answer = await self._ask("POST", path, body, 5.0)
+            answer = await self._ask(job_id, "POST", path, body, 5.0)
             self._tell(job_id, verb, answer, asked_us)
             if answer is not None and answer.status in (200, 201, 400, 404, 422):
                 return True
@@ -152,7 +176,7 @@
 
     async def _poll(self, job_id: str) -> None:
         asked_us = self._loop.true_us
-        answer = await self._ask("GET", f"/submissions/{job_id}", b"", 2.0)
+        answer = await self._ask(job_id, "GET", f"/submissions/{job_id}", b"", 2.0)
         self._tell(job_id, "poll", answer, asked_us)
 
     def _tell(self, job_id: str, verb: str, answer: Response | None, asked_us: int) -> None:
