--- a/weldhead/emulator/serving.py
+++ b/weldhead/emulator/serving.py
@@ -48,14 +48,16 @@
     for job in jobs:
         classes[job.spec.job_class].append(job)
         groups[f"team {job.spec.team}"].append(job)
+    waited_s: dict[str, float] = {}
     for name, members in classes.items():
         groups[f"class {name}"] = members
         for what, size in (("tasks", _tasks), ("CPUs of a task", _cpus)):
             group = groups[f"the largest of {name} by {what}"] = largest(members, size)
             for job in group:
                 waited_us = (job.begun_us or end_us) - job.accepted_us
-                if waited_us > BEGIN_US and not job.spec.is_service:
-                    yield f"{job.spec.id}, of the largest of {name}: {waited_us / SECOND_US:.0f} s"
+                if waited_us > BEGIN_US:
+                    waited_s[job.spec.id] = waited_us / SECOND_US
+    yield from (f"{name}, one of the largest: {wait:.0f} s" for name, wait in waited_s.items())
     for name, members in groups.items():
         due = [job for job in members if job.could_be_served(end_us)]
         done = sum(job.served for job in due)
