--- /dev/null
+++ b/weldhead/admission/turns.py
@@ -0,0 +1,79 @@
+"""Whose question goes first when not all can be answered. No I/O.
+
+Each answer from the state service costs some of its requests. When more is asked than there is
+room for, chance decided who was answered, and with thousands of jobs some were refused each
+time for minutes. So a job whose questions have failed for long may take what is kept from the
+others: the longer, the more. What is kept in memory is bounded, and who stops asking is
+forgotten. Times are microseconds of the steady clock; amounts are requests.
+"""
+
+from weldhead.clock import SECOND_US
+
+#: After so long without an answer a job may take all there is. Users ask every few seconds:
+#: that leaves several tries before they would take the job for forgotten (75 s).
+PATIENT_US = 40 * SECOND_US
+#: Who has not asked again for so long has given up, or was answered elsewhere.
+GIVEN_UP_US = 30 * SECOND_US
+#: How many jobs are remembered as waiting.
+MOST_WAITING = 4_096
+
+
+class Turns:
+    """Shares ``rate`` requests a second, ``burst`` at once, among those who ask."""
+
+    def __init__(self, rate: float, burst: float, at_us: int, most: int = MOST_WAITING) -> None:
+        self._rate, self._burst, self._most = rate, burst, most
+        self._level = burst
+        self._filled_us = at_us
+        #: Since when a job has not been answered, and when it was last asked about.
+        self._waiting: dict[str, tuple[int, int]] = {}
+        self._swept_us = at_us
+
+    def take(self, job_id: str, cost: float, at_us: int) -> bool:
+        """Take the cost of an answer, unless it is kept for those who have waited longer."""
+        self._fill(at_us)
+        patience = min(1.0, self.waited_us(job_id, at_us) / PATIENT_US)
+        if self._level - cost < self._burst / 2 * (1.0 - patience):
+            self.failed(job_id, at_us)
+            return False
+        self._level -= cost
+        return True
+
+    def spend(self, cost: float, at_us: int) -> bool:
+        """Take more for an answer that has begun; False if nothing at all is left."""
+        self._fill(at_us)
+        if self._level < cost:
+            return False
+        self._level -= cost
+        return True
+
+    def waited_us(self, job_id: str, at_us: int) -> int:
+        """Return for how long questions about a job have failed."""
+        since_us, last_us = self._waiting.get(job_id, (at_us, at_us))
+        return at_us - since_us if at_us - last_us <= GIVEN_UP_US else 0
+
+    def failed(self, job_id: str, at_us: int) -> None:
+        """A question about a job could not be answered."""
+        since_us = at_us - self.waited_us(job_id, at_us)
+        if job_id not in self._waiting and len(self._waiting) >= self._most:
+            self._sweep(at_us)
+            if len(self._waiting) >= self._most:
+                return
+        self._waiting[job_id] = since_us, at_us
+
+    def answered(self, job_id: str) -> None:
+        """A question about a job was answered."""
+        self._waiting.pop(job_id, None)
+
+    def _fill(self, at_us: int) -> None:
+        gained = max(0, at_us - self._filled_us) * self._rate / SECOND_US
+        self._level = min(self._burst, self._level + gained)
+        self._filled_us = at_us
+
+    def _sweep(self, at_us: int) -> None:
+        """Forget who gave up; looked for once a second at most."""
+        if at_us - self._swept_us < SECOND_US:
+            return
+        self._swept_us = at_us
+        for job_id in [j for j, (_, last) in self._waiting.items() if at_us - last > GIVEN_UP_US]:
+            del self._waiting[job_id]
--- /dev/null
+++ b/weldhead/coordination/company.py
@@ -0,0 +1,160 @@
+"""The other controllers as far as this one can ask them, and whether it is alone."""
+
+import asyncio
+import logging
+from collections.abc import Mapping
+
+from weldhead.bookkeeping.records import LEADER_KEY
+from weldhead.clock import MILLISECOND_US, now_us, to_seconds
+from weldhead.coordination.campaign import Campaign
+from weldhead.coordination.leader import Leader
+from weldhead.membership.solitude import Contact, Solitude
+from weldhead.protocol.peer import Answer, Ask
+from weldhead.protocol.versions import CHAINS_FORMAT
+from weldhead.protocol.wire import MachineType
+from weldhead.transport.http import CallFailed
+from weldhead.transport.peers import PeerLink
+from weldhead.transport.server import Response, refusal
+from weldhead.transport.state import StateClient
+
+log = logging.getLogger(__name__)
+
+#: How long a user's or worker's request may take on its way through another node.
+FORWARD_US = 900 * MILLISECOND_US
+#: Between two looks at whether this node is alone.
+LOOK_US = 200 * MILLISECOND_US
+#: How long the state service has to answer who seems to be alone.
+PROOF_US = 400 * MILLISECOND_US
+
+
+class Company:
+    """What this node knows of the others, and what it has them answer."""
+
+    def __init__(
+        self, name: str, links: Mapping[str, PeerLink], campaign: Campaign, started_us: int
+    ) -> None:
+        self._name = name
+        self._links = links
+        self._campaign = campaign
+        self._solitude = Solitude(started_us)
+        self._turn = 0
+
+    def open(self, state: StateClient) -> None:
+        """Use this from now on."""
+        self._state = state
+
+    @property
+    def leader(self) -> Leader | None:
+        """This node's term, if it leads."""
+        return self._campaign.leader
+
+    @property
+    def catalog(self) -> list[MachineType]:
+        """The machine types, as far as they are known."""
+        return self._campaign.catalog
+
+    # -- alone --------------------------------------------------------------------------------
+
+    @property
+    def alone(self) -> bool:
+        """Whether neither the state service nor another controller answers this one."""
+        return self._solitude.alone
+
+    async def watch(self) -> None:
+        """Look again and again whether this node is alone; a duty."""
+        while self._links:
+            await asyncio.sleep(to_seconds(LOOK_US))
+            self._look()
+            if self._solitude.ask:
+                # Nobody may have called the service for seconds: then nothing has failed.
+                try:
+                    await self._state.get(LEADER_KEY, urgent=True, timeout_us=PROOF_US)
+                except CallFailed as error:
+                    log.debug("all others are silent, and the state service: %s", error)
+                self._look()
+        await asyncio.Event().wait()
+
+    def _look(self) -> None:
+        answered_us = max(link.heard_us for link in self._links.values())
+        contact = Contact(answered_us, self._state.served_us, self._state.failed_us)
+        if self._solitude.look(contact, now_us()):
+            if self.alone:
+                log.info(
+                    "%s is alone: neither the state service nor another controller answers; "
+                    "users and workers are sent on",
+                    self._name,
+                )
+            else:
+                log.info("%s is not alone any more", self._name)
+
+    def ready(self) -> Response:
+        """Tell the load balancer whether users are served here as well as elsewhere."""
+        if not self.catalog:
+            return refusal(503, "machine types not known yet", retry_after_s=1)
+        if self.alone:
+            return refusal(503, "this node is alone", retry_after_s=1)
+        if not self._state.ok and self._served_peers(now_us()):
+            return refusal(503, "the state service refuses this node", retry_after_s=1)
+        # In an outage all stay: a balancer without a healthy node serves nobody.
+        return Response(200, b"{}")
+
+    # -- asking others ------------------------------------------------------------------------
+
+    async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
+        """Have the leader answer; None if it cannot be reached."""
+        record = self._campaign.known_leader
+        link = self._links.get(record.name) if record is not None else None
+        if link is None or not link.alive(now_us()):
+            # Asked in vain, a silent leader kept each user waiting for most of a second.
+            return None
+        return await self.forward(link, kind, job_id, body)
+
+    async def ask_served_peer(
+        self, kind: str, job_id: str, body: bytes, *, chained: bool = False
+    ) -> Response | None:
+        """Have a peer answer that the state service serves; None if there is none."""
+        served = self._served_peers(now_us(), CHAINS_FORMAT if chained else 0)
+        if not served:
+            return None
+        self._turn += 1
+        followers = [link for link in served if not self._leads(link)]
+        if kind == "poll" and followers:
+            # The leader was asked before. A follower looks for itself: it refused what is
+            # meant for a leader, and who reaches only followers was never answered.
+            link, kind = followers[self._turn % len(followers)], "read"
+        else:
+            # In turn, so that one peer that fails does not fail each time.
+            link = served[self._turn % len(served)]
+        return await self.forward(link, kind, job_id, body)
+
+    def peers_know_chains(self) -> bool:
+        """Whether no peer is known to run a version that would start jobs that wait."""
+        return all(not 0 < link.format < CHAINS_FORMAT for link in self._links.values())
+
+    def _leads(self, link: PeerLink) -> bool:
+        record = self._campaign.known_leader
+        return record is not None and record.name == link.name
+
+    def _served_peers(self, at_us: int, least_format: int = 0) -> list[PeerLink]:
+        """Return the live peers of that format or a later one that the state service serves."""
+        return [
+            link
+            for link in self._links.values()
+            if link.alive(at_us) and link.state_ok and link.format >= least_format
+        ]
+
+    async def forward(
+        self, link: PeerLink, kind: str, job_id: str, body: bytes
+    ) -> Response | None:
+        """Have a peer answer; None if it does not, or not in time."""
+        if not link.connected:
+            return None
+        at_us = now_us()
+        try:
+            answer = await link.ask(Ask(link.next_id(), kind, job_id, body), Answer, FORWARD_US)
+        except CallFailed:
+            return None
+        if now_us() - at_us > FORWARD_US:
+            # Read only after this process stood still: others may have answered newer since.
+            return None
+        return Response(answer.status, answer.body, 1 if answer.status == 503 else 0)
