Calendars: the leader computes the instants, and jobs are bound to them at acceptance

A calendar's coming instants are computed by the leader and committed; every other controller reads them. A job's record has its instant with the 201, on the condition that edition and instants are what they were; it counts as a deadline wherever due_s does. A changed calendar binds open jobs anew by a table of one or two moves in its own record, so no job is written. Late bound jobs are noted in shared records and told once; every controller keeps a table of what has to be finished by when.

--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -9,8 +9,8 @@
 
 #: What `serve` loads, without the tunables' language; the packages of weldhead it may use.
 ALLOWED = {
-    "admission", "blame", "bookkeeping", "boots", "cli", "clock", "coordination", "documents",
-    "membership", "planning", "protocol", "recovery", "transport",
+    "admission", "blame", "bookkeeping", "boots", "calendars", "cli", "clock", "coordination",
+    "documents", "membership", "planning", "protocol", "recovery", "transport",
 }  # fmt: skip
 LIBRARIES = {"aiohttp", "click", "msgspec", "uvloop"}
 FOREIGN = {
@@ -21,6 +21,9 @@
     "rich",
     "lark",
     "tomllib",
+    # The leader of the moment loads these when there is a calendar, and nobody else.
+    "dateutil",
+    "zoneinfo",
     "grpc",
 }
 
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -5,6 +5,7 @@
 
 from weldhead.bookkeeping.feeds import Feeds, Noted
 from weldhead.bookkeeping.records import CHUNK_TASKS, Bound, Hold
+from weldhead.clock import seconds_us
 from weldhead.protocol.wire import JobSpec
 
 
@@ -103,6 +104,7 @@
     """A job that is not over."""
 
     __slots__ = (
+        "_bound_due_us",
         "_cancelled",
         "_chain_due_us",
         "_finishing",
@@ -152,6 +154,7 @@
     stranded = Noted[bool]("_stranded")
     level = Noted[int]("_level")
     chain_due_us = Noted[tuple[int, ...]]("_chain_due_us")
+    bound_due_us = Noted[int | None]("_bound_due_us")
 
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
         self.feeds: Feeds[Job] | None = None
@@ -167,6 +170,8 @@
         self._ready_us = at_us
         #: What documents said of it when it was accepted.
         self.bound: Bound | None = None
+        #: When that is on this node's steady clock, so early that it is met by every clock.
+        self._bound_due_us: int | None = None
         self.hold: Hold | None = None
         #: Needed jobs that are not known to be committed as done.
         self.blockers: set[str] = set()
@@ -211,6 +216,15 @@
         if self.feeds is not None:
             self.feeds.note(self.id, self)
 
+    @property
+    def due_us(self) -> int | None:
+        """When it is due by itself: the earlier of its deadline and what binds it."""
+        bound_us = self._bound_due_us
+        if self.spec.deadline_s is None:
+            return bound_us
+        deadline_us = self._first_seen_us + seconds_us(self.spec.deadline_s)
+        return deadline_us if bound_us is None else min(bound_us, deadline_us)
+
     @property
     def waiting(self) -> int:
         """How many tasks wait for a place; none while the job waits for others.
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -74,7 +74,8 @@
         return Binding(
             min(bounds, key=lambda bound: bound.due_us, default=None),
             self.hold or other.hold,
-            (*self.conditions, *other.conditions),
+            # Several may rest on the same marks; a condition is stated once.
+            (*self.conditions, *(c for c in other.conditions if c not in self.conditions)),
         )
 
 
--- a/weldhead/calendars/document.py
+++ b/weldhead/calendars/document.py
@@ -36,6 +36,11 @@
         """Iterate over what is wrong with it: field, and why."""
         if not _HOUR.fullmatch(self.hour):
             yield ["hour"], "a time of day is HH:MM"
+        for day in self.moved:
+            try:
+                date.fromisoformat(day)
+            except ValueError:
+                yield ["moved", day], "a day is YYYY-MM-DD"
         if not 0 <= self.margin_s <= 86_400:
             yield ["margin-s"], "a margin is 0 to 86400 seconds"
         if not self.classes and not self.teams:
--- /dev/null
+++ b/weldhead/calendars/dues.py
@@ -0,0 +1,69 @@
+"""Bound jobs in a leader's memory: their instants on its steady clock. No I/O.
+
+An instant is met only if it is by every clock: this node's time of day may be off by
+``error_us``, so the job is due that much earlier here. The time of day may also be set while
+a term lasts, or the steady clock stand still with the machine: then all are converted anew.
+"""
+
+from collections.abc import Iterable
+
+from weldhead.bookkeeping.jobs import Job
+from weldhead.calendars.binding import moved
+from weldhead.clock import MILLISECOND_US
+from weldhead.documents.shelf import Shelf
+
+#: Clocks wander: by less nothing is converted anew.
+STEP_US = 250 * MILLISECOND_US
+
+
+class Dues:
+    """What a term needs to know when bound jobs are due."""
+
+    def __init__(self, error_us: int) -> None:
+        self._error_us = error_us
+        #: The term's own reading of the documents; None: this node is given none.
+        self.shelf: Shelf | None = None
+        #: The time of day less the steady clock, by which jobs are converted.
+        self._offset_us: int | None = None
+
+    @property
+    def error_us(self) -> int:
+        """How far any time of day may be off."""
+        return self._error_us
+
+    def enter(self, job: Job, at_us: int, wall_us: int) -> None:
+        """Enter the instant of a job that its record binds."""
+        if job.bound is None:
+            return
+        job.bound = moved(self.shelf, job.bound)
+        if self._offset_us is None:
+            self._offset_us = wall_us - at_us
+        self._convert(job)
+
+    def _convert(self, job: Job) -> None:
+        if job.bound is not None and self._offset_us is not None:
+            job.bound_due_us = job.bound.due_us - self._offset_us - self._error_us
+
+    def keep_time(self, jobs: Iterable[Job], at_us: int, wall_us: int) -> list[Job]:
+        """Follow a step of the clocks; return the jobs that are due at another moment."""
+        offset_us = wall_us - at_us
+        if self._offset_us is None or abs(offset_us - self._offset_us) < STEP_US:
+            return []
+        self._offset_us = offset_us
+        changed = [job for job in jobs if job.bound is not None]
+        for job in changed:
+            self._convert(job)
+        return changed
+
+    def rebind(self, jobs: Iterable[Job], calendar: str) -> list[tuple[Job, int]]:
+        """Follow a calendar's change; return jobs bound anew, with their earlier instants."""
+        changed: list[tuple[Job, int]] = []
+        for job in jobs:
+            if job.bound is None or job.bound.calendar != calendar:
+                continue
+            bound = moved(self.shelf, job.bound)
+            if bound != job.bound:
+                changed.append((job, job.bound.due_us))
+                job.bound = bound
+                self._convert(job)
+        return changed
--- /dev/null
+++ b/weldhead/calendars/lateness.py
@@ -0,0 +1,110 @@
+"""Whether a bound job is on track, and the true reason if it is not. Pure.
+
+A forecast is only as good as what is known of a class: of a job whose class has no history
+here nothing is guessed, until its instant is past.
+"""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from weldhead.bookkeeping.cluster import Cluster
+from weldhead.bookkeeping.jobs import Job
+from weldhead.calendars.words import span, utc
+from weldhead.clock import SECOND_US
+from weldhead.planning.forecast import Boots, holding_up
+
+#: What the line of a takeover counts one by one.
+SOON_US = 3600 * SECOND_US
+#: How many late jobs that line names.
+NAMED = 5
+
+
+class Standing(enum.Enum):
+    """How a bound job stands."""
+
+    ON_TRACK = "on track"
+    LATE = "late"
+    UNKNOWN = "unknown"
+
+
+def standing(job: Job, at_us: int, *, has_history: bool) -> Standing:
+    """Say how a job with a deadline stands, by its latest forecast."""
+    due_us = job.due_us
+    if due_us is None or job.complete:
+        return Standing.ON_TRACK
+    if at_us > due_us or job.broken:
+        return Standing.LATE
+    if not has_history or job.forecast_us is None:
+        return Standing.UNKNOWN
+    return Standing.LATE if job.forecast_us > due_us else Standing.ON_TRACK
+
+
+def reason(cluster: Cluster, job: Job, boots: Boots, at_us: int) -> str:
+    """Say why a job is late: what keeps it now, the first of what has to go first."""
+    stage = holding_up(cluster, job)
+    if stage is not job:
+        own = _own(cluster, stage, boots, at_us)
+        return f"it waits for {stage.id} ({stage.spec.job_class}), {own}"
+    if job.blockers:
+        return "it waits for a job of which nothing is known yet"
+    return _own(cluster, job, boots, at_us)
+
+
+def _own(cluster: Cluster, job: Job, boots: Boots, at_us: int) -> str:
+    if job.hold is not None and not job.active and not job.waiting and not job.complete:
+        # It waits for nothing else, and nothing of it may start.
+        return f"held by gate {job.hold.gate}"
+    done = f"{job.done} of {job.spec.tasks} tasks done"
+    if job.broken:
+        return f"its tasks fail everywhere; {done}"
+    waiting = job.waiting
+    if not waiting:
+        return f"its last tasks run; {done}"
+    if cluster.within_limit(job) < 1:
+        return f"no room within the limit of team {job.team} for {waiting} tasks; {done}"
+    if boots.next_us is not None and not job.active:
+        return f"a machine boots, up in {span(max(0, boots.next_us - at_us))}; {done}"
+    if not job.active:
+        return f"no machine has room for its tasks yet; {done}"
+    return f"{waiting} tasks wait for room beside {len(job.active)} that run; {done}"
+
+
+@dataclass
+class Account:
+    """The bound jobs of one moment, as a new leader tells of them."""
+
+    bound: int = 0
+    soon: dict[Standing, int] = field(default_factory=lambda: dict.fromkeys(Standing, 0))
+    late: list[str] = field(default_factory=list)
+    first: Job | None = None
+
+    def line(self) -> str:
+        """Return it in words."""
+        soon = self.soon
+        text = f"{self.bound} jobs are bound; due within the hour: {sum(soon.values())}"
+        text += "".join(f", {one.value} {count}" for one, count in soon.items())
+        if self.late:
+            more = len(self.late) - NAMED
+            text += f" (late: {', '.join(self.late[:NAMED])}"
+            text += f" and {more} more)" if more > 0 else ")"
+        if self.first is not None and self.first.bound is not None:
+            bound = self.first.bound
+            text += f"; first {self.first.id}, by {utc(bound.due_us)} ({bound.calendar})"
+        return text
+
+
+def account(judged: Iterable[tuple[Job, Standing]], at_us: int) -> Account:
+    """Count bound jobs that are not over."""
+    found = Account()
+    for job, stands in judged:
+        if job.due_us is None or job.cancelled or job.complete:
+            continue
+        found.bound += 1
+        if found.first is None or job.due_us < (found.first.due_us or 0):
+            found.first = job
+        if job.due_us - at_us <= SOON_US:
+            found.soon[stands] += 1
+            if stands is Standing.LATE:
+                found.late.append(job.id)
+    return found
--- /dev/null
+++ b/weldhead/coordination/calendars.py
@@ -0,0 +1,256 @@
+"""Calendars: jobs are bound on every controller, instants are computed by the leader."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.ledger import Deposed
+from weldhead.bookkeeping.records import JOBS, Binding, JobRecord
+from weldhead.calendars.binding import (
+    JUST_PAST_US,
+    KIND,
+    NotComputed,
+    bind,
+    passed_us,
+    state_of,
+)
+from weldhead.calendars.document import Calendar
+from weldhead.calendars.state import (
+    KEPT_INSTANTS,
+    CalendarState,
+    continued,
+    digest_of,
+    replaced,
+)
+from weldhead.calendars.words import utc
+from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
+from weldhead.coordination.documents import Documents, Publisher, Unready
+from weldhead.coordination.term import Term
+from weldhead.documents.records import HEAD_KEY, Offer, document_key, state_key
+from weldhead.protocol.wire import JobSpec
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Compacted, Rejected, StateClient
+
+log = logging.getLogger(__name__)
+
+#: Between two looks whether a calendar's instants run out.
+RENEW_US = 600 * SECOND_US
+#: After a failure, or when the clocks say something else.
+AGAIN_US = 2 * SECOND_US
+#: Between two readings of what was accepted and is over: no controller asks more often.
+TABLE_PAUSE_S = 2.0
+#: How often it is said what has to be finished while the store is out of reach.
+SAID_US = 60 * SECOND_US
+
+
+class CalendarBinder:
+    """Binds jobs at their acceptance; ``error_us`` is how far any time of day may be off."""
+
+    def __init__(self, documents: Documents, error_us: int) -> None:
+        self._documents = documents
+        self._error_us = error_us
+        documents.binders.append(self)
+        documents.accepted.append(self.accepted)
+
+    def __call__(self, spec: JobSpec, wall_us: int) -> Binding:
+        """Return the instant that binds a job; Unready if it is not known yet."""
+        try:
+            return bind(self._documents.shelf, spec, wall_us, self._error_us)
+        except NotComputed as error:
+            log.info("%s cannot be bound yet: no instants of calendar %s", spec.id, error)
+            raise Unready from error
+
+    def accepted(self, record: JobRecord) -> None:
+        """Take up a job that this controller has accepted."""
+        bound = record.bound
+        if bound is None:
+            return
+        self._documents.table.put(record.spec.id, bound)
+        past_us = passed_us(self._documents.shelf, bound, record.submitted_us, self._error_us)
+        if past_us is not None:
+            log.info(
+                "%s came too late for %s of calendar %s; the next instant binds it: %s",
+                record.spec.id, utc(past_us), bound.calendar, utc(bound.due_us),
+            )  # fmt: skip
+
+
+class TableKeeper:
+    """Follows what has to be finished by when, for when nobody leads and the store is down."""
+
+    def __init__(self, documents: Documents, state: StateClient) -> None:
+        self._documents = documents
+        self._state = state
+        self._said_us = 0
+
+    async def follow(self) -> None:
+        """Keep the table; a duty."""
+        table, shelf = self._documents.table, self._documents.shelf
+        while not any(True for _ in shelf.in_force(KIND, Calendar)):  # noqa: ASYNC110
+            await asyncio.sleep(TABLE_PAUSE_S)
+        revision = await self._read()
+        while True:
+            sent_us = now_us()
+            try:
+                changes = await self._state.watch(JOBS, revision, 10 * SECOND_US)
+            except Compacted:
+                revision = await self._read()
+                continue
+            except CallFailed:
+                self._say(now_us())
+                await asyncio.sleep(TABLE_PAUSE_S)
+                continue
+            for event in changes.events:
+                if event.put is not None:
+                    table.read(event.put.removeprefix(JOBS), bytes(event.value))
+                elif event.delete is not None:
+                    table.drop(event.delete.removeprefix(JOBS))
+            table.as_of_us = max(table.as_of_us, sent_us)
+            self._said_us = 0
+            revision = max(revision, changes.revision)
+            await asyncio.sleep(TABLE_PAUSE_S)
+
+    async def _read(self) -> int:
+        table, sent_us, revision = self._documents.table, now_us(), 0
+        seen: set[str] = set()
+        async for page, revision in self._state.pages(JOBS):  # noqa: B007
+            for entry in page:
+                job_id = entry.key.removeprefix(JOBS)
+                seen.add(job_id)
+                table.read(job_id, bytes(entry.value))
+            await asyncio.sleep(0)
+        table.keep_only(seen)
+        table.as_of_us = max(table.as_of_us, sent_us)
+        return revision
+
+    def _say(self, at_us: int) -> None:
+        """Log what has to be finished while the store cannot be asked."""
+        table = self._documents.table
+        if not len(table) or (self._said_us and at_us - self._said_us < SAID_US):
+            return
+        self._said_us = at_us
+        line = table.line(self._documents.shelf, wall_us(), at_us)
+        log.warning("the state service is out of reach; %s", line)
+
+
+class Calendars:
+    """A term's part: it computes the instants, commits them, and follows their changes.
+
+    ``refresh`` is told of jobs that are due at another moment.
+    """
+
+    def __init__(
+        self, term: Term, publisher: Publisher, refresh: Callable[[Iterable[Job]], None]
+    ) -> None:
+        self._term = term
+        self._publisher = publisher
+        self._refresh = refresh
+        self._changed = asyncio.Event()
+        publisher.shelf.listeners.append(self._heard)
+        publisher.vets.append(self.vet)
+        term.dues.shelf = publisher.shelf
+
+    def _heard(self, key: str) -> None:
+        if key == HEAD_KEY:
+            self._changed.set()
+
+    @staticmethod
+    def vet(offer: Offer) -> str | None:
+        """Say why an edition's calendars cannot be used; None: they can."""
+        for name, body in offer.documents.items():
+            if not name.startswith(KIND + "/"):
+                continue
+            # Only here, and below: the libraries are the leader's alone.
+            from weldhead.calendars.recurrence import Unusable, check
+
+            try:
+                check(msgspec.json.decode(bytes(body), type=Calendar))
+            except (Unusable, msgspec.DecodeError) as error:
+                return f"{name}: {error}"
+        return None
+
+    async def keep(self) -> None:
+        """Keep the instants of the calendars in force; a duty."""
+        while True:
+            self._changed.clear()
+            done = await self._renew()
+            pause_us = RENEW_US if done else AGAIN_US
+            try:
+                await asyncio.wait_for(self._changed.wait(), to_seconds(pause_us))
+            except asyncio.TimeoutError:
+                continue
+
+    async def _renew(self) -> bool:
+        """Bring all calendars' records up to date; false if one could not be committed."""
+        shelf = self._publisher.shelf
+        head = shelf.head
+        if head is None:
+            return True
+        for kept in list(shelf.in_force(KIND, Calendar)):
+            calendar = kept.value
+            body = shelf.kept(document_key(head.edition, f"{KIND}/{calendar.name}"), msgspec.Raw)
+            if body is None:
+                continue
+            former = state_of(shelf, calendar.name)
+            fresh = self._state(
+                former.value if former else None, head.edition, calendar, bytes(body.value)
+            )
+            if fresh is None:
+                continue
+            try:
+                await self._publisher.write({state_key(KIND, calendar.name): fresh}, urgent=True)
+            except (Deposed, Rejected, CallFailed) as error:
+                log.info("calendar %s: instants not committed: %s", calendar.name, error)
+                return False
+            self._tell(calendar.name, fresh)
+        return True
+
+    def _state(
+        self, former: CalendarState | None, edition: int, calendar: Calendar, body: bytes
+    ) -> CalendarState | None:
+        """Return a calendar's record as it has to be from now on; None: as it is."""
+        at_us, error_us = wall_us(), self._term.dues.error_us
+        same = former is not None and former.digest == digest_of(body)
+        if same and former is not None and not former.runs_out(at_us):
+            return None
+        from weldhead.calendars.recurrence import Unusable, compute
+
+        # With what is just past: who comes after it is told so.
+        begin_us = max(0, at_us - JUST_PAST_US - 3 * error_us)
+        problem = ""
+        try:
+            instants, until_us = compute(calendar, begin_us, KEPT_INSTANTS)
+        except Unusable as error:
+            # It was usable for who brought it into force: other releases of the zones' rules.
+            problem, instants, until_us = str(error), (), None
+            log.error("calendar %s binds nothing: %s", calendar.name, problem)
+        if same and former is not None:
+            return None if problem else continued(former, instants, until_us, at_us)
+        fresh = CalendarState(digest_of(body), edition, instants, until_us, problem=problem)
+        return replaced(former, fresh, at_us, error_us, rebinds=calendar.rebinds)
+
+    def _tell(self, name: str, state: CalendarState) -> None:
+        at_us = wall_us()
+        due_us = state.after(at_us)
+        log.info(
+            "calendar %s, edition %d: the next instant is %s, %d are known",
+            name, state.edition, utc(due_us) if due_us is not None else "none", len(state.instants),
+        )  # fmt: skip
+        changed = self._term.dues.rebind(self._term.cluster.jobs.values(), name)
+        for job, was_us in changed:
+            assert job.bound is not None
+            log.info(
+                "%s is bound anew by calendar %s, edition %d: due by %s, before by %s",
+                job.id, name, job.bound.edition, utc(job.bound.due_us), utc(was_us),
+            )  # fmt: skip
+        if changed:
+            self._refresh([job for job, _ in changed])
+
+    def keep_time(self, at_us: int, time_of_day_us: int) -> None:
+        """Follow a step of the clocks."""
+        changed = self._term.dues.keep_time(self._term.cluster.jobs.values(), at_us, time_of_day_us)
+        if changed:
+            log.info("the clocks have moved: %d bound jobs are due at another moment", len(changed))
+            self._refresh(changed)
--- a/weldhead/coordination/documents.py
+++ b/weldhead/coordination/documents.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from weldhead.bookkeeping.ledger import Deposed, Ledger
-from weldhead.bookkeeping.records import Binding
+from weldhead.bookkeeping.records import Binding, JobRecord
+from weldhead.calendars.table import DueTable
 from weldhead.clock import SECOND_US, now_us
 from weldhead.documents.editions import Verdict, judge, leftovers, steps
 from weldhead.documents.records import HEAD_KEY, PREFIX, Offer
@@ -57,6 +58,10 @@
         self.shelf = Shelf()
         #: What binds jobs at acceptance: the packages that use documents add theirs.
         self.binders: list[Binder] = []
+        #: Called with the record of each bound or held job that this controller accepted.
+        self.accepted: list[Callable[[JobRecord], None]] = []
+        #: What has to be finished by when, as far as this controller knows.
+        self.table = DueTable()
 
     def bind(self, spec: JobSpec, wall_us: int) -> Binding:
         """Return all that a job is bound to by what is in memory; Unready if nothing is."""
@@ -149,6 +154,9 @@
         self._offers: asyncio.Queue[Offer] = asyncio.Queue()
         self.shelf = Shelf()
         self.loaded = False
+        #: Say why an edition cannot be used; the packages that use documents add theirs.
+        self.vets: list[Callable[[Offer], str | None]] = []
+        self._unusable: set[str] = set()
 
     async def load(self) -> None:
         """Read the documents after the token was won; CallFailed if that is not possible."""
@@ -162,6 +170,16 @@
         self.shelf.as_of_us = now_us()
         self.loaded = True
 
+    @property
+    def max_changes(self) -> int:
+        """How many keys a transaction may change."""
+        return self._state.max_writes
+
+    @property
+    def value_bytes(self) -> int:
+        """How long a value may be."""
+        return self._state.limits.value_bytes
+
     async def write(self, changes: dict[str, Any], *, urgent: bool = False) -> None:
         """Commit changes of documents' keys; they are in memory when this returns.
 
@@ -198,6 +216,14 @@
             head = self.shelf.head
             if judge(head, offer, self._state.limits.value_bytes) is not Verdict.TAKEN:
                 continue
+            if offer.digest in self._unusable:
+                # It is brought again and again, and was said once.
+                continue
+            wrong = next((found for vet in self.vets if (found := vet(offer))), None)
+            if wrong is not None:
+                self._unusable.add(offer.digest)
+                log.error("documents: edition %d is refused: %s", offer.edition, wrong)
+                continue
             try:
                 await self._publish(offer)
             except (Deposed, Rejected, CallFailed) as error:
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -19,6 +19,8 @@
     final_key,
     job_key,
 )
+from weldhead.calendars.binding import moved
+from weldhead.calendars.words import utc
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, wall_us
 from weldhead.coordination.documents import Documents, Unready
 from weldhead.coordination.leader import Leader, NotReady
@@ -213,7 +215,22 @@
         if leader is not None:
             leader.job_created(record, version)
         log.debug("%s accepted", spec.id)
-        return Response(201, _encode(JobStatus(spec.id, "pending")))
+        if self._node.documents is not None and (record.bound or record.hold):
+            for tell in self._node.documents.accepted:
+                tell(record)
+        return Response(201, _encode(JobStatus(spec.id, "pending", due_at=self._due_at(record))))
+
+    def _due_at(self, record: JobRecord) -> str | None:
+        """Say by when a calendar has a job finished."""
+        documents = self._node.documents
+        if documents is None or record.bound is None or record.cancelled:
+            return None
+        return utc(moved(documents.shelf, record.bound).due_us)
+
+    def _known_of(self, job_id: str) -> str:
+        """Say in a refusal by when a job is due, as far as this node knows."""
+        documents = self._node.documents
+        return documents.table.words(job_id, documents.shelf) if documents is not None else ""
 
     def _in_memory(self, job_id: str) -> JobStatus | None:
         leader = self._node.leader
@@ -230,7 +247,9 @@
         if stored is None:
             return None
         withdrawn = stored.cancelled or await self._withdrawn_with(stored)
-        return JobStatus(job_id, "withdrawn" if withdrawn else "pending")
+        if withdrawn:
+            return JobStatus(job_id, "withdrawn")
+        return JobStatus(job_id, "pending", due_at=self._due_at(stored))
 
     async def _read(self, job_id: str) -> JobRecord | FinalRecord | None:
         """Read a job's record."""
@@ -283,7 +302,7 @@
             if answer is not None and answer.status in (200, 404):
                 return answer
         if not self._poll_reads.try_take(POLL_REQUESTS, now_us()):
-            return refusal(503, "too many ask at once", retry_after_s=1)
+            return refusal(503, "too many ask at once" + self._known_of(job_id), retry_after_s=1)
         try:
             stored = await self._from_store(job_id)
         except CallFailed:
@@ -291,7 +310,8 @@
                 answer = await self._node.ask_served_peer("poll", job_id, b"")
                 if answer is not None:
                     return answer
-            return refusal(503, "state service unavailable", retry_after_s=1)
+            reason = "state service unavailable" + self._known_of(job_id)
+            return refusal(503, reason, retry_after_s=1)
         if stored is None:
             return refusal(404, "no such job")
         return Response(200, _encode(stored))
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 
 from weldhead.bookkeeping.chains import Chains
@@ -13,11 +14,15 @@
 from weldhead.bookkeeping.ledger import Deposed, Ledger
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import JOBS, FinalRecord, JobRecord
+from weldhead.calendars.lateness import Standing
+from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
+from weldhead.coordination.calendars import Calendars
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.documents import Documents, Publisher
+from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.lookahead import LookAhead
 from weldhead.coordination.pacing import Pacer
@@ -36,6 +41,8 @@
 
 #: How long a user waits for a cancellation before being told to ask again.
 CANCEL_WAIT_US = 1_500_000
+#: How long a new leader waits for its machines before it says how bound jobs stand.
+ACCOUNT_S = 15.0
 
 
 class NotReady(Exception):
@@ -70,6 +77,11 @@
         self.deciding.partial = self.recovery.partial
         self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
         self.look_ahead = LookAhead(term, self.pacer, self.linking.stage_us)
+        self.calendars: Calendars | None = None
+        if self.publisher is not None:
+            self.calendars = Calendars(term, self.publisher, self.linking.refresh)
+            self.look_ahead.notes = LateNotes(term, self.publisher)
+            self.look_ahead.keep_time = self.calendars.keep_time
 
     # -- the term's life ------------------------------------------------------------
 
@@ -131,6 +143,10 @@
         duties.start("loop watch", self.pacer.watch)
         if self.publisher is not None:
             duties.start("documents", self.publisher.publish)
+        if self.calendars is not None and self.look_ahead.notes is not None:
+            duties.start("calendars", self.calendars.keep)
+            duties.start("late jobs", self.look_ahead.notes.keep)
+        duties.once("account", self._say_account())
         self.completions.start()
         self.rentals.start()
         term.flush.set()
@@ -140,6 +156,12 @@
         duties.start("placement", deciding.place_tasks, 0.2)
         await self.recovery.finish(self._start_preempting)
 
+    async def _say_account(self) -> None:
+        """Say how bound jobs stand, as soon as it is known what runs where, or late enough."""
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self.recovery.known.wait(), ACCOUNT_S)
+        self.look_ahead.say_account(now_us())
+
     def _start_preempting(self) -> None:
         self._duties.start("preemptor", self.deciding.preempt)
 
@@ -187,10 +209,14 @@
         answer = JobStatus(job.id, job.status, job.done, job.running)
         if not job.cancelled:
             self.look_ahead.tell(job)
+            answer.due_at = utc(job.bound.due_us) if job.bound is not None else None
         if job.cancelled or job.forecast_us is None:
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
         due = due_us(job)
+        if job.bound is not None and self.look_ahead.standing(job, now_us()) is Standing.UNKNOWN:
+            # Nothing is guessed of a job of no history.
+            return answer
         if due is not None:
             answer.late = job.forecast_us > due
             if answer.late:
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable
 
 from weldhead.bookkeeping.jobs import Job
-from weldhead.clock import now_us, to_seconds
+from weldhead.calendars import lateness
+from weldhead.calendars.lateness import Standing
+from weldhead.calendars.words import due as due_words
+from weldhead.calendars.words import span
+from weldhead.clock import now_us, to_seconds, wall_us
+from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.term import Term
 from weldhead.planning.forecast import due_us, holding_up, looks_unable
@@ -20,6 +25,9 @@
         self._term = term
         self._pacer = pacer
         self._stage_us = stage_us
+        #: What was told of bound jobs, and who follows the clocks; None: no calendars here.
+        self.notes: LateNotes | None = None
+        self.keep_time: Callable[[int, int], None] | None = None
         #: Made when first needed, and made anew after a failure.
         self._outlook: Outlook | None = None
 
@@ -47,6 +55,8 @@
 
     def look_ahead(self, at_us: int) -> None:
         """Bring the forecasts that are due up to date."""
+        if self.keep_time is not None:
+            self.keep_time(at_us, wall_us())
         outlook = self._kept_outlook()
         try:
             for job in outlook.look(at_us):
@@ -61,6 +71,9 @@
         """Log a job that turns late; of a chain, that whose users set the deadline."""
         if job.cancelled:
             return
+        if job.bound is not None:
+            self._say_of_bound(job, at_us)
+            return
         due = due_us(job)
         late = due is not None and (
             at_us > due or (job.forecast_us is not None and job.forecast_us > due)
@@ -83,3 +96,45 @@
                 "" if stage is job else "it waits for ", stage.id, stage.spec.job_class,
                 stage.done, stage.spec.tasks,
             )  # fmt: skip
+
+    # -- bound jobs ------------------------------------------------------------------------
+
+    def standing(self, job: Job, at_us: int) -> Standing:
+        """Say how a bound job stands, by its latest forecast."""
+        return lateness.standing(job, at_us, has_history=self._term.estimates.knows(job))
+
+    def _say_of_bound(self, job: Job, at_us: int) -> None:
+        """Have it said once, by whichever term, that a bound job will be late."""
+        late = self.standing(job, at_us) is Standing.LATE
+        if not late or job.late or not self._term.ready or not self._term.valid:
+            # Who does not know yet what runs where takes all that runs for late.
+            job.late = late and job.late
+            return
+        job.late = True
+        if self.notes is not None and self.notes.told(job):
+            return
+        due_us = job.due_us or at_us
+        forecast_us = job.forecast_us
+        expected = "no end in sight"
+        if forecast_us is not None and not job.broken:
+            expected = f"expected {span(max(0, forecast_us - due_us))} after that"
+        boots = self._kept_outlook().boots()
+        why = lateness.reason(self._term.cluster, job, boots, at_us)
+        state = "is late" if at_us > due_us else "will be late"
+        assert job.bound is not None
+        words = f"{job.id} {state}: {due_words(job.bound)}, {expected}: {why}"
+        if self.notes is not None:
+            self.notes.tell(job, words)
+        else:
+            log.warning("%s", words)
+
+    def say_account(self, at_us: int) -> None:
+        """Log how the bound jobs stand that a new term has found."""
+        jobs = [job for job in self._term.cluster.jobs.values() if job.bound is not None]
+        if self.notes is None and not jobs:
+            return
+        for job in jobs:
+            if job.due_us is not None and job.due_us - at_us <= lateness.SOON_US:
+                self.tell(job)
+        found = lateness.account(((job, self.standing(job, at_us)) for job in jobs), at_us)
+        log.info("term %d: %s", self._term.token, found.line())
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
+from weldhead.coordination.calendars import CalendarBinder, TableKeeper
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.frontdesk import FrontDesk
@@ -104,6 +105,9 @@
             self.documents = Documents(self._state, self._offer, self.ask_leader)
             self._duties.start("documents", self.documents.follow)
             self._duties.start("edition", self.documents.bring)
+            error_us = round(self.settings.facts.clock_error_ms * MILLISECOND_US)
+            CalendarBinder(self.documents, error_us)
+            self._duties.start("due table", TableKeeper(self.documents, self._state).follow)
         self.campaign.open(self._state, self._cloud, self._worker_http, self.documents)
         self._desk = FrontDesk(self, self._state, self.settings.facts.teams, 1 + len(self._links))
         server = self._serve(self._handle)
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -162,14 +162,16 @@
 
     def add_job(self, record: JobRecord, version: int, at_us: int, wall: int) -> Job:
         """Enter a job that is on record."""
+        term = self._term
         job = Job(record.spec, record.submitted_us, version, at_us)
         # The same moment on the steady clock; a time of day that is off must not put it
         # into the future.
         job.first_seen_us = job.ready_us = at_us - max(0, wall - record.submitted_us)
         job.cancelled = record.cancelled
         job.bound, job.hold = record.bound, record.hold
-        self._term.cluster.jobs[job.id] = job
-        self._term.ledger.learn(job_key(job.id), version)
+        term.dues.enter(job, at_us, wall)
+        term.cluster.jobs[job.id] = job
+        term.ledger.learn(job_key(job.id), version)
         return job
 
     # -- what runs where ---------------------------------------------------------------------
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -8,7 +8,8 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.ledger import Ledger
 from weldhead.boots.expect import Boots
-from weldhead.clock import SECOND_US, now_us, seconds_us
+from weldhead.calendars.dues import Dues
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, seconds_us
 from weldhead.coordination.leadership import Authority
 from weldhead.planning.demand import Demand
 from weldhead.planning.estimates import Estimates
@@ -69,6 +70,7 @@
         self.market = Market(types=types)
         self.boots = Boots()
         self.tally = Tally()
+        self.dues = Dues(round(settings.facts.clock_error_ms * MILLISECOND_US))
         self.duties = Duties()
         workers = settings.facts.workers
         self.lease_us = seconds_us(workers.lease_s)
--- a/weldhead/planning/estimates.py
+++ b/weldhead/planning/estimates.py
@@ -75,6 +75,10 @@
         """Drop what was kept for a job that is over."""
         self._jobs.pop(job_id, None)
 
+    def knows(self, job: Job) -> bool:
+        """Whether any task of the job or of its class was seen to end."""
+        return job.id in self._jobs or job.spec.job_class in self._classes
+
     def task_us(self, job: Job) -> int:
         """Estimate the whole run time of one of the job's tasks."""
         of_class = self._classes.get(job.spec.job_class)
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -534,10 +534,9 @@
     Only idle work that nobody waits for: where tasks with deadlines and of chains began anew
     as well, nine days of other sites lost 0.014 on the mean, as estimates are rough.
     """
-    spec = attempt.job.spec
     if not _may_move(attempt) or attempt.adopted or attempt.job.level > 0:
         return False
-    if spec.deadline_s is not None or attempt.job.chain_due_us:
+    if attempt.job.due_us is not None or attempt.job.chain_due_us:
         return False
     job, task_us = attempt.job, estimates.task_us(attempt.job)
     remaining_us = estimates.remaining_us(attempt, at_us)
--- a/weldhead/planning/forecast.py
+++ b/weldhead/planning/forecast.py
@@ -91,6 +91,7 @@
 
 def due_us(job: Job) -> int | None:
     """Return when the job is due on the steady clock, for itself or for those that need it."""
-    if job.spec.deadline_s is not None:
-        return job.first_seen_us + seconds_us(job.spec.deadline_s)
+    own_us = job.due_us
+    if own_us is not None:
+        return own_us
     return job.chain_due_us[0] if job.chain_due_us else None
--- a/weldhead/planning/goals.py
+++ b/weldhead/planning/goals.py
@@ -106,12 +106,18 @@
         return min(kept) if kept else max(bounds)
 
     def deadlines_us(self, job: Job) -> list[int]:
-        """Return the times of the job's own deadline that count; it runs from submission."""
+        """Return the times of the job's own deadline that count; it runs from submission.
+
+        The instant to which a calendar binds it is one more: whichever comes first and can
+        still be kept is gone for.
+        """
+        bound_us = job.bound_due_us
+        found = [] if bound_us is None else [bound_us]
         if job.spec.deadline_s is None:
-            return []
+            return found
         deadline_us = seconds_us(job.spec.deadline_s)
         times = self._times.get(job.spec.job_class) or (1.0,)
-        return [job.first_seen_us + round(deadline_us * factor) for factor in times]
+        return [*found, *(job.first_seen_us + round(deadline_us * factor) for factor in times)]
 
 
 def slack_us(task_us: int) -> int:
--- a/weldhead/planning/outlook.py
+++ b/weldhead/planning/outlook.py
@@ -28,6 +28,8 @@
 
 #: How old a forecast may be that a poll is answered with.
 FRESH_US = SECOND_US
+#: How long a bound job's forecast may be left alone whose instant is far away.
+FAR_US = 60 * SECOND_US
 
 
 class BootWatch:
@@ -109,6 +111,10 @@
         if planned_us is None or planned_us > at_us:
             self._next.set(job.id, job.serial, at_us)
 
+    def boots(self) -> Boots:
+        """Return what is to be expected of machines that boot."""
+        return self._boots.boots()
+
     def tell(self, job: Job, at_us: int) -> None:
         """Bring a job's forecast up to date, if it waits for no others."""
         if job.blockers or (job.forecast_at_us and at_us - job.forecast_at_us < FRESH_US):
@@ -164,4 +170,8 @@
         left_us = due - (job.forecast_us if job.forecast_us is not None else at_us)
         # Half of what is left: a forecast moves away with time at most as fast as it passes.
         pause_us = abs(left_us) // 2
-        return max(soon_us, min(at_us + pause_us, at_us + self._recheck_us))
+        recheck_us = self._recheck_us
+        if job.bound_due_us is not None:
+            # Thousands are bound to one hour of the night, hours ahead.
+            recheck_us = max(recheck_us, min(abs(left_us) // 16, FAR_US))
+        return max(soon_us, min(at_us + pause_us, at_us + recheck_us))
