Calendars: tests; what an earlier edition left binds on through later ones

Found by drawn editions: a job that a later instant did not bind anew was bound to one that the next edition's record no longer named, and an earlier instant passed it by.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -25,6 +25,7 @@
     job_key,
     progress_key,
 )
+from weldhead.coordination.documents import Documents
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.coordination.leadership import Authority, default_timing
 from weldhead.coordination.term import Term
@@ -40,8 +41,8 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "completions", "deciding", "dispatch", "frontdesk", "leader", "linking", "lookahead",
-    "recovery", "rentals", "sizing", "term", "watching",
+    "calendars", "completions", "deciding", "dispatch", "frontdesk", "leader", "linking",
+    "lookahead", "recovery", "rentals", "sizing", "term", "watching",
 )  # fmt: skip
 
 
@@ -77,14 +78,24 @@
         self.patch.undo()
 
 
-def new_leader(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
-    leader = leader_of(state, at_us, predecessor_over_us)
+def new_leader(
+    state: StandInState,
+    at_us: int,
+    predecessor_over_us: int = 0,
+    documents: Documents | None = None,
+) -> Leader:
+    leader = leader_of(state, at_us, predecessor_over_us, documents)
     asyncio.run(leader.recovery.load())
     leader._check_known()
     return leader
 
 
-def leader_of(state: StandInState, at_us: int, predecessor_over_us: int = 0) -> Leader:
+def leader_of(
+    state: StandInState,
+    at_us: int,
+    predecessor_over_us: int = 0,
+    documents: Documents | None = None,
+) -> Leader:
     """A leader whose term has not been loaded yet."""
     document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
     document["facts"]["teams"] = [{"name": "red", "cpus": 8, "cpus_max": 100}]
@@ -96,7 +107,7 @@
         settings, Tunables(), authority, cast(StateClient, state), cast(CloudClient, None),
         cast(HttpClient, None), [machine_type()], predecessor_over_us, lambda reason: None,
     )  # fmt: skip
-    return Leader(term)
+    return Leader(term, documents)
 
 
 def put_job(state: StandInState, spec: JobSpec, **changes: Any) -> None:
--- a/weldhead/calendars/state.py
+++ b/weldhead/calendars/state.py
@@ -21,6 +21,8 @@
 FEW_INSTANTS = 24
 #: How many moves are kept: one or two for each change of the calendar.
 KEPT_MOVES = 64
+#: Instants that follow one another within so many clock errors may all bind open jobs.
+MOST_ERRORS = 10
 
 
 class Move(msgspec.Struct, frozen=True, array_like=True):
@@ -35,8 +37,8 @@
     """The instants of a calendar (time of day, UTC, margin taken off), in order.
 
     ``edition`` is the first that had the calendar so, ``digest`` its content. ``until_us``: of
-    the time up to there all instants are listed; None: there are no others. ``problem``: why
-    there are none.
+    the time up to there all instants are listed; None: there are no others. ``left`` are
+    instants of earlier editions that bind jobs still. ``problem``: why there are no instants.
     """
 
     digest: str
@@ -44,6 +46,7 @@
     instants: tuple[int, ...]
     until_us: int | None = None
     moves: tuple[Move, ...] = ()
+    left: tuple[int, ...] = ()
     problem: str = ""
 
     def after(self, wall_us: int) -> int | None:
@@ -107,14 +110,21 @@
     """
     if former is None:
         return fresh
-    moves = list(former.moves)
+    open_now = [(was_us, wall_us) for was_us in former.left if was_us > wall_us]
     predecessor = former.before(wall_us) or 0
     for was_us in former.instants[bisect_right(former.instants, wall_us) :]:
-        if predecessor > wall_us + 3 * error_us:
+        if predecessor > wall_us + MOST_ERRORS * error_us:
             break
-        due_us = fresh.after(max(wall_us, predecessor) + error_us)
+        open_now.append((was_us, max(wall_us, predecessor)))
         predecessor = was_us
+    moves = list(former.moves)
+    left: set[int] = set()
+    for was_us, since_us in open_now:
+        due_us = fresh.after(since_us + error_us)
         if due_us is None or due_us == was_us or (due_us > was_us and not rebinds):
-            continue
-        moves.append(Move(fresh.edition, was_us, due_us))
-    return msgspec.structs.replace(fresh, moves=tuple(moves[-KEPT_MOVES:]))
+            left.add(was_us)
+        else:
+            moves.append(Move(fresh.edition, was_us, due_us))
+    return msgspec.structs.replace(
+        fresh, moves=tuple(moves[-KEPT_MOVES:]), left=tuple(sorted(left))
+    )
