--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -28,6 +28,7 @@
 from weldhead.calendars.table import DueTable
 from weldhead.coordination.calendars import CalendarBinder
 from weldhead.coordination.documents import Documents
+from weldhead.coordination.history import KEY
 from weldhead.coordination.leader import Leader
 from weldhead.documents.editions import steps
 from weldhead.documents.records import HEAD_KEY, Offer, state_key
@@ -491,6 +492,26 @@
     assert f"(late: {name})" in line
 
 
+def test_a_successor_knows_what_its_predecessors_saw(terms: Terms) -> None:
+    name = bound_job(terms, 1, terms.clock() + 9 * H)
+    first = terms.lead()
+    assert first.history._news() is None
+    for _ in range(5):
+        first.term.estimates.observe(first.cluster.jobs[name], 300 * S)
+    record = first.history._news()
+    assert first.publisher is not None and record is not None
+    terms.act(first, lambda: first.publisher.write({KEY: record}))
+    assert first.history._news() is None
+    second = terms.lead()
+    job = second.cluster.jobs[name]
+    assert not second.term.estimates.knows(job)
+    second.history.load()
+    assert second.term.estimates.task_us(job) == pytest.approx(
+        first.term.estimates.task_us(job), rel=0.4
+    )
+    assert second.term.estimates.knows(job) and second.history._news() is None
+
+
 def test_a_leader_that_stood_still_across_the_hour_says_nothing(
     terms: Terms, caplog: pytest.LogCaptureFixture
 ) -> None:
--- /dev/null
+++ b/weldhead/coordination/history.py
@@ -0,0 +1,70 @@
+"""How long tasks of bound classes take, from one term to the next.
+
+Without it each successor knew nothing of any class until its first tasks ended, and had to
+call every bound job unknown.
+"""
+
+import asyncio
+
+import msgspec
+
+from weldhead.bookkeeping.ledger import Deposed
+from weldhead.coordination.documents import Publisher
+from weldhead.coordination.term import Term
+from weldhead.documents.records import state_key
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Rejected
+
+KEY = state_key("history", "classes")
+#: Between two writes, if there is anything new.
+PAUSE_S = 60.0
+
+#: By class: the sum of the logarithms of observed to estimated times, and their weight.
+Record = dict[str, tuple[float, float]]
+
+
+class History:
+    """A term's part: it reads what its predecessors saw, and notes what it sees."""
+
+    def __init__(self, term: Term, publisher: Publisher) -> None:
+        self._term = term
+        self._publisher = publisher
+        self._written: dict[str, int] = {}
+
+    def load(self) -> None:
+        """Take up what was seen in earlier terms."""
+        kept = self._publisher.shelf.kept(KEY, Record)
+        if kept is not None:
+            for name, (total, weight) in kept.value.items():
+                self._term.estimates.recall(name, total, weight)
+        self._written = dict(self._term.estimates.editions)
+
+    async def keep(self) -> None:
+        """Note what is seen of bound classes, where it has moved clearly; a duty."""
+        while True:
+            await asyncio.sleep(PAUSE_S)
+            record = self._news()
+            if record is None:
+                continue
+            try:
+                await self._publisher.write({KEY: record})
+            except (Deposed, Rejected, CallFailed):
+                continue
+
+    def _news(self) -> Record | None:
+        """Return the record as it has to be; None: nothing is new."""
+        estimates = self._term.estimates
+        jobs = self._term.cluster.jobs.values()
+        bound = {job.spec.job_class for job in jobs if job.bound is not None}
+        fresh = [n for n in bound if estimates.editions.get(n, 0) != self._written.get(n, 0)]
+        if not fresh:
+            return None
+        self._written = dict(estimates.editions)
+        kept = self._publisher.shelf.kept(KEY, Record)
+        record = dict(kept.value) if kept is not None else {}
+        record |= {name: seen for name in fresh if (seen := estimates.seen(name)) is not None}
+        while len(msgspec.json.encode(record)) > self._publisher.value_bytes:
+            # More classes than a record takes: those that nobody waits for go first.
+            gone = next((name for name in record if name not in bound), next(iter(record)))
+            del record[gone]
+        return record
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -22,6 +22,7 @@
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.documents import Documents, Publisher
+from weldhead.coordination.history import History
 from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.lookahead import LookAhead
@@ -82,6 +83,7 @@
             self.calendars = Calendars(term, self.publisher, self.linking.refresh)
             self.look_ahead.notes = LateNotes(term, self.publisher)
             self.look_ahead.keep_time = self.calendars.keep_time
+            self.history = History(term, self.publisher)
 
     # -- the term's life ------------------------------------------------------------
 
@@ -144,7 +146,9 @@
         if self.publisher is not None:
             duties.start("documents", self.publisher.publish)
         if self.calendars is not None and self.look_ahead.notes is not None:
+            self.history.load()
             duties.start("calendars", self.calendars.keep)
+            duties.start("history", self.history.keep)
             duties.start("late jobs", self.look_ahead.notes.keep)
         duties.once("account", self._say_account())
         self.completions.start()
--- a/weldhead/planning/estimates.py
+++ b/weldhead/planning/estimates.py
@@ -64,12 +64,27 @@
         of_class = self._classes.setdefault(name, Mean())
         of_class.add(ratio, FADING)
         self._jobs.setdefault(job.id, Mean()).add(ratio)
+        self._tell(name, of_class)
+        job.touch()
+
+    def _tell(self, name: str, of_class: Mean) -> None:
         fresh, told = of_class.ratio(1.0), self._told.get(name)
         if told is None or abs(fresh - told) > TOLD_STEP * told:
             # Every waiting job of the class has to be put in order anew: not at each task.
             self._told[name] = fresh
             self.editions[name] = self.editions.get(name, 0) + 1
-        job.touch()
+
+    def seen(self, name: str) -> tuple[float, float] | None:
+        """Return what was seen of a class, for ``recall`` in a later term."""
+        of_class = self._classes.get(name)
+        return (round(of_class.total, 4), round(of_class.weight, 2)) if of_class else None
+
+    def recall(self, name: str, total: float, weight: float) -> None:
+        """Take up what was seen of a class in an earlier term."""
+        if name not in self._classes and weight > 0:
+            of_class = self._classes[name] = Mean()
+            of_class.total, of_class.weight = total, weight
+            self._tell(name, of_class)
 
     def forget(self, job_id: str) -> None:
         """Drop what was kept for a job that is over."""
