--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from datetime import UTC, date, datetime, time
 from itertools import islice
+from pathlib import Path
 from typing import Any, cast
 from zoneinfo import ZoneInfo
 
@@ -26,13 +27,14 @@
 from weldhead.calendars.recurrence import Unusable, check, compute, hour_us, instants
 from weldhead.calendars.state import CalendarState, Move, digest_of, replaced
 from weldhead.calendars.table import DueTable
-from weldhead.coordination.calendars import CalendarBinder
+from weldhead.coordination.calendars import CalendarBinder, Calendars
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.history import KEY
 from weldhead.coordination.leader import Leader
 from weldhead.documents.editions import steps
 from weldhead.documents.records import HEAD_KEY, Offer, state_key
 from weldhead.documents.shelf import Shelf
+from weldhead.documents.source import parse_source
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
 from weldhead.planning.outlook import FAR_US, Outlook
@@ -130,6 +132,13 @@
     assert list(later) == [one for one in every if one > at_us][:5] and until_us == later[-1]
 
 
+def test_the_example_that_operators_start_from_is_good() -> None:
+    text = (Path(__file__).parents[1] / "deploy" / "documents.toml").read_text()
+    assert Calendars.vet(parse_source("documents.toml", text, 8_000)) is None
+    wrong = parse_source("documents.toml", text.replace("FREQ=WEEKLY", "FREQ=HOURLY"), 8_000)
+    assert str(Calendars.vet(wrong)).startswith("calendar/counters: rule: FREQ is one of")
+
+
 def test_a_rule_that_ends_has_no_more_instants() -> None:
     found, until_us = compute(calendar(rule="FREQ=DAILY;COUNT=3"), us("2026-01-01 12:00"), 9)
     assert len(found) == 2 and until_us is None
--- a/tests/test_text_files.py
+++ b/tests/test_text_files.py
@@ -175,7 +175,7 @@
         (Step.SUBMIT, 200, b'{"uid":"%s","status":"running","done":1,"running":2}',
          Told("running", done=1, running=2)),
         (Step.POLL, 200, b'{"uid":"%s","status":"pending","late":true,"late_by_s":9}',
-         Told("pending", late_by_s=9.0)),
+         Told("pending", late_by_s=9.0, late=True)),
         (Step.SUBMIT, 422, b'{"error":"x","field":"cores"}', Refused(422, "x", "cores")),
         (Step.SUBMIT, 400, b"<html>", Refused(400, "no reason given")),
         (Step.POLL, 404, b"", Missing()),
--- a/weldhead/calendars/recurrence.py
+++ b/weldhead/calendars/recurrence.py
@@ -62,6 +62,8 @@
     margin_us = seconds_us(calendar.margin_s)
     # A day here may begin a day earlier or later than there, and a margin is a day at most.
     begin = (_EPOCH + timedelta(microseconds=max(0, after_us))).date() - 2 * _DAY
+    # A rule whose first day is far ahead is looked at from there on.
+    begin = max(begin, calendar.first_day - 2 * _DAY)
     last = 0
     for day in _days(calendar, begin):
         found_us = hour_us(day, at, zone) - margin_us
--- a/weldhead/cli/progress.py
+++ b/weldhead/cli/progress.py
@@ -81,6 +81,14 @@
 def _text(answer: Answer) -> str:
     name = answer.key if answer.key == answer.id else f"{answer.key} ({answer.id})"
     text = f"{name}: {answer.known}"
-    if answer.late_by_s is not None and not answer.final:
+    if answer.final:
+        return text
+    if answer.held_by is not None:
+        text += f"; held by gate {answer.held_by}"
+    if answer.due_at is not None:
+        text += f"; due by {answer.due_at}"
+        if answer.late_by_s is None:
+            text += ", on track" if answer.late is False else ", not known whether in time"
+    if answer.late_by_s is not None:
         text += f"; it will be late by about {answer.late_by_s:.0f} s"
     return text
--- a/weldhead/cli/site.py
+++ b/weldhead/cli/site.py
@@ -40,7 +40,19 @@
     default=_REPOSITORY / "deploy" / "local.toml",
     help="Teams, machine types, limits [default: deploy/local.toml].",
 )
-def local(root: Path, port: int, controllers: int | None, cores: float | None, file: Path) -> None:
+@click.option(
+    "--documents",
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    help="Calendars and gates; an edition with a higher number takes effect at each start.",
+)
+def local(
+    root: Path,
+    port: int,
+    controllers: int | None,
+    cores: float | None,
+    file: Path,
+    documents: Path | None,
+) -> None:
     """Run a whole site on this machine, until Ctrl-C or SIGTERM."""
     configure_structured_logging()
     from weldhead.site.description import read_description
@@ -59,8 +71,9 @@
             raise click.UsageError(f"--cores: no machine type of {file} is as small as {cores:g}")
     tunables = description.controllers.tunables
     keeper = Keeper(
-        root, description, port, click.echo, file.parent / tunables if tunables else None
-    )
+        root, description, port, click.echo, file.parent / tunables if tunables else None,
+        documents.resolve() if documents is not None else None,
+    )  # fmt: skip
     try:
         _run(keeper.run())
     except SiteError as error:
--- a/weldhead/cli/tunables.py
+++ b/weldhead/cli/tunables.py
@@ -4,8 +4,11 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from weldhead.cli.common import read_text
+from weldhead.clock import wall_us
+from weldhead.documents.records import Offer
 
 #: What a document may take where no controller's settings say it.
 VALUE_BYTES = 8 * 1024
@@ -37,6 +40,7 @@
 
     try:
         offer = read_source(file, VALUE_BYTES)
+        _compute(file, offer)
     except FileProblem as error:
         click.echo(str(error), err=True)
         sys.exit(1)
@@ -44,3 +48,25 @@
         f"{file}: edition {offer.edition} ({offer.digest}), {len(offer.documents)} documents, "
         "no errors"
     )
+
+
+def _compute(file: Path, offer: Offer) -> None:
+    """Say each calendar's next instant; FileProblem where the leader could compute none."""
+    from weldhead.calendars.binding import KIND
+    from weldhead.calendars.document import Calendar
+    from weldhead.calendars.recurrence import Unusable, check, instants
+    from weldhead.calendars.words import utc
+    from weldhead.tomlfiles import problem_at
+
+    # They are there in the file's order.
+    bodies = [body for name, body in offer.documents.items() if name.startswith(KIND + "/")]
+    for number, body in enumerate(bodies):
+        calendar = msgspec.json.decode(bytes(body), type=Calendar)
+        try:
+            check(calendar)
+        except Unusable as error:
+            path: list[str | int] = [KIND, number, error.field]
+            raise problem_at(str(file), read_text(file), path, error.reason) from error
+        first_us = next(instants(calendar, wall_us()), None)
+        when = utc(first_us) if first_us is not None else "none"
+        click.echo(f"{KIND} {calendar.name}: the next instant is {when}")
--- a/weldhead/client/answers.py
+++ b/weldhead/client/answers.py
@@ -34,7 +34,9 @@
 
     ``known`` says it in words. ``status``, ``field`` and ``reason`` are those of a refusal;
     ``done`` of ``tasks`` tasks were complete when the server last said so; ``late_by_s`` is
-    by how much the server expects the deadline to be missed.
+    by how much the server expects the deadline to be missed. ``due_at`` (RFC 3339, UTC) is when a
+    calendar has it finished, ``late`` whether that is expected to be missed (None: nobody can
+    tell), ``held_by`` the gate that holds it.
     """
 
     key: str
@@ -50,6 +52,9 @@
     reason: str | None = None
     forecast_s: float | None = None
     late_by_s: float | None = None
+    late: bool | None = None
+    due_at: str | None = None
+    held_by: str | None = None
     runs: list[RunAnswer] = []
 
     @property
--- a/weldhead/client/client.py
+++ b/weldhead/client/client.py
@@ -281,6 +281,9 @@
                     accepted=True,
                     forecast_s=reply.forecast_s,
                     late_by_s=reply.late_by_s,
+                    late=reply.late,
+                    due_at=reply.due_at,
+                    held_by=reply.held_by,
                 )
             case Failed(reason):
                 known = f"no answer: {reason}"
@@ -542,6 +545,9 @@
         reason=run.reason,
         forecast_s=told.forecast_s if told else None,
         late_by_s=told.late_by_s if told else None,
+        late=told.late if told else None,
+        due_at=told.due_at if told else None,
+        held_by=told.held_by if told else None,
         runs=[
             RunAnswer(
                 id=one.id,
--- a/weldhead/client/decisions.py
+++ b/weldhead/client/decisions.py
@@ -146,6 +146,10 @@
     running: int | None = None
     forecast_s: float | None = None
     late_by_s: float | None = None
+    #: What calendars and gates say; ``late`` is None where nobody can tell.
+    late: bool | None = None
+    due_at: str | None = None
+    held_by: str | None = None
 
 
 class Refused(msgspec.Struct, frozen=True):
--- a/weldhead/client/transport.py
+++ b/weldhead/client/transport.py
@@ -122,15 +122,20 @@
         if step is Step.CANCEL and told.state not in ("done", "withdrawn"):
             return Failed(f"nonsense: cancelled, and {told.state}")
         late_by_s = (told.late_by_s or 0.0) if told.late else None
-        return Told(told.state, status == 201, told.done, told.running, told.forecast_s, late_by_s)
+        return Told(
+            told.state, status == 201, told.done, told.running, told.forecast_s, late_by_s,
+            told.late, told.due_at, told.held_by,
+        )  # fmt: skip
     elif status in (400, 422) and step is Step.SUBMIT:
         return _refused(status, body)
     if status == 404 and step is not Step.SUBMIT:
         return Missing()
-    return Failed(f"status {status}", retry_after_us=retry_after_us)
+    reason = _refused(status, body).reason if status == 503 and step is Step.POLL else ""
+    told_why = f"status {status}" + (f": {reason[:200]}" if reason else "")
+    return Failed(told_why, retry_after_us=retry_after_us)
 
 
-def _refused(status: int, body: bytes) -> Reply:
+def _refused(status: int, body: bytes) -> Refused:
     try:
         told = _errors.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
--- a/weldhead/site/keeper.py
+++ b/weldhead/site/keeper.py
@@ -64,12 +64,14 @@
         port: int,
         say: Callable[[str], None],
         tunables: Path | None = None,
+        documents: Path | None = None,
     ) -> None:
         self._layout = Layout(root.resolve())
         self._description = description
         self._port = port
         self._say = say
         self._tunables = tunables
+        self._documents = documents
         self._duties = Duties()
         self._sockets: list[socket.socket] = []
         self._ending = asyncio.Event()
@@ -149,6 +151,8 @@
             arguments = ["serve", "--config", str(layout.settings(one.name))]
             if self._tunables is not None:
                 arguments += ["--tunables", str(self._tunables)]
+            if self._documents is not None:
+                arguments += ["--documents", str(self._documents)]
             self._add(Part(one.name, arguments))
 
     def _add(self, part: Part) -> None:
