--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -25,7 +25,7 @@
 from weldhead.calendars.document import Calendar
 from weldhead.calendars.lateness import Standing, standing
 from weldhead.calendars.recurrence import Unusable, check, compute, hour_us, instants
-from weldhead.calendars.state import CalendarState, Move, digest_of, replaced
+from weldhead.calendars.state import CalendarState, Move, digest_of, fitting, replaced
 from weldhead.calendars.table import DueTable
 from weldhead.coordination.calendars import CalendarBinder, Calendars
 from weldhead.coordination.documents import Documents
@@ -521,6 +521,33 @@
     assert second.term.estimates.knows(job) and second.history._news() is None
 
 
+def test_an_owners_deadline_and_an_instant_are_told_each(
+    terms: Terms, caplog: pytest.LogCaptureFixture
+) -> None:
+    name = bound_job(terms, 1, terms.clock() + 100 * S, deadline_s=30.0)
+    leader = terms.lead()
+    leader.term.estimates.observe(leader.cluster.jobs[name], 300 * S)
+    for _ in range(3):
+        terms.look(leader)
+        leader.cluster.jobs[name].touch()
+        terms.clock.us += S
+    assert [line.split(";")[0].split(",")[0] for line in late_lines(caplog)] == [
+        "run-000001 will be late: due in 20 s",
+        "run-000001 will be late: due by 2026-03-02T01:01:40Z (morning",
+    ]
+
+
+def test_a_record_is_cut_to_what_the_store_takes() -> None:
+    whole = CalendarState(
+        "d", 1, tuple(range(1, 49)), 48, tuple(Move(n, n, n + 1) for n in range(64))
+    )
+    small = fitting(whole, 400)
+    assert len(msgspec.json.encode(small)) <= 400
+    assert small.moves == whole.moves[-len(small.moves) :] and small.instants[0] == 1
+    tiny = fitting(whole, 80)
+    assert tiny.until_us == tiny.instants[-1] and not tiny.moves
+
+
 def test_a_leader_that_stood_still_across_the_hour_says_nothing(
     terms: Terms, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/weldhead/calendars/lateness.py
+++ b/weldhead/calendars/lateness.py
@@ -29,8 +29,8 @@
 
 
 def standing(job: Job, at_us: int, *, has_history: bool) -> Standing:
-    """Say how a job with a deadline stands, by its latest forecast."""
-    due_us = job.due_us
+    """Say how a bound job stands, by its latest forecast; ``due_s`` is another matter."""
+    due_us = job.bound_due_us
     if due_us is None or job.complete:
         return Standing.ON_TRACK
     if at_us > due_us or job.broken:
@@ -98,12 +98,13 @@
     """Count bound jobs that are not over."""
     found = Account()
     for job, stands in judged:
-        if job.due_us is None or job.cancelled or job.complete:
+        due_us = job.bound_due_us
+        if due_us is None or job.cancelled or job.complete:
             continue
         found.bound += 1
-        if found.first is None or job.due_us < (found.first.due_us or 0):
+        if found.first is None or due_us < (found.first.bound_due_us or 0):
             found.first = job
-        if job.due_us - at_us <= SOON_US:
+        if due_us - at_us <= SOON_US:
             found.soon[stands] += 1
             if stands is Standing.LATE:
                 found.late.append(job.id)
--- a/weldhead/calendars/state.py
+++ b/weldhead/calendars/state.py
@@ -77,6 +77,17 @@
     return hashlib.sha256(body).hexdigest()[:16]
 
 
+def fitting(state: CalendarState, value_bytes: int) -> CalendarState:
+    """Return as much of a record as a value may hold: the oldest moves go, then far instants."""
+    while len(msgspec.json.encode(state)) > value_bytes and (state.moves or state.instants[1:]):
+        if state.moves:
+            state = msgspec.structs.replace(state, moves=state.moves[1:])
+        else:
+            instants = state.instants[: -max(1, len(state.instants) // 8)]
+            state = msgspec.structs.replace(state, instants=instants, until_us=instants[-1])
+    return state
+
+
 def continued(
     former: CalendarState, instants: Iterable[int], until_us: int | None, wall_us: int
 ) -> CalendarState:
--- a/weldhead/coordination/calendars.py
+++ b/weldhead/coordination/calendars.py
@@ -23,6 +23,7 @@
     CalendarState,
     continued,
     digest_of,
+    fitting,
     replaced,
 )
 from weldhead.calendars.words import utc
@@ -199,6 +200,9 @@
             )
             if fresh is None:
                 continue
+            fresh = fitting(fresh, self._publisher.value_bytes)
+            if former is not None and fresh == former.value:
+                continue
             try:
                 await self._publisher.write({state_key(KIND, calendar.name): fresh}, urgent=True)
             except (Deposed, Rejected, CallFailed) as error:
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -8,7 +8,7 @@
 from weldhead.calendars.lateness import Standing
 from weldhead.calendars.words import due as due_words
 from weldhead.calendars.words import span
-from weldhead.clock import now_us, to_seconds, wall_us
+from weldhead.clock import now_us, seconds_us, to_seconds, wall_us
 from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.term import Term
@@ -71,10 +71,13 @@
         """Log a job that turns late; of a chain, that whose users set the deadline."""
         if job.cancelled:
             return
+        due = due_us(job)
         if job.bound is not None:
             self._say_of_bound(job, at_us)
-            return
-        due = due_us(job)
+            if job.spec.deadline_s is None:
+                return
+            # Its owner's deadline is told of as that of any other job.
+            due = job.first_seen_us + seconds_us(job.spec.deadline_s)
         late = due is not None and (
             at_us > due or (job.forecast_us is not None and job.forecast_us > due)
         )
@@ -105,15 +108,15 @@
 
     def _say_of_bound(self, job: Job, at_us: int) -> None:
         """Have it said once, by whichever term, that a bound job will be late."""
-        late = self.standing(job, at_us) is Standing.LATE
-        if not late or job.late or not self._term.ready or not self._term.valid:
+        notes, due_us = self.notes, job.bound_due_us
+        if due_us is None or self.standing(job, at_us) is not Standing.LATE:
+            return
+        if not self._term.ready or not self._term.valid:
             # Who does not know yet what runs where takes all that runs for late.
-            job.late = late and job.late
             return
-        job.late = True
-        if self.notes is not None and self.notes.told(job):
+        if notes.told(job) if notes is not None else job.late:
             return
-        due_us = job.due_us or at_us
+        job.late = job.late or notes is None
         forecast_us = job.forecast_us
         expected = "no end in sight"
         if forecast_us is not None and not job.broken:
@@ -123,8 +126,8 @@
         state = "is late" if at_us > due_us else "will be late"
         assert job.bound is not None
         words = f"{job.id} {state}: {due_words(job.bound)}, {expected}: {why}"
-        if self.notes is not None:
-            self.notes.tell(job, words)
+        if notes is not None:
+            notes.tell(job, words)
         else:
             log.warning("%s", words)
 
@@ -134,7 +137,7 @@
         if self.notes is None and not jobs:
             return
         for job in jobs:
-            if job.due_us is not None and job.due_us - at_us <= lateness.SOON_US:
+            if job.bound_due_us is not None and job.bound_due_us - at_us <= lateness.SOON_US:
                 self.tell(job)
         found = lateness.account(((job, self.standing(job, at_us)) for job in jobs), at_us)
         log.info("term %d: %s", self._term.token, found.line())
