--- a/weldhead/coordination/calendars.py
+++ b/weldhead/coordination/calendars.py
@@ -29,7 +29,7 @@
 from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.documents import Documents, Publisher, Unready
-from weldhead.coordination.term import Term
+from weldhead.coordination.term import Term, parts
 from weldhead.documents.records import HEAD_KEY, Offer, document_key, state_key
 from weldhead.protocol.wire import JobSpec
 from weldhead.transport.http import CallFailed
@@ -208,7 +208,7 @@
             except (Deposed, Rejected, CallFailed) as error:
                 log.info("calendar %s: instants not committed: %s", calendar.name, error)
                 return False
-            self._tell(calendar.name, fresh)
+            await self._tell(calendar.name, fresh)
         return True
 
     def _state(
@@ -235,22 +235,25 @@
         fresh = CalendarState(digest_of(body), edition, instants, until_us, problem=problem)
         return replaced(former, fresh, at_us, error_us, rebinds=calendar.rebinds)
 
-    def _tell(self, name: str, state: CalendarState) -> None:
+    async def _tell(self, name: str, state: CalendarState) -> None:
         at_us = wall_us()
         due_us = state.after(at_us)
         log.info(
             "calendar %s, edition %d: the next instant is %s, %d are known",
             name, state.edition, utc(due_us) if due_us is not None else "none", len(state.instants),
         )  # fmt: skip
-        changed = self._term.dues.rebind(self._term.cluster.jobs.values(), name)
-        for job, was_us in changed:
-            assert job.bound is not None
-            log.info(
-                "%s is bound anew by calendar %s, edition %d: due by %s, before by %s",
-                job.id, name, job.bound.edition, utc(job.bound.due_us), utc(was_us),
-            )  # fmt: skip
-        if changed:
-            self._refresh([job for job, _ in changed])
+        # Thousands at a time would keep the loop from its leases.
+        for jobs in parts(list(self._term.cluster.jobs.values())):
+            changed = self._term.dues.rebind(jobs, name)
+            for job, was_us in changed:
+                assert job.bound is not None
+                log.info(
+                    "%s is bound anew by calendar %s, edition %d: due by %s, before by %s",
+                    job.id, name, job.bound.edition, utc(job.bound.due_us), utc(was_us),
+                )  # fmt: skip
+            if changed:
+                self._refresh([job for job, _ in changed])
+                await asyncio.sleep(0)
 
     def keep_time(self, at_us: int, time_of_day_us: int) -> None:
         """Follow a step of the clocks."""
