--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
+from weldhead.coordination.calendars import CalendarBinder, TableKeeper
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
 from weldhead.coordination.documents import Documents
@@ -99,9 +100,7 @@
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
         if self._offer is not None:
-            self.company.documents = Documents(self._state, self._offer, self.company.ask_leader)
-            self._duties.start("documents", self.company.documents.follow)
-            self._duties.start("edition", self.company.documents.bring)
+            self.company.documents = self._follow_documents(self._offer)
         self.campaign.open(self._state, self._cloud, self._worker_http, self.company.documents)
         self.company.open(self._state)
         teams = self.settings.facts.teams
@@ -127,6 +126,15 @@
             await self._http.close()
             await self._worker_http.close()
 
+    def _follow_documents(self, offer: Offer) -> Documents:
+        """Begin what a node does that is given documents."""
+        documents = Documents(self._state, offer, self.company.ask_leader)
+        self._duties.start("documents", documents.follow)
+        self._duties.start("edition", documents.bring)
+        CalendarBinder(documents, round(self.settings.facts.clock_error_ms * MILLISECOND_US))
+        self._duties.start("due table", TableKeeper(documents, self._state).follow)
+        return documents
+
     # -- leadership -------------------------------------------------------------------
 
     async def _watch_catalog(self) -> None:
