Release gates: editions from acts that are jobs, jobs held until theirs is open

Quotes and cut lists must not start from a price book that is not approved and published. A gate's document names the jobs that rebuild, approve and publish; its state is one record, changed by the leader with the end of such a job in one transaction. Held jobs are pending, take no room, and carry a need that older versions wait for.

--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -47,6 +47,7 @@
         ("admission", 1),
         ("planning", 11),
         ("documents", 4),
+        ("gates", 3),
     ],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
--- a/weldhead/bookkeeping/chains.py
+++ b/weldhead/bookkeeping/chains.py
@@ -27,6 +27,8 @@
         self.unknown: set[str] = set()
         #: Jobs that wait for others.
         self.blocked: dict[str, Job] = {}
+        #: Priority and bounds that a job has from what waits for it in other ways.
+        self.lent: dict[str, tuple[int, tuple[int, ...]]] = {}
 
     def add(self, job: Job, open_needs: Iterable[str]) -> None:
         """Enter a job that waits for these jobs, unless they turn out to be over."""
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -99,6 +99,20 @@
         return task_us if task_us > 0 else 0
 
 
+class Opening:
+    """What holds jobs that wait for the same; shared by all of them."""
+
+    __slots__ = ("starts_us",)
+
+    def __init__(self) -> None:
+        #: When they are expected to wait no more, on the steady clock; None: cannot be told.
+        self.starts_us: int | None = None
+
+
+#: Nobody knows yet whether a job is held, or by what: closed when in doubt.
+UNKNOWN_OPENING = Opening()
+
+
 class Job:
     """A job that is not over."""
 
@@ -108,6 +122,7 @@
         "_finishing",
         "_first_seen_us",
         "_fresh",
+        "_held",
         "_level",
         "_not_before_us",
         "_probing",
@@ -152,6 +167,7 @@
     stranded = Noted[bool]("_stranded")
     level = Noted[int]("_level")
     chain_due_us = Noted[tuple[int, ...]]("_chain_due_us")
+    held = Noted[Opening | None]("_held")
 
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
         self.feeds: Feeds[Job] | None = None
@@ -168,6 +184,8 @@
         #: What documents said of it when it was accepted.
         self.bound: Bound | None = None
         self.hold: Hold | None = None
+        #: What holds it now; None: nothing does.
+        self._held: Opening | None = None
         #: Needed jobs that are not known to be committed as done.
         self.blockers: set[str] = set()
         #: Its priority, or that of a job that needs it; and by when it has to be done for
@@ -213,12 +231,12 @@
 
     @property
     def waiting(self) -> int:
-        """How many tasks wait for a place; none while the job waits for others.
+        """How many tasks wait for a place; none while the job waits for others, or is held.
 
         One that fails wherever it runs took its whole width in room, again and again, and
         spoiled every machine for others (found on the operations' sites): it waits for one.
         """
-        if self._cancelled or self.blockers:
+        if self._cancelled or self.blockers or self._held is not None:
             return 0
         if self._probing and self.active:
             return 0
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -61,11 +61,29 @@
     edition: int
 
 
+class Deed(msgspec.Struct, omit_defaults=True, frozen=True):
+    """What a job does to a gate: the act, and the edition that it is of if it names none.
+
+    ``round``: how many approvals had been withdrawn when the job was accepted.
+    """
+
+    gate: str
+    act: str
+    edition: int = 0
+    round: int = 0
+
+
+#: Stands among what a job needs that a gate holds or that works on one, before the gate's
+#: name. No job has such an id: whoever knows chains and no gates waits for it for ever.
+GATE_NEED = "gate/"
+
+
 class Binding(msgspec.Struct, frozen=True):
     """What documents say of a job at its acceptance, and on which marks that rests."""
 
     bound: Bound | None = None
     hold: Hold | None = None
+    deed: Deed | None = None
     conditions: tuple[Condition, ...] = ()
 
     def joined(self, other: "Binding") -> "Binding":
@@ -74,6 +92,7 @@
         return Binding(
             min(bounds, key=lambda bound: bound.due_us, default=None),
             self.hold or other.hold,
+            self.deed or other.deed,
             (*self.conditions, *other.conditions),
         )
 
@@ -81,7 +100,7 @@
 class JobRecord(msgspec.Struct, omit_defaults=True):
     """A job that is not over.
 
-    The last two fields came with documents (see ``protocol/versions.py``).
+    The last three fields came with documents (see ``protocol/versions.py``).
     """
 
     spec: JobSpec
@@ -89,6 +108,23 @@
     cancelled: bool = False
     bound: Bound | None = None
     hold: Hold | None = None
+    deed: Deed | None = None
+
+
+def bound_record(spec: JobSpec, submitted_us: int, binding: Binding) -> JobRecord:
+    """Return a new job's record; what concerns a gate has a need that only older versions see."""
+    gate = binding.hold or binding.deed
+    if gate is not None:
+        spec = msgspec.structs.replace(spec, needs=(*(spec.needs or ()), GATE_NEED + gate.gate))
+    return JobRecord(spec, submitted_us, bound=binding.bound, hold=binding.hold, deed=binding.deed)
+
+
+def without_gate(spec: JobSpec) -> JobSpec:
+    """Return a job as its user submitted it."""
+    if not spec.needs or not any(name.startswith(GATE_NEED) for name in spec.needs):
+        return spec
+    needs = tuple(name for name in spec.needs if not name.startswith(GATE_NEED))
+    return msgspec.structs.replace(spec, needs=needs or None)
 
 
 class FinalRecord(msgspec.Struct, omit_defaults=True):
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from weldhead.admission.shares import in_turns
@@ -24,6 +24,8 @@
 
 log = logging.getLogger(__name__)
 
+WithGate = Callable[[Job, FinalRecord, dict[str, Any]], Awaitable[bool]]
+
 #: How many final states are kept in memory; older ones are read from the store.
 FINALS_KEPT = 20_000
 
@@ -40,6 +42,8 @@
         self._term = term
         self._ended = ended
         self._withdrawn = withdrawn
+        #: Commits an end that does something to a gate; False: it does not.
+        self.with_gate: WithGate | None = None
         self.finals: dict[str, FinalRecord] = {}
         self._written_chunks: dict[str, set[int]] = {}
         self._leftovers: list[str] = []
@@ -199,9 +203,10 @@
         changes: dict[str, Any] = {final_key(job.id): final, job_key(job.id): None}
         written = sorted(self._written_chunks.get(job.id, ()))
         # What does not fit into one transaction is cleared away afterwards.
-        first = written[: max(0, term.state.max_writes - 2)]
+        first = written[: max(0, term.state.max_writes - (2 if self.with_gate is None else 3))]
         changes.update({progress_key(job.id, chunk): None for chunk in first})
-        await term.ledger.write(changes, urgent=True)
+        if self.with_gate is None or not await self.with_gate(job, final, changes):
+            await term.ledger.write(changes, urgent=True)
         self.remember_final(job.id, final)
         term.cluster.jobs.remove(job.id)
         self._written_chunks.pop(job.id, None)
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -16,8 +16,10 @@
     Binding,
     FinalRecord,
     JobRecord,
+    bound_record,
     final_key,
     job_key,
+    without_gate,
 )
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, wall_us
 from weldhead.coordination.documents import Documents, Unready
@@ -154,9 +156,10 @@
             binding = documents.bind(spec, at_us)
         except Unready:
             raise CallFailed("calendars and gates are not known yet") from None
-        if binding.hold is not None and not self._node.peers_know(DOCUMENTS_FORMAT):
+        gate = binding.hold or binding.deed
+        if gate is not None and not self._node.peers_know(DOCUMENTS_FORMAT):
             raise CallFailed("a peer's version would start a job that a gate holds")
-        return JobRecord(spec, at_us, bound=binding.bound, hold=binding.hold), binding
+        return bound_record(spec, at_us, binding), binding
 
     async def _check_needs(self, spec: JobSpec) -> None:
         """Refusal(422) if a job is named that cannot be waited for.
@@ -256,7 +259,7 @@
         store may say so later only for the job itself: so the same is followed here. Each
         job is read once.
         """
-        seen = set(record.spec.needs or ())
+        seen = set(without_gate(record.spec).needs or ())
         names = list(seen)
         while names:
             need = await self._read(names.pop())
@@ -266,7 +269,7 @@
             elif need is not None:
                 if need.cancelled:
                     return True
-                fresh = set(need.spec.needs or ()) - seen
+                fresh = set(without_gate(need.spec).needs or ()) - seen
                 seen |= fresh
                 names += fresh
         return False
--- /dev/null
+++ b/weldhead/coordination/gates.py
@@ -0,0 +1,539 @@
+"""Release gates: jobs are bound to them at acceptance, and the leader opens and closes them.
+
+The decisions are those of ``weldhead/gates``; this commits them, stops what must not begin
+any more, and says a closing only when nothing can begin.
+"""
+
+import asyncio
+import contextlib
+import logging
+from datetime import UTC, datetime
+from heapq import nsmallest
+from typing import Any
+
+import msgspec
+
+from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.records import Binding, Deed, FinalRecord, Hold, JobRecord, final_key
+from weldhead.clock import SECOND_US, now_us, wall_us
+from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.documents import Publisher, Unready
+from weldhead.coordination.linking import Linking
+from weldhead.coordination.reports import request_stop
+from weldhead.coordination.term import LOADED_AT_ONCE, Term, parts
+from weldhead.documents.records import HEAD_KEY, state_key
+from weldhead.documents.shelf import Shelf
+from weldhead.gates.book import Book, lent, opens_us, unbegun, urgency
+from weldhead.gates.document import Gate
+from weldhead.gates.state import Entered, GateState, deed_of, ended, enter, needed_now
+from weldhead.planning.fleet import Upcoming
+from weldhead.planning.urgency import MOST_BOUNDS
+from weldhead.protocol.wire import Condition, JobSpec
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import decode
+
+log = logging.getLogger(__name__)
+
+KIND = "gate"
+#: Between two looks while nothing wakes it.
+LOOK_S = 0.25
+#: Between two looks at what is expected of the acts under way.
+EXPECT_US = SECOND_US
+#: Between two looks whether what lent the most to an act is gone.
+LENT_US = 10 * SECOND_US
+#: How many jobs are released before others get their turn, and for how long.
+RELEASED_AT_ONCE = 250
+RELEASE_PAUSE_S = 0.02
+#: For how many jobs of a gate machines are rented ahead at most.
+MOST_FORESEEN = 200
+
+_encode = msgspec.json.Encoder().encode
+
+
+def _documents(shelf: Shelf) -> list[tuple[str, Gate | None]]:
+    """Return the gates in force by name; None where the document cannot be read."""
+    head = shelf.head
+    names = [n for n in head.documents if n.startswith(KIND + "/")] if head is not None else []
+    readable = {kept.value.name: kept.value for kept in shelf.in_force(KIND, Gate)}
+    return [(name, readable.get(name)) for name in (n.partition("/")[2] for n in names)]
+
+
+def _state(shelf: Shelf, name: str) -> GateState | None:
+    """Return what is kept of a gate; None: it cannot be read."""
+    key = state_key(KIND, name)
+    if not shelf.mark(key):
+        return GateState()
+    kept = shelf.kept(key, GateState)
+    return kept.value if kept is not None else None
+
+
+class GateBinder:
+    """Binds jobs to gates at acceptance, by a controller's copy of the documents."""
+
+    def __init__(self, shelf: Shelf) -> None:
+        self._shelf = shelf
+
+    def __call__(self, spec: JobSpec, wall_us: int) -> Binding:
+        """Return what a gate says of a job; Unready if its document cannot be read."""
+        shelf = self._shelf
+        # Whoever finds no gate for a job does so by this edition of the documents.
+        conditions = [Condition(HEAD_KEY, shelf.mark(HEAD_KEY))]
+        hold: Hold | None = None
+        deed: Deed | None = None
+        for name, gate in _documents(shelf):
+            if gate is None:
+                raise Unready
+            holds = gate.holds_job(spec.job_class, spec.team)
+            act = gate.act_of(spec.job_class, spec.team)
+            if not holds and not act:
+                continue
+            state = _state(shelf, name)
+            if state is None:
+                raise Unready
+            key = state_key(KIND, name)
+            conditions.append(Condition(key, shelf.mark(key)))
+            if holds:
+                hold = Hold(name, needed_now(state))
+            else:
+                deed = deed_of(gate, state, act)
+        return Binding(hold=hold, deed=deed, conditions=tuple(conditions))
+
+
+class Gates:
+    """A term's gates."""
+
+    def __init__(
+        self, term: Term, publisher: Publisher, linking: Linking, dispatcher: Dispatcher
+    ) -> None:
+        self._term = term
+        self._publisher = publisher
+        self._linking = linking
+        self._dispatcher = dispatcher
+        self.books: dict[str, Book] = {}
+        #: Jobs that perform acts and are not entered yet: gate, act, and what was written
+        #: at their acceptance.
+        self._acts: dict[str, tuple[Job, str, str, Deed | None]] = {}
+        #: Held jobs of which something may run.
+        self._draining: dict[str, Job] = {}
+        #: Held since the last look at what they lend.
+        self._fresh: list[Job] = []
+        #: One state is written at a time.
+        self._lock = asyncio.Lock()
+        self._wake = asyncio.Event()
+        #: The documents have changed since they were read.
+        self._outdated = True
+        self._expected_us = 0
+        publisher.shelf.listeners.append(self._changed)
+
+    # -- what is known ---------------------------------------------------------------------
+
+    def _changed(self, key: str) -> None:
+        if not key.startswith("d/state/"):
+            self._outdated = True
+            self._wake.set()
+
+    def reset(self) -> None:
+        """Begin anew: the term's records are read, once more if that failed."""
+        self.books.clear()
+        self._acts.clear()
+        self._draining.clear()
+        self._fresh.clear()
+        self._outdated = True
+
+    def _read(self) -> None:
+        """Take up the documents in force."""
+        self._outdated = False
+        names = set()
+        for name, gate in _documents(self._publisher.shelf):
+            names.add(name)
+            book = self._book(name)
+            book.document, book.gone = gate, False
+        for book in self.books.values():
+            # Without any edition nothing is known, and nothing let through.
+            book.gone = book.name not in names and self._publisher.shelf.head is not None
+
+    def _book(self, name: str) -> Book:
+        book = self.books.get(name)
+        if book is None:
+            book = self.books[name] = Book(name)
+            book.state = _state(self._publisher.shelf, name)
+            book.gone = not self._outdated and self._publisher.shelf.head is not None
+        return book
+
+    def enter(self, job: Job, record: JobRecord) -> None:
+        """Take up a job: hold it if a gate does, or until the act that it performs is entered."""
+        if job.cancelled or not self._publisher.loaded:
+            return
+        if self._outdated:
+            self._read()
+        if record.hold is not None:
+            self._hold(self._book(record.hold.gate), job)
+        elif record.deed is not None:
+            self._act(job, record.deed.gate, record.deed.act, record.deed)
+        else:
+            self._by_class(job)
+
+    def _by_class(self, job: Job) -> None:
+        """Take up a job that was accepted by somebody who knew of no gate."""
+        for book in self.books.values():
+            if book.document is None or book.gone:
+                continue
+            if book.document.holds_job(job.spec.job_class, job.team):
+                self._hold(book, job)
+                return
+            act = book.document.act_of(job.spec.job_class, job.team)
+            if act:
+                self._act(job, book.name, act, None)
+                return
+
+    def _hold(self, book: Book, job: Job) -> None:
+        book.enter(job)
+        if job.held is not None:
+            self._fresh.append(job)
+        else:
+            self._count_from_opening(book, job)
+
+    def _act(self, job: Job, gate: str, act: str, deed: Deed | None) -> None:
+        book = self._book(gate)
+        job.held = book.opening
+        self._acts[job.id] = job, gate, act, deed
+        self._wake.set()
+
+    def _count_from_opening(self, book: Book, job: Job) -> None:
+        """Users' times but the deadline count from when the gate opened, whoever saw it."""
+        opened_us = book.opened_us(job)
+        if opened_us:
+            job.ready_us = max(job.ready_us, now_us() - max(0, wall_us() - opened_us))
+
+    # -- what is told ----------------------------------------------------------------------
+
+    def why(self, job: Job) -> str:
+        """Say why a job is held; "": no gate holds it. For warnings."""
+        if job.hold is None or job.held is None or job.cancelled:
+            return ""
+        book = self.books.get(job.hold.gate)
+        return f"gate {book.name}: {book.why() or 'opens'}" if book is not None else ""
+
+    def held_by(self, job: Job) -> str | None:
+        """Say what holds a job, since when and who has to act; None: nothing does for sure."""
+        if job.hold is None or job.held is None or job.cancelled:
+            return None
+        book = self.books.get(job.hold.gate)
+        if book is None or book.state is None or not book.settled or not book.why():
+            return None
+        since = ""
+        if book.state.since_us:
+            moment = datetime.fromtimestamp(book.state.since_us // SECOND_US, UTC)
+            since = f", since {moment:%Y-%m-%dT%H:%M:%SZ}"
+        return f"gate {book.name}: {book.why()}{since}"
+
+    def _say(self, book: Book) -> None:
+        """Log what has become of a gate, once a change, when it is certain."""
+        if not book.settled or book.state is None or book.gone:
+            return
+        why = book.why()
+        said = f"{book.state.edition}: {why}"
+        if said == book.said:
+            return
+        book.said = said
+        if why:
+            log.info("gate %s is closed, %d jobs wait: %s", book.name, book.held(), why)
+        else:
+            log.info("gate %s is open for edition %d", book.name, book.state.edition)
+
+    # -- the duty --------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Enter acts, stop what must not begin, release what may; a duty."""
+        term = self._term
+        feed = term.cluster.jobs.feeds.subscribe()
+        try:
+            await self._square()
+            for job in term.cluster.holders.values():
+                self._follow(job)
+            while True:
+                for job in feed.take():
+                    self._follow(job)
+                if self._outdated:
+                    await self._read_anew()
+                await self._enter_acts()
+                self._drain()
+                self._settle()
+                self._expect(now_us())
+                await self._release()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._wake.wait(), LOOK_S)
+                self._wake.clear()
+        finally:
+            feed.close()
+
+    async def _read_anew(self) -> None:
+        """Take up another edition of the documents: what holds, and who performs acts."""
+        self._read()
+        for some in parts(list(self._term.cluster.jobs.values()), LOADED_AT_ONCE):
+            for job in some:
+                if job.hold is None and job.id not in self._acts and not job.cancelled:
+                    if not any(self._is_entered(book, job.id) for book in self.books.values()):
+                        self._by_class(job)
+                        self._follow(job)
+            await asyncio.sleep(0)
+        for book in self.books.values():
+            self._keep_back(book)
+
+    @staticmethod
+    def _is_entered(book: Book, job_id: str) -> bool:
+        return book.state is not None and any(p.job == job_id for p in book.state.pending)
+
+    async def _square(self) -> None:
+        """Learn the ends of acts that an earlier leader committed without their consequence."""
+        for book in list(self.books.values()):
+            for entry in book.state.pending if book.state is not None else ():
+                if entry.job in self._term.cluster.jobs:
+                    continue
+                final = await self._final(entry.job)
+                async with self._lock:
+                    assert book.state is not None
+                    done = final is not None and final.status == "done"
+                    await self._change(book, ended(book.state, entry.job, wall_us(), done=done))
+
+    async def _final(self, job_id: str) -> FinalRecord | None:
+        while True:
+            try:
+                entry = await self._term.state.get(final_key(job_id))
+            except CallFailed as error:
+                log.info("act %s: %s", job_id, error)
+                await asyncio.sleep(0.2)
+                continue
+            return decode(bytes(entry.value), FinalRecord) if entry is not None else None
+
+    def _follow(self, job: Job) -> None:
+        """Something about a job has changed."""
+        gone = self._term.cluster.jobs.get(job.id) is not job or job.cancelled
+        if job.hold is not None:
+            book = self.books.get(job.hold.gate)
+            if gone and book is not None:
+                book.left = book.jobs.pop(job.id, None) is not None or book.left
+                self._draining.pop(job.id, None)
+            elif job.held is not None and job.active:
+                self._draining[job.id] = job
+        elif gone and job.id in self._acts:
+            del self._acts[job.id]
+
+    # -- acts ------------------------------------------------------------------------------
+
+    async def _enter_acts(self) -> None:
+        """Enter the acts whose jobs were accepted, in the order of their acceptance."""
+        if not self._acts:
+            return
+        async with self._lock:
+            taken: dict[str, GateState] = {}
+            entered: list[tuple[Book, Job, str]] = []
+            for job, gate, act, deed in sorted(self._acts.values(), key=lambda a: a[0].version):
+                book = self.books[gate]
+                before = taken.get(gate, book.state)
+                if before is None or not self._term.chains.unknown.isdisjoint(job.blockers):
+                    continue
+                after, outcome = self._entry(before, job, act, deed)
+                if outcome is Entered.FULL:
+                    continue
+                if outcome is Entered.NOTHING:
+                    log.warning("gate %s: %s %s %s", gate, act, job.id, outcome.value)
+                if after is not before:
+                    taken[gate] = after
+                entered.append((book, job, act if outcome is not Entered.NOTHING else ""))
+            for gate, state in taken.items():
+                await self._change(self.books[gate], state)
+            for book, job, act in entered:
+                self._acts.pop(job.id, None)
+                if act in ("rebuild", "withdrawal"):
+                    # It begins when nothing of what it ends can begin any more.
+                    book.waiting[job.id] = job
+                else:
+                    self._let_go(job)
+
+    @staticmethod
+    def _entry(
+        state: GateState, job: Job, act: str, deed: Deed | None
+    ) -> tuple[GateState, Entered]:
+        return enter(state, act, job.id, job.spec.needs or (), deed, wall_us())
+
+    async def _change(
+        self, book: Book, state: GateState, also: dict[str, Any] | None = None
+    ) -> None:
+        """Commit a gate's state, with what belongs to it; the lock is held.
+
+        What it closes is held before it is written, what it opens is released afterwards.
+        """
+        if also is None and state == book.state:
+            return
+        book.coming = state
+        self._keep_back(book)
+        key = state_key(KIND, book.name)
+        revision = await self._term.ledger.write({**(also or {}), key: state}, urgent=True)
+        self._publisher.shelf.put(key, _encode(state), revision)
+        book.state, book.coming = state, None
+        book.foreseen_us = self._expected_us = 0
+        self._wake.set()
+
+    def _keep_back(self, book: Book) -> None:
+        held = book.hold_back()
+        if not held:
+            return
+        book.settled = False
+        self._fresh += held
+        self._draining.update((job.id, job) for job in held if job.active)
+        self._drain()
+
+    async def commit_end(self, job: Job, final: FinalRecord, changes: dict[str, Any]) -> bool:
+        """Commit a job's end with what it does to a gate; False: it does nothing to any."""
+        known = self._acts.get(job.id)
+        book = self.books.get(known[1]) if known is not None else None
+        if book is None:
+            book = next((b for b in self.books.values() if self._is_entered(b, job.id)), None)
+        if book is None:
+            return False
+        async with self._lock:
+            state = book.state
+            if state is None:
+                return False
+            if known is not None and final.status == "done":
+                # Done without having been entered: by a version that knew of no gate.
+                state, _ = self._entry(state, job, known[2], known[3])
+            state = ended(state, job.id, wall_us(), done=final.status == "done")
+            await self._change(book, state, changes)
+        self._term.chains.lent.pop(job.id, None)
+        return True
+
+    # -- closing ---------------------------------------------------------------------------
+
+    def _drain(self) -> None:
+        """Stop what must not begin of jobs that are held, and what must not go on."""
+        at_us = now_us()
+        cluster = self._term.cluster
+        for job in list(self._draining.values()):
+            book = self.books[job.hold.gate] if job.hold is not None else None
+            if book is None or job.held is None or not job.active:
+                del self._draining[job.id]
+                continue
+            for attempt, stop in list(book.stops(job)):
+                machine = cluster.machines[attempt.machine]
+                if not request_stop(cluster, attempt, stop, at_us, f"gate {book.name}"):
+                    self._dispatcher.post_soon(machine)
+                else:
+                    self._term.place.set()
+
+    def _settle(self) -> None:
+        """See which gates nothing can pass any more, and let the acts that closed them begin."""
+        about = {
+            job.hold.gate
+            for job in self._draining.values()
+            if job.hold is not None and job.held is not None and unbegun(job)
+        }
+        for book in self.books.values():
+            # Before every machine is known, an earlier leader's command may start a task.
+            certain = self._term.ready and self._term.valid
+            book.settled = certain and book.coming is None and book.name not in about
+            if book.settled:
+                for job in book.waiting.values():
+                    self._let_go(job)
+                book.waiting.clear()
+                self._say(book)
+
+    # -- opening ---------------------------------------------------------------------------
+
+    def _let_go(self, job: Job) -> None:
+        """Let a job's tasks begin."""
+        if job.held is None:
+            return
+        job.held = None
+        if not job.cancelled and not job.blockers:
+            self._linking.runnable(job)
+        self._term.place.set()
+
+    async def _release(self) -> None:
+        """Release the jobs for which a gate is open, in slices, most urgent first."""
+        for book in list(self.books.values()):
+            if not any(True for _ in self._held(book)):
+                continue
+            found = book.releasable()
+            for some in parts(found, RELEASED_AT_ONCE):
+                for job in some:
+                    # It may have been closed, and the job be gone, since the last slice.
+                    if book.jobs.get(job.id) is job and book.may_start(job):
+                        self._count_from_opening(book, job)
+                        self._let_go(job)
+                await asyncio.sleep(RELEASE_PAUSE_S)
+            if found:
+                log.info("gate %s: %d jobs released", book.name, len(found))
+
+    def _held(self, book: Book) -> "filter[Job]":
+        return filter(lambda job: job.held is not None, book.jobs.values())
+
+    # -- what is expected ------------------------------------------------------------------
+
+    def _expect(self, at_us: int) -> None:
+        """Expect openings from the acts under way, and lend these what waits for them."""
+        if at_us < self._expected_us + EXPECT_US:
+            return
+        self._expected_us = at_us
+        for book in self.books.values():
+            if book.state is None or not (book.jobs or book.state.pending):
+                continue
+            jobs = self._term.cluster.jobs
+            acts = [jobs[p.job] for p in book.state.pending if p.job in jobs]
+            book.opening.starts_us = opens_us(book, {a.id: self._end_us(a, at_us) for a in acts})
+            self._lend(book, acts, at_us)
+        self._fresh.clear()
+
+    def _end_us(self, job: Job, at_us: int) -> int | None:
+        """Return when an act's job is expected to be done; None: it cannot be told."""
+        if job.blockers:
+            return None if job.starts_us is None else job.starts_us + self._linking.stage_us(job)
+        if job.active and not job.waiting:
+            task_us = self._term.estimates.task_us(job)
+            return at_us + max(a.remaining_us(task_us, at_us) for a in job.active.values())
+        return at_us + self._linking.stage_us(job)
+
+    def _lend(self, book: Book, acts: list[Job], at_us: int) -> None:
+        """Let acts count with the priority and the deadlines of what waits for them."""
+        chains, goals = self._term.chains, self._term.goals
+        if book.left and at_us > book.lent_us + LENT_US:
+            # Some may have gone that lent the most.
+            book.left, book.lent_us = False, at_us
+            for act in acts:
+                chains.lent.pop(act.id, None)
+        for act in acts:
+            before = chains.lent.get(act.id)
+            bounds: list[tuple[int, list[int]]] = []
+            if before is not None:
+                bounds.append((before[0], list(before[1])))
+                fresh = [j for j in self._fresh if j.hold and j.hold.gate == book.name]
+            else:
+                fresh = list(self._held(book))
+            for job in fresh:
+                ends = (*goals.deadlines_us(job), *job.chain_due_us)
+                path_us = self._linking.stage_us(job) if ends else 0
+                bounds.append((job.level, [end_us - path_us for end_us in ends]))
+            now = lent(bounds, MOST_BOUNDS, at_us)
+            if now != before:
+                chains.lent[act.id] = now
+                self._linking.refresh([act])
+
+    def upcoming(self, at_us: int, until_us: int) -> list[Upcoming]:
+        """Return held work that is expected to be released by then; machines may be rented.
+
+        An act that takes longer than expected must not keep machines for ever: they are
+        rented ahead for twice the time of foresight at most, until something changes.
+        """
+        found: list[Upcoming] = []
+        for book in self.books.values():
+            starts_us = book.opening.starts_us
+            if starts_us is None or starts_us > until_us:
+                continue
+            book.foreseen_us = book.foreseen_us or at_us
+            if at_us - book.foreseen_us > 2 * (until_us - at_us):
+                continue
+            held = (j for j in self._held(book) if j.team in self._term.cluster.teams)
+            ready = (j for j in held if not j.blockers)
+            found += [Upcoming(j, starts_us) for j in nsmallest(MOST_FORESEEN, ready, key=urgency)]
+        return found
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -32,6 +33,9 @@
 from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
 
+if TYPE_CHECKING:
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: How long a user waits for a cancellation before being told to ask again.
@@ -63,14 +67,25 @@
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
         self.rentals = Rentals(term, self._gone)
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
+        #: The term's gates; None: this node is given no documents.
+        self.gates: Gates | None = None
+        if self.publisher is not None:
+            self.gates = self._open_gates(self.publisher)
+            self.completions.with_gate = self.gates.commit_end
         self.recovery = Recovery(
             term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
-            self.pacer, self._apply_early, self.publisher,
+            self.pacer, self._apply_early, self.publisher, self.gates,
         )  # fmt: skip
         self.deciding.partial = self.recovery.partial
-        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
+        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch, self.gates)
         self.look_ahead = LookAhead(term, self.pacer, self.linking.stage_us)
 
+    def _open_gates(self, publisher: Publisher) -> "Gates":
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.gates import Gates
+
+        return Gates(self.term, publisher, self.linking, self._dispatcher)
+
     # -- the term's life ------------------------------------------------------------
 
     def start(self) -> None:
@@ -131,6 +146,8 @@
         duties.start("loop watch", self.pacer.watch)
         if self.publisher is not None:
             duties.start("documents", self.publisher.publish)
+        if self.gates is not None:
+            duties.start("gates", self.gates.run)
         self.completions.start()
         self.rentals.start()
         term.flush.set()
@@ -187,6 +204,8 @@
         answer = JobStatus(job.id, job.status, job.done, job.running)
         if not job.cancelled:
             self.look_ahead.tell(job)
+        if self.gates is not None:
+            answer.held_by = self.gates.held_by(job)
         if job.cancelled or job.forecast_us is None:
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
--- a/weldhead/coordination/linking.py
+++ b/weldhead/coordination/linking.py
@@ -50,7 +50,7 @@
         if job.cancelled:
             self.withdraw_with_followers(job)
         elif not job.blockers and not needs:
-            self._runnable(job)
+            self.runnable(job)
         if self._term.chains.unknown:
             self._needed.set()
 
@@ -70,13 +70,15 @@
             ended_us = now_us() - max(0, wall_us() - final.ended_us)
             for follower in self._term.chains.done(job_id, ended_us):
                 log.debug("%s waits for nothing more", follower.id)
-                self._runnable(follower)
+                self.runnable(follower)
             self._term.place.set()
         else:
             self._withdraw_all(self._term.chains.withdrawn(job_id))
 
-    def _runnable(self, job: Job) -> None:
+    def runnable(self, job: Job) -> None:
         """A job's tasks may start from now on: from here on it counts as demand."""
+        if job.held is not None:
+            return
         work = job.spec.tasks * job.spec.cpus * self._term.estimates.task_us(job)
         self._term.demand.arrived(job.level, work, job.ready_us)
 
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -27,7 +27,7 @@
     Seen,
 )
 from weldhead.protocol.settings import Settings
-from weldhead.protocol.versions import CHAINS_FORMAT, FORMAT
+from weldhead.protocol.versions import CHAINS_FORMAT, DOCUMENTS_FORMAT, FORMAT
 from weldhead.protocol.wire import MachineType, Redirect, Report
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.duties import Duties
@@ -102,6 +102,10 @@
         )
         if self._offer is not None:
             self.documents = Documents(self._state, self._offer, self.ask_leader)
+            # Loaded by controllers that are given documents only.
+            from weldhead.coordination.gates import GateBinder
+
+            self.documents.binders.append(GateBinder(self.documents.shelf))
             self._duties.start("documents", self.documents.follow)
             self._duties.start("edition", self.documents.bring)
         self.campaign.open(self._state, self._cloud, self._worker_http, self.documents)
@@ -209,7 +213,11 @@
         self, kind: str, job_id: str, body: bytes, *, chained: bool = False
     ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
-        link = self._served_peer(now_us(), CHAINS_FORMAT if chained else 0)
+        least = CHAINS_FORMAT if chained else 0
+        if self.documents is not None and kind == "submit":
+            # Another version would accept a job without what binds it.
+            least = DOCUMENTS_FORMAT
+        link = self._served_peer(now_us(), least)
         return await self._forward(link, kind, job_id, body) if link is not None else None
 
     def peers_know(self, least_format: int) -> bool:
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.jobs import UNKNOWN_OPENING, Job
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import (
     CHUNK_TASKS,
@@ -20,6 +21,7 @@
     JobRecord,
     decode_progress,
     job_key,
+    without_gate,
 )
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
@@ -39,6 +41,9 @@
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import decode
 
+if TYPE_CHECKING:
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: How often it is looked whom to ask next.
@@ -62,6 +67,7 @@
         pacer: Pacer,
         apply: Callable[[Early], None],
         publisher: Publisher | None = None,
+        gates: "Gates | None" = None,
     ) -> None:
         self._term = term
         self._completions = completions
@@ -72,6 +78,7 @@
         self._pacer = pacer
         self._apply = apply
         self._publisher = publisher
+        self._gates = gates
         #: The revision from which jobs are watched.
         self.jobs_revision = 0
         self.known = asyncio.Event()
@@ -113,6 +120,8 @@
         if self._publisher is not None:
             # Before the jobs: whether they are held is judged by this term's own reading.
             await self._publisher.load()
+        if self._gates is not None:
+            self._gates.reset()
         async for entries, _ in term.state.pages(HIRES):
             for entry in entries:
                 hire = decode(bytes(entry.value), HireRecord)
@@ -162,12 +171,17 @@
 
     def add_job(self, record: JobRecord, version: int, at_us: int, wall: int) -> Job:
         """Enter a job that is on record."""
-        job = Job(record.spec, record.submitted_us, version, at_us)
+        job = Job(without_gate(record.spec), record.submitted_us, version, at_us)
         # The same moment on the steady clock; a time of day that is off must not put it
         # into the future.
         job.first_seen_us = job.ready_us = at_us - max(0, wall - record.submitted_us)
         job.cancelled = record.cancelled
         job.bound, job.hold = record.bound, record.hold
+        if record.hold is not None or record.deed is not None:
+            # Whoever is given no gates starts nothing that concerns one.
+            job.held = UNKNOWN_OPENING
+        if self._gates is not None:
+            self._gates.enter(job, record)
         self._term.cluster.jobs[job.id] = job
         self._term.ledger.learn(job_key(job.id), version)
         return job
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -1,6 +1,7 @@
 """When machines are rented, emptied and returned; what is said of the fleet."""
 
 import logging
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.jobs import Stop
 from weldhead.clock import SECOND_US, now_us, to_seconds
@@ -22,6 +23,9 @@
 )
 from weldhead.planning.placement import plan_nothing
 
+if TYPE_CHECKING:
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: A new leader rents what replaces machines that have not answered by then.
@@ -35,12 +39,18 @@
     """Keeps the fleet at the size that the work needs."""
 
     def __init__(
-        self, term: Term, deciding: Deciding, rentals: Rentals, watch: MachineWatch
+        self,
+        term: Term,
+        deciding: Deciding,
+        rentals: Rentals,
+        watch: MachineWatch,
+        gates: "Gates | None" = None,
     ) -> None:
         self._term = term
         self._deciding = deciding
         self._rentals = rentals
         self._watch = watch
+        self._gates = gates
 
     async def size_fleet(self) -> None:
         """Look at the fleet's size, again and again; a duty."""
@@ -113,6 +123,8 @@
         settings = self._term.tunables.fleet.settings()
         silent = self._watch.doubtful(at_us)
         upcoming = self._upcoming(at_us + settings.foresight_us)
+        if self._gates is not None:
+            upcoming += self._gates.upcoming(at_us, at_us + settings.foresight_us)
         upcoming += endangered(silent, at_us, self._term.lease_us)
         closing = plan_closings(self._term.cluster, self._deciding.last_plan, settings, upcoming)
         for machine in self._term.cluster.machines.values():
@@ -156,6 +168,7 @@
             Upcoming(job, job.starts_us)
             for job in self._term.chains.blocked.values()
             if job.starts_us is not None
+            and job.held is None
             and job.starts_us <= until_us
             and job.team in self._term.cluster.teams
         ]
--- a/weldhead/planning/outlook.py
+++ b/weldhead/planning/outlook.py
@@ -116,7 +116,12 @@
         self._forecast(job, at_us, self._boots.boots())
 
     def _forecast(self, job: Job, at_us: int, boots: Boots) -> None:
-        job.forecast_us = forecast_us(self._cluster, job, self._estimates, at_us, boots)
+        if job.held is None or job.cancelled:
+            job.forecast_us = forecast_us(self._cluster, job, self._estimates, at_us, boots)
+        elif job.held.starts_us is None or job.spec.is_service:
+            job.forecast_us = None
+        else:
+            job.forecast_us = max(at_us, job.held.starts_us) + self._stage_us(job)
         job.forecast_at_us = at_us
 
     def look(self, at_us: int) -> list[Job]:
--- a/weldhead/planning/urgency.py
+++ b/weldhead/planning/urgency.py
@@ -58,8 +58,9 @@
     """
     paths_us: dict[str, int] = {}
     for job in chains.upstream(jobs):
-        level = job.spec.level
-        bounds: set[int] = set()
+        lent_level, lent_us = chains.lent.get(job.id, (0, ()))
+        level = max(job.spec.level, lent_level)
+        bounds = set(lent_us)
         for follower in chains.followers(job.id):
             level = max(level, follower.level)
             ends = (*goals.deadlines_us(follower), *follower.chain_due_us)
