--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -40,7 +40,7 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "completions", "deciding", "dispatch", "frontdesk", "leader", "linking", "lookahead",
+    "completions", "deciding", "dispatch", "frontdesk", "gates", "leader", "linking", "lookahead",
     "recovery", "rentals", "sizing", "term", "watching",
 )  # fmt: skip
 
