--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -305,7 +305,7 @@
         self.run(self.gates._enter_acts())
         self.gates._drain()
         self.gates._settle()
-        self.gates._expect(self.clock())
+        self.gates.outlook.look(self.clock())
         self.run(self.gates._release())
 
     def submit(self, number: int, job_class: str, *, documents: Documents | None = None,
@@ -604,16 +604,16 @@
     world.clock.us += 2 * S
     world.look()
     at_us = world.clock()
-    assert not world.gates.upcoming(at_us, at_us + 3_600 * S)
+    assert not world.gates.outlook.upcoming(at_us, at_us + 3_600 * S)
     world.submit(4, "post")
     world.clock.us += 2 * S
     world.look()
     at_us = world.clock()
-    found = world.gates.upcoming(at_us, at_us + 3_600 * S)
+    found = world.gates.outlook.upcoming(at_us, at_us + 3_600 * S)
     assert [item.job.id for item in found] == [run_id(1)] and found[0].starts_us > at_us
-    assert not world.gates.upcoming(at_us, at_us + 1 * S)
+    assert not world.gates.outlook.upcoming(at_us, at_us + 1 * S)
     later_us = at_us + 7_201 * S
-    assert not world.gates.upcoming(later_us, later_us + 3_600 * S)
+    assert not world.gates.outlook.upcoming(later_us, later_us + 3_600 * S)
 
 
 def test_thousands_are_released_without_a_write(world: World) -> None:
--- /dev/null
+++ b/weldhead/coordination/gateoutlook.py
@@ -0,0 +1,104 @@
+"""What is expected of gates: when they open, what their acts inherit, whom to rent for."""
+
+from collections.abc import Iterator, Mapping
+from heapq import nsmallest
+
+from weldhead.bookkeeping.jobs import Job
+from weldhead.clock import SECOND_US
+from weldhead.coordination.linking import Linking
+from weldhead.coordination.term import Term
+from weldhead.gates.book import Book, lent, opens_us, urgency
+from weldhead.planning.fleet import Upcoming
+from weldhead.planning.urgency import MOST_BOUNDS
+
+#: Between two looks at what is expected of the acts under way.
+EXPECT_US = SECOND_US
+#: Between two looks whether what lent the most to an act is gone.
+LENT_US = 10 * SECOND_US
+#: For how many jobs of a gate machines are rented ahead at most.
+MOST_FORESEEN = 200
+
+
+class GateOutlook:
+    """Looks ahead of a term's gates."""
+
+    def __init__(self, term: Term, linking: Linking, books: Mapping[str, Book]) -> None:
+        self._term = term
+        self._linking = linking
+        self._books = books
+        #: Held since the last look at what they lend.
+        self.fresh: list[Job] = []
+        #: When it was looked last; 0: something has changed since.
+        self.looked_us = 0
+
+    def look(self, at_us: int) -> None:
+        """Expect openings from the acts under way, and lend these what waits for them."""
+        if at_us < self.looked_us + EXPECT_US:
+            return
+        self.looked_us = at_us
+        for book in self._books.values():
+            if book.state is None or not (book.jobs or book.state.pending):
+                continue
+            jobs = self._term.cluster.jobs
+            acts = [jobs[p.job] for p in book.state.pending if p.job in jobs]
+            book.opening.starts_us = opens_us(book, {a.id: self._end_us(a, at_us) for a in acts})
+            self._lend(book, acts, at_us)
+        self.fresh.clear()
+
+    def _end_us(self, job: Job, at_us: int) -> int | None:
+        """Return when an act's job is expected to be done; None: it cannot be told."""
+        if job.blockers:
+            return None if job.starts_us is None else job.starts_us + self._linking.stage_us(job)
+        if job.active and not job.waiting:
+            task_us = self._term.estimates.task_us(job)
+            return at_us + max(a.remaining_us(task_us, at_us) for a in job.active.values())
+        return at_us + self._linking.stage_us(job)
+
+    def _lend(self, book: Book, acts: list[Job], at_us: int) -> None:
+        """Let acts count with the priority and the deadlines of what waits for them."""
+        chains, goals = self._term.chains, self._term.goals
+        if book.left and at_us > book.lent_us + LENT_US:
+            # Some may have gone that lent the most.
+            book.left, book.lent_us = False, at_us
+            for act in acts:
+                chains.lent.pop(act.id, None)
+        for act in acts:
+            before = chains.lent.get(act.id)
+            bounds: list[tuple[int, list[int]]] = []
+            if before is not None:
+                bounds.append((before[0], list(before[1])))
+                fresh = [j for j in self.fresh if j.hold and j.hold.gate == book.name]
+            else:
+                fresh = list(held(book))
+            for job in fresh:
+                ends = (*goals.deadlines_us(job), *job.chain_due_us)
+                path_us = self._linking.stage_us(job) if ends else 0
+                bounds.append((job.level, [end_us - path_us for end_us in ends]))
+            now = lent(bounds, MOST_BOUNDS, at_us)
+            if now != before:
+                chains.lent[act.id] = now
+                self._linking.refresh([act])
+
+    def upcoming(self, at_us: int, until_us: int) -> list[Upcoming]:
+        """Return held work that is expected to be released by then; machines may be rented.
+
+        An act that takes longer than expected must not keep machines for ever: they are
+        rented ahead for twice the time of foresight at most, until something changes.
+        """
+        found: list[Upcoming] = []
+        for book in self._books.values():
+            starts_us = book.opening.starts_us
+            if starts_us is None or starts_us > until_us:
+                continue
+            book.foreseen_us = book.foreseen_us or at_us
+            if at_us - book.foreseen_us > 2 * (until_us - at_us):
+                continue
+            teams = self._term.cluster.teams
+            ready = (j for j in held(book) if j.team in teams and not j.blockers)
+            found += [Upcoming(j, starts_us) for j in nsmallest(MOST_FORESEEN, ready, key=urgency)]
+        return found
+
+
+def held(book: Book) -> Iterator[Job]:
+    """Iterate over the jobs that a gate holds."""
+    return (job for job in book.jobs.values() if job.held is not None)
--- a/weldhead/coordination/gates.py
+++ b/weldhead/coordination/gates.py
@@ -8,7 +8,6 @@
 import contextlib
 import logging
 from datetime import UTC, datetime
-from heapq import nsmallest
 from typing import Any
 
 import msgspec
@@ -18,16 +17,15 @@
 from weldhead.clock import SECOND_US, now_us, wall_us
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.documents import Publisher, Unready
+from weldhead.coordination.gateoutlook import GateOutlook
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term, parts
 from weldhead.documents.records import HEAD_KEY, state_key
 from weldhead.documents.shelf import Shelf
-from weldhead.gates.book import Book, lent, opens_us, unbegun, urgency
+from weldhead.gates.book import Book, unbegun
 from weldhead.gates.document import Gate
 from weldhead.gates.state import Entered, GateState, deed_of, ended, enter, needed_now
-from weldhead.planning.fleet import Upcoming
-from weldhead.planning.urgency import MOST_BOUNDS
 from weldhead.protocol.wire import Condition, JobSpec
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import decode
@@ -37,15 +35,9 @@
 KIND = "gate"
 #: Between two looks while nothing wakes it.
 LOOK_S = 0.25
-#: Between two looks at what is expected of the acts under way.
-EXPECT_US = SECOND_US
-#: Between two looks whether what lent the most to an act is gone.
-LENT_US = 10 * SECOND_US
 #: How many jobs are released before others get their turn, and for how long.
 RELEASED_AT_ONCE = 250
 RELEASE_PAUSE_S = 0.02
-#: For how many jobs of a gate machines are rented ahead at most.
-MOST_FORESEEN = 200
 
 _encode = msgspec.json.Encoder().encode
 
@@ -115,14 +107,12 @@
         self._acts: dict[str, tuple[Job, str, str, Deed | None]] = {}
         #: Held jobs of which something may run.
         self._draining: dict[str, Job] = {}
-        #: Held since the last look at what they lend.
-        self._fresh: list[Job] = []
+        self.outlook = GateOutlook(term, linking, self.books)
         #: One state is written at a time.
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
         #: The documents have changed since they were read.
         self._outdated = True
-        self._expected_us = 0
         publisher.shelf.listeners.append(self._changed)
 
     # -- what is known ---------------------------------------------------------------------
@@ -137,7 +127,7 @@
         self.books.clear()
         self._acts.clear()
         self._draining.clear()
-        self._fresh.clear()
+        self.outlook.fresh.clear()
         self._outdated = True
 
     def _read(self) -> None:
@@ -189,7 +179,7 @@
     def _hold(self, book: Book, job: Job) -> None:
         book.enter(job)
         if job.held is not None:
-            self._fresh.append(job)
+            self.outlook.fresh.append(job)
         else:
             self._count_from_opening(book, job)
 
@@ -212,7 +202,7 @@
         if job.hold is None or job.held is None or job.cancelled:
             return ""
         book = self.books.get(job.hold.gate)
-        return f"gate {book.name}: {book.why() or 'opens'}" if book is not None else ""
+        return f"gate {book.name}: {book.why() or 'it opens'}" if book is not None else ""
 
     def held_by(self, job: Job) -> str | None:
         """Say what holds a job, since when and who has to act; None: nothing does for sure."""
@@ -225,7 +215,7 @@
         if book.state.since_us:
             moment = datetime.fromtimestamp(book.state.since_us // SECOND_US, UTC)
             since = f", since {moment:%Y-%m-%dT%H:%M:%SZ}"
-        return f"gate {book.name}: {book.why()}{since}"
+        return f"{book.name}: {book.why()}{since}"
 
     def _say(self, book: Book) -> None:
         """Log what has become of a gate, once a change, when it is certain."""
@@ -247,6 +237,9 @@
         """Enter acts, stop what must not begin, release what may; a duty."""
         term = self._term
         feed = term.cluster.jobs.feeds.subscribe()
+        for book in self.books.values():
+            # The last run of this duty may have failed in the midst of a release.
+            book.changed = True
         try:
             await self._square()
             for job in term.cluster.holders.values():
@@ -259,7 +252,7 @@
                 await self._enter_acts()
                 self._drain()
                 self._settle()
-                self._expect(now_us())
+                self.outlook.look(now_us())
                 await self._release()
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), LOOK_S)
@@ -278,6 +271,7 @@
                         self._follow(job)
             await asyncio.sleep(0)
         for book in self.books.values():
+            book.changed = True
             self._keep_back(book)
 
     @staticmethod
@@ -371,8 +365,8 @@
         key = state_key(KIND, book.name)
         revision = await self._term.ledger.write({**(also or {}), key: state}, urgent=True)
         self._publisher.shelf.put(key, _encode(state), revision)
-        book.state, book.coming = state, None
-        book.foreseen_us = self._expected_us = 0
+        book.state, book.coming, book.changed = state, None, True
+        book.foreseen_us = self.outlook.looked_us = 0
         self._wake.set()
 
     def _keep_back(self, book: Book) -> None:
@@ -380,7 +374,7 @@
         if not held:
             return
         book.settled = False
-        self._fresh += held
+        self.outlook.fresh += held
         self._draining.update((job.id, job) for job in held if job.active)
         self._drain()
 
@@ -452,9 +446,8 @@
 
     async def _release(self) -> None:
         """Release the jobs for which a gate is open, in slices, most urgent first."""
-        for book in list(self.books.values()):
-            if not any(True for _ in self._held(book)):
-                continue
+        for book in [book for book in self.books.values() if book.changed]:
+            book.changed = False
             found = book.releasable()
             for some in parts(found, RELEASED_AT_ONCE):
                 for job in some:
@@ -465,75 +458,3 @@
                 await asyncio.sleep(RELEASE_PAUSE_S)
             if found:
                 log.info("gate %s: %d jobs released", book.name, len(found))
-
-    def _held(self, book: Book) -> "filter[Job]":
-        return filter(lambda job: job.held is not None, book.jobs.values())
-
-    # -- what is expected ------------------------------------------------------------------
-
-    def _expect(self, at_us: int) -> None:
-        """Expect openings from the acts under way, and lend these what waits for them."""
-        if at_us < self._expected_us + EXPECT_US:
-            return
-        self._expected_us = at_us
-        for book in self.books.values():
-            if book.state is None or not (book.jobs or book.state.pending):
-                continue
-            jobs = self._term.cluster.jobs
-            acts = [jobs[p.job] for p in book.state.pending if p.job in jobs]
-            book.opening.starts_us = opens_us(book, {a.id: self._end_us(a, at_us) for a in acts})
-            self._lend(book, acts, at_us)
-        self._fresh.clear()
-
-    def _end_us(self, job: Job, at_us: int) -> int | None:
-        """Return when an act's job is expected to be done; None: it cannot be told."""
-        if job.blockers:
-            return None if job.starts_us is None else job.starts_us + self._linking.stage_us(job)
-        if job.active and not job.waiting:
-            task_us = self._term.estimates.task_us(job)
-            return at_us + max(a.remaining_us(task_us, at_us) for a in job.active.values())
-        return at_us + self._linking.stage_us(job)
-
-    def _lend(self, book: Book, acts: list[Job], at_us: int) -> None:
-        """Let acts count with the priority and the deadlines of what waits for them."""
-        chains, goals = self._term.chains, self._term.goals
-        if book.left and at_us > book.lent_us + LENT_US:
-            # Some may have gone that lent the most.
-            book.left, book.lent_us = False, at_us
-            for act in acts:
-                chains.lent.pop(act.id, None)
-        for act in acts:
-            before = chains.lent.get(act.id)
-            bounds: list[tuple[int, list[int]]] = []
-            if before is not None:
-                bounds.append((before[0], list(before[1])))
-                fresh = [j for j in self._fresh if j.hold and j.hold.gate == book.name]
-            else:
-                fresh = list(self._held(book))
-            for job in fresh:
-                ends = (*goals.deadlines_us(job), *job.chain_due_us)
-                path_us = self._linking.stage_us(job) if ends else 0
-                bounds.append((job.level, [end_us - path_us for end_us in ends]))
-            now = lent(bounds, MOST_BOUNDS, at_us)
-            if now != before:
-                chains.lent[act.id] = now
-                self._linking.refresh([act])
-
-    def upcoming(self, at_us: int, until_us: int) -> list[Upcoming]:
-        """Return held work that is expected to be released by then; machines may be rented.
-
-        An act that takes longer than expected must not keep machines for ever: they are
-        rented ahead for twice the time of foresight at most, until something changes.
-        """
-        found: list[Upcoming] = []
-        for book in self.books.values():
-            starts_us = book.opening.starts_us
-            if starts_us is None or starts_us > until_us:
-                continue
-            book.foreseen_us = book.foreseen_us or at_us
-            if at_us - book.foreseen_us > 2 * (until_us - at_us):
-                continue
-            held = (j for j in self._held(book) if j.team in self._term.cluster.teams)
-            ready = (j for j in held if not j.blockers)
-            found += [Upcoming(j, starts_us) for j in nsmallest(MOST_FORESEEN, ready, key=urgency)]
-        return found
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -124,7 +124,7 @@
         silent = self._watch.doubtful(at_us)
         upcoming = self._upcoming(at_us + settings.foresight_us)
         if self._gates is not None:
-            upcoming += self._gates.upcoming(at_us, at_us + settings.foresight_us)
+            upcoming += self._gates.outlook.upcoming(at_us, at_us + settings.foresight_us)
         upcoming += endangered(silent, at_us, self._term.lease_us)
         closing = plan_closings(self._term.cluster, self._deciding.last_plan, settings, upcoming)
         for machine in self._term.cluster.machines.values():
--- a/weldhead/gates/book.py
+++ b/weldhead/gates/book.py
@@ -28,6 +28,8 @@
         self.coming: GateState | None = None
         #: The edition of the documents that is in force has no such gate: it holds nothing.
         self.gone = False
+        #: It may be open for more than when its jobs were looked at last.
+        self.changed = True
         #: All jobs that are bound to it, held or not.
         self.jobs: dict[str, Job] = {}
         self.opening = Opening()
