--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -14,22 +14,29 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.builders import job_spec
+from tests.builders import add_job, cluster, job_spec
 from tests.stand_ins import StandInState
 from tests.test_recovery import START, Clock, clock, new_leader  # noqa: F401
 from tests.test_wire import SETTINGS
+from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.records import (
+    Binding,
+    Deed,
     FinalRecord,
     HireRecord,
+    Hold,
     JobRecord,
     LeaderRecord,
+    bound_record,
     cancelled_record,
     decode_progress,
+    without_gate,
 )
 from weldhead.clock import now_us
 from weldhead.coordination.node import Node
 from weldhead.protocol import peer
 from weldhead.protocol.settings import parse_settings
+from weldhead.protocol.validation import is_job_id
 from weldhead.protocol.versions import CHAINS_FORMAT, FORMAT
 from weldhead.protocol.wire import JobSpec
 from weldhead.tunables.defaults import Tunables
@@ -365,3 +372,46 @@
         assert not node.campaign.candidacy.may_lead(now_us())
         node.campaign.heard_pong(name, peer.Pong(7, True, FORMAT, False))
     assert node.campaign.candidacy.may_lead(now_us())
+
+
+class ChainsSpec(OldSpec, frozen=True):
+    waits_on: tuple[str, ...] | None = None
+
+
+class ChainsJob(msgspec.Struct):
+    """How formats 2 and 3 read a job."""
+
+    spec: ChainsSpec
+    submitted_us: int
+    cancelled: bool = False
+
+
+@pytest.mark.parametrize(
+    "binding", [Binding(hold=Hold("book", 3)), Binding(deed=Deed("book", "approval", 3))]
+)
+def test_a_leader_that_knows_chains_and_no_gates_never_starts_what_a_gate_concerns(
+    binding: Binding,
+) -> None:
+    # Such a version may come back and lead while held jobs exist: their records name a need
+    # that no job can have, so nobody ever commits its end.
+    spec = job_spec(1, needs=("run-000009",))
+    record = bound_record(spec, START, binding)
+    old = msgspec.json.decode(msgspec.json.encode(record), type=ChainsJob)
+    assert old.spec.waits_on == ("run-000009", "gate/book")
+    assert not is_job_id("gate/book") and without_gate(record.spec) == spec
+    # What it does with a list of needs.
+    of = cluster()
+    chains = Chains(of.jobs)
+    job = add_job(of, spec)
+    chains.add(job, old.spec.waits_on)
+    chains.done("run-000009", START)
+    assert job.waiting == 0 and chains.unknown == {"gate/book"}
+    # A cancellation that it writes is one for this version, and the other way round.
+    cancelled = cancelled_record(record.spec, START, 8_192)
+    assert msgspec.json.decode(msgspec.json.encode(cancelled), type=ChainsJob).cancelled
+
+
+def test_a_job_that_concerns_no_gate_is_recorded_as_ever() -> None:
+    spec = job_spec(412, zone="a", types=("m4",), deadline_s=900.0)
+    record = bound_record(spec, 1_760_000_000_000_000, Binding())
+    assert msgspec.json.encode(record) == JOB
--- a/weldhead/protocol/versions.py
+++ b/weldhead/protocol/versions.py
@@ -13,8 +13,9 @@
         list of needed jobs; an ``f/`` record may have ``ended_us`` and ``service``; a pong
         ends with the answerer's format. Keys and messages are the same
 3       a pong ends with whether the answerer is in a term; messages look and seen
-4       documents: keys ``d/``; a ``j/`` record may have ``bound`` and ``hold``; an ask may be
-        of the kind ``documents``, which others refuse
+4       documents: keys ``d/``; a ``j/`` record may have ``bound``, ``hold`` and ``deed``, and
+        in the last two cases a need ``gate/NAME``; an ask may be of the kind ``documents``,
+        which others refuse
 ======  =============================================================================
 
 Rules that keep it so:
@@ -31,9 +32,12 @@
 * A pong of format 1 or 2 does not say whether its sender is in a term: it counts as if it
   were, so a controller that has just started waits for its former promises beside one.
 * Whoever does not know documents would start the tasks of a job that a gate holds, and an
-  older leader's rewriting loses what binds it. So a job that a gate holds is neither passed to
-  such a peer nor accepted beside one. Whoever knows the format and is given no documents
-  itself starts no job with a ``hold``: closed when in doubt.
+  older leader's rewriting loses what binds it. So a job that a gate holds, or that works on
+  one, is neither passed to such a peer nor accepted beside one. Should a version that knows
+  chains come back and lead all the same, the need ``gate/NAME`` keeps it from starting these
+  jobs: no job can have that name, and nobody ever writes how it ended. Whoever knows the
+  format ignores that need; if it is given no documents itself, it starts no job with a
+  ``hold`` or a ``deed``: closed when in doubt.
 * Whoever knows format 1 only would start the tasks of a job that waits. So a submission
   that names needed jobs is neither passed to such a peer nor accepted beside one.
 """
