--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -300,13 +300,7 @@
         """The duty's look, once."""
         if self.leader.gates is None:
             return
-        for job in list(self.leader.cluster.jobs.values()):
-            self.gates._follow(job)
-        self.run(self.gates._enter_acts())
-        self.gates._drain()
-        self.gates._settle()
-        self.gates.outlook.look(self.clock())
-        self.run(self.gates._release())
+        self.run(self.gates._look(list(self.leader.cluster.jobs.values())))
 
     def submit(self, number: int, job_class: str, *, documents: Documents | None = None,
                needs: tuple[int, ...] = (), **of: Any) -> int:  # fmt: skip
--- a/weldhead/coordination/gates.py
+++ b/weldhead/coordination/gates.py
@@ -7,12 +7,14 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Iterable
 from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
 
 from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.records import Binding, Deed, FinalRecord, Hold, JobRecord, final_key
 from weldhead.clock import SECOND_US, now_us, wall_us
 from weldhead.coordination.dispatch import Dispatcher
@@ -245,21 +247,27 @@
             for job in term.cluster.holders.values():
                 self._follow(job)
             while True:
-                for job in feed.take():
-                    self._follow(job)
-                if self._outdated:
-                    await self._read_anew()
-                await self._enter_acts()
-                self._drain()
-                self._settle()
-                self.outlook.look(now_us())
-                await self._release()
+                await self._look(feed.take())
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), LOOK_S)
                 self._wake.clear()
+        except Deposed as error:
+            raise CallFailed("another leader has taken over") from error
         finally:
             feed.close()
 
+    async def _look(self, changed: Iterable[Job]) -> None:
+        """Draw what follows from what has changed since the last look."""
+        for job in changed:
+            self._follow(job)
+        if self._outdated:
+            await self._read_anew()
+        await self._enter_acts()
+        self._drain()
+        self._settle()
+        self.outlook.look(now_us())
+        await self._release()
+
     async def _read_anew(self) -> None:
         """Take up another edition of the documents: what holds, and who performs acts."""
         self._read()
@@ -324,6 +332,9 @@
             entered: list[tuple[Book, Job, str]] = []
             for job, gate, act, deed in sorted(self._acts.values(), key=lambda a: a[0].version):
                 book = self.books[gate]
+                if book.gone:
+                    entered.append((book, job, ""))
+                    continue
                 before = taken.get(gate, book.state)
                 if before is None or not self._term.chains.unknown.isdisjoint(job.blockers):
                     continue
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -527,7 +527,9 @@
 
 def _may_move(attempt: Attempt) -> bool:
     spec = attempt.job.spec
-    return not spec.is_service and not spec.one_zone and not spec.spread
+    # What a gate holds goes on where it runs, and would not start again elsewhere.
+    free = attempt.job.held is None
+    return free and not spec.is_service and not spec.one_zone and not spec.spread
 
 
 def _may_begin_anew(attempt: Attempt, estimates: Estimates, goals: Goals, at_us: int) -> bool:
