--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -41,7 +41,7 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "calendars", "completions", "deciding", "dispatch", "frontdesk", "leader", "linking",
+    "calendars", "completions", "deciding", "dispatch", "frontdesk", "gates", "leader", "linking",
     "listening", "lookahead", "recovery", "rentals", "sizing", "term", "watching",
 )  # fmt: skip
 
