--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -247,6 +247,9 @@
         self.listening.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
         self._apply(machine, report, direct=False)
+        if machine.deaf:
+            # The report may have shown that what it was sent last was dropped.
+            self.listening.withdraw(machine)
         if not self._count_answer(machine, word, at_us):
             return None
         if machine.synced and not machine.up and not machine.up_pending:
--- a/weldhead/coordination/listening.py
+++ b/weldhead/coordination/listening.py
@@ -123,14 +123,15 @@
         if machine.deaf:
             log.info("machine %s hears nothing: %s", machine.name, ear.why())
             ear.ask_us = 0
-            self._withdraw(machine)
+            self.withdraw(machine)
         else:
             log.info(
                 "machine %s hears again after %.1f s", machine.name, to_seconds(at_us - since_us)
             )
         self._term.place.set()
 
-    def _withdraw(self, machine: Machine) -> None:
+    def withdraw(self, machine: Machine) -> None:
+        """Take back what has not begun on a machine that hears nothing."""
         count = withdraw_unbegun(self._term.cluster, machine)
         if count:
             log.info("machine %s: %d tasks that have not begun go elsewhere", machine.name, count)
@@ -157,7 +158,7 @@
                 del self._doubted[name]
                 continue
             if machine.deaf:
-                self._withdraw(machine)
+                self.withdraw(machine)
             speaks = at_us - machine.seen_us <= self._term.silence_us
             if speaks and at_us >= ear.ask_us and self._asked < ASKED_AT_ONCE and machine.address:
                 ear.ask_us = at_us + ASK_PAUSE_US
