--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -190,3 +190,24 @@
             waiting,
             sum(count * job.spec.cpus for job, count in self._deciding.last_plan.unplaced),
         )
+        self._log_cards()
+
+    def _log_cards(self) -> None:
+        """Say how the fleet's cards are used, where it has any; ``bare`` machines have no CPUs."""
+        machines = [m for m in self._term.cluster.machines.values() if m.type.gpus > 0]
+        if not machines:
+            return
+        names = ("booting", "free", "bare", "assigned", "pulling", "running", "saving")
+        cards = dict.fromkeys(names, 0.0)
+        for machine in machines:
+            state = "booting" if machine.booting else "free" if machine.cpus >= 1.0 else "bare"
+            cards[state] += machine.gpus
+            for attempt in machine.attempts.values():
+                cards[attempt.phase.value] += attempt.job.spec.gpus
+        unplaced = [(job, n) for job, n in self._deciding.last_plan.unplaced if job.spec.gpus > 0]
+        log.info(
+            "cards: %s, allowed %.0f of %d jobs",
+            ", ".join(f"{name} {amount:.0f}" for name, amount in cards.items()),
+            sum(count * job.spec.gpus for job, count in unplaced),
+            len(unplaced),
+        )
