Account: teams are judged by resource, exactly; victims for cards are chosen as cards

Freed and claimed room was counted in CPUs only, so several stops in one pass could take a team below its guarantee in cards; a team over its guarantee in CPUs counted as borrowing its cards too; and the job that holds the most room was the one with the most CPUs even where cards were short. weldhead/account/ holds guarantee, limit, use, claimed, freed and lent by resource in whole millionths, without the slack that drifting sums needed; placement's reserve, the preemptor and the 422s ask it. Tasks that an earlier leader stopped and that still save count as being freed.

--- a/tests/plain.py
+++ b/tests/plain.py
@@ -9,8 +9,9 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 
+from weldhead.account.amounts import Resource
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Job, Stop
+from weldhead.bookkeeping.jobs import Attempt, Job, Stop
 from weldhead.bookkeeping.machines import EPSILON, how_many
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.bookkeeping.rooms import FreeRooms
@@ -19,7 +20,7 @@
 from weldhead.planning.fleet import Coming, FleetSettings, _Queue, usual_boots
 from weldhead.planning.goals import Goals, Press
 from weldhead.planning.placement import Plan, Room, Rooms, _place, usable
-from weldhead.planning.preemptor import PreemptorSettings, _Pass, within_guarantee
+from weldhead.planning.preemptor import Pass, PreemptorSettings
 
 
 class PlainPlan(Plan):
@@ -94,9 +95,10 @@
         for job in waiting:
             held = reserved[job.team]
             usage = cluster.usage[job.team]
-            allowed = min(
-                job.waiting - planned[job.id], cluster.within_limit(job, held[0], held[1])
-            )
+            team = cluster.teams[job.team]
+            cpus = team.cpus_max - usage.cpus - held[0]
+            gpus = team.gpus_max - usage.gpus - held[1]
+            allowed = min(job.waiting - planned[job.id], how_many(job.spec, cpus, gpus))
             if guaranteed:
                 most = guaranteed_tasks(cluster, job, usage.cpus + held[0], usage.gpus + held[1])
                 allowed = min(allowed, most)
@@ -113,7 +115,7 @@
     return plan
 
 
-class PlainPass(_Pass):
+class PlainPass(Pass):
     """A run of the preemptor that knows every machine and every job from the start."""
 
     def __init__(
@@ -127,8 +129,8 @@
         free = FreeRooms(cluster.machines)
         super().__init__(cluster, lists, estimates, at_us, settings, free)
         free.close()
-        self.freed.clear()
-        self.claimed.clear()
+        self.freed: dict[str, float] = defaultdict(float)
+        self.claimed: dict[str, float] = defaultdict(float)
         for machine in cluster.machines.values():
             room = [machine.cpus, machine.gpus, machine.memory_gb]
             for attempt in machine.attempts.values():
@@ -155,6 +157,34 @@
         )
         self._rank = {job.id: number for number, job in enumerate(self._order)}
 
+    def borrows(self, team: str, resource: Resource) -> bool:
+        """Whether a team runs more than it is guaranteed."""
+        known, usage = self.cluster.teams.get(team), self.cluster.usage[team]
+        if known is None:
+            return True
+        return (
+            usage.cpus - self.freed[team] > known.cpus + EPSILON
+            or usage.gpus > known.gpus + EPSILON
+        )
+
+    def within(self, claimant: Job) -> bool:
+        """Whether one more task of the job is inside its team's guarantee."""
+        team, usage = self.cluster.teams.get(claimant.team), self.cluster.usage[claimant.team]
+        if team is None:
+            return False
+        return (
+            usage.cpus + self.claimed[claimant.team] + claimant.spec.cpus <= team.cpus + EPSILON
+            and usage.gpus + claimant.spec.gpus <= team.gpus + EPSILON
+        )
+
+    def _take(
+        self, claimant: Job, machine: str, room: list[float], victims: list[Attempt]
+    ) -> Reclaim:
+        for victim in victims:
+            self.freed[victim.job.team] += victim.job.spec.cpus
+        self.claimed[claimant.team] += claimant.spec.cpus
+        return super()._take(claimant, machine, room, victims)
+
     def _rooms_for(self, claimant: Job) -> list[str]:
         return [
             name
@@ -178,7 +208,7 @@
     reclaims: list[Reclaim] = []
     for job, unplaced in plan.listed:
         if run.press(job, goals) is Press.PATIENT:
-            if not within_guarantee(cluster, job, run.claimed):
+            if not run.within(job):
                 continue
         for _ in range(max(0, unplaced - lists.count(job.id))):
             if len(reclaims) >= most:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -40,7 +40,14 @@
 
 @pytest.mark.parametrize(
     ("package", "least"),
-    [("recovery", 6), ("blame", 2), ("boots", 1), ("admission", 1), ("planning", 11)],
+    [
+        ("recovery", 6),
+        ("blame", 2),
+        ("boots", 1),
+        ("admission", 1),
+        ("planning", 12),
+        ("account", 2),
+    ],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
     program = f"""
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -7,22 +7,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from weldhead.account.amounts import NOTHING, Amount
+from weldhead.account.teams import Use, within_limit
 from weldhead.bookkeeping.feeds import Registry
 from weldhead.bookkeeping.jobs import Attempt, Job, Stop, TaskState
-from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
+from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.protocol.settings import Team
 
 
-class Usage:
-    """What a team's attempts take."""
-
-    __slots__ = ("cpus", "gpus")
-
-    def __init__(self) -> None:
-        self.cpus = 0.0
-        self.gpus = 0.0
-
-
 @dataclass(frozen=True)
 class Doubt:
     """What a team's attempts on unknown machines may use at most."""
@@ -48,7 +40,8 @@
         #: what tells them apart: an attempt's number is unique within its task.
         self.stopping: dict[tuple[str, int], Attempt] = {}
         self.limbo: dict[tuple[str, int], Attempt] = {}
-        self.usage: Mapping[str, Usage] = defaultdict(Usage)
+        #: What each team's attempts take, by evidence; exact (``account/``).
+        self.usage: Mapping[str, Use] = defaultdict(Use)
         #: By team, while some machines have not shown what runs there.
         self.doubts: Mapping[str, Doubt] = {}
         self._starts: dict[str, int] = defaultdict(int)
@@ -73,9 +66,7 @@
         attempt.job.begin(attempt, machine.zone)
         machine.add(attempt)
         self.holders[attempt.job.id] = attempt.job
-        usage = self.usage[attempt.job.team]
-        usage.cpus += attempt.job.spec.cpus
-        usage.gpus += attempt.job.spec.gpus
+        self.usage[attempt.job.team].add(attempt.job.spec)
 
     def release(self, attempt: Attempt, *, completed: bool = False) -> None:
         """Record that an attempt is surely gone."""
@@ -88,14 +79,7 @@
             self.stopping.pop((attempt.task, attempt.number), None)
         if self.limbo:
             self.limbo.pop((attempt.task, attempt.number), None)
-        usage = self.usage[attempt.job.team]
-        usage.cpus -= attempt.job.spec.cpus
-        usage.gpus -= attempt.job.spec.gpus
-        # Sums of decimals drift; an unused team is exactly unused.
-        if abs(usage.cpus) < EPSILON:
-            usage.cpus = 0.0
-        if abs(usage.gpus) < EPSILON:
-            usage.gpus = 0.0
+        self.usage[attempt.job.team].add(attempt.job.spec, -1)
 
     def release_all(self, machine: Machine) -> list[Attempt]:
         """Record that everything on a machine is surely gone."""
@@ -131,15 +115,14 @@
         if attempt.job.active.get(attempt.index) is attempt:
             self.limbo[attempt.task, attempt.number] = attempt
 
-    def within_limit(self, job: Job, reserved_cpus: float = 0.0, reserved_gpus: float = 0.0) -> int:
-        """How many more tasks of the job its team's limit allows."""
+    def within_limit(self, job: Job, reserved: Amount = NOTHING) -> int:
+        """How many more tasks of the job its team's limit allows beside what is reserved."""
         team = self.teams.get(job.team)
         if team is None:
             return 0
-        usage = self.usage[job.team]
-        cpus = team.cpus_max - usage.cpus - reserved_cpus
-        gpus = team.gpus_max - usage.gpus - reserved_gpus
-        return how_many(job.spec, cpus, gpus)
+        cpus, cards = self.usage[job.team].units
+        used = cpus + reserved[0], cards + reserved[1]
+        return within_limit(team, used, job.spec, job.spec.tasks)
 
     def waiting_jobs(self) -> list[Job]:
         """Return the jobs with waiting tasks."""
@@ -147,7 +130,7 @@
 
     def check(self) -> None:
         """Raise AssertionError if the sums disagree with the attempts; for tests."""
-        cpus: dict[str, float] = defaultdict(float)
+        recounted: dict[str, Use] = defaultdict(Use)
         for machine in self.machines.values():
             used = sum(a.job.spec.cpus for a in machine.attempts.values())
             for attempt in machine.attempts.values():
@@ -158,9 +141,9 @@
             for attempt in machine.attempts.values():
                 assert attempt.job.active[attempt.index] is attempt, attempt.task
                 assert attempt.job.states[attempt.index] == TaskState.ACTIVE, attempt.task
-                cpus[attempt.job.team] += attempt.job.spec.cpus
+                recounted[attempt.job.team].add(attempt.job.spec)
         for kept in (*self.stopping.values(), *self.limbo.values()):
             assert kept.job.active.get(kept.index) is kept, kept.task
         assert set(self.holders) == {job.id for job in self.jobs.values() if job.active}
         for team, usage in self.usage.items():
-            assert abs(usage.cpus - cpus[team]) < EPSILON * 100, team
+            assert usage.units == recounted[team].units, team
--- a/weldhead/bookkeeping/reclaim.py
+++ b/weldhead/bookkeeping/reclaim.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from weldhead.bookkeeping.jobs import Attempt
+from weldhead.bookkeeping.taken import Taken
 
 
 @dataclass
@@ -28,6 +29,8 @@
 
     def __init__(self) -> None:
         self._lists: dict[str, list[Reclaim]] = {}
+        #: Tasks that were stopped for others while they held cards.
+        self.taken = Taken()
 
     def add(self, reclaim: Reclaim) -> None:
         """Enter a request."""
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -157,6 +157,8 @@
                     self._who(reclaim.job_id),
                 )
                 claimant = self._term.cluster.jobs[reclaim.job_id]
+                if victim.job.spec.gpus > 0:
+                    self.reclaims.taken.stop(victim, at_us)
                 stop = stop_for(claimant, victim.job, self._term.goals)
                 self.stop(victim, stop, at_us, "room")
 
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -227,6 +227,10 @@
     cluster.adopt(attempt, machine)
     if job.cancelled:
         cluster.stop(attempt, Stop.HARD, at_us, "cancelled")
+    elif attempt.phase is Phase.SAVING:
+        # Whoever led before has stopped it: it goes, and what it holds is being freed. Taken
+        # for one that runs, its team could lose as much once more in the first pass.
+        cluster.stop(attempt, Stop.SOFT, at_us, "stopped by an earlier leader")
     return attempt
 
 
--- a/weldhead/planning/backlog.py
+++ b/weldhead/planning/backlog.py
@@ -16,9 +16,10 @@
 from itertools import islice
 from typing import NamedTuple
 
+from weldhead.account.amounts import NOTHING, Amount, bound, needs, times_in
+from weldhead.account.teams import bounds_of, left, within_guarantee
 from weldhead.bookkeeping.cluster import CERTAIN, Cluster, Doubt
 from weldhead.bookkeeping.jobs import Job
-from weldhead.bookkeeping.machines import how_many
 from weldhead.bookkeeping.timers import Timers
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import FOR_EVER_US, Goals, Press
@@ -216,41 +217,53 @@
 class Reserve:
     """What a plan has given to a team so far, and when in the order it was given."""
 
-    __slots__ = ("_cpus", "_gpus", "_marks", "cpus", "gpus", "most_cpus", "most_gpus")
+    __slots__ = ("_given", "_left", "_marks", "_team", "_used", "given")
 
     def __init__(self, cluster: Cluster, team: str, doubt: Doubt = CERTAIN) -> None:
-        usage, limits = cluster.usage[team], cluster.teams[team]
+        self._team = cluster.teams[team]
+        cpus, cards = cluster.usage[team].units
+        self._used: Amount = cpus, cards
+        limit = bounds_of(self._team).limit
         # While machines are unknown, what they may hold of the team counts as used.
-        self.most_cpus = limits.cpus_max - usage.cpus - doubt.cpus
-        self.most_gpus = limits.gpus_max - usage.gpus - doubt.gpus
-        self.cpus = 0.0
-        self.gpus = 0.0
+        self._left: Amount = (
+            left(limit[0], cpus, bound(doubt.cpus)),
+            left(limit[1], cards, bound(doubt.gpus)),
+        )
+        #: What was given so far, in units.
+        self.given: Amount = NOTHING
         self._marks: list[Entry] = []
-        self._cpus: list[float] = [0.0]
-        self._gpus: list[float] = [0.0]
+        self._given: list[Amount] = [NOTHING]
 
     def give(self, job: Job, count: int) -> None:
         """Reserve room for tasks."""
-        self.cpus += job.spec.cpus * count
-        self.gpus += job.spec.gpus * count
+        cpus, cards = needs(job.spec)
+        self.given = self.given[0] + cpus * count, self.given[1] + cards * count
+
+    def within_limit(self, job: Job) -> int:
+        """How many more tasks of a job the limit allows."""
+        return self._left_beside(job, self.given)
+
+    def within_guarantee(self, job: Job) -> int:
+        """How many more tasks of a job are inside the guarantee."""
+        used = self._used[0] + self.given[0], self._used[1] + self.given[1]
+        return within_guarantee(self._team, used, job.spec, job.spec.tasks)
+
+    def _left_beside(self, job: Job, given: Amount) -> int:
+        rest = left(self._left[0], given[0]), left(self._left[1], given[1])
+        return times_in(rest, needs(job.spec), job.spec.tasks)
 
     def mark(self, entry: Entry | None) -> None:
         """Note that all so far was given up to that place in the order (None: before it)."""
         if entry is None:
-            self._cpus[0], self._gpus[0] = self.cpus, self.gpus
+            self._given[0] = self.given
             return
         self._marks.append(entry)
-        self._cpus.append(self.cpus)
-        self._gpus.append(self.gpus)
+        self._given.append(self.given)
 
     def left_at(self, entry: Entry) -> int:
         """How many tasks of a job the limit allows, by what was given before its place."""
         number = bisect_left(self._marks, entry)
-        return how_many(
-            entry.job.spec,
-            self.most_cpus - self._cpus[number],
-            self.most_gpus - self._gpus[number],
-        )
+        return self._left_beside(entry.job, self._given[number])
 
 
 class Unplaced:
--- /dev/null
+++ b/weldhead/planning/cards.py
@@ -0,0 +1,167 @@
+"""Whose work makes room for a task that takes cards.
+
+Natjam's Most Resources, in the resource that is short: within the lowest level that has
+something to give, first the job that holds the most cards. Then the task: nearest its end
+where it saves, else the one that has run least; what fetching the claimant's image takes on
+the machine counts as if the victim had so much left, so that among tasks that are about
+equal those go whose machine has it.
+
+Victims are chosen as sets on one machine: a task of several cards fits nowhere else, and
+cards freed here and there are whole for nobody. A team never loses cards that it is
+guaranteed, and a task that was stopped of late keeps its place for a while (``bookkeeping/
+reclaim.py``).
+"""
+
+from collections.abc import Iterable
+from heapq import heapify, heappop, heapreplace
+from typing import TYPE_CHECKING, NamedTuple
+
+from weldhead.account.amounts import need
+from weldhead.bookkeeping.jobs import Attempt, Job
+from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.clock import seconds_us
+from weldhead.protocol.wire import JobSpec
+
+if TYPE_CHECKING:
+    from weldhead.planning.preemptor import Pass
+
+
+class Victims(NamedTuple):
+    """A set of victims on one machine; compared by the first fields, the least stops first."""
+
+    level: int
+    service: bool
+    #: Place of the job that holds the fewest cards of those in the set.
+    rank: int
+    cost_us: int
+    serial: int
+    machine: Machine
+    attempts: list[Attempt]
+
+    @property
+    def order(self) -> tuple[int, bool, int, int, int]:
+        """By what sets are compared."""
+        return self[:5]
+
+
+def fetch_us(spec: JobSpec, machine: Machine) -> int:
+    """How long an image takes to arrive on a machine that fetches nothing else."""
+    if spec.image in machine.images or spec.image_gb <= 0:
+        return 0
+    return seconds_us(spec.image_gb / (machine.type.fetch_gb_per_s or 1.0))
+
+
+class CardClaims:
+    """Claims on cards within one pass.
+
+    Each kind of claimant keeps the machines in order of what it would stop there. As in a
+    pass less and less may be stopped, an order that still holds when a machine's turn comes
+    is the right one; otherwise the machine is put in its place anew.
+    """
+
+    def __init__(self, run: "Pass") -> None:
+        self._run = run
+        self._machines = [m for m in run.cluster.machines.values() if m.type.gpus > 0]
+        holders = sorted(run.cluster.holders.values(), key=cards_key)
+        self._rank = {job.id: number for number, job in enumerate(holders)}
+        self._kinds: dict[tuple[object, ...], list[tuple[tuple[int, ...], Victims]]] = {}
+
+    def choose(self, claimant: Job, kind: tuple[object, ...], guaranteed: bool) -> Victims | None:
+        """Return whom to stop for one task of the claimant; None: nobody may be stopped."""
+        kind = (*kind, claimant.spec.image)
+        heap = self._kinds.get(kind)
+        if heap is None:
+            found = (self._on(claimant, machine, guaranteed) for machine in self._machines)
+            heap = self._kinds[kind] = [(each.order, each) for each in found if each is not None]
+            heapify(heap)
+        while heap:
+            order, first = heap[0]
+            now = self._on(claimant, first.machine, guaranteed)
+            if now is None:
+                heappop(heap)
+            elif now.order <= order:
+                # Looked at again when its turn comes: what is left there is another set.
+                heapreplace(heap, (order, now))
+                return now
+            else:
+                heapreplace(heap, (now.order, now))
+        return None
+
+    def _on(self, claimant: Job, machine: Machine, guaranteed: bool) -> Victims | None:
+        """Return the least set on a machine that makes room for one task, if there is any."""
+        run, spec = self._run, claimant.spec
+        if not machine.type.fits(spec) or not run.may_be_on(claimant, machine):
+            return None
+        room = run.room(machine.name)
+        if room is None:
+            return None
+        short = [spec.cpus - room[0], spec.gpus - room[1], spec.memory_gb - room[2]]
+        may: list[tuple[tuple[int, ...], Attempt]] = []
+        for attempt in machine.attempts.values():
+            if run.may_stop(claimant, attempt, guaranteed):
+                job = attempt.job
+                key = (job.level, job.spec.is_service, self._rank[job.id], *run.key_of(attempt))
+                may.append((key, attempt))
+        may.sort(key=lambda item: item[0])
+        chosen: list[tuple[tuple[int, ...], Attempt]] = []
+        lost: dict[str, int] = {}
+        # Cards first; only then what is missing besides, of those who hold no cards if it can be.
+        for cards, only_cards in ((True, True), (False, False), (True, False)):
+            for key, attempt in may:
+                if not _missing(short, only_cards=only_cards):
+                    break
+                if (attempt.job.spec.gpus > 0) is not cards:
+                    continue
+                if any(attempt is other for _, other in chosen):
+                    continue
+                if cards and not self._may_lose(claimant, attempt, lost):
+                    continue
+                chosen.append((key, attempt))
+                _add(short, attempt.job, -1)
+        if _missing(short) or not chosen:
+            return None
+        # Whoever turns out not to be needed stays, the most protected first.
+        for item in sorted(chosen, key=lambda item: item[0], reverse=True):
+            _add(short, item[1].job, 1)
+            if _missing(short):
+                _add(short, item[1].job, -1)
+            else:
+                chosen.remove(item)
+        if not chosen:
+            return None
+        cost_us = sum(key[-1] for key, _ in chosen) + fetch_us(spec, machine)
+        return Victims(
+            max(key[0] for key, _ in chosen), any(key[1] for key, _ in chosen),
+            max(key[2] for key, _ in chosen), cost_us, machine.serial, machine,
+            [attempt for _, attempt in chosen],
+        )  # fmt: skip
+
+    def _may_lose(self, claimant: Job, attempt: Attempt, lost: dict[str, int]) -> bool:
+        """Whether the victim's team keeps what it is guaranteed, with what the set takes of it."""
+        team = attempt.job.team
+        units = lost.get(team, 0) + need(attempt.job.spec.gpus)
+        if team != claimant.team and not self._run.account.may_lose_cards(team, units):
+            return False
+        lost[team] = units
+        return True
+
+
+def cards_key(job: Job) -> tuple[float, ...]:
+    """Sort the jobs that hold room: in each level first the one that holds the most cards."""
+    return (
+        job.level, job.spec.is_service, -len(job.active) * job.spec.gpus, -job.first_seen_us,
+        job.serial,
+    )  # fmt: skip
+
+
+def _missing(short: Iterable[float], *, only_cards: bool = False) -> bool:
+    cpus, cards, memory_gb = short
+    if only_cards:
+        return cards > EPSILON
+    return cpus > EPSILON or cards > EPSILON or memory_gb > EPSILON
+
+
+def _add(short: list[float], job: Job, sign: int) -> None:
+    short[0] += sign * job.spec.cpus
+    short[1] += sign * job.spec.gpus
+    short[2] += sign * job.spec.memory_gb
--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -196,10 +196,7 @@
         if job.team not in given:
             given[job.team] = Reserve(scene.cluster, job.team)
         reserve = given[job.team]
-        left = how_many(
-            job.spec, reserve.most_cpus - reserve.cpus, reserve.most_gpus - reserve.gpus
-        )
-        count = min(job.waiting, left)
+        count = min(job.waiting, reserve.within_limit(job))
         if count > 0 and (not job.probing or job.stranded):
             reserve.give(job, count)
             plan.unplaced.add(Entry(0, 0, 0, 0, 0, number, job), count)
@@ -314,15 +311,8 @@
 
     def _most(self, job: Job, reserve: Reserve, *, guaranteed: bool) -> int:
         """How many tasks of a job its team may be given more."""
-        most = how_many(
-            job.spec, reserve.most_cpus - reserve.cpus, reserve.most_gpus - reserve.gpus
-        )
-        if guaranteed:
-            team, usage = self._cluster.teams[job.team], self._cluster.usage[job.team]
-            cpus = team.cpus - (usage.cpus + reserve.cpus)
-            gpus = team.gpus - (usage.gpus + reserve.gpus)
-            most = min(most, how_many(job.spec, cpus, gpus))
-        return most
+        most = reserve.within_limit(job)
+        return min(most, reserve.within_guarantee(job)) if guaranteed else most
 
     def _place(self, job: Job, allowed: int, reserve: Reserve) -> int:
         placed = _place(
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -8,11 +8,14 @@
 
 Beyond the paper: work that a team borrowed, whatever its priority, yields to work inside
 another team's guarantee, and nobody's guaranteed work yields to another team's borrowing.
+Both are judged in the resource that is claimed (``account/``); whoever claims cards has
+victims of its own (``cards.py``), and no team loses cards that it is guaranteed.
 """
 
-from collections import defaultdict
 from dataclasses import dataclass
 
+from weldhead.account.amounts import Resource, claimed_resource, need
+from weldhead.account.teams import Account
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine
@@ -20,6 +23,7 @@
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import seconds_us
 from weldhead.planning.backlog import Walk
+from weldhead.planning.cards import CardClaims
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, Press
 from weldhead.planning.placement import Plan, usable
@@ -35,25 +39,9 @@
     silence_us: int
 
 
-def over_guarantee(cluster: Cluster, name: str, freed: dict[str, float]) -> bool:
-    """Whether a team runs more than it is guaranteed."""
-    team = cluster.teams.get(name)
-    if team is None:
-        return True
-    usage = cluster.usage[name]
-    return usage.cpus - freed[name] > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
-
-
-def within_guarantee(cluster: Cluster, job: Job, claimed: dict[str, float]) -> bool:
-    """Whether one more task of the job is inside its team's guarantee."""
-    team = cluster.teams.get(job.team)
-    if team is None:
-        return False
-    usage = cluster.usage[job.team]
-    return (
-        usage.cpus + claimed[job.team] + job.spec.cpus <= team.cpus + EPSILON
-        and usage.gpus + job.spec.gpus <= team.gpus + EPSILON
-    )
+def over_guarantee(account: Account, team: str, resource: Resource) -> bool:
+    """Whether a team runs more of a resource than it is guaranteed."""
+    return account.borrows(team, resource)
 
 
 def victim_key(attempt: Attempt, estimates: Estimates, at_us: int) -> tuple[int, ...]:
@@ -83,7 +71,7 @@
         self.attempt = 0
 
 
-class _Pass:
+class Pass:
     """One run of the reclaim algorithm."""
 
     def __init__(
@@ -106,17 +94,18 @@
         self._free: dict[str, list[float] | None] = {}
         #: How that differs from what is free, where it does.
         self._moved: dict[str, list[float]] = {}
-        self.freed: dict[str, float] = defaultdict(float)
-        self.claimed: dict[str, float] = defaultdict(float)
+        self.account = Account(cluster.teams, cluster.usage)
+        self._taken = lists.taken
         for attempt in cluster.stopping.values():
             self._move(attempt.machine, attempt.job, 1)
-            self.freed[attempt.job.team] += attempt.job.spec.cpus
+            self.account.free(attempt.job.team, attempt.job.spec)
         for entry in lists.entries():
             job = cluster.jobs.get(entry.job_id)
             if job is None:
                 continue
             self._move(entry.machine, job, -1)
-            self.claimed[job.team] += job.spec.cpus
+            self.account.claim(job.team, job.spec)
+        self._cards: CardClaims | None = None
         self._order: list[Job] | None = None
         self._rank: dict[str, int] = {}
         self._holders: set[tuple[int, str]] | None = None
@@ -150,6 +139,8 @@
                 key=lambda job: (
                     job.level,
                     job.spec.is_service,
+                    # Its cards would lie idle for want of the CPUs.
+                    job.spec.gpus > 0,
                     -len(job.active) * job.spec.cpus,
                     -job.first_seen_us,
                     job.serial,
@@ -194,35 +185,70 @@
         """Whether the rules let the claimant stop tasks of this job."""
         return job is not claimant and self.may_stop_work(claimant, job.level, job.team, guaranteed)
 
-    def may_stop_work(self, claimant: Job, level: int, team: str, guaranteed: bool) -> bool:
+    def within(self, claimant: Job) -> bool:
+        """Whether one more task of the job is inside its team's guarantee."""
+        return self.account.within(claimant.team, claimant.spec)
+
+    def borrows(self, team: str, resource: Resource) -> bool:
+        """Whether a team uses more of a resource than it is guaranteed."""
+        return over_guarantee(self.account, team, resource)
+
+    def may_stop_work(
+        self,
+        claimant: Job,
+        level: int,
+        team: str,
+        guaranteed: bool,
+        resource: Resource = Resource.CPUS,
+    ) -> bool:
         """Whether the rules let the claimant stop a team's work of a level."""
-        borrowed = over_guarantee(self.cluster, team, self.freed)
+        borrowed = self.borrows(team, resource)
         if level < claimant.level:
             return team == claimant.team or borrowed or guaranteed
         return guaranteed and borrowed and team != claimant.team
 
     def may_stop(self, claimant: Job, victim: Attempt, guaranteed: bool) -> bool:
         """Whether the rules let the claimant stop this task."""
-        return (
-            victim.stop is Stop.NO
-            and id(victim) not in self.taken
-            and self.may_stop_of(claimant, victim.job, guaranteed)
-        )
+        if victim.stop is not Stop.NO or id(victim) in self.taken or victim.job is claimant:
+            return False
+        job = victim.job
+        # Cards are judged as cards where it is cards that are claimed.
+        resource = min(claimed_resource(claimant.spec), claimed_resource(job.spec))
+        return self.may_stop_work(
+            claimant, job.level, job.team, guaranteed, Resource(resource)
+        ) and self._may_lose_cards(claimant, victim)
+
+    def _may_lose_cards(self, claimant: Job, victim: Attempt) -> bool:
+        """Whether a victim's cards may go: none that its team is guaranteed, none too soon."""
+        spec = victim.job.spec
+        if spec.gpus <= 0:
+            return True
+        if self._taken.kept(victim, self.at_us):
+            return False
+        team = victim.job.team
+        return team == claimant.team or self.account.may_lose_cards(team, need(spec.gpus))
+
+    def key_of(self, attempt: Attempt) -> tuple[int, ...]:
+        """Sort the tasks of a job, the first one stops first."""
+        return victim_key(attempt, self.estimates, self.at_us)
 
     def press(self, claimant: Job, goals: Goals) -> Press:
         """Say how urgently a claimant needs room: the patient claim none by themselves."""
         task_us = self.estimates.order_us(claimant)
         return goals.press(claimant, task_us, self.at_us, self._settings.claim_patience_us)
 
-    def _claim(self, claimant: Job) -> _Claim:
-        """Return what claimants of the same kind share."""
+    def _kind(self, claimant: Job) -> tuple[object, ...]:
+        """Return what claimants have in common that look for room alike."""
         spec = claimant.spec
-        kind = (
+        return (
             claimant.team, claimant.level, spec.cpus, spec.gpus, spec.memory_gb, spec.types,
             spec.zone, spec.spot,
             # Its own tasks limit where it may go.
             claimant.id if spec.one_zone or spec.spread else None,
         )  # fmt: skip
+
+    def _claim(self, claimant: Job, kind: tuple[object, ...]) -> _Claim:
+        """Return what claimants of the same kind share."""
         claim = self._claims.get(kind)
         if claim is None:
             rooms = self._rooms_for(claimant)
@@ -243,22 +269,26 @@
         found.sort(key=lambda machine: machine.serial, reverse=True)
         return [machine.name for machine in found]
 
-    def _may_be_on(self, claimant: Job, machine: Machine) -> bool:
+    def may_be_on(self, claimant: Job, machine: Machine) -> bool:
+        """Whether a task of the claimant may be on a machine, by its kind and its zone."""
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
 
     def choose(self, claimant: Job) -> Reclaim | None:
         """Choose victims for one task of the claimant; None if nobody may be stopped."""
-        claim = self._claim(claimant)
+        kind = self._kind(claimant)
+        claim = self._claim(claimant, kind)
         # A victim larger than its claimant leaves room for others: without this, a
         # job of six small tasks stopped six large ones (found on the bench).
         while claim.rooms:
             name = claim.rooms[-1]
             room = self.room(name)
             if room is not None and self._fits(room, claimant):
-                if self._may_be_on(claimant, self.cluster.machines[name]):
+                if self.may_be_on(claimant, self.cluster.machines[name]):
                     return self._take(claimant, name, room, [])
             claim.rooms.pop()
-        guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
+        guaranteed = self.within(claimant)
+        if claimant.spec.gpus > 0:
+            return self._choose_cards(claimant, kind, guaranteed)
         if self._order is None and self.nobody_to_stop(claimant, guaranteed):
             return None
         while claim.job < len(self.order):
@@ -270,9 +300,11 @@
                     claim.attempt += 1
                     if attempt.stop is not Stop.NO or id(attempt) in self.taken:
                         continue
+                    if not self._may_lose_cards(claimant, attempt):
+                        continue
                     machine = self.cluster.machines[attempt.machine]
                     room = self.room(attempt.machine)
-                    if room is None or not self._may_be_on(claimant, machine):
+                    if room is None or not self.may_be_on(claimant, machine):
                         continue
                     victims = self._complete(claimant, attempt, machine, room, guaranteed)
                     if victims:
@@ -281,6 +313,20 @@
             claim.attempt = 0
         return None
 
+    def _choose_cards(
+        self, claimant: Job, kind: tuple[object, ...], guaranteed: bool
+    ) -> Reclaim | None:
+        """Choose victims for one task that takes cards."""
+        if self._cards is None:
+            self._cards = CardClaims(self)
+        victims = self._cards.choose(claimant, kind, guaranteed)
+        if victims is None:
+            return None
+        name = victims.machine.name
+        room = self.room(name)
+        assert room is not None
+        return self._take(claimant, name, room, victims.attempts)
+
     def _complete(
         self,
         claimant: Job,
@@ -314,9 +360,9 @@
         for victim in victims:
             self.taken.add(id(victim))
             self._add(room, victim.job, 1)
-            self.freed[victim.job.team] += victim.job.spec.cpus
+            self.account.free(victim.job.team, victim.job.spec)
         self._add(room, claimant, -1)
-        self.claimed[claimant.team] += claimant.spec.cpus
+        self.account.claim(claimant.team, claimant.spec)
         if victims and room[0] > EPSILON:
             for claim in self._claims.values():
                 claim.rooms.append(machine)
@@ -341,16 +387,14 @@
     try:
         following.refresh()
         return _reclaims(
-            _Pass(cluster, lists, estimates, at_us, settings, following), walk, lists, goals, most
+            Pass(cluster, lists, estimates, at_us, settings, following), walk, lists, goals, most
         )
     finally:
         if free is None:
             following.close()
 
 
-def _reclaims(
-    run: _Pass, walk: Walk, lists: ReclaimLists, goals: Goals, most: int
-) -> list[Reclaim]:
+def _reclaims(run: Pass, walk: Walk, lists: ReclaimLists, goals: Goals, most: int) -> list[Reclaim]:
     """Choose victims for those who found no room, in order.
 
     A queue of claimants of one kind is left where the next of them could not claim, or
@@ -360,7 +404,7 @@
     while (found := walk.next()) is not None:
         job, unplaced = found
         press = run.press(job, goals)
-        if press is Press.PATIENT and not within_guarantee(run.cluster, job, run.claimed):
+        if press is Press.PATIENT and not run.within(job):
             # They stand in the order of their laxity: those behind have more of it. What is
             # late already claims, and comes after what can be in time.
             walk.skip_to(Press.LATE)
--- a/weldhead/protocol/validation.py
+++ b/weldhead/protocol/validation.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from weldhead.account.amounts import need
+from weldhead.account.teams import bounds_of
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import MAX_TASKS, JobSpec, MachineType
 
@@ -108,7 +110,7 @@
     if not any(machine_type.fits(spec) for machine_type in catalog):
         raise Refusal(422, "a task fits no allowed machine type", _WIRE_NAMES["types"])
     at_once = spec.tasks if spec.is_service else 1
-    if spec.cpus * at_once > team.cpus_max:
-        raise Refusal(422, "needs more than the team's limit", _WIRE_NAMES["cpus"])
-    if spec.gpus * at_once > team.gpus_max:
-        raise Refusal(422, "needs more than the team's limit", _WIRE_NAMES["gpus"])
+    for field, limit in zip(("cpus", "gpus"), bounds_of(team).limit, strict=True):
+        # Exact: 0.1 times 3 is no more than a limit of 0.3.
+        if need(getattr(spec, field)) * at_once > limit:
+            raise Refusal(422, "needs more than the team's limit", _WIRE_NAMES[field])
