Placement: work without cards leaves cards their CPUs while work with cards waits

On an own site with 64 cards a tenth of them was bare: free, on machines whose CPUs work without cards had filled, while some ten jobs with cards waited. Such work now goes to machines without cards first, and while work with cards waits that its team's limit lets in, free cards keep their share of CPUs and memory; neither does it claim room there. Work with cards fills machines by cards, so that whole ones stay whole, and weights larger than a cache are not taken to be in it.

--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -21,6 +21,7 @@
 from weldhead.planning.backlog import Backlog, Entry, Reserve, Shape, Unplaced
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
+from weldhead.protocol.wire import JobSpec
 
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
 #: is rented at the ordinary price: those are to fall idle and be returned.
@@ -28,6 +29,11 @@
 FIT_WEIGHT = 4.0
 DEAR_PENALTY = 8.0
 CLOSING_PENALTY = 60.0
+#: The same, of work without cards on a machine that has some: its cards were bare of CPUs
+#: while work that takes them waited (a tenth of all cards, measured on an own site).
+CARDS_PENALTY = 60.0
+#: A card that is left over weighs more than CPUs: tasks of several need them on one machine.
+CARD_FIT_WEIGHT = 8.0
 
 
 @dataclass(frozen=True)
@@ -46,15 +52,21 @@
     starts: list[Start] = field(default_factory=list)
     #: Jobs whose tasks found no room, with how many of them the limits would allow.
     unplaced: Unplaced = field(default_factory=Unplaced)
+    #: Work that takes cards waits: what free cards need beside them was kept for it.
+    cards_wanted: bool = False
 
 
 class Room:
     """A machine's free amounts while a plan is made."""
 
-    __slots__ = ("_pulls", "cpus", "gpus", "images", "machine", "memory_gb", "used")
+    __slots__ = (
+        "_pulls", "cpus", "gpus", "images", "keep", "machine", "memory_gb", "used",
+    )  # fmt: skip
 
-    def __init__(self, machine: Machine) -> None:
+    def __init__(self, machine: Machine, *, keep: bool = False) -> None:
         self.machine = machine
+        #: Free cards keep their share of the CPUs and the memory for work that takes cards.
+        self.keep = keep and machine.type.gpus > 0
         self.cpus = machine.cpus
         self.gpus = machine.gpus
         self.memory_gb = machine.memory_gb
@@ -65,6 +77,11 @@
 
     def fits(self, job: Job) -> int:
         """How many tasks of the job fit."""
+        if self.keep and self.gpus > 0 and job.spec.gpus <= 0:
+            share = self.gpus / self.machine.type.gpus
+            cpus = self.cpus - self.machine.type.cpus * share
+            memory_gb = self.memory_gb - self.machine.type.memory_gb * share
+            return how_many(job.spec, max(0.0, cpus), self.gpus, max(0.0, memory_gb))
         return how_many(job.spec, self.cpus, self.gpus, self.memory_gb)
 
     def take(self, job: Job, count: int) -> None:
@@ -101,6 +118,8 @@
         self._silence_us = silence_us
         self._rooms: dict[str, Room] = {}
         self._hopeless: set[Shape] = set()
+        #: Set before the first job is placed: cards are wanted (``Room.keep``).
+        self.keep_cards = False
 
     def hopeless(self, job: Job) -> bool:
         """Whether it is known that no machine has room for the job's tasks."""
@@ -112,15 +131,19 @@
         if shape in self._hopeless:
             return []
         fitting = []
+        kept = False
         for machine in self._free.candidates(shape, job.spec.cpus, job.spec.memory_gb):
             if not machine.allows(job) or not usable(machine, self._at_us, self._silence_us):
                 continue
             room = self._rooms.get(machine.name)
             if room is None:
-                room = self._rooms[machine.name] = Room(machine)
+                room = self._rooms[machine.name] = Room(machine, keep=self.keep_cards)
             if room.fits(job) > 0:
                 fitting.append(room)
-        self._free.found(shape, bool(fitting))
+            else:
+                # Once the cards are not wanted any more, it has room with no change of its own.
+                kept = kept or room.keep
+        self._free.found(shape, bool(fitting) or kept)
         if not fitting:
             self._hopeless.add(shape)
         return fitting
@@ -142,7 +165,7 @@
     """Estimate how long the image takes to arrive on a machine."""
     spec = job.spec
     machine = room.machine
-    if spec.image in machine.images or spec.image_gb <= 0:
+    if spec.image_gb <= 0 or (spec.image in machine.images and not _too_large(spec, machine)):
         return 0
     rate = machine.type.fetch_gb_per_s or 1.0
     alone_us = seconds_us(spec.image_gb / rate)
@@ -151,8 +174,16 @@
     return alone_us * (1 + room.pulls())
 
 
+def _too_large(spec: JobSpec, machine: Machine) -> bool:
+    """Whether weights are more than the cache holds, so that they are there only while used."""
+    return spec.gpus > 0 and spec.image_gb > machine.type.cache_gb
+
+
 def score(job: Job, room: Room, fetch_weight: float) -> float:
-    """Rank machines for a job, lower first: image at hand, price, tightest fit."""
+    """Rank machines for a job, lower first: image at hand, price, tightest fit.
+
+    Work without cards goes where there are none; work with cards where they are left over.
+    """
     delay_s = fetch_delay_us(job, room) / SECOND_US * fetch_weight
     # A started machine's money is spent anyway: fill used ones so that others fall idle.
     idle = 0.0 if room.used else IDLE_PENALTY
@@ -160,6 +191,11 @@
     if room.machine.closing:
         dear += CLOSING_PENALTY
     left = FIT_WEIGHT * room.cpus / room.machine.type.cpus if room.machine.type.cpus else 0.0
+    if room.machine.type.gpus > 0:
+        if job.spec.gpus > 0:
+            left = CARD_FIT_WEIGHT * room.gpus / room.machine.type.gpus
+        else:
+            left += CARDS_PENALTY
     return delay_s + idle + dear + left
 
 
@@ -272,6 +308,10 @@
             team: Reserve(scene.cluster, team, doubts.get(team, CERTAIN))
             for team in {kind.team for kind in self._queues}
         }
+        plan.cards_wanted = rooms.keep_cards = any(
+            kind.shape.gpus > 0 and self._reserves[kind.team].within_limit(queue[0].job) > 0
+            for kind, queue in self._queues.items()
+        )
         self._planned: dict[str, int] = defaultdict(int)
         self._zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
 
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -82,8 +82,12 @@
         at_us: int,
         settings: PreemptorSettings,
         free: FreeRooms,
+        *,
+        cards_wanted: bool = False,
     ) -> None:
         self.cluster = cluster
+        #: Work with cards waits, so other work gets no room beside them (``placement.Room``).
+        self._cards_wanted = cards_wanted
         self.estimates = estimates
         self.at_us = at_us
         self._settings = settings
@@ -271,6 +275,8 @@
 
     def may_be_on(self, claimant: Job, machine: Machine) -> bool:
         """Whether a task of the claimant may be on a machine, by its kind and its zone."""
+        if self._cards_wanted and claimant.spec.gpus <= 0 and machine.type.gpus > 0:
+            return False
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
 
     def choose(self, claimant: Job) -> Reclaim | None:
@@ -387,8 +393,12 @@
     try:
         following.refresh()
         return _reclaims(
-            Pass(cluster, lists, estimates, at_us, settings, following), walk, lists, goals, most
-        )
+            Pass(
+                cluster, lists, estimates, at_us, settings, following,
+                cards_wanted=plan.cards_wanted,
+            ),
+            walk, lists, goals, most,
+        )  # fmt: skip
     finally:
         if free is None:
             following.close()
