Cards: what was taken stands in shared state, and a successor gives it back in the same order

A task with cards that was stopped for another is noted with its last machine and the times of its stops, in at most 16 records (t/N), written at once and without the stop waiting for them. A successor starts stopped tasks first, on their last machines, and keeps to the least hold; tasks that save when it finds them, or that their workers list as halted, are evidence of stops that were not written down any more.

--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -13,7 +14,15 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
-from weldhead.bookkeeping.taken import LEAST_HOLD_US, MOST_AN_HOUR, Taken
+from weldhead.bookkeeping.taken import (
+    LEAST_HOLD_US,
+    MOST_AN_HOUR,
+    SHARDS,
+    Taken,
+    rows_of,
+    shard_of,
+    take_up,
+)
 from weldhead.coordination.reports import request_stop
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
@@ -250,6 +259,57 @@
         place(into, at_us + 5 * S)
 
 
+def test_a_successor_gives_back_in_the_same_order_as_who_took() -> None:
+    """The leader ends when the victims are gone and the replicas have not begun."""
+    into = with_cards(3, Team("serving", 0, 0, 8), Team("tuning", 0))
+    tuned = add(into, tuning(1, 9))
+    place(into, S)
+    running = sorted(tuned.active)
+    add(into, replicas(2, 8))
+    lists = ReclaimLists()
+    stopped = victims(reclaim(into, place(into, 2 * S), lists, 2 * S))
+    assert len(stopped) == 4
+    for victim in stopped:
+        into.release(victim)
+    # Rows as the store has them; the second leader's clocks differ.
+    rows = [row for n in range(SHARDS) for row in rows_of(lists.taken, n, 900 * S, 8_000)]
+    after = with_cards(3, Team("serving", 0, 0, 8), Team("tuning", 0))
+    again = add(after, tuning(1, 9))
+    for index in running:
+        if index not in [victim.index for victim in stopped]:
+            attempt = after.start(again, index, after.machines[tuned.active[index].machine], S)
+            attempt.phase = Phase.RUNNING
+    found = Taken()
+    take_up(found, rows, after.jobs, 880 * S)
+    by_first, by_second = place(into, 30 * S).starts, place(after, 50 * S).starts
+    into.jobs.remove("run-000002")
+    order = [(start.index, start.machine.name) for start in by_second]
+    assert order[:4] == [(victim.index, victim.machine) for victim in stopped]
+    assert all(start.job.id == "run-000002" for start in by_first[:8])
+    # Nor may the second leader stop them at once again.
+    attempt = again.active[stopped[0].index]
+    assert found.kept(attempt, 60 * S) and not found.kept(attempt, 55 * S + LEAST_HOLD_US)
+
+
+def test_a_full_record_leaves_out_what_was_stopped_longest_ago() -> None:
+    into = with_cards(1, Team("tuning", 0))
+    job = add(into, tuning(1, 500))
+    taken = Taken()
+    machine = next(iter(into.machines))
+    for index in range(500):
+        taken.stop(Attempt(job, index, index + 1, machine, 0), (index + 1) * S)
+    rows = rows_of(taken, shard_of(job.id), 0, 8_192)
+    assert 100 < len(rows) < 500 and [row[1] for row in rows] == list(
+        range(499, 499 - len(rows), -1)
+    )
+    assert len(msgspec.json.encode(rows)) <= 8_192
+    taken.expire(5_000 * S, into.jobs)
+    assert len(taken) == 500
+    into.jobs.remove(job.id)
+    taken.expire(5_000 * S, into.jobs)
+    assert len(taken) == 0
+
+
 # -- the account is the evidence -----------------------------------------------------------
 
 
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -287,6 +287,13 @@
             self.restarts.append(index)
         self.touch()
 
+    def give_back(self, index: int, machine: str) -> None:
+        """An earlier leader stopped a task: it starts first, and best where it was last."""
+        if self.states[index] == TaskState.WAITING and index not in self.restarts:
+            self.restarts.append(index)
+            self.last_machine[index] = machine
+            self.touch()
+
     def complete_waiting(self, index: int) -> None:
         """Record that a task without an active attempt turned out to be completed."""
         if self.states[index] != TaskState.WAITING:
--- a/weldhead/bookkeeping/reclaim.py
+++ b/weldhead/bookkeeping/reclaim.py
@@ -27,10 +27,10 @@
 class ReclaimLists:
     """The lists of all waiting jobs."""
 
-    def __init__(self) -> None:
+    def __init__(self, taken: Taken | None = None) -> None:
         self._lists: dict[str, list[Reclaim]] = {}
         #: Tasks that were stopped for others while they held cards.
-        self.taken = Taken()
+        self.taken = taken if taken is not None else Taken()
 
     def add(self, reclaim: Reclaim) -> None:
         """Enter a request."""
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -8,6 +8,7 @@
 p/ID/N    the completed tasks of a job, N-th chunk of a bitmap
 f/ID      FinalRecord: how a job ended, kept for good
 h/NAME    HireRecord: a rental that may have been asked for, and its machines
+t/N       tasks that were stopped for others while they held cards (``taken.py``)
 ========  =========================================================================
 
 Only the leader writes anything but ``leader`` and new ``j/`` keys, and each of its
--- a/weldhead/bookkeeping/taken.py
+++ b/weldhead/bookkeeping/taken.py
@@ -8,9 +8,13 @@
 and 120 + 240 + 480 + 960 + 1,920 seconds are more than an hour.
 """
 
+import zlib
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
-from weldhead.bookkeeping.jobs import Attempt, Job
+import msgspec
+
+from weldhead.bookkeeping.jobs import Attempt, Job, TaskState
 from weldhead.clock import SECOND_US
 
 #: How long a task that was stopped is let run when it has begun again.
@@ -46,6 +50,15 @@
     def __len__(self) -> int:
         return sum(len(loans) for loans in self._loans.values())
 
+    def clear(self) -> None:
+        """Forget everything, to be read anew."""
+        self._loans.clear()
+
+    def loans(self) -> Iterator[Loan]:
+        """Iterate over all loans."""
+        for loans in self._loans.values():
+            yield from loans.values()
+
     def of(self, job_id: str) -> dict[int, Loan]:
         """Return a job's loans by task."""
         return self._loans.get(job_id, {})
@@ -82,19 +95,72 @@
             return False
         return attempt.running_us == 0 or at_us - attempt.running_us < hold_us
 
-    def forget(self, job: Job) -> None:
-        """A job is over."""
-        self._loans.pop(job.id, None)
+    def expire(self, at_us: int, keep: Mapping[str, Job]) -> None:
+        """Drop what nobody asks for any more: of jobs that are over, and what is long past.
 
-    def expire(self, at_us: int) -> list[str]:
-        """Drop what nobody asks for any more; return the jobs whose loans have changed."""
-        changed = []
+        What still waits to be given back is kept, however long it waits.
+        """
         for job_id, loans in list(self._loans.items()):
-            old = [i for i, loan in loans.items() if loan.since_us <= at_us - MEMORY_US]
-            for index in old:
-                del loans[index]
-            if old:
-                changed.append(job_id)
+            job = keep.get(job_id)
+            for index, loan in list(loans.items()):
+                waits = job is not None and job.states[index] == TaskState.WAITING
+                if job is None or (loan.since_us <= at_us - MEMORY_US and not waits):
+                    del loans[index]
             if not loans:
                 del self._loans[job_id]
-        return changed
+
+
+# -- records -------------------------------------------------------------------------------
+
+#: Keys of the records; one holds the loans of many jobs, so that a burst costs few changes.
+TAKEN = "t/"
+#: How many records there are at most; a job's loans are always in the same one.
+SHARDS = 16
+
+#: A row: the task's job and index, its last machine, and the times of day of its stops.
+Row = tuple[str, int, str, tuple[int, ...]]
+
+
+def shard_of(job_id: str) -> int:
+    """Return which record holds a job's loans."""
+    return zlib.crc32(job_id.encode()) % SHARDS
+
+
+def taken_key(shard: int) -> str:
+    """Return the key of a record."""
+    return f"{TAKEN}{shard}"
+
+
+def rows_of(taken: Taken, shard: int, offset_us: int, limit: int) -> list[Row]:
+    """Return a record's rows, the latest stops first, as many as a value of ``limit`` bytes has.
+
+    ``offset_us`` makes times of day of the steady clock's. What a full record leaves out is
+    what was stopped longest ago: it is given back in some order then.
+    """
+    loans = [loan for loan in taken.loans() if shard_of(loan.job_id) == shard]
+    loans.sort(key=lambda loan: (-loan.since_us, loan.job_id, loan.index))
+    rows: list[Row] = []
+    size = 2
+    for loan in loans:
+        stops = tuple(stop_us + offset_us for stop_us in loan.stops_us)
+        row: Row = (loan.job_id, loan.index, loan.machine, stops)
+        size += len(msgspec.json.encode(row)) + 1
+        if size > limit:
+            break
+        rows.append(row)
+    return rows
+
+
+def take_up(taken: Taken, rows: Iterable[Row], jobs: Mapping[str, Job], offset_us: int) -> None:
+    """Take up a record that an earlier leader wrote: who is given back first, and where.
+
+    Stopped tasks are the first of their job to start, the one that was stopped first before
+    the others, each on its last machine if that has room. Tasks that run again already have
+    been found there, or will be: they are not waiting when their turn comes.
+    """
+    for job_id, index, machine, stops in sorted(rows, key=lambda row: (row[3], row[1])):
+        job = jobs.get(job_id)
+        if job is None or index >= job.spec.tasks or not stops:
+            continue
+        taken.enter(Loan(job_id, index, machine, [stop - offset_us for stop in stops]))
+        job.give_back(index, machine)
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -9,6 +9,7 @@
 from weldhead.bookkeeping.reclaim import ReclaimLists
 from weldhead.clock import MILLISECOND_US, now_us
 from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.lending import Lending
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
@@ -30,7 +31,8 @@
         self._term = term
         self._dispatcher = dispatcher
         self.pacer = pacer
-        self.reclaims = ReclaimLists()
+        self.reclaims = ReclaimLists(term.taken)
+        self.lending = Lending(term)
         self._pace = StopPace(term.tunables.recovery.pace())
         self.last_plan = Plan()
         #: What placement and forecasts keep in order; made when first needed, and made anew
@@ -104,6 +106,7 @@
 
     async def preempt(self) -> None:
         """Make room for those who found none; a duty."""
+        self.lending.inherit(now_us())
         while True:
             await self.pacer.rest(
                 "preemptor", Rank.PREEMPTOR, self._term.tunables.preemptor.period_us
@@ -158,7 +161,7 @@
                 )
                 claimant = self._term.cluster.jobs[reclaim.job_id]
                 if victim.job.spec.gpus > 0:
-                    self.reclaims.taken.stop(victim, at_us)
+                    self.lending.took(victim, at_us)
                 stop = stop_for(claimant, victim.job, self._term.goals)
                 self.stop(victim, stop, at_us, "room")
 
--- /dev/null
+++ b/weldhead/coordination/lending.py
@@ -0,0 +1,88 @@
+"""What was taken from tasks with cards stands in shared state, so that a successor gives it back.
+
+Written as soon as something is taken, in few records (``bookkeeping/taken.py``); a stop does
+not wait for that. A leader that ends before the write is answered leaves evidence: tasks that
+save when its successor finds them, or that their workers list as halted.
+"""
+
+import contextlib
+
+import msgspec
+
+from weldhead.bookkeeping.jobs import Attempt, Phase
+from weldhead.bookkeeping.ledger import Deposed
+from weldhead.bookkeeping.taken import (
+    TAKEN,
+    Row,
+    rows_of,
+    shard_of,
+    take_up,
+    taken_key,
+)
+from weldhead.clock import SECOND_US, now_us, wall_us
+from weldhead.coordination.term import Term
+from weldhead.transport.state import Rejected, decode
+
+#: A task that saves when it is found was stopped no longer ago than this, or is about to end.
+INHERITED_US = SECOND_US
+
+
+class TakenRecord(msgspec.Struct, omit_defaults=True):
+    """Part of what was taken."""
+
+    rows: list[Row] = []
+
+
+async def read_taken(term: Term, at_us: int, wall: int) -> None:
+    """Read what earlier leaders took and did not see given back; as often as it takes."""
+    term.taken.clear()
+    async for entries, _ in term.state.pages(TAKEN):
+        for entry in entries:
+            term.ledger.learn(entry.key, entry.version)
+            record = decode(bytes(entry.value), TakenRecord)
+            take_up(term.taken, record.rows, term.cluster.jobs, wall - at_us)
+    term.taken.expire(at_us, term.cluster.jobs)
+
+
+class Lending:
+    """Keeps what is taken on record."""
+
+    def __init__(self, term: Term) -> None:
+        self._term = term
+        #: How many changes this has asked for.
+        self.writes = 0
+        self._asked: set[int] = set()
+
+    def took(self, attempt: Attempt, at_us: int) -> None:
+        """Note that a task which holds cards is stopped for another."""
+        self._term.taken.stop(attempt, at_us)
+        self._write_soon(shard_of(attempt.job.id))
+
+    def inherit(self, at_us: int) -> None:
+        """Note what an earlier leader stopped last, and may not have written down."""
+        for attempt in list(self._term.cluster.stopping.values()):
+            if attempt.job.spec.gpus <= 0 or attempt.job.cancelled or not attempt.adopted:
+                continue
+            known = self._term.taken.of(attempt.job.id).get(attempt.index)
+            if attempt.phase is Phase.SAVING and known is None:
+                self.took(attempt, at_us - INHERITED_US)
+
+    def _write_soon(self, shard: int) -> None:
+        if shard not in self._asked:
+            self._asked.add(shard)
+            self._term.duties.once("taken", self._write(shard))
+
+    async def _write(self, shard: int) -> None:
+        """Write a record once, with what has been taken until its turn comes."""
+        with contextlib.suppress(Deposed, Rejected):
+            await self._term.ledger.write_latest(
+                taken_key(shard), lambda: self._record(shard), urgent=True
+            )
+
+    def _record(self, shard: int) -> TakenRecord:
+        self._asked.discard(shard)
+        self.writes += 1
+        at_us = now_us()
+        self._term.taken.expire(at_us, self._term.cluster.jobs)
+        limit = self._term.settings.facts.state.tightest().value_bytes - 32
+        return TakenRecord(rows_of(self._term.taken, shard, wall_us() - at_us, limit))
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -24,6 +24,7 @@
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.lending import read_taken
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.rentals import Rentals
@@ -130,6 +131,7 @@
             await asyncio.sleep(0)
         # All others have their own priority and deadline.
         self._linking.refresh(term.chains.blocked.values())
+        await read_taken(term, at_us, wall)
         async for entries, _ in term.state.pages(PROGRESS):
             for part in parts(entries):
                 for entry in part:
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -204,6 +204,9 @@
             if verdict is Verdict.FINISHED and job is not None:
                 job.complete_waiting(index)
                 outcome.completed.append(job)
+            elif job is not None and task.why == "halted":
+                # Stopped by an earlier leader that may have had no time to write it down.
+                job.give_back(index, machine.name)
             return None
         case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT if job is not None:
             return _adopt(cluster, machine, job, index, task, at_us)
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -7,6 +7,7 @@
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.ledger import Ledger
+from weldhead.bookkeeping.taken import Taken
 from weldhead.boots.expect import Boots
 from weldhead.clock import SECOND_US, now_us, seconds_us
 from weldhead.coordination.leadership import Authority
@@ -69,6 +70,8 @@
         self.market = Market(types=types)
         self.boots = Boots()
         self.tally = Tally()
+        #: What was taken from whom, to be given back.
+        self.taken = Taken()
         self.duties = Duties()
         workers = settings.facts.workers
         self.lease_us = seconds_us(workers.lease_s)
