Cards: victims first where the claimant's weights are; idle machines are kept for their weights

Machines that hold the weights come before those that do not. An idle machine with cards is kept for as long as another would take to boot and fetch the same.

--- a/weldhead/planning/cards.py
+++ b/weldhead/planning/cards.py
@@ -2,9 +2,10 @@
 
 Natjam's Most Resources, in the resource that is short: within the lowest level that has
 something to give, first the job that holds the most cards. Then the task: nearest its end
-where it saves, else the one that has run least; what fetching the claimant's image takes on
-the machine counts as if the victim had so much left, so that among tasks that are about
-equal those go whose machine has it.
+where it saves, else the one that has run least. Before both, where there are several to
+choose from: machines whose cache holds the claimant's weights. A card that waits for weights
+is as idle as a free one, and they take longer to fetch than most victims to save; images that
+take less than a step of FETCH_STEP_US make no difference.
 
 Victims are chosen as sets on one machine: a task of several cards fits nowhere else, and
 cards freed here and there are whole for nobody. A team never loses cards that it is
@@ -19,18 +20,24 @@
 from weldhead.account.amounts import need
 from weldhead.bookkeeping.jobs import Attempt, Job
 from weldhead.bookkeeping.machines import EPSILON, Machine
-from weldhead.clock import seconds_us
+from weldhead.clock import SECOND_US, seconds_us
 from weldhead.protocol.wire import JobSpec
 
 if TYPE_CHECKING:
     from weldhead.planning.preemptor import Pass
 
 
+#: Machines on which the claimant's image takes about as long to fetch are equals.
+FETCH_STEP_US = 5 * SECOND_US
+
+
 class Victims(NamedTuple):
     """A set of victims on one machine; compared by the first fields, the least stops first."""
 
     level: int
     service: bool
+    #: How many steps the claimant's image takes to fetch.
+    fetch: int
     #: Place of the job that holds the fewest cards of those in the set.
     rank: int
     cost_us: int
@@ -39,14 +46,16 @@
     attempts: list[Attempt]
 
     @property
-    def order(self) -> tuple[int, bool, int, int, int]:
+    def order(self) -> tuple[int, bool, int, int, int, int]:
         """By what sets are compared."""
-        return self[:5]
+        return self[:6]
 
 
 def fetch_us(spec: JobSpec, machine: Machine) -> int:
     """How long an image takes to arrive on a machine that fetches nothing else."""
-    if spec.image in machine.images or spec.image_gb <= 0:
+    if spec.image_gb <= 0:
+        return 0
+    if spec.image in machine.images and spec.image_gb <= machine.type.cache_gb:
         return 0
     return seconds_us(spec.image_gb / (machine.type.fetch_gb_per_s or 1.0))
 
@@ -129,10 +138,10 @@
                 chosen.remove(item)
         if not chosen:
             return None
-        cost_us = sum(key[-1] for key, _ in chosen) + fetch_us(spec, machine)
+        cost_us = sum(key[-1] for key, _ in chosen)
         return Victims(
             max(key[0] for key, _ in chosen), any(key[1] for key, _ in chosen),
-            max(key[2] for key, _ in chosen), cost_us, machine.serial, machine,
+            fetch_us(spec, machine) // FETCH_STEP_US, max(key[2] for key, _ in chosen), cost_us, machine.serial, machine,
             [attempt for _, attempt in chosen],
         )  # fmt: skip
 
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -629,6 +629,20 @@
         idle_us = at_us - machine.idle_since_us
         paid = at_us - machine.hired_us >= settings.minimum_charge_us
         keep_us = settings.keep_idle_spot_us if machine.spot else settings.keep_idle_us
-        if machine.draining or (paid and (machine.closing or idle_us >= keep_us)):
+        if machine.closing:
+            keep_us = 0
+        if machine.draining or (paid and idle_us >= max(keep_us, weights_worth_us(machine))):
             found.append(machine)
     return found
+
+
+def weights_worth_us(machine: Machine) -> int:
+    """Return for how long an idle machine with cards is worth keeping for what its cache holds.
+
+    For as long as it would take another one to boot and to fetch the same: so whether or not
+    the weights are wanted again, no more than twice the least is paid.
+    """
+    if machine.type.gpus <= 0 or not machine.images:
+        return 0
+    rate = machine.type.fetch_gb_per_s or 1.0
+    return seconds_us(machine.type.boot_s + max(machine.images.values()) / rate)
