--- a/weldhead/planning/cards.py
+++ b/weldhead/planning/cards.py
@@ -141,8 +141,8 @@
         cost_us = sum(key[-1] for key, _ in chosen)
         return Victims(
             max(key[0] for key, _ in chosen), any(key[1] for key, _ in chosen),
-            fetch_us(spec, machine) // FETCH_STEP_US, max(key[2] for key, _ in chosen), cost_us, machine.serial, machine,
-            [attempt for _, attempt in chosen],
+            fetch_us(spec, machine) // FETCH_STEP_US, max(key[2] for key, _ in chosen), cost_us,
+            machine.serial, machine, [attempt for _, attempt in chosen],
         )  # fmt: skip
 
     def _may_lose(self, claimant: Job, attempt: Attempt, lost: dict[str, int]) -> bool:
