--- a/weldhead/planning/cards.py
+++ b/weldhead/planning/cards.py
@@ -31,6 +31,10 @@
 FETCH_STEP_US = 5 * SECOND_US
 
 
+#: By what sets are compared, the least stops first: the first fields of ``Victims``.
+Order = tuple[int, bool, int, int, int, int]
+
+
 class Victims(NamedTuple):
     """A set of victims on one machine; compared by the first fields, the least stops first."""
 
@@ -46,7 +50,7 @@
     attempts: list[Attempt]
 
     @property
-    def order(self) -> tuple[int, bool, int, int, int, int]:
+    def order(self) -> Order:
         """By what sets are compared."""
         return self[:6]
 
@@ -63,37 +67,46 @@
 class CardClaims:
     """Claims on cards within one pass.
 
-    Each kind of claimant keeps the machines in order of what it would stop there. As in a
-    pass less and less may be stopped, an order that still holds when a machine's turn comes
-    is the right one; otherwise the machine is put in its place anew.
+    Each kind of claimant keeps the machines in order of what it would stop there: at first of
+    the least that it could be, so that only those are looked at closely whose turn comes. As
+    in a pass less and less may be stopped, an order that still holds then is the right one;
+    otherwise the machine is put in its place anew.
     """
 
     def __init__(self, run: "Pass") -> None:
         self._run = run
-        self._machines = [m for m in run.cluster.machines.values() if m.type.gpus > 0]
         holders = sorted(run.cluster.holders.values(), key=cards_key)
         self._rank = {job.id: number for number, job in enumerate(holders)}
-        self._kinds: dict[tuple[object, ...], list[tuple[tuple[int, ...], Victims]]] = {}
+        #: The lowest level and the first place of a job on each machine that has cards.
+        self._least: dict[str, tuple[int, int]] = {}
+        for machine in run.cluster.machines.values():
+            if machine.type.gpus > 0 and machine.attempts:
+                jobs = [attempt.job for attempt in machine.attempts.values()]
+                least = min(job.level for job in jobs), min(self._rank[job.id] for job in jobs)
+                self._least[machine.name] = least
+        self._kinds: dict[tuple[object, ...], list[tuple[Order, Machine]]] = {}
 
     def choose(self, claimant: Job, kind: tuple[object, ...], guaranteed: bool) -> Victims | None:
         """Return whom to stop for one task of the claimant; None: nobody may be stopped."""
         kind = (*kind, claimant.spec.image)
         heap = self._kinds.get(kind)
         if heap is None:
-            found = (self._on(claimant, machine, guaranteed) for machine in self._machines)
-            heap = self._kinds[kind] = [(each.order, each) for each in found if each is not None]
+            heap = self._kinds[kind] = []
+            for name, (level, rank) in self._least.items():
+                machine = self._run.cluster.machines[name]
+                step = fetch_us(claimant.spec, machine) // FETCH_STEP_US
+                heap.append(((level, False, step, rank, 0, machine.serial), machine))
             heapify(heap)
         while heap:
-            order, first = heap[0]
-            now = self._on(claimant, first.machine, guaranteed)
+            order, machine = heap[0]
+            now = self._on(claimant, machine, guaranteed)
             if now is None:
                 heappop(heap)
             elif now.order <= order:
-                # Looked at again when its turn comes: what is left there is another set.
-                heapreplace(heap, (order, now))
+                # Looked at again when it is asked next: what is left there is another set.
                 return now
             else:
-                heapreplace(heap, (now.order, now))
+                heapreplace(heap, (now.order, machine))
         return None
 
     def _on(self, claimant: Job, machine: Machine, guaranteed: bool) -> Victims | None:
