--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.builders import add_job, add_machine, cluster, job_spec
+from tests.builders import add_job, add_machine, cluster, job_spec, machine_type
 from weldhead.account.amounts import UNBOUNDED, UNITS, Resource, bound, need, needs
 from weldhead.account.teams import Account, bounds_of
 from weldhead.bookkeeping.cluster import Cluster
@@ -24,9 +24,11 @@
     take_up,
 )
 from weldhead.coordination.reports import request_stop
+from weldhead.planning.cards import fetch_us
 from weldhead.planning.estimates import Estimates
+from weldhead.planning.fleet import plan_returns
 from weldhead.planning.goals import Goals
-from weldhead.planning.placement import Plan, plan_starts
+from weldhead.planning.placement import Plan, Room, fetch_delay_us, plan_starts
 from weldhead.planning.preemptor import plan_reclaims
 from weldhead.protocol.settings import Objective, Team
 from weldhead.tunables.defaults import Tunables
@@ -392,3 +394,36 @@
     for _ in range(40):
         site.change()
         site.decide()
+
+
+def test_weights_larger_than_a_cache_are_fetched_wherever_a_replica_starts() -> None:
+    into = with_cards(1)
+    machine = next(iter(into.machines.values()))
+    large = add(into, replicas(1, 1, image_gb=80.0))
+    machine.note_image("weights", 80.0)
+    assert fetch_delay_us(large, Room(machine)) == fetch_us(large.spec, machine) == 80 * S
+
+
+def test_work_without_cards_leaves_free_cards_their_cpus_while_they_are_wanted() -> None:
+    into = with_cards(1, Team("serving", 0, 0, 4), Team("red", 100))
+    add(into, replicas(1, 1, gpus=3.0))
+    add(into, replicas(2, 1, gpus=2.0))
+    small = add_job(into, job_spec(3, tasks=16, cpus=4.0, priority="high"))
+    plan = place(into, S)
+    # One card is left over, with 8 of 32 CPUs; the replica that has begun takes 4 of its 24.
+    assert sum(start.job is small for start in plan.starts) == 5
+    # Nobody wants it any more, and nothing about the machine has changed.
+    into.jobs["run-000002"].cancelled = True
+    assert sum(start.job is small for start in place(into, 2 * S).starts) == 2
+
+
+def test_idle_machines_are_kept_as_long_as_their_weights_are_worth() -> None:
+    into = with_cards(1)
+    machine = next(iter(into.machines.values()))
+    machine.type = machine_type(boot_s=20.0, **GIVES_CARDS)
+    machine.note_image("weights", 16.0)
+    fleet = Tunables().fleet.settings()
+    machine.closing = True
+    machine.idle_since_us = 100 * S
+    assert plan_returns(into, 135 * S, fleet) == []
+    assert plan_returns(into, 136 * S, fleet) == [machine]
