--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -170,6 +170,18 @@
     assert reclaim(into, place(into, 2 * S), ReclaimLists(), 2 * S) == []
 
 
+def test_a_set_of_victims_counts_whole_where_cpus_are_claimed() -> None:
+    into = with_cards(1, Team("serving", 100), Team("tuning", 0, 0, 2))
+    add(into, tuning(1, 4, gpus=1.0, cpus=8.0))
+    place(into, S)
+    # Two cards are borrowed; a task of 24 CPUs needs three of the tasks to go.
+    add(into, replicas(2, 1, gpus=0.0, cpus=24.0))
+    assert reclaim(into, place(into, 2 * S), ReclaimLists(), 2 * S) == []
+    add(into, replicas(3, 1, gpus=0.0, cpus=16.0))
+    found = reclaim(into, place(into, 3 * S), ReclaimLists(), 3 * S)
+    assert len(victims(found)) == 2
+
+
 def test_two_teams_that_burst_at_once_keep_each_to_its_own() -> None:
     into = with_cards(4, Team("serving", 0, 0, 8), Team("other", 0, 0, 8), Team("tuning", 0))
     add(into, tuning(1, 8))
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -25,6 +25,7 @@
     job_key,
     progress_key,
 )
+from weldhead.bookkeeping.taken import LEAST_HOLD_US
 from weldhead.coordination.leader import Leader, NotReady
 from weldhead.coordination.leadership import Authority, default_timing
 from weldhead.coordination.term import Term
@@ -40,7 +41,7 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "completions", "deciding", "dispatch", "frontdesk", "leader", "linking", "listening",
+    "completions", "deciding", "dispatch", "frontdesk", "leader", "lending", "linking", "listening",
     "lookahead", "recovery", "rentals", "sizing", "term", "watching",
 )  # fmt: skip
 
@@ -213,6 +214,42 @@
     assert worker.tasks == {}
 
 
+def test_what_was_taken_is_written_once_and_given_back_by_the_next_leader(clock: Clock) -> None:
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=6, checkpoint_s=20.0, cpus=0.5, memory_gb=1.0))
+    put_machine(state, "vm-000001")
+    leader = new_leader(state, clock())
+    job, machine = leader.cluster.jobs["run-000001"], leader.cluster.machines["vm-000001"]
+    before = state.revision
+
+    async def take() -> None:
+        ledger = asyncio.create_task(leader.ledger.run())
+        for index in (3, 0, 5):
+            clock.us += S
+            attempt = leader.cluster.start(job, index, machine, clock())
+            leader.deciding.lending.took(attempt, clock())
+        for _ in range(50):
+            await asyncio.sleep(0)
+        leader.ledger.close()
+        await ledger
+
+    asyncio.run(take())
+    # Three tasks of one job, taken in one pass: one change.
+    assert state.revision == before + 1 and leader.deciding.lending.writes == 1
+    # The third saves while the leader changes, the first is listed as halted.
+    worker = StandInWorker("vm-000001", 4.0)
+    worker.tasks["run-000001/5"] = StandInTask(9, "saving")
+    worker.tasks["run-000001/4"] = StandInTask(8, "ended", "halted", True)
+    second = new_leader(state, clock() + S)
+    for _ in range(3):
+        report(second, worker, clock() + S)
+    job = second.cluster.jobs["run-000001"]
+    assert job.waiting_indexes(9) == [3, 0, 4, 1, 2]
+    assert job.last_machine == dict.fromkeys((0, 3, 4, 5), "vm-000001")
+    assert second.deciding.reclaims.taken.hold_us(job.id, 3, clock()) == LEAST_HOLD_US
+    assert list(second.cluster.stopping) == [("run-000001/5", 9)]
+
+
 def test_attempt_numbers_never_repeat_across_terms(clock: Clock) -> None:
     state = StandInState()
     put_job(state, job_spec(1))
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -12,6 +12,7 @@
 victims of its own (``cards.py``), and no team loses cards that it is guaranteed.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from weldhead.account.amounts import Resource, claimed_resource, need
@@ -222,15 +223,24 @@
             claimant, job.level, job.team, guaranteed, Resource(resource)
         ) and self._may_lose_cards(claimant, victim)
 
-    def _may_lose_cards(self, claimant: Job, victim: Attempt) -> bool:
-        """Whether a victim's cards may go: none that its team is guaranteed, none too soon."""
+    def _may_lose_cards(
+        self, claimant: Job, victim: Attempt, others: Iterable[Attempt] = ()
+    ) -> bool:
+        """Whether a victim's cards may go: none that its team is guaranteed, none too soon.
+
+        ``others`` are to go with it, and count as far as they are of the same team.
+        """
         spec = victim.job.spec
         if spec.gpus <= 0:
             return True
         if self._taken.kept(victim, self.at_us):
             return False
         team = victim.job.team
-        return team == claimant.team or self.account.may_lose_cards(team, need(spec.gpus))
+        if team == claimant.team:
+            return True
+        units = need(spec.gpus)
+        units += sum(need(a.job.spec.gpus) for a in others if a.job.team == team)
+        return self.account.may_lose_cards(team, units)
 
     def key_of(self, attempt: Attempt) -> tuple[int, ...]:
         """Sort the tasks of a job, the first one stops first."""
@@ -354,6 +364,8 @@
         ]
         others.sort(key=lambda a: (self._rank[a.job.id], victim_key(a, self.estimates, self.at_us)))
         for attempt in others:
+            if not self._may_lose_cards(claimant, attempt, victims):
+                continue
             victims.append(attempt)
             self._add(room, attempt.job, 1)
             if self._fits(room, claimant):
