--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -45,6 +45,8 @@
         ("blame", 2),
         ("boots", 1),
         ("admission", 1),
+        ("planning", 12),
+        ("account", 2),
         ("planning", 11),
         ("documents", 4),
         ("calendars", 8),
