--- a/weldhead/hearing/copies.py
+++ b/weldhead/hearing/copies.py
@@ -12,8 +12,10 @@
 from weldhead.protocol.wire import Report
 
 #: Answers to reports of an earlier token after which a machine on which something may run is not
-#: answered any more until it shows this term's: its lease is to end.
+#: answered any more until it shows this term's: its lease is to end. One more where another
+#: controller passes them on: there are two ways on which an answer is lost, and nobody to ask.
 MOST_UNSHOWN = 2
+RELAYED_MORE = 1
 
 
 class Word(enum.Enum):
@@ -52,7 +54,7 @@
     """
     if machine.synced or not machine.up:
         return True
-    if machine.asked_in_vain and not machine.relayed:
-        # Two direct questions and one answer to a report: that is several as well.
-        return machine.unshown < MOST_UNSHOWN - 1
-    return machine.unshown < MOST_UNSHOWN
+    if machine.relayed:
+        return machine.unshown < MOST_UNSHOWN + RELAYED_MORE
+    # Two direct questions in vain and one answer to a report: that is several as well.
+    return machine.unshown < MOST_UNSHOWN - machine.asked_in_vain
