--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -469,6 +469,10 @@
     assert told[0].endswith("no machine has room for its tasks yet; 0 of 4 tasks done")
     terms.clock.us += S
     terms.look(leader)
+    successor = terms.lead()
+    status = successor.status(names[0])
+    assert status is not None and status.late
+    assert successor.look_ahead.standing(successor.cluster.jobs[fine], 0) is Standing.UNKNOWN
     for _ in range(2):
         leader = terms.lead()
         leader.term.estimates.observe(leader.cluster.jobs[names[0]], 300 * S)
--- a/tests/test_text_files.py
+++ b/tests/test_text_files.py
@@ -176,6 +176,7 @@
          Told("running", done=1, running=2)),
         (Step.POLL, 200, b'{"uid":"%s","status":"pending","late":true,"late_by_s":9}',
          Told("pending", late_by_s=9.0, late=True)),
+        (Step.POLL, 503, b'{"error":"down; due by noon"}', Failed("status 503: down; due by noon")),
         (Step.SUBMIT, 422, b'{"error":"x","field":"cores"}', Refused(422, "x", "cores")),
         (Step.SUBMIT, 400, b"<html>", Refused(400, "no reason given")),
         (Step.POLL, 404, b"", Missing()),
--- a/weldhead/cli/progress.py
+++ b/weldhead/cli/progress.py
@@ -90,5 +90,7 @@
         if answer.late_by_s is None:
             text += ", on track" if answer.late is False else ", not known whether in time"
     if answer.late_by_s is not None:
-        text += f"; it will be late by about {answer.late_by_s:.0f} s"
+        text += "; it will be late"
+        # By how much is not told where nobody knows how long its tasks take.
+        text += f" by about {answer.late_by_s:.0f} s" if answer.late_by_s >= 1 else ""
     return text
--- a/weldhead/coordination/history.py
+++ b/weldhead/coordination/history.py
@@ -17,7 +17,7 @@
 
 KEY = state_key("history", "classes")
 #: Between two writes, if there is anything new.
-PAUSE_S = 60.0
+PAUSE_S = 20.0
 
 #: By class: the sum of the logarithms of observed to estimated times, and their weight.
 Record = dict[str, tuple[float, float]]
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -225,12 +225,13 @@
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
         due = due_us(job)
-        if job.bound is not None and self.look_ahead.standing(job, now_us()) is Standing.UNKNOWN:
+        stands = self.look_ahead.standing(job, now_us()) if job.bound is not None else None
+        if stands is Standing.UNKNOWN:
             # Nothing is guessed of a job of no history.
             return answer
         if due is not None:
-            answer.late = job.forecast_us > due
-            if answer.late:
+            answer.late = job.forecast_us > due or stands is Standing.LATE
+            if job.forecast_us > due:
                 answer.late_by_s = round(to_seconds(job.forecast_us - due), 1)
         return answer
 
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -103,8 +103,14 @@
     # -- bound jobs ------------------------------------------------------------------------
 
     def standing(self, job: Job, at_us: int) -> Standing:
-        """Say how a bound job stands, by its latest forecast."""
-        return lateness.standing(job, at_us, has_history=self._term.estimates.knows(job))
+        """Say how a bound job stands, by its latest forecast, or as it was told last.
+
+        A successor of no history called those unknown that its predecessor had told late.
+        """
+        stands = lateness.standing(job, at_us, has_history=self._term.estimates.knows(job))
+        if stands is Standing.UNKNOWN and self.notes is not None and self.notes.told(job):
+            return Standing.LATE
+        return stands
 
     def _say_of_bound(self, job: Job, at_us: int) -> None:
         """Have it said once, by whichever term, that a bound job will be late."""
