--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -49,6 +49,9 @@
         ("documents", 4),
         ("calendars", 8),
         ("hearing", 3),
+        ("admission", 2),
+        ("membership", 2),
+        ("planning", 11),
     ],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
