--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -70,7 +70,6 @@
 _encode = msgspec.json.Encoder().encode
 
 
-
 def _alone(known: str = "") -> Response:
     """Send a user on to other nodes, with what is known of the job."""
     answer = refusal(503, "this node reaches nobody" + known, retry_after_s=1)
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -169,7 +169,7 @@
     async def _say_account(self) -> None:
         """Say how bound jobs stand, as soon as it is known what runs where, or late enough."""
         with contextlib.suppress(asyncio.TimeoutError):
-            await asyncio.wait_for(self.recovery.known.wait(), ACCOUNT_S)
+            await asyncio.wait_for(self.term.became_ready.wait(), ACCOUNT_S)
         self.look_ahead.say_account(now_us())
 
     def _start_preempting(self) -> None:
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -107,7 +107,9 @@
 
         A successor of no history called those unknown that its predecessor had told late.
         """
-        stands = lateness.standing(job, at_us, has_history=self._term.estimates.knows(job))
+        # Who does not know yet what runs where would take all that runs for waiting.
+        known = self._term.ready and self._term.estimates.knows(job)
+        stands = lateness.standing(job, at_us, has_history=known)
         if stands is Standing.UNKNOWN and self.notes is not None and self.notes.told(job):
             return Standing.LATE
         return stands
@@ -118,7 +120,6 @@
         if due_us is None or self.standing(job, at_us) is not Standing.LATE:
             return
         if not self._term.ready or not self._term.valid:
-            # Who does not know yet what runs where takes all that runs for late.
             return
         if notes.told(job) if notes is not None else job.late:
             return
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -240,6 +240,7 @@
         term = self._term
         await self.known.wait()
         term.ready, term.ready_us = True, now_us()
+        term.became_ready.set()
         term.cluster.doubts = {}
         log.info(
             "term %d: ready after %.3f s, %d questions; %s",
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -85,6 +85,7 @@
         #: Recovery is over: work may be started and evicted.
         self.ready = False
         self.ready_us = 0
+        self.became_ready = asyncio.Event()
         #: Something that placement should look at.
         self.place = asyncio.Event()
         #: Jobs may be over, or have completions to commit.
