--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -20,6 +20,7 @@
 from tests.test_users import StandInNode, desk, run
 from tests.test_validation import GOOD
 from weldhead.bookkeeping.chains import Chains
+from weldhead.bookkeeping.jobs import Job, Opening
 from weldhead.bookkeeping.records import Bound, JobRecord, job_key
 from weldhead.calendars.binding import KIND, NotComputed, bind, moved
 from weldhead.calendars.document import Calendar
@@ -29,7 +30,7 @@
 from weldhead.calendars.table import DueTable
 from weldhead.coordination.calendars import CalendarBinder, Calendars
 from weldhead.coordination.documents import Documents
-from weldhead.coordination.history import KEY
+from weldhead.coordination.history import KEY, History
 from weldhead.coordination.leader import Leader
 from weldhead.documents.editions import steps
 from weldhead.documents.records import HEAD_KEY, Offer, state_key
@@ -361,8 +362,8 @@
         self.act(leader, leader.calendars._renew)
 
     def look(self, leader: Leader) -> None:
-        notes = leader.look_ahead.notes
-        assert notes is not None
+        assert leader.calendars is not None
+        notes = leader.calendars.notes
         leader.look_ahead.look_ahead(self.clock())
         while notes._waiting:
             self.act(leader, notes.commit)
@@ -494,8 +495,8 @@
     leader.look_ahead.look_ahead(terms.clock())
     successor = terms.lead()
     # The first one's note is refused by the store, so it says nothing.
-    assert leader.look_ahead.notes is not None
-    terms.act(leader, leader.look_ahead.notes.commit)
+    assert leader.calendars is not None
+    terms.act(leader, leader.calendars.notes.commit)
     assert not late_lines(caplog)
     terms.look(successor)
     assert len(late_lines(caplog)) == 1 and "is late" in late_lines(caplog)[0]
@@ -505,24 +506,29 @@
     assert f"(late: {name})" in line
 
 
+def history_of(leader: Leader) -> History:
+    assert leader.calendars is not None
+    return leader.calendars.history
+
+
 def test_a_successor_knows_what_its_predecessors_saw(terms: Terms) -> None:
     name = bound_job(terms, 1, terms.clock() + 9 * H)
     first = terms.lead()
-    assert first.history._news() is None
+    assert history_of(first)._news() is None
     for _ in range(5):
         first.term.estimates.observe(first.cluster.jobs[name], 300 * S)
-    record = first.history._news()
+    record = history_of(first)._news()
     assert first.publisher is not None and record is not None
     terms.act(first, lambda: first.publisher.write({KEY: record}))
-    assert first.history._news() is None
+    assert history_of(first)._news() is None
     second = terms.lead()
     job = second.cluster.jobs[name]
     assert not second.term.estimates.knows(job)
-    second.history.load()
+    history_of(second).load()
     assert second.term.estimates.task_us(job) == pytest.approx(
         first.term.estimates.task_us(job), rel=0.4
     )
-    assert second.term.estimates.knows(job) and second.history._news() is None
+    assert second.term.estimates.knows(job) and history_of(second)._news() is None
 
 
 def test_an_owners_deadline_and_an_instant_are_told_each(
@@ -570,16 +576,28 @@
     into = cluster()
     job = add_job(into, job_spec(1, job_class="balance"))
     quiet, boots = Boots(None, 0), Boots(20 * S, 30 * S)
-    assert reason(into, job, quiet, 0).startswith("no machine has room")
-    assert reason(into, job, boots, 0).startswith("a machine boots, up in 20 s")
+
+    def why(job: Job) -> str:
+        return "gate book: it is rebuilt"
+
+    assert reason(into, job, quiet, 0, why).startswith("no machine has room")
+    assert reason(into, job, boots, 0, why).startswith("a machine boots, up in 20 s")
     into.usage["red"].cpus = 100.0
-    assert reason(into, job, boots, 0).startswith("no room within the limit of team red")
+    assert reason(into, job, boots, 0, why).startswith("no room within the limit of team red")
     chains = Chains(into.jobs)
     follower = add_job(into, job_spec(2, needs=(job.id,)))
     chains.add(follower, (job.id,))
-    assert reason(into, follower, quiet, 0).startswith("it waits for run-000001 (balance), no room")
-    job.broken = True
-    assert "fail everywhere" in reason(into, job, quiet, 0)
+    assert reason(into, follower, quiet, 0, why).startswith(
+        "it waits for run-000001 (balance), no room"
+    )
+    job.held = Opening()
+    assert reason(into, job, quiet, 0, why) == "held by gate book: it is rebuilt"
+    # It cannot be told when the gate opens: late when even an opening now is too late.
+    job.bound_due_us = 100 * S
+    assert standing(job, 0, has_history=True, least_us=90 * S) is Standing.UNKNOWN
+    assert standing(job, 11 * S, has_history=True, least_us=90 * S) is Standing.LATE
+    job.held, job.broken = None, True
+    assert "fail everywhere" in reason(into, job, quiet, 0, why)
 
 
 def test_unknown_is_not_guessed_but_past_is_past() -> None:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -48,6 +48,7 @@
         ("planning", 11),
         ("documents", 4),
         ("calendars", 8),
+        ("gates", 3),
         ("hearing", 3),
         ("admission", 2),
         ("membership", 2),
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -19,8 +19,10 @@
     Binding,
     FinalRecord,
     JobRecord,
+    bound_record,
     final_key,
     job_key,
+    without_gate,
 )
 from weldhead.calendars.binding import moved
 from weldhead.calendars.words import utc
@@ -226,9 +228,10 @@
             binding = documents.bind(spec, at_us)
         except Unready:
             raise CallFailed("calendars and gates are not known yet") from None
-        if binding.hold is not None and not self._node.peers_know(DOCUMENTS_FORMAT):
+        gate = binding.hold or binding.deed
+        if gate is not None and not self._node.peers_know(DOCUMENTS_FORMAT):
             raise CallFailed("a peer's version would start a job that a gate holds")
-        return JobRecord(spec, at_us, bound=binding.bound, hold=binding.hold), binding
+        return bound_record(spec, at_us, binding), binding
 
     async def _check_needs(self, spec: JobSpec) -> None:
         """Refusal(422) if a job is named that cannot be waited for.
@@ -369,7 +372,7 @@
         job is read once; what is over is remembered, so a long chain that fails gets further
         the next time.
         """
-        job_id, seen = record.spec.id, set(record.spec.needs or ())
+        job_id, seen = record.spec.id, set(without_gate(record.spec).needs or ())
         names = list(seen)
         if names and not self._chain_turns.take(job_id, min(len(names), NEEDS_AT_ONCE), now_us()):
             raise CallFailed("too many needed jobs are to be read at once")
@@ -385,7 +388,7 @@
                 elif need is not None:
                     if need.cancelled:
                         return True
-                    fresh |= set(need.spec.needs or ())
+                    fresh |= set(without_gate(need.spec).needs or ())
             names += fresh - seen
             seen |= fresh
             self._chain_turns.charge(min(len(names), NEEDS_AT_ONCE), now_us())
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 from weldhead.bookkeeping.jobs import Job
 from weldhead.calendars import lateness
@@ -9,7 +10,6 @@
 from weldhead.calendars.words import due as due_words
 from weldhead.calendars.words import span
 from weldhead.clock import now_us, seconds_us, to_seconds, wall_us
-from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.term import Term
 from weldhead.planning.forecast import due_us, holding_up, looks_unable
@@ -18,6 +18,16 @@
 log = logging.getLogger(__name__)
 
 
+class Notes(Protocol):
+    """What was told of bound jobs, by any term."""
+
+    def told(self, job: Job) -> bool:
+        """Whether a job was told late for its instant, or for a later one."""
+
+    def tell(self, job: Job, words: str) -> None:
+        """Have it said that a job will be late."""
+
+
 class LookAhead:
     """Keeps the forecasts; ``stage_us`` estimates a job's own part of its chain."""
 
@@ -26,8 +36,10 @@
         self._pacer = pacer
         self._stage_us = stage_us
         #: What was told of bound jobs, and who follows the clocks; None: no calendars here.
-        self.notes: LateNotes | None = None
+        self.notes: Notes | None = None
         self.keep_time: Callable[[int, int], None] | None = None
+        #: Says why a job is held; "": no gate holds it.
+        self.held: Callable[[Job], str] = lambda job: ""
         #: Made when first needed, and made anew after a failure.
         self._outlook: Outlook | None = None
 
@@ -109,7 +121,8 @@
         """
         # Who does not know yet what runs where would take all that runs for waiting.
         known = self._term.ready and self._term.estimates.knows(job)
-        stands = lateness.standing(job, at_us, has_history=known)
+        least_us = self._stage_us(job) if job.held is not None else 0
+        stands = lateness.standing(job, at_us, has_history=known, least_us=least_us)
         if stands is Standing.UNKNOWN and self.notes is not None and self.notes.told(job):
             return Standing.LATE
         return stands
@@ -129,7 +142,7 @@
         if forecast_us is not None and not job.broken:
             expected = f"expected {span(max(0, forecast_us - due_us))} after that"
         boots = self._kept_outlook().boots()
-        why = lateness.reason(self._term.cluster, job, boots, at_us)
+        why = lateness.reason(self._term.cluster, job, boots, at_us, self.held)
         state = "is late" if at_us > due_us else "will be late"
         assert job.bound is not None
         words = f"{job.id} {state}: {due_words(job.bound)}, {expected}: {why}"
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
-from weldhead.coordination.calendars import CalendarBinder, TableKeeper
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
 from weldhead.coordination.documents import Documents
@@ -100,12 +99,17 @@
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
         if self._offer is not None:
+            # Loaded by controllers that are given documents only.
+            from weldhead.coordination.calendars import CalendarBinder, TableKeeper
+            from weldhead.coordination.gates import GateBinder
+
             documents = Documents(self._state, self._offer, self.company.ask_leader)
             self.company.documents = documents
-            self._duties.start("documents", documents.follow)
-            self._duties.start("edition", documents.bring)
             error_us = round(self.settings.facts.clock_error_ms * MILLISECOND_US)
             CalendarBinder(documents, error_us)
+            documents.binders.append(GateBinder(documents.shelf))
+            self._duties.start("documents", documents.follow)
+            self._duties.start("edition", documents.bring)
             self._duties.start("due table", TableKeeper(documents, self._state).follow)
         self.campaign.open(self._state, self._cloud, self._worker_http, self.company.documents)
         self.company.open(self._state)
