--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -99,18 +99,7 @@
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
         if self._offer is not None:
-            # Loaded by controllers that are given documents only.
-            from weldhead.coordination.calendars import CalendarBinder, TableKeeper
-            from weldhead.coordination.gates import GateBinder
-
-            documents = Documents(self._state, self._offer, self.company.ask_leader)
-            self.company.documents = documents
-            error_us = round(self.settings.facts.clock_error_ms * MILLISECOND_US)
-            CalendarBinder(documents, error_us)
-            documents.binders.append(GateBinder(documents.shelf))
-            self._duties.start("documents", documents.follow)
-            self._duties.start("edition", documents.bring)
-            self._duties.start("due table", TableKeeper(documents, self._state).follow)
+            self.company.documents = self._follow_documents(self._offer)
         self.campaign.open(self._state, self._cloud, self._worker_http, self.company.documents)
         self.company.open(self._state)
         teams = self.settings.facts.teams
@@ -136,6 +125,20 @@
             await self._http.close()
             await self._worker_http.close()
 
+    def _follow_documents(self, offer: Offer) -> Documents:
+        """Begin what a node does that is given documents."""
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.calendars import CalendarBinder, TableKeeper
+        from weldhead.coordination.gates import GateBinder
+
+        documents = Documents(self._state, offer, self.company.ask_leader)
+        self._duties.start("documents", documents.follow)
+        self._duties.start("edition", documents.bring)
+        documents.binders.append(GateBinder(documents.shelf))
+        CalendarBinder(documents, round(self.settings.facts.clock_error_ms * MILLISECOND_US))
+        self._duties.start("due table", TableKeeper(documents, self._state).follow)
+        return documents
+
     # -- leadership -------------------------------------------------------------------
 
     async def _watch_catalog(self) -> None:
