--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -16,7 +16,7 @@
 
 from tests.builders import add_job, cluster, job_spec
 from tests.stand_ins import StandInState
-from tests.test_recovery import Clock, clock, new_leader  # noqa: F401
+from tests.test_recovery import Clock, clock, fixed_clock, new_leader  # noqa: F401
 from tests.test_users import StandInNode, desk, run
 from tests.test_validation import GOOD
 from weldhead.bookkeeping.chains import Chains
@@ -531,6 +531,56 @@
     assert second.term.estimates.knows(job) and history_of(second)._news() is None
 
 
+class Lines(logging.Handler):
+    """What was told, across all terms."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.told: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.told.append(record.getMessage().split(" ")[0])
+
+
+@given(
+    st.lists(
+        st.sampled_from(["lead", "look", "found only", "submit", "time", "overlap"]), max_size=20
+    )
+)
+def test_whoever_leads_and_ends_whenever_each_is_told_once(events: list[str]) -> None:
+    """``found only``: the leader ends before its note is committed; ``overlap``: it is replaced."""
+    lines = Lines()
+    logging.getLogger("weldhead.coordination.lateness").addHandler(lines)
+    with fixed_clock() as at:
+        at.us = us("2026-03-02 01:00")
+        terms = Terms(at)
+        terms.state.value_bytes = 300
+        leader, count = terms.lead(), 0
+        for event in [*events, "time", "lead", "look"]:
+            match event:
+                case "lead":
+                    leader = terms.lead()
+                case "look":
+                    terms.look(leader)
+                case "found only":
+                    leader.look_ahead.look_ahead(at())
+                    leader = terms.lead()
+                case "overlap":
+                    former, leader = leader, terms.lead()
+                    former.look_ahead.look_ahead(at())
+                    assert former.calendars is not None
+                    terms.act(former, former.calendars.notes.commit)
+                case "submit":
+                    for _ in range(3):
+                        count += 1
+                        bound_job(terms, count, at() + 5 * S)
+                case "time":
+                    at.us += 10 * S
+            assert len(lines.told) == len(set(lines.told))
+    logging.getLogger("weldhead.coordination.lateness").removeHandler(lines)
+    assert len(lines.told) == count
+
+
 def test_an_owners_deadline_and_an_instant_are_told_each(
     terms: Terms, caplog: pytest.LogCaptureFixture
 ) -> None:
