--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -178,12 +178,12 @@
         job.first_seen_us = job.ready_us = at_us - max(0, wall - record.submitted_us)
         job.cancelled = record.cancelled
         job.bound, job.hold = record.bound, record.hold
-        term.dues.enter(job, at_us, wall)
         if record.hold is not None or record.deed is not None:
             # Whoever is given no gates starts nothing that concerns one.
             job.held = UNKNOWN_OPENING
         if self._gates is not None:
             self._gates.enter(job, record)
+        term.dues.enter(job, at_us, wall)
         term.cluster.jobs[job.id] = job
         term.ledger.learn(job_key(job.id), version)
         return job
