--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -5,6 +5,7 @@
 
 from weldhead.bookkeeping.feeds import Feeds, Noted
 from weldhead.bookkeeping.records import CHUNK_TASKS, Bound, Hold
+from weldhead.clock import seconds_us
 from weldhead.protocol.wire import JobSpec
 
 
@@ -102,9 +103,12 @@
 class Opening:
     """What holds jobs that wait for the same; shared by all of them."""
 
-    __slots__ = ("starts_us",)
+    __slots__ = ("name", "starts_us", "why")
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "") -> None:
+        #: The gate, and what it waits for in words, as far as is known.
+        self.name = name
+        self.why = ""
         #: When they are expected to wait no more, on the steady clock; None: cannot be told.
         self.starts_us: int | None = None
 
@@ -117,6 +121,7 @@
     """A job that is not over."""
 
     __slots__ = (
+        "_bound_due_us",
         "_cancelled",
         "_chain_due_us",
         "_finishing",
@@ -167,6 +172,7 @@
     stranded = Noted[bool]("_stranded")
     level = Noted[int]("_level")
     chain_due_us = Noted[tuple[int, ...]]("_chain_due_us")
+    bound_due_us = Noted[int | None]("_bound_due_us")
     held = Noted[Opening | None]("_held")
 
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
@@ -183,6 +189,8 @@
         self._ready_us = at_us
         #: What documents said of it when it was accepted.
         self.bound: Bound | None = None
+        #: When that is on this node's steady clock, so early that it is met by every clock.
+        self._bound_due_us: int | None = None
         self.hold: Hold | None = None
         #: What holds it now; None: nothing does.
         self._held: Opening | None = None
@@ -229,6 +237,15 @@
         if self.feeds is not None:
             self.feeds.note(self.id, self)
 
+    @property
+    def due_us(self) -> int | None:
+        """When it is due by itself: the earlier of its deadline and what binds it."""
+        bound_us = self._bound_due_us
+        if self.spec.deadline_s is None:
+            return bound_us
+        deadline_us = self._first_seen_us + seconds_us(self.spec.deadline_s)
+        return deadline_us if bound_us is None else min(bound_us, deadline_us)
+
     @property
     def waiting(self) -> int:
         """How many tasks wait for a place; none while the job waits for others, or is held.
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -95,7 +95,8 @@
             min(bounds, key=lambda bound: bound.due_us, default=None),
             self.hold or other.hold,
             self.deed or other.deed,
-            (*self.conditions, *other.conditions),
+            # Several may rest on the same marks; a condition is stated once.
+            (*self.conditions, *(c for c in other.conditions if c not in self.conditions)),
         )
 
 
--- a/weldhead/coordination/company.py
+++ b/weldhead/coordination/company.py
@@ -118,7 +118,7 @@
         """Have a peer answer that the state service serves; None if there is none."""
         least = CHAINS_FORMAT if chained else 0
         if self.documents is not None and kind == "submit":
-            # An earlier version would accept a job without what binds it.
+            # Another version would accept a job without what binds it.
             least = DOCUMENTS_FORMAT
         served = self._served_peers(now_us(), least)
         if not served:
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -171,6 +171,7 @@
 
     def add_job(self, record: JobRecord, version: int, at_us: int, wall: int) -> Job:
         """Enter a job that is on record."""
+        term = self._term
         job = Job(without_gate(record.spec), record.submitted_us, version, at_us)
         # The same moment on the steady clock; a time of day that is off must not put it
         # into the future.
@@ -182,8 +183,9 @@
             job.held = UNKNOWN_OPENING
         if self._gates is not None:
             self._gates.enter(job, record)
-        self._term.cluster.jobs[job.id] = job
-        self._term.ledger.learn(job_key(job.id), version)
+        term.dues.enter(job, at_us, wall)
+        term.cluster.jobs[job.id] = job
+        term.ledger.learn(job_key(job.id), version)
         return job
 
     # -- what runs where ---------------------------------------------------------------------
