--- a/weldhead/calendars/lateness.py
+++ b/weldhead/calendars/lateness.py
@@ -62,7 +62,8 @@
 
 
 def _own(cluster: Cluster, job: Job, boots: Boots, at_us: int, held: Callable[[Job], str]) -> str:
-    if job.held is not None:
+    if job.held is not None and not job.active and not job.complete:
+        # Nothing of it may start, whatever room there is.
         return f"held by {held(job) or 'a gate of which nothing is known yet'}"
     done = f"{job.done} of {job.spec.tasks} tasks done"
     if job.broken:
