--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -26,7 +26,7 @@
 from weldhead.coordination.reports import request_stop
 from weldhead.planning.cards import fetch_us
 from weldhead.planning.estimates import Estimates
-from weldhead.planning.fleet import plan_returns
+from weldhead.planning.fleet import Market, plan_hires, plan_returns
 from weldhead.planning.goals import Goals
 from weldhead.planning.placement import Plan, Room, fetch_delay_us, plan_starts
 from weldhead.planning.preemptor import plan_reclaims
@@ -429,6 +429,18 @@
     assert sum(start.job is small for start in place(into, 2 * S).starts) == 2
 
 
+def test_machines_with_cards_are_rented_though_cpus_are_free_elsewhere() -> None:
+    into = cluster(Team("serving", 100, 0, 8))
+    add_machine(into, cpus=64.0, memory_gb=512.0)
+    add(into, replicas(1, 2))
+    plan = place(into, S)
+    kinds = [machine_type(name="plain", cpus=64.0, memory_gb=512.0, price=0.1, spot_price=0.1)]
+    kinds.append(machine_type(name="cards", **GIVES_CARDS))
+    fleet = Tunables().fleet.settings()
+    found = plan_hires(into, plan, Market(kinds), Estimates(), GOALS, S, fleet)
+    assert [(offer.type.name, count) for offer, count in found.items()] == [("cards", 1)]
+
+
 def test_idle_machines_are_kept_as_long_as_their_weights_are_worth() -> None:
     into = with_cards(1)
     machine = next(iter(into.machines.values()))
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -14,6 +14,7 @@
     "blame",
     "bookkeeping",
     "boots",
+    "calendars",
     "cli",
     "clock",
     "coordination",
@@ -34,6 +35,9 @@
     "rich",
     "lark",
     "tomllib",
+    # The leader of the moment loads these when there is a calendar, and nobody else.
+    "dateutil",
+    "zoneinfo",
     "grpc",
 }
 
--- a/weldhead/planning/backlog.py
+++ b/weldhead/planning/backlog.py
@@ -16,7 +16,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from weldhead.account.amounts import NOTHING, Amount, bound, needs, times_in
+from weldhead.account.amounts import NOTHING, Amount, bound, need, needs, times_in
 from weldhead.account.teams import bounds_of, left, within_guarantee
 from weldhead.bookkeeping.cluster import CERTAIN, Cluster, Doubt
 from weldhead.bookkeeping.jobs import Job
@@ -248,6 +248,10 @@
         used = self._used[0] + self.given[0], self._used[1] + self.given[1]
         return within_guarantee(self._team, used, job.spec, job.spec.tasks)
 
+    def withhold(self, cpus: float, gpus: float) -> None:
+        """Keep some of the limit out of reach for the rest of the pass."""
+        self._left = left(self._left[0], need(cpus)), left(self._left[1], need(gpus))
+
     def _left_beside(self, job: Job, given: Amount) -> int:
         rest = left(self._left[0], given[0]), left(self._left[1], given[1])
         return times_in(rest, needs(job.spec), job.spec.tasks)
