--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -42,7 +42,7 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "calendars", "completions", "deciding", "dispatch", "frontdesk", "leader", "lending",
+    "calendars", "completions", "deciding", "dispatch", "frontdesk", "gates", "leader", "lending",
     "linking", "listening", "lookahead", "recovery", "rentals", "sizing", "term", "watching",
 )  # fmt: skip
 
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import logging
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -40,6 +41,9 @@
 from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
 
+if TYPE_CHECKING:
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: How long a user waits for a cancellation before being told to ask again.
@@ -73,15 +77,20 @@
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
         self.rentals = Rentals(term, self._gone)
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
+        #: The term's gates; None: this node is given no documents.
+        self.gates: Gates | None = None
+        if self.publisher is not None:
+            self.gates = self._open_gates(self.publisher)
+            self.completions.with_gate = self.gates.commit_end
         self.listening = Listening(
             term, self._dispatcher, self._answered, self.rentals.delete, self.watch.silent_live
         )
         self.recovery = Recovery(
             term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
-            self.pacer, self._apply_early, self.publisher,
+            self.pacer, self._apply_early, self.publisher, self.gates,
         )  # fmt: skip
         self.deciding.partial = self.recovery.partial
-        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
+        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch, self.gates)
         self.look_ahead = LookAhead(term, self.pacer, self.linking.stage_us)
         self.calendars: Calendars | None = None
         if self.publisher is not None:
@@ -90,6 +99,12 @@
             self.look_ahead.keep_time = self.calendars.keep_time
             self.history = History(term, self.publisher)
 
+    def _open_gates(self, publisher: Publisher) -> "Gates":
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.gates import Gates
+
+        return Gates(self.term, publisher, self.linking, self._dispatcher)
+
     # -- the term's life ------------------------------------------------------------
 
     def start(self) -> None:
@@ -157,6 +172,8 @@
             duties.start("history", self.history.keep)
             duties.start("late jobs", self.look_ahead.notes.keep)
         duties.once("account", self._say_account())
+        if self.gates is not None:
+            duties.start("gates", self.gates.run)
         self.completions.start()
         self.rentals.start()
         term.flush.set()
@@ -221,6 +238,8 @@
         if not job.cancelled:
             self.look_ahead.tell(job)
             answer.due_at = utc(job.bound.due_us) if job.bound is not None else None
+        if self.gates is not None:
+            answer.held_by = self.gates.held_by(job)
         if job.cancelled or job.forecast_us is None:
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
@@ -277,6 +296,9 @@
         self.listening.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
         self._apply(machine, report, direct=False)
+        if machine.deaf:
+            # The report may have shown that what it was sent last was dropped.
+            self.listening.withdraw(machine)
         if not self._count_answer(machine, word, at_us):
             return None
         if machine.synced and not machine.up and not machine.up_pending:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -131,6 +131,10 @@
         documents = Documents(self._state, offer, self.company.ask_leader)
         self._duties.start("documents", documents.follow)
         self._duties.start("edition", documents.bring)
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.gates import GateBinder
+
+        documents.binders.append(GateBinder(documents.shelf))
         CalendarBinder(documents, round(self.settings.facts.clock_error_ms * MILLISECOND_US))
         self._duties.start("due table", TableKeeper(documents, self._state).follow)
         return documents
