Placement: free cards keep their CPUs only from work that has somewhere else to run

Where all machines have cards, other work would have waited for as long as a task of several cards does that fits nowhere (found on reading it again; a test has it).

--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -421,6 +421,9 @@
     add(into, replicas(1, 1, gpus=3.0))
     add(into, replicas(2, 1, gpus=2.0))
     small = add_job(into, job_spec(3, tasks=16, cpus=4.0, priority="high"))
+    # Somewhere else to run, and it is full.
+    other = add_machine(into, "vm-000099", cpus=16.0)
+    into.start(add_job(into, job_spec(4, tasks=1, cpus=16.0)), 0, other, S)
     plan = place(into, S)
     # One card is left over, with 8 of 32 CPUs; the replica that has begun takes 4 of its 24.
     assert sum(start.job is small for start in plan.starts) == 5
@@ -429,6 +432,14 @@
     assert sum(start.job is small for start in place(into, 2 * S).starts) == 2
 
 
+def test_where_all_machines_have_cards_other_work_runs_beside_them() -> None:
+    into = with_cards(1, Team("serving", 0, 0, 4), Team("red", 100))
+    add(into, replicas(1, 1, gpus=3.0))
+    add(into, replicas(2, 1, gpus=2.0))
+    small = add_job(into, job_spec(3, tasks=16, cpus=4.0, priority="high"))
+    assert sum(start.job is small for start in place(into, S).starts) == 7
+
+
 def test_machines_with_cards_are_rented_though_cpus_are_free_elsewhere() -> None:
     into = cluster(Team("serving", 100, 0, 8))
     add_machine(into, cpus=64.0, memory_gb=512.0)
--- a/weldhead/planning/cards.py
+++ b/weldhead/planning/cards.py
@@ -21,6 +21,7 @@
 from weldhead.bookkeeping.jobs import Attempt, Job
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.clock import SECOND_US, seconds_us
+from weldhead.planning.backlog import Shape
 from weldhead.protocol.wire import JobSpec
 
 if TYPE_CHECKING:
@@ -168,6 +169,36 @@
         return True
 
 
+class KeptCards:
+    """From whom free cards keep their CPUs while work with cards waits.
+
+    From work without cards that has somewhere else to run. Where all machines have cards it
+    would wait for as long as some task of several cards does that fits nowhere.
+    """
+
+    def __init__(self, machines: Iterable[Machine]) -> None:
+        #: One of each kind of machine without cards.
+        self._plain = list(
+            {
+                (m.type.name, m.zone, m.spot): m
+                for m in machines
+                if m.type.gpus <= 0 and not m.draining and not m.deleting
+            }.values()
+        )
+        self._known: dict[Shape, bool] = {}
+
+    def keep_from(self, job: Job) -> bool:
+        """Whether a job's tasks get nothing that free cards need beside them."""
+        if job.spec.gpus > 0:
+            return False
+        shape = Shape.of(job)
+        kept = self._known.get(shape)
+        if kept is None:
+            kept = any(m.allows(job) and m.type.fits(job.spec) for m in self._plain)
+            self._known[shape] = kept
+        return kept
+
+
 def cards_key(job: Job) -> tuple[float, ...]:
     """Sort the jobs that hold room: in each level first the one that holds the most cards."""
     return (
--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -19,6 +19,7 @@
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.planning.backlog import Backlog, Entry, Reserve, Shape, Unplaced
+from weldhead.planning.cards import KeptCards
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
 from weldhead.protocol.wire import JobSpec
@@ -52,8 +53,8 @@
     starts: list[Start] = field(default_factory=list)
     #: Jobs whose tasks found no room, with how many of them the limits would allow.
     unplaced: Unplaced = field(default_factory=Unplaced)
-    #: Work that takes cards waits: what free cards need beside them was kept for it.
-    cards_wanted: bool = False
+    #: Work that takes cards waits: from whom what free cards need beside them was kept.
+    kept: KeptCards | None = None
 
 
 class Room:
@@ -63,10 +64,10 @@
         "_pulls", "cpus", "gpus", "images", "keep", "machine", "memory_gb", "used",
     )  # fmt: skip
 
-    def __init__(self, machine: Machine, *, keep: bool = False) -> None:
+    def __init__(self, machine: Machine, keep: KeptCards | None = None) -> None:
         self.machine = machine
         #: Free cards keep their share of the CPUs and the memory for work that takes cards.
-        self.keep = keep and machine.type.gpus > 0
+        self.keep = keep if machine.type.gpus > 0 else None
         self.cpus = machine.cpus
         self.gpus = machine.gpus
         self.memory_gb = machine.memory_gb
@@ -77,7 +78,7 @@
 
     def fits(self, job: Job) -> int:
         """How many tasks of the job fit."""
-        if self.keep and self.gpus > 0 and job.spec.gpus <= 0:
+        if self.keep is not None and self.gpus > 0 and self.keep.keep_from(job):
             share = self.gpus / self.machine.type.gpus
             cpus = self.cpus - self.machine.type.cpus * share
             memory_gb = self.memory_gb - self.machine.type.memory_gb * share
@@ -119,7 +120,7 @@
         self._rooms: dict[str, Room] = {}
         self._hopeless: set[Shape] = set()
         #: Set before the first job is placed: cards are wanted (``Room.keep``).
-        self.keep_cards = False
+        self.keep: KeptCards | None = None
 
     def hopeless(self, job: Job) -> bool:
         """Whether it is known that no machine has room for the job's tasks."""
@@ -137,12 +138,12 @@
                 continue
             room = self._rooms.get(machine.name)
             if room is None:
-                room = self._rooms[machine.name] = Room(machine, keep=self.keep_cards)
+                room = self._rooms[machine.name] = Room(machine, self.keep)
             if room.fits(job) > 0:
                 fitting.append(room)
             else:
                 # Once the cards are not wanted any more, it has room with no change of its own.
-                kept = kept or room.keep
+                kept = kept or room.keep is not None
         self._free.found(shape, bool(fitting) or kept)
         if not fitting:
             self._hopeless.add(shape)
@@ -309,10 +310,11 @@
             team: Reserve(scene.cluster, team, doubts.get(team, CERTAIN))
             for team in {kind.team for kind in self._queues}
         }
-        plan.cards_wanted = rooms.keep_cards = any(
+        if any(
             kind.shape.gpus > 0 and self._reserves[kind.team].within_limit(queue[0].job) > 0
             for kind, queue in self._queues.items()
-        )
+        ):
+            plan.kept = rooms.keep = KeptCards(scene.cluster.machines.values())
         self._planned: dict[str, int] = defaultdict(int)
         self._zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
 
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -24,7 +24,7 @@
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import seconds_us
 from weldhead.planning.backlog import Walk
-from weldhead.planning.cards import CardClaims
+from weldhead.planning.cards import CardClaims, KeptCards
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, Press
 from weldhead.planning.placement import Plan, usable
@@ -84,11 +84,11 @@
         settings: PreemptorSettings,
         free: FreeRooms,
         *,
-        cards_wanted: bool = False,
+        kept: KeptCards | None = None,
     ) -> None:
         self.cluster = cluster
-        #: Work with cards waits, so other work gets no room beside them (``placement.Room``).
-        self._cards_wanted = cards_wanted
+        #: Work with cards waits, and some other work gets no room beside cards.
+        self._kept = kept
         self.estimates = estimates
         self.at_us = at_us
         self._settings = settings
@@ -285,7 +285,7 @@
 
     def may_be_on(self, claimant: Job, machine: Machine) -> bool:
         """Whether a task of the claimant may be on a machine, by its kind and its zone."""
-        if self._cards_wanted and claimant.spec.gpus <= 0 and machine.type.gpus > 0:
+        if machine.type.gpus > 0 and self._kept is not None and self._kept.keep_from(claimant):
             return False
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
 
@@ -407,7 +407,7 @@
         return _reclaims(
             Pass(
                 cluster, lists, estimates, at_us, settings, following,
-                cards_wanted=plan.cards_wanted,
+                kept=plan.kept,
             ),
             walk, lists, goals, most,
         )  # fmt: skip
