Emulator: cards, images that take time, bursts of replicas; rules on cards and deaf machines

Machines of a second type with cards, standing jobs that are cancelled when their burst is over, saved work that counts.

--- a/tools/failures.py
+++ b/tools/failures.py
@@ -31,6 +31,7 @@
     "direct requests",
     "writes",
     "cloud calls",
+    "cards taken",
     "killed by a lease",
 )
 
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -80,6 +80,11 @@
     others_us: float = 0.0
     #: When the last trouble was over; None while one is to come.
     calm_us: int | None = None
+    #: Who else looks at starts, and at tasks told to stop: called with task and machine.
+    on_started: list[Callable[[str, str], None]] = field(default_factory=list)
+    on_told_to_stop: list[Callable[[str, str], None]] = field(default_factory=list)
+    #: Seconds of work that tasks have saved.
+    saved_s: Counter[str] = field(default_factory=Counter)
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
     _begun: set[tuple[str, int]] = field(default_factory=set)
     _polls: Counter[bool] = field(default_factory=Counter)
@@ -127,6 +132,13 @@
         self._check_quota(told.spec.team)
         if told.cancelled_us and self.now_us() - told.cancelled_us > self.cancel_us:
             self.breaks("ran_cancelled", f"{task} starts")
+        for look in self.on_started:
+            look(task, site.machine)
+
+    def told_to_stop(self, task: str, machine: str) -> None:
+        """A task that runs is told to stop."""
+        for look in self.on_told_to_stop:
+            look(task, machine)
 
     def left(self, task: str, machine: str, why: str) -> None:
         """A task is on a machine no more."""
@@ -185,14 +197,17 @@
             self.breaks("wrong_place", f"{spec.id}/{index} starts on {site.machine}")
 
     def _check_quota(self, name: str) -> None:
-        used = 0.0
+        cpus = cards = 0.0
         for task, here in self.on.items():
             told = self.jobs.get(split_task(task)[0])
             if told is not None and told.spec.team == name:
-                used += told.spec.cpus * sum(site.present() for site in here.values())
-        limit = next(team.cpus_max for team in self.teams if team.name == name)
-        if used > limit + 1e-6:
-            self.breaks("quota", f"{name} uses {used:g} of {limit:g} CPUs")
+                present = sum(site.present() for site in here.values())
+                cpus += told.spec.cpus * present
+                cards += told.spec.gpus * present
+        team = next(team for team in self.teams if team.name == name)
+        for used, limit, what in ((cpus, team.cpus_max, "CPUs"), (cards, team.gpus_max, "cards")):
+            if used > limit + 1e-6:
+                self.breaks("quota", f"{name} uses {used:g} of {limit:g} {what}")
 
     # -- users -----------------------------------------------------------------------------
 
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -39,6 +39,8 @@
         self._network, self._store, self._cloud = network, store, cloud
         self._controllers, self._users, self._checker = controllers, users, checker
         self._left = 0
+        #: Machines that hear no controller at all, and since when.
+        self.deaf: dict[str, float] = {}
         network.weather = self._fair()
 
     def start(self) -> list[asyncio.Task[None]]:
@@ -200,7 +202,11 @@
             case "machines_deaf":
                 unheard = self._chosen(fault)
                 pairs = [(c.name, machine.name) for machine in chosen for c in unheard]
+                names = [m.name for m in chosen if len(unheard) == len(self._controllers)]
+                self.deaf.update(dict.fromkeys(names, self._loop.true_s))
                 await self._cut_pairs(pairs, "deaf", fault.for_s)
+                for name in names:
+                    self.deaf.pop(name, None)
             case _:
                 await self._cut(
                     {m.name for m in chosen}, {c.name for c in self._controllers}, fault
--- a/weldhead/emulator/machines.py
+++ b/weldhead/emulator/machines.py
@@ -64,6 +64,7 @@
         self._images: set[str] = set()
         self._running: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._session = 1
+        self._began_s: dict[str, float] = {}
         self.gone = False
         #: Every task that begins here fails; and whether that was ever so.
         self.sick = self.was_sick = False
@@ -107,11 +108,15 @@
     @property
     def present(self) -> bool:
         """Whether its tasks may still go on."""
-        if self.gone or self.life.ended:
+        if self.gone or self.life.ended or not hasattr(self, "worker"):
             return False
         # One that hangs past its lease ends its tasks before anything else.
         return self.life.context.run(now_us) <= self.worker.lease_ends_us
 
+    def tasks(self) -> list[str]:
+        """Return the tasks that are on it, or wait for their image."""
+        return [task for task, _ in self._running] if self.present else []
+
     async def _run(self) -> None:
         self._changed = asyncio.Event()
         place = Place(
@@ -234,13 +239,20 @@
             if (task, attempt) in self._running:
                 self._exit(task, attempt, 1, "failed")
             return
-        await asyncio.sleep(spec.estimate_s * self._rng.uniform(0.5, 1.5))
+        if spec.is_service:
+            # A replica runs until it is stopped.
+            await asyncio.get_running_loop().create_future()
+        saved_s = self._checker.saved_s[task]
+        lasts_s = spec.estimate_s * self._rng.uniform(0.5, 1.5)
+        self._began_s[task] = self._loop.true_s
+        await asyncio.sleep(max(lasts_s - saved_s, 0.1))
         # A machine that hung may be past its lease: that comes first.
         self._do(self.worker.due(now_us()))
         if (task, attempt) in self._running:
             self._exit(task, attempt, 0, "done")
 
     def _signal(self, task: str, attempt: int, *, hard: bool) -> None:
+        self._checker.told_to_stop(task, self.name)
         slot = self.worker.slots.get((task, attempt))
         if slot is None or (task, attempt) not in self._running:
             return
@@ -251,7 +263,9 @@
             self._exit(task, attempt, None, "stopped")
 
     async def _save(self, task: str, attempt: int, save_s: float) -> None:
+        ran_s = self._loop.true_s - self._began_s.get(task, self._loop.true_s)
         await asyncio.sleep(save_s)
+        self._checker.saved_s[task] += ran_s  # type: ignore[assignment]
         self._exit(task, attempt, SAVED_CODE, "stopped")
 
     def _exit(self, task: str, attempt: int, code: int | None, why: str) -> None:
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -17,6 +17,8 @@
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.recovery import Recovery
+from weldhead.hearing.evidence import Ear
+from weldhead.planning import preemptor
 from weldhead.protocol.wire import JobStatus
 from weldhead.recovery.readiness import Partial
 
@@ -95,6 +97,16 @@
     yield patch.object(record, "is_faulty", accuses)
 
 
+def _below_a_guarantee() -> Iterator[Any]:
+    """Whatever a team runs counts as borrowed."""
+    yield patch.object(preemptor, "over_guarantee", lambda *_: True)
+
+
+def _deaf_as_healthy() -> Iterator[Any]:
+    """Nothing that a machine shows of not being reached counts."""
+    yield patch.object(Ear, "note", lambda *_: False)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -103,6 +115,8 @@
     "in-flight-not-counted": _in_flight_not_counted,
     "everything-settled": _everything_settled,
     "any-failure-accuses": _any_failure_accuses,
+    "below-a-guarantee": _below_a_guarantee,
+    "deaf-as-healthy": _deaf_as_healthy,
 }
 
 
--- a/weldhead/emulator/services.py
+++ b/weldhead/emulator/services.py
@@ -84,15 +84,16 @@
         self,
         loop: VirtualLoop,
         network: Network,
-        types: list[MachineType],
-        most: int,
+        types: dict[MachineType, int],
         rps: float,
         make: Callable[[PoolMachine], Machine],
         rng: random.Random,
     ) -> None:
         self.life = Life("cloud")
-        self._types = types
-        self.pool = Pool(types, 1e9, 2 * SECOND_US, {kind.name: most for kind in types})
+        self._types = list(types)
+        self.pool = Pool(
+            self._types, 1e9, 2 * SECOND_US, {kind.name: most for kind, most in types.items()}
+        )
         self.machines: dict[str, Machine] = {}
         self.calls = 0
         #: How many times longer boots take, and how many machines never come up.
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -8,7 +8,7 @@
 from weldhead.bookkeeping.records import JobRecord, job_key
 from weldhead.clock import SECOND_US
 from weldhead.emulator.checker import Checker
-from weldhead.emulator.loop import Life, VirtualLoop
+from weldhead.emulator.loop import BEGIN_S, Life, VirtualLoop
 from weldhead.emulator.network import Network
 from weldhead.emulator.scenario import JobClass, Scenario
 from weldhead.protocol.wire import JobSpec, JobStatus
@@ -103,7 +103,14 @@
             await asyncio.sleep(job.from_s)
         while job.rate and self._loop.true_s < until_s:
             await asyncio.sleep(self._rng.expovariate(job.rate))
-            self._arrive(job)
+            if self._burst_left_s(job) > 0:
+                self._arrive(job)
+
+    def _burst_left_s(self, job: JobClass) -> float:
+        """How long the burst still lasts that is on, if any; else up to twice a run time."""
+        if not job.on_s:
+            return self._rng.uniform(0.2, 2.0) * job.run_s
+        return job.on_s - (self._loop.true_s - BEGIN_S) % (job.on_s + job.off_s)
 
     def store(self, store: Store) -> None:
         """Put the jobs on record that the scenario begins with; nobody asks for them."""
@@ -120,9 +127,11 @@
         if job.large_cpus and self._count % job.large_each == 0:
             cpus = job.large_cpus
         spec = JobSpec(
-            f"run-{self._count:06}", job.name, job.team, "batch", job.priority, tasks, cpus,
-            0.0, 1.0, f"img-{job.name}", 1.0, job.one_zone, job.spread, True,
-            self._rng.uniform(0.2, 2.0) * job.run_s, job.saves_every_s, job.save_s,
+            f"run-{self._count:06}", job.name, job.team,
+            "standing" if job.standing else "batch", job.priority, tasks, cpus,
+            job.cards, 1.0, f"img-{job.name}", job.image_gb, job.one_zone, job.spread, True,
+            0.0 if job.standing else self._rng.uniform(0.2, 2.0) * job.run_s,
+            job.saves_every_s, job.save_s,
         )  # fmt: skip
         self._jobs[spec.id] = spec
         return spec
@@ -146,6 +155,8 @@
             return
         cancel_s = self._loop.true_s + self._rng.uniform(1, 20)
         cancels = self._rng.random() < job.cancelled
+        if job.standing:
+            cancels, cancel_s = True, self._loop.true_s + self._burst_left_s(job)
         if spec.id in self._checker.broken_jobs:
             cancels, cancel_s = True, cancel_s + 20
         cancelling: asyncio.Task[bool] | None = None
