--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -48,6 +48,9 @@
         ("planning", 11),
         ("documents", 4),
         ("hearing", 3),
+        ("admission", 2),
+        ("membership", 2),
+        ("planning", 11),
     ],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
