--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -47,6 +47,7 @@
         ("admission", 1),
         ("planning", 11),
         ("documents", 4),
+        ("calendars", 8),
         ("hearing", 3),
         ("admission", 2),
         ("membership", 2),
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -22,6 +22,8 @@
     final_key,
     job_key,
 )
+from weldhead.calendars.binding import moved
+from weldhead.calendars.words import utc
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.documents import Documents, Unready
 from weldhead.coordination.leader import Leader, NotReady
@@ -279,7 +281,22 @@
         if leader is not None:
             leader.job_created(record, version)
         log.debug("%s accepted", spec.id)
-        return Response(201, _encode(JobStatus(spec.id, "pending")))
+        if self._node.documents is not None and (record.bound or record.hold):
+            for tell in self._node.documents.accepted:
+                tell(record)
+        return Response(201, _encode(JobStatus(spec.id, "pending", due_at=self._due_at(record))))
+
+    def _due_at(self, record: JobRecord) -> str | None:
+        """Say by when a calendar has a job finished."""
+        documents = self._node.documents
+        if documents is None or record.bound is None or record.cancelled:
+            return None
+        return utc(moved(documents.shelf, record.bound).due_us)
+
+    def _known_of(self, job_id: str) -> str:
+        """Say in a refusal by when a job is due, as far as this node knows."""
+        documents = self._node.documents
+        return documents.table.words(job_id, documents.shelf) if documents is not None else ""
 
     def _in_memory(self, job_id: str) -> JobStatus | None:
         leader = self._node.leader
@@ -312,7 +329,9 @@
         # What is over stays over; anything else may have changed since.
         if now_us() - at_us > STALE_US:
             raise CallFailed("what the store said may be old by now")
-        return JobStatus(job_id, "pending") if stored is not None else None
+        if stored is None:
+            return None
+        return JobStatus(job_id, "pending", due_at=self._due_at(stored))
 
     async def _read(self, job_id: str, *, urgent: bool = False) -> JobRecord | FinalRecord | None:
         """Read a job's record."""
@@ -408,7 +427,7 @@
                 self._turns.answered(job_id)
                 return answer
         self._turns.failed(job_id, now_us())
-        return refusal(503, why, retry_after_s=1)
+        return refusal(503, why + self._known_of(job_id), retry_after_s=1)
 
     async def cancel(self, job_id: str, *, forwarded: bool = False) -> Response:
         """Cancel a job; only the leader does, as it knows what runs."""
