--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -10,6 +10,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.records import FinalRecord, JobRecord, final_key, job_key
 from weldhead.clock import SECOND_US
@@ -19,6 +20,9 @@
 from weldhead.site.store.model import Store
 from weldhead.transport.state import decode
 
+if TYPE_CHECKING:
+    from weldhead.emulator.calendars import CalendarRules
+
 #: A user that is answered nothing for so long, while most others are, was forgotten; and once
 #: troubles are over, however others fare.
 FORGOTTEN_US = 90 * SECOND_US
@@ -83,6 +87,7 @@
     #: Who else looks at starts, and at tasks told to stop: called with task and machine.
     on_started: list[Callable[[str, str], None]] = field(default_factory=list)
     on_told_to_stop: list[Callable[[str, str], None]] = field(default_factory=list)
+    calendars: "CalendarRules | None" = None
     #: Seconds of work that tasks have saved.
     saved_s: Counter[str] = field(default_factory=Counter)
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
@@ -283,7 +288,10 @@
         entry = self.store.get(job_key(job_id))
         if entry is None or state == "done":
             return False
-        return state != "withdrawn" or decode(bytes(entry.value), JobRecord).cancelled
+        record = decode(bytes(entry.value), JobRecord)
+        if self.calendars is not None:
+            self.calendars.recorded(record)
+        return state != "withdrawn" or record.cancelled
 
     # -- the end ---------------------------------------------------------------------------
 
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -8,7 +8,11 @@
 from dataclasses import dataclass, field
 
 from weldhead.clock import SECOND_US, now_us
+from weldhead.coordination import lateness
 from weldhead.coordination.leader import Leader
+from weldhead.documents.records import Offer
+from weldhead.documents.source import parse_source
+from weldhead.emulator.calendars import CalendarRules
 from weldhead.emulator.cards import CardRules, Holding
 from weldhead.emulator.checker import Checker
 from weldhead.emulator.controller import Controller
@@ -106,6 +110,9 @@
             loop, self.network, kinds, scenario.cloud_rps, self._machine,
             random.Random(rng.random()),
         )  # fmt: skip
+        self.offer: Offer | None = None
+        if scenario.documents:
+            self.offer = parse_source(scenario.name, scenario.documents, limits.value_bytes)
         self.controllers = self._make_controllers(teams, limits)
         self.addresses = {c.name: c.settings.listen for c in self.controllers}
         self.users = Users(loop, self.network, self.checker, scenario, self.jobs, self.addresses,
@@ -116,6 +123,8 @@
         )  # fmt: skip
         lease_us = round(scenario.lease_s * SECOND_US)
         self.cards = CardRules(self.checker, lease_us, self._holdings)
+        self.checker.calendars = calendars = CalendarRules(self.checker)
+        lateness.log.handlers = [calendars]
         self.undecided: list[float] = []
         self.led_s: dict[int, float] = {}
         self.ready_s: dict[int, float] = {}
@@ -146,7 +155,13 @@
             clock = rate, self.rng.randint(-500_000, 500_000)
             made.append(
                 Controller(
-                    self.loop, self.network, settings, self.tunables, clock, self.check_lease
+                    self.loop,
+                    self.network,
+                    settings,
+                    self.tunables,
+                    clock,
+                    self.offer,
+                    self.check_lease,
                 )
             )
             self.network.known(settings.listen, peer.name)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -12,6 +12,9 @@
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
+from weldhead.bookkeeping.records import Bound
+from weldhead.calendars.binding import state_of
+from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
 from weldhead.coordination import reports
 from weldhead.coordination.leader import Leader
@@ -107,6 +110,20 @@
     yield patch.object(Ear, "note", lambda *_: False)
 
 
+def _calendar_of_the_term() -> Iterator[Any]:
+    """A new term binds the jobs that it finds anew, to the instants that come then."""
+    enter = Dues.enter
+
+    def anew(self: Dues, job: Job, at_us: int, wall_us: int) -> None:
+        kept = state_of(self.shelf, job.bound.calendar) if self.shelf and job.bound else None
+        due_us = kept.value.after(wall_us) if kept is not None else None
+        if job.bound is not None and due_us is not None:
+            job.bound = Bound(job.bound.calendar, job.bound.edition, due_us)
+        enter(self, job, at_us, wall_us)
+
+    yield patch.object(Dues, "enter", anew)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -117,6 +134,7 @@
     "any-failure-accuses": _any_failure_accuses,
     "below-a-guarantee": _below_a_guarantee,
     "deaf-as-healthy": _deaf_as_healthy,
+    "calendar-of-the-term": _calendar_of_the_term,
 }
 
 
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -193,7 +193,10 @@
     def _tell(self, job_id: str, verb: str, answer: Response | None, asked_us: int) -> None:
         state = ""
         if answer is not None and answer.status in (200, 201):
-            state = msgspec.json.decode(answer.body, type=JobStatus).state
+            told = msgspec.json.decode(answer.body, type=JobStatus)
+            state = told.state
+            if self._checker.calendars is not None:
+                self._checker.calendars.told(told)
         status = answer.status if answer is not None else 0
         self._checker.answered(job_id, verb, status, state, asked_us)
 
