--- a/weldhead/coordination/company.py
+++ b/weldhead/coordination/company.py
@@ -11,7 +11,7 @@
 from weldhead.coordination.leader import Leader
 from weldhead.membership.solitude import Contact, Solitude
 from weldhead.protocol.peer import Answer, Ask
-from weldhead.protocol.versions import CHAINS_FORMAT
+from weldhead.protocol.versions import CHAINS_FORMAT, DOCUMENTS_FORMAT
 from weldhead.protocol.wire import MachineType
 from weldhead.transport.http import CallFailed
 from weldhead.transport.peers import PeerLink
@@ -116,7 +116,11 @@
         self, kind: str, job_id: str, body: bytes, *, chained: bool = False
     ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
-        served = self._served_peers(now_us(), CHAINS_FORMAT if chained else 0)
+        least = CHAINS_FORMAT if chained else 0
+        if self.documents is not None and kind == "submit":
+            # Another version would accept a job without what binds it.
+            least = DOCUMENTS_FORMAT
+        served = self._served_peers(now_us(), least)
         if not served:
             return None
         self._turn += 1
