--- a/weldhead/coordination/company.py
+++ b/weldhead/coordination/company.py
@@ -7,6 +7,7 @@
 from weldhead.bookkeeping.records import LEADER_KEY
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds
 from weldhead.coordination.campaign import Campaign
+from weldhead.coordination.documents import Documents
 from weldhead.coordination.leader import Leader
 from weldhead.membership.solitude import Contact, Solitude
 from weldhead.protocol.peer import Answer, Ask
@@ -38,10 +39,12 @@
         self._campaign = campaign
         self._solitude = Solitude(started_us)
         self._turn = 0
+        self.documents: Documents | None = None
 
-    def open(self, state: StateClient) -> None:
-        """Use this from now on."""
+    def open(self, state: StateClient, documents: Documents | None) -> None:
+        """Use these from now on."""
         self._state = state
+        self.documents = documents
 
     @property
     def leader(self) -> Leader | None:
@@ -127,9 +130,9 @@
             link = served[self._turn % len(served)]
         return await self.forward(link, kind, job_id, body)
 
-    def peers_know_chains(self) -> bool:
-        """Whether no peer is known to run a version that would start jobs that wait."""
-        return all(not 0 < link.format < CHAINS_FORMAT for link in self._links.values())
+    def peers_know(self, least_format: int) -> bool:
+        """Whether no peer is known to run a version of an earlier format."""
+        return all(not 0 < link.format < least_format for link in self._links.values())
 
     def _leads(self, link: PeerLink) -> bool:
         record = self._campaign.known_leader
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -10,9 +10,11 @@
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
+from weldhead.coordination.documents import Documents
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.relays import Relays
+from weldhead.documents.records import Offer
 from weldhead.protocol.peer import (
     Answer,
     Ask,
@@ -60,6 +62,7 @@
         client: Callable[..., HttpClient] = HttpClient,
         server: Callable[[Handler], Listening] = HttpServer,
         started_us: int = PROCESS_STARTED_US,
+        offer: Offer | None = None,
     ) -> None:
         self.settings = settings
         self.tunables = tunables
@@ -68,6 +71,8 @@
         self._duties = Duties()
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._relays = Relays()
+        self._offer = offer
+        self.documents: Documents | None = None
         self.campaign = Campaign(settings, tunables, self._links, self._duties, started_us)
         self.company = Company(settings.name, self._links, self.campaign, started_us)
 
@@ -94,8 +99,12 @@
         self._cloud = CloudClient(
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
-        self.campaign.open(self._state, self._cloud, self._worker_http)
-        self.company.open(self._state)
+        if self._offer is not None:
+            self.documents = Documents(self._state, self._offer, self.company.ask_leader)
+            self._duties.start("documents", self.documents.follow)
+            self._duties.start("edition", self.documents.bring)
+        self.campaign.open(self._state, self._cloud, self._worker_http, self.documents)
+        self.company.open(self._state, self.documents)
         teams = self.settings.facts.teams
         self._desk = FrontDesk(self.company, self._state, teams, 1 + len(self._links))
         server = self._serve(self._handle)
@@ -184,6 +193,8 @@
                 return await self._desk.cancel(ask.job_id, forwarded=True)
             case "report":
                 return await self._report(ask.body, relayed=True)
+            case "documents" if self.leader is not None and self.leader.publisher is not None:
+                return self.leader.publisher.take(ask.body)
             case _:
                 return refusal(503, "unknown kind", retry_after_s=1)
 
