--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -66,8 +66,8 @@
         self._earlier_us = 0
         #: Peers that have said since the key was read that they are in no term.
         self._ended: set[str] = set()
-        #: The version at which the key was last read, the lease that it had, and when.
-        self._read_token = self._read_lease = self._read_us = 0
+        #: The newest version at which the key was read, and when it was first read.
+        self._read_token = self._read_us = 0
         #: The leader that this node last tried to replace.
         self._tried_token = 0
         self.judging = Judging(links, duties, self._judged_dead)
@@ -131,8 +131,7 @@
             return
         record = decode(bytes(entry.value), LeaderRecord)
         if entry.version != self._read_token:
-            self._read_token, self._read_lease = entry.version, entry.lease or 0
-            self._read_us = now_us()
+            self._read_token, self._read_us = entry.version, now_us()
             self._ended.clear()
             if record.earlier_us:
                 over_us = surely_over_us(self._read_us, record.earlier_us)
@@ -263,9 +262,6 @@
         self.known_leader, self.known_token = record, token
         self._vacant.clear()
         over_us = max(predecessor_over_us(at_us, believes_us), self._earlier_us)
-        if replaced and replaced == self._read_token and self._read_lease:
-            # Extended on and on, it let a leader that had not read of it believe in its term.
-            self._duties.once("former lease", self._state.revoke(self._read_lease))
         log.info("%s leads with token %d", self.settings.name, token)
         term = Term(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
