--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -197,7 +197,10 @@
         """Stand whenever the key is free; a duty."""
         while True:
             try:
-                await asyncio.wait_for(self._vacant.wait(), 5.0)
+                # Replaced while its watch was cut off, a leader extended its lease for longer
+                # than its successor waits for it: it looks well within that.
+                pause_s = to_seconds(self.timing.ttl_us) / 3 if self.leader is not None else 5.0
+                await asyncio.wait_for(self._vacant.wait(), pause_s)
             except asyncio.TimeoutError:
                 await self.read_leader()
                 continue
