--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -51,7 +51,7 @@
         links = cast(dict[str, PeerLink], self.links)
         self.here = Company("n-0", links, cast(Campaign, self.campaign), self.at_us)
         self.state = SimpleNamespace(ok=True, served_us=self.at_us, failed_us=0)
-        self.here.open(cast(StateClient, self.state), None)
+        self.here.open(cast(StateClient, self.state))
 
     def pass_time(self, seconds: int, *, heard: bool, served: bool) -> int:
         """Let time pass; return what ``/ready`` says then."""
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -50,6 +50,8 @@
         ("admission", 1),
         ("planning", 11),
         ("documents", 4),
+        ("calendars", 8),
+        ("gates", 3),
         ("hearing", 3),
     ],
 )
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -33,10 +33,10 @@
     def __init__(self) -> None:
         self.leader: Leader | None = None
         self.all_know_chains = True
+        self.documents: Documents | None = None
         self.alone = False
         #: What others answer, by the kind of question.
         self.others: dict[str, Response] = {}
-        self.documents: Documents | None = None
         self.catalog: list[MachineType] = [machine_type()]
 
     async def ask_leader(self, kind: str, job_id: str, body: bytes) -> Response | None:
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -5,6 +5,7 @@
 
 from weldhead.bookkeeping.feeds import Feeds, Noted
 from weldhead.bookkeeping.records import CHUNK_TASKS, Bound, Hold
+from weldhead.clock import seconds_us
 from weldhead.protocol.wire import JobSpec
 
 
@@ -99,15 +100,31 @@
         return task_us if task_us > 0 else 0
 
 
+class Opening:
+    """What holds jobs that wait for the same; shared by all of them."""
+
+    __slots__ = ("starts_us",)
+
+    def __init__(self) -> None:
+        #: When they are expected to wait no more, on the steady clock; None: cannot be told.
+        self.starts_us: int | None = None
+
+
+#: Nobody knows yet whether a job is held, or by what: closed when in doubt.
+UNKNOWN_OPENING = Opening()
+
+
 class Job:
     """A job that is not over."""
 
     __slots__ = (
+        "_bound_due_us",
         "_cancelled",
         "_chain_due_us",
         "_finishing",
         "_first_seen_us",
         "_fresh",
+        "_held",
         "_level",
         "_not_before_us",
         "_probing",
@@ -152,6 +169,8 @@
     stranded = Noted[bool]("_stranded")
     level = Noted[int]("_level")
     chain_due_us = Noted[tuple[int, ...]]("_chain_due_us")
+    bound_due_us = Noted[int | None]("_bound_due_us")
+    held = Noted[Opening | None]("_held")
 
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
         self.feeds: Feeds[Job] | None = None
@@ -167,7 +186,11 @@
         self._ready_us = at_us
         #: What documents said of it when it was accepted.
         self.bound: Bound | None = None
+        #: When that is on this node's steady clock, so early that it is met by every clock.
+        self._bound_due_us: int | None = None
         self.hold: Hold | None = None
+        #: What holds it now; None: nothing does.
+        self._held: Opening | None = None
         #: Needed jobs that are not known to be committed as done.
         self.blockers: set[str] = set()
         #: Its priority, or that of a job that needs it; and by when it has to be done for
@@ -211,14 +234,23 @@
         if self.feeds is not None:
             self.feeds.note(self.id, self)
 
+    @property
+    def due_us(self) -> int | None:
+        """When it is due by itself: the earlier of its deadline and what binds it."""
+        bound_us = self._bound_due_us
+        if self.spec.deadline_s is None:
+            return bound_us
+        deadline_us = self._first_seen_us + seconds_us(self.spec.deadline_s)
+        return deadline_us if bound_us is None else min(bound_us, deadline_us)
+
     @property
     def waiting(self) -> int:
-        """How many tasks wait for a place; none while the job waits for others.
+        """How many tasks wait for a place; none while the job waits for others, or is held.
 
         One that fails wherever it runs took its whole width in room, again and again, and
         spoiled every machine for others (found on the operations' sites): it waits for one.
         """
-        if self._cancelled or self.blockers:
+        if self._cancelled or self.blockers or self._held is not None:
             return 0
         if self._probing and self.active:
             return 0
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import contextlib
 import logging
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -13,11 +15,16 @@
 from weldhead.bookkeeping.ledger import Deposed, Ledger
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import JOBS, FinalRecord, JobRecord
+from weldhead.calendars.lateness import Standing
+from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
+from weldhead.coordination.calendars import Calendars
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.documents import Documents, Publisher
+from weldhead.coordination.history import History
+from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.listening import Listening
 from weldhead.coordination.lookahead import LookAhead
@@ -34,10 +41,15 @@
 from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
 
+if TYPE_CHECKING:
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: How long a user waits for a cancellation before being told to ask again.
 CANCEL_WAIT_US = 1_500_000
+#: How long a new leader waits for its machines before it says how bound jobs stand.
+ACCOUNT_S = 15.0
 
 
 class NotReady(Exception):
@@ -65,16 +77,33 @@
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
         self.rentals = Rentals(term, self._gone)
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
+        #: The term's gates; None: this node is given no documents.
+        self.gates: Gates | None = None
+        if self.publisher is not None:
+            self.gates = self._open_gates(self.publisher)
+            self.completions.with_gate = self.gates.commit_end
         self.listening = Listening(
             term, self._dispatcher, self._answered, self.rentals.delete, self.watch.silent_live
         )
         self.recovery = Recovery(
             term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
-            self.pacer, self._apply_early, self.publisher,
+            self.pacer, self._apply_early, self.publisher, self.gates,
         )  # fmt: skip
         self.deciding.partial = self.recovery.partial
-        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
+        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch, self.gates)
         self.look_ahead = LookAhead(term, self.pacer, self.linking.stage_us)
+        self.calendars: Calendars | None = None
+        if self.publisher is not None:
+            self.calendars = Calendars(term, self.publisher, self.linking.refresh)
+            self.look_ahead.notes = LateNotes(term, self.publisher)
+            self.look_ahead.keep_time = self.calendars.keep_time
+            self.history = History(term, self.publisher)
+
+    def _open_gates(self, publisher: Publisher) -> "Gates":
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.gates import Gates
+
+        return Gates(self.term, publisher, self.linking, self._dispatcher)
 
     # -- the term's life ------------------------------------------------------------
 
@@ -137,6 +166,14 @@
         duties.start("loop watch", self.pacer.watch)
         if self.publisher is not None:
             duties.start("documents", self.publisher.publish)
+        if self.calendars is not None and self.look_ahead.notes is not None:
+            self.history.load()
+            duties.start("calendars", self.calendars.keep)
+            duties.start("history", self.history.keep)
+            duties.start("late jobs", self.look_ahead.notes.keep)
+        duties.once("account", self._say_account())
+        if self.gates is not None:
+            duties.start("gates", self.gates.run)
         self.completions.start()
         self.rentals.start()
         term.flush.set()
@@ -146,6 +183,12 @@
         duties.start("placement", deciding.place_tasks, 0.2)
         await self.recovery.finish(self._start_preempting)
 
+    async def _say_account(self) -> None:
+        """Say how bound jobs stand, as soon as it is known what runs where, or late enough."""
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self.recovery.known.wait(), ACCOUNT_S)
+        self.look_ahead.say_account(now_us())
+
     def _start_preempting(self) -> None:
         self._duties.start("preemptor", self.deciding.preempt)
 
@@ -194,10 +237,16 @@
         answer = JobStatus(job.id, job.status, job.done, job.running)
         if not job.cancelled:
             self.look_ahead.tell(job)
+            answer.due_at = utc(job.bound.due_us) if job.bound is not None else None
+        if self.gates is not None:
+            answer.held_by = self.gates.held_by(job)
         if job.cancelled or job.forecast_us is None:
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
         due = due_us(job)
+        if job.bound is not None and self.look_ahead.standing(job, now_us()) is Standing.UNKNOWN:
+            # Nothing is guessed of a job of no history.
+            return answer
         if due is not None:
             answer.late = job.forecast_us > due
             if answer.late:
@@ -247,6 +296,9 @@
         self.listening.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
         self._apply(machine, report, direct=False)
+        if machine.deaf:
+            # The report may have shown that what it was sent last was dropped.
+            self.listening.withdraw(machine)
         if not self._count_answer(machine, word, at_us):
             return None
         if machine.synced and not machine.up and not machine.up_pending:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
+from weldhead.coordination.calendars import CalendarBinder, TableKeeper
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
 from weldhead.coordination.documents import Documents
@@ -72,7 +73,6 @@
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._relays = Relays()
         self._offer = offer
-        self.documents: Documents | None = None
         self.campaign = Campaign(settings, tunables, self._links, self._duties, started_us)
         self.company = Company(settings.name, self._links, self.campaign, started_us)
 
@@ -100,11 +100,9 @@
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
         if self._offer is not None:
-            self.documents = Documents(self._state, self._offer, self.company.ask_leader)
-            self._duties.start("documents", self.documents.follow)
-            self._duties.start("edition", self.documents.bring)
-        self.campaign.open(self._state, self._cloud, self._worker_http, self.documents)
-        self.company.open(self._state, self.documents)
+            self.company.documents = self._follow_documents(self._offer)
+        self.campaign.open(self._state, self._cloud, self._worker_http, self.company.documents)
+        self.company.open(self._state)
         teams = self.settings.facts.teams
         self._desk = FrontDesk(self.company, self._state, teams, 1 + len(self._links))
         server = self._serve(self._handle)
@@ -128,6 +126,19 @@
             await self._http.close()
             await self._worker_http.close()
 
+    def _follow_documents(self, offer: Offer) -> Documents:
+        """Begin what a node does that is given documents."""
+        documents = Documents(self._state, offer, self.company.ask_leader)
+        self._duties.start("documents", documents.follow)
+        self._duties.start("edition", documents.bring)
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.gates import GateBinder
+
+        documents.binders.append(GateBinder(documents.shelf))
+        CalendarBinder(documents, round(self.settings.facts.clock_error_ms * MILLISECOND_US))
+        self._duties.start("due table", TableKeeper(documents, self._state).follow)
+        return documents
+
     # -- leadership -------------------------------------------------------------------
 
     async def _watch_catalog(self) -> None:
