--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -4,7 +4,8 @@
 from collections import Counter, deque
 
 from weldhead.bookkeeping.feeds import Feeds, Noted
-from weldhead.bookkeeping.records import CHUNK_TASKS
+from weldhead.bookkeeping.records import CHUNK_TASKS, Bound, Hold
+from weldhead.clock import seconds_us
 from weldhead.protocol.wire import JobSpec
 
 
@@ -99,15 +100,34 @@
         return task_us if task_us > 0 else 0
 
 
+class Opening:
+    """What holds jobs that wait for the same; shared by all of them."""
+
+    __slots__ = ("name", "starts_us", "why")
+
+    def __init__(self, name: str = "") -> None:
+        #: The gate, and what it waits for in words, as far as is known.
+        self.name = name
+        self.why = ""
+        #: When they are expected to wait no more, on the steady clock; None: cannot be told.
+        self.starts_us: int | None = None
+
+
+#: Nobody knows yet whether a job is held, or by what: closed when in doubt.
+UNKNOWN_OPENING = Opening()
+
+
 class Job:
     """A job that is not over."""
 
     __slots__ = (
+        "_bound_due_us",
         "_cancelled",
         "_chain_due_us",
         "_finishing",
         "_first_seen_us",
         "_fresh",
+        "_held",
         "_level",
         "_not_before_us",
         "_probing",
@@ -115,6 +135,7 @@
         "_stranded",
         "active",
         "blockers",
+        "bound",
         "broken",
         "committed",
         "dirty",
@@ -124,6 +145,7 @@
         "feeds",
         "forecast_at_us",
         "forecast_us",
+        "hold",
         "id",
         "last_machine",
         "late",
@@ -150,6 +172,8 @@
     stranded = Noted[bool]("_stranded")
     level = Noted[int]("_level")
     chain_due_us = Noted[tuple[int, ...]]("_chain_due_us")
+    bound_due_us = Noted[int | None]("_bound_due_us")
+    held = Noted[Opening | None]("_held")
 
     def __init__(self, spec: JobSpec, submitted_us: int, version: int, at_us: int) -> None:
         self.feeds: Feeds[Job] | None = None
@@ -163,6 +187,13 @@
         self.version = version
         #: When its last needed job was done: users' times but the deadline count from then.
         self._ready_us = at_us
+        #: What documents said of it when it was accepted.
+        self.bound: Bound | None = None
+        #: When that is on this node's steady clock, so early that it is met by every clock.
+        self._bound_due_us: int | None = None
+        self.hold: Hold | None = None
+        #: What holds it now; None: nothing does.
+        self._held: Opening | None = None
         #: Needed jobs that are not known to be committed as done.
         self.blockers: set[str] = set()
         #: Its priority, or that of a job that needs it; and by when it has to be done for
@@ -206,14 +237,23 @@
         if self.feeds is not None:
             self.feeds.note(self.id, self)
 
+    @property
+    def due_us(self) -> int | None:
+        """When it is due by itself: the earlier of its deadline and what binds it."""
+        bound_us = self._bound_due_us
+        if self.spec.deadline_s is None:
+            return bound_us
+        deadline_us = self._first_seen_us + seconds_us(self.spec.deadline_s)
+        return deadline_us if bound_us is None else min(bound_us, deadline_us)
+
     @property
     def waiting(self) -> int:
-        """How many tasks wait for a place; none while the job waits for others.
+        """How many tasks wait for a place; none while the job waits for others, or is held.
 
         One that fails wherever it runs took its whole width in room, again and again, and
         spoiled every machine for others (found on the operations' sites): it waits for one.
         """
-        if self._cancelled or self.blockers:
+        if self._cancelled or self.blockers or self._held is not None:
             return 0
         if self._probing and self.active:
             return 0
@@ -287,6 +327,13 @@
             self.restarts.append(index)
         self.touch()
 
+    def give_back(self, index: int, machine: str) -> None:
+        """An earlier leader stopped a task: it starts first, and best where it was last."""
+        if self.states[index] == TaskState.WAITING and index not in self.restarts:
+            self.restarts.append(index)
+            self.last_machine[index] = machine
+            self.touch()
+
     def complete_waiting(self, index: int) -> None:
         """Record that a task without an active attempt turned out to be completed."""
         if self.states[index] != TaskState.WAITING:
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -8,6 +8,8 @@
 p/ID/N    the completed tasks of a job, N-th chunk of a bitmap
 f/ID      FinalRecord: how a job ended, kept for good
 h/NAME    HireRecord: a rental that may have been asked for, and its machines
+t/N       tasks that were stopped for others while they held cards (``taken.py``)
+d/...     documents, see ``documents/records.py``
 ========  =========================================================================
 
 Only the leader writes anything but ``leader`` and new ``j/`` keys, and each of its
@@ -19,7 +21,7 @@
 
 import msgspec
 
-from weldhead.protocol.wire import JobSpec
+from weldhead.protocol.wire import Condition, JobSpec
 
 LEADER_KEY = "leader"
 JOBS = "j/"
@@ -37,20 +39,96 @@
 class LeaderRecord(msgspec.Struct):
     """Who leads; the nonce tells a leader its own record after an unanswered write.
 
-    ``ttl_us`` bounds how long its holder may believe in it after it is gone.
+    ``ttl_us`` bounds how long its holder may believe in it after it is gone. ``earlier_us``
+    bounds for how long after this record was written the holders before may have gone on.
     """
 
     name: str
     nonce: str
     ttl_us: int
+    earlier_us: int = 0
+
+
+class Bound(msgspec.Struct, omit_defaults=True, frozen=True):
+    """The instant that a calendar binds a job to (time of day, UTC)."""
+
+    calendar: str
+    edition: int
+    due_us: int
+
+
+class Hold(msgspec.Struct, omit_defaults=True, frozen=True):
+    """The gate that holds a job, and the edition of what it waits for."""
+
+    gate: str
+    edition: int
+
+
+class Deed(msgspec.Struct, omit_defaults=True, frozen=True):
+    """What a job does to a gate: the act, and the edition that it is of if it names none.
+
+    ``round``: how many approvals had been withdrawn when the job was accepted.
+    """
+
+    gate: str
+    act: str
+    edition: int = 0
+    round: int = 0
+
+
+#: Stands among what a job needs that a gate holds or that works on one, before the gate's
+#: name. No job has such an id: whoever knows chains and no gates waits for it for ever.
+GATE_NEED = "gate/"
+
+
+class Binding(msgspec.Struct, frozen=True):
+    """What documents say of a job at its acceptance, and on which marks that rests."""
+
+    bound: Bound | None = None
+    hold: Hold | None = None
+    deed: Deed | None = None
+    conditions: tuple[Condition, ...] = ()
+
+    def joined(self, other: "Binding") -> "Binding":
+        """Return both; of two instants the earlier binds."""
+        bounds = [bound for bound in (self.bound, other.bound) if bound is not None]
+        return Binding(
+            min(bounds, key=lambda bound: bound.due_us, default=None),
+            self.hold or other.hold,
+            self.deed or other.deed,
+            # Several may rest on the same marks; a condition is stated once.
+            (*self.conditions, *(c for c in other.conditions if c not in self.conditions)),
+        )
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
-    """A job that is not over."""
+    """A job that is not over.
+
+    The last three fields came with documents (see ``protocol/versions.py``).
+    """
 
     spec: JobSpec
     submitted_us: int
     cancelled: bool = False
+    bound: Bound | None = None
+    hold: Hold | None = None
+    deed: Deed | None = None
+
+
+def bound_record(spec: JobSpec, submitted_us: int, binding: Binding) -> JobRecord:
+    """Return a new job's record; what concerns a gate has a need that only older versions see."""
+    gate = binding.hold or binding.deed
+    if gate is not None:
+        spec = msgspec.structs.replace(spec, needs=(*(spec.needs or ()), GATE_NEED + gate.gate))
+    return JobRecord(spec, submitted_us, bound=binding.bound, hold=binding.hold, deed=binding.deed)
+
+
+def without_gate(spec: JobSpec) -> JobSpec:
+    """Return a job as its user submitted it."""
+    if not spec.needs or not any(name.startswith(GATE_NEED) for name in spec.needs):
+        return spec
+    needs = tuple(name for name in spec.needs if not name.startswith(GATE_NEED))
+    return msgspec.structs.replace(spec, needs=needs or None)
 
 
 class FinalRecord(msgspec.Struct, omit_defaults=True):
--- a/weldhead/client/transport.py
+++ b/weldhead/client/transport.py
@@ -105,6 +105,9 @@
     return 0
 
 
+_NO_REASON = "no reason given"
+
+
 def understand(step: Step, job_id: str, status: int, body: bytes, retry_after_us: int = 0) -> Reply:
     """Return what an answer amounts to."""
     if step is Step.UPLOAD:
@@ -122,18 +125,25 @@
         if step is Step.CANCEL and told.state not in ("done", "withdrawn"):
             return Failed(f"nonsense: cancelled, and {told.state}")
         late_by_s = (told.late_by_s or 0.0) if told.late else None
-        return Told(told.state, status == 201, told.done, told.running, told.forecast_s, late_by_s)
+        return Told(
+            told.state, status == 201, told.done, told.running, told.forecast_s, late_by_s,
+            told.late, told.due_at, told.held_by,
+        )  # fmt: skip
     elif status in (400, 422) and step is Step.SUBMIT:
         return _refused(status, body)
     if status == 404 and step is not Step.SUBMIT:
         return Missing()
-    return Failed(f"status {status}", retry_after_us=retry_after_us)
+    why = f"status {status}"
+    if status == 503 and step is Step.POLL and _refused(status, body).reason != _NO_REASON:
+        # It may say by when the job is due, though not how it stands.
+        why += f": {_refused(status, body).reason[:200]}"
+    return Failed(why, retry_after_us=retry_after_us)
 
 
-def _refused(status: int, body: bytes) -> Reply:
+def _refused(status: int, body: bytes) -> Refused:
     try:
         told = _errors.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         # The status alone decides; what is wrong is not told.
-        return Refused(status, "no reason given")
+        return Refused(status, _NO_REASON)
     return Refused(status, told.error, told.field)
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import contextlib
 import logging
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
@@ -13,11 +15,15 @@
 from weldhead.bookkeeping.ledger import Deposed, Ledger
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import JOBS, FinalRecord, JobRecord
+from weldhead.calendars.lateness import Standing
+from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.dispatch import Dispatcher
+from weldhead.coordination.documents import Documents, Publisher
 from weldhead.coordination.linking import Linking
+from weldhead.coordination.listening import Listening
 from weldhead.coordination.lookahead import LookAhead
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.recovery import Recovery
@@ -26,15 +32,22 @@
 from weldhead.coordination.sizing import Sizing
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
+from weldhead.hearing.copies import Word
 from weldhead.planning.forecast import due_us
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
 from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
 
+if TYPE_CHECKING:
+    from weldhead.coordination.calendars import Calendars
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: How long a user waits for a cancellation before being told to ask again.
 CANCEL_WAIT_US = 1_500_000
+#: How long a new leader waits for its machines before it says how bound jobs stand.
+ACCOUNT_S = 15.0
 
 
 class NotReady(Exception):
@@ -44,11 +57,17 @@
 class Leader:
     """One term of leadership."""
 
-    def __init__(self, term: Term) -> None:
+    def __init__(self, term: Term, documents: Documents | None = None) -> None:
         self.term = term
+        #: The term's part in calendars and gates; None: this node is given none.
+        self.publisher: Publisher | None = None
+        if documents is not None:
+            self.publisher = Publisher(
+                documents, term.state, lambda: term.ledger, lambda: term.valid
+            )
         self.token = term.token
         self._duties = term.duties
-        self._dispatcher = Dispatcher(term, self._answered)
+        self._dispatcher = Dispatcher(term, self._answered, self._unanswered)
         self.linking = Linking(term, self._dispatcher, self.job_created)
         self.completions = Completions(term, self._ended, self.linking.withdraw_with_followers)
         self.linking.start(self.completions)
@@ -56,13 +75,41 @@
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
         self.rentals = Rentals(term, self._gone)
         self.watch = MachineWatch(term, self._dispatcher, self.rentals.delete, self._check_known)
+        #: The term's gates; None: this node is given no documents.
+        self.gates: Gates | None = None
+        if self.publisher is not None:
+            self.gates = self._open_gates(self.publisher)
+            self.completions.with_gate = self.gates.commit_end
+        self.listening = Listening(
+            term, self._dispatcher, self._answered, self.rentals.delete, self.watch.silent_live
+        )
         self.recovery = Recovery(
             term, self.completions, self.rentals, self.linking, self.watch, self._dispatcher,
-            self.pacer, self._apply_early,
+            self.pacer, self._apply_early, self.publisher, self.gates,
         )  # fmt: skip
         self.deciding.partial = self.recovery.partial
-        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch)
+        self.sizing = Sizing(term, self.deciding, self.rentals, self.watch, self.gates)
         self.look_ahead = LookAhead(term, self.pacer, self.linking.stage_us)
+        #: The term's calendars; None: this node is given no documents.
+        self.calendars: Calendars | None = None
+        if self.publisher is not None:
+            self.calendars = self._open_calendars(self.publisher)
+            self.look_ahead.notes = self.calendars.notes
+            self.look_ahead.keep_time = self.calendars.keep_time
+        if self.gates is not None:
+            self.look_ahead.held = self.gates.why
+
+    def _open_gates(self, publisher: Publisher) -> "Gates":
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.gates import Gates
+
+        return Gates(self.term, publisher, self.linking, self._dispatcher)
+
+    def _open_calendars(self, publisher: Publisher) -> "Calendars":
+        # Loaded by controllers that are given documents only.
+        from weldhead.coordination.calendars import Calendars
+
+        return Calendars(self.term, publisher, self.linking.refresh)
 
     # -- the term's life ------------------------------------------------------------
 
@@ -119,9 +166,17 @@
         await self.recovery.load_until_done()
         duties.start("job watch", self._watch_jobs)
         duties.start("machine watch", self.watch.watch)
+        duties.start("hearing", self.listening.attend)
         duties.start("needed jobs", self.linking.learn_needs, 0.2)
         duties.start("forecasts", self.look_ahead.forecast)
         duties.start("loop watch", self.pacer.watch)
+        if self.publisher is not None:
+            duties.start("documents", self.publisher.publish)
+        if self.calendars is not None:
+            self.calendars.start(duties)
+        duties.once("account", self._say_account())
+        if self.gates is not None:
+            duties.start("gates", self.gates.run)
         self.completions.start()
         self.rentals.start()
         term.flush.set()
@@ -131,6 +186,12 @@
         duties.start("placement", deciding.place_tasks, 0.2)
         await self.recovery.finish(self._start_preempting)
 
+    async def _say_account(self) -> None:
+        """Say how bound jobs stand, as soon as it is known what runs where, or late enough."""
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self.term.became_ready.wait(), ACCOUNT_S)
+        self.look_ahead.say_account(now_us())
+
     def _start_preempting(self) -> None:
         self._duties.start("preemptor", self.deciding.preempt)
 
@@ -139,6 +200,7 @@
 
     def _gone(self, machine: Machine) -> None:
         self.watch.gone(machine)
+        self.listening.gone(machine)
 
     # -- users ------------------------------------------------------------------------
 
@@ -178,13 +240,20 @@
         answer = JobStatus(job.id, job.status, job.done, job.running)
         if not job.cancelled:
             self.look_ahead.tell(job)
+            answer.due_at = utc(job.bound.due_us) if job.bound is not None else None
+        if self.gates is not None:
+            answer.held_by = self.gates.held_by(job)
         if job.cancelled or job.forecast_us is None:
             return answer
         answer.forecast_s = round(to_seconds(job.forecast_us - job.first_seen_us), 1)
         due = due_us(job)
+        stands = self.look_ahead.standing(job, now_us()) if job.bound is not None else None
+        if stands is Standing.UNKNOWN:
+            # Nothing is guessed of a job of no history.
+            return answer
         if due is not None:
-            answer.late = job.forecast_us > due
-            if answer.late:
+            answer.late = job.forecast_us > due or stands is Standing.LATE
+            if job.forecast_us > due:
                 answer.late_by_s = round(to_seconds(job.forecast_us - due), 1)
         return answer
 
@@ -218,42 +287,77 @@
             return ReportAnswer(self.token, []) if kept else None
         machine = self.cluster.machines.get(report.machine)
         if machine is None:
-            self.rentals.unexpected(report)
+            self._stranger(report)
             return ReportAnswer(self.token, [])
-        if machine.deleting or report.session <= machine.expired_session:
-            return None
-        if is_newer(machine, report):
-            self._apply(machine, report, direct=False)
-        elif report.sequence < machine.report_sequence and report.session == machine.session:
-            # Held back on the way: its sender has long given up waiting.
+        word = self.listening.word(machine, report)
+        if machine.deleting or word is Word.COPY:
             return None
-        self.watch.hear(machine, at_us)
+        if word is Word.OVERTAKEN:
+            if not self.listening.answerable(machine):
+                return None
+            machine.lease_from_us = max(machine.lease_from_us, machine.seen_us)
+            return ReportAnswer(self.token, [])
+        self.listening.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
+        self._apply(machine, report, direct=False)
+        if machine.deaf:
+            # The report may have shown that what it was sent last was dropped.
+            self.listening.withdraw(machine)
+        if not self._count_answer(machine, word, at_us):
+            return None
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
             self._duties.once("machine up", self.rentals.mark_up(machine))
         commands = pending_commands(
             machine,
             self.completions.is_committed,
-            may_start=machine.synced and machine.up,
+            may_start=machine.synced and machine.up and not machine.deaf,
             sequence=report.sequence,
         )
+        self.listening.told(machine, report, commands, at_us, relayed=relayed)
         return ReportAnswer(self.token, commands)
 
+    def _count_answer(self, machine: Machine, word: Word, at_us: int) -> bool:
+        """Enter that a report is about to be answered; false: it must not be."""
+        if word is Word.FRESH:
+            self.watch.hear(machine, at_us)
+            return True
+        if not self.listening.answerable(machine):
+            return False
+        # The answer may renew a lease; that its machine lives is not shown by it.
+        machine.unshown += 1
+        machine.lease_from_us = max(machine.lease_from_us, at_us)
+        return True
+
+    def _stranger(self, report: Report) -> None:
+        """A report of a machine that no record names."""
+        if self.rentals.is_unexpected(report):
+            self.listening.meet(report, self.rentals.unexpected)
+
     def _answered(self, machine: Machine, report: Report) -> None:
         """Take a worker's answer to direct commands."""
         self._apply(machine, report, direct=True)
+        self.listening.answered(machine)
+
+    def _unanswered(self, machine: Machine) -> None:
+        """A worker did not answer direct commands."""
+        self.listening.unanswered(machine)
 
     def _apply_early(self, early: Early) -> None:
         """Take what a machine said before its records were loaded."""
         machine = self.cluster.machines.get(early.report.machine)
         if machine is None:
-            self.rentals.unexpected(early.report)
+            self._stranger(early.report)
             return
+        word = self.listening.word(machine, early.report)
         self._apply(machine, early.report, direct=early.direct)
         if early.answered_us:
-            self.watch.hear(machine, early.answered_us)
+            self._count_answer(machine, word, early.answered_us)
             machine.relayed = early.relayed
+            if not early.direct:
+                self.listening.told(
+                    machine, early.report, [], early.answered_us, relayed=early.relayed
+                )
 
     def _apply(self, machine: Machine, report: Report, *, direct: bool) -> None:
         if not is_newer(machine, report):
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/lookahead.py
@@ -2,9 +2,14 @@
 
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 from weldhead.bookkeeping.jobs import Job
-from weldhead.clock import now_us, to_seconds
+from weldhead.calendars import lateness
+from weldhead.calendars.lateness import Standing
+from weldhead.calendars.words import due as due_words
+from weldhead.calendars.words import span
+from weldhead.clock import now_us, seconds_us, to_seconds, wall_us
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.term import Term
 from weldhead.planning.forecast import due_us, holding_up, looks_unable
@@ -13,6 +18,16 @@
 log = logging.getLogger(__name__)
 
 
+class Notes(Protocol):
+    """What was told of bound jobs, by any term."""
+
+    def told(self, job: Job) -> bool:
+        """Whether a job was told late for its instant, or for a later one."""
+
+    def tell(self, job: Job, words: str) -> None:
+        """Have it said that a job will be late."""
+
+
 class LookAhead:
     """Keeps the forecasts; ``stage_us`` estimates a job's own part of its chain."""
 
@@ -20,6 +35,11 @@
         self._term = term
         self._pacer = pacer
         self._stage_us = stage_us
+        #: What was told of bound jobs, and who follows the clocks; None: no calendars here.
+        self.notes: Notes | None = None
+        self.keep_time: Callable[[int, int], None] | None = None
+        #: Says why a job is held; "": no gate holds it.
+        self.held: Callable[[Job], str] = lambda job: ""
         #: Made when first needed, and made anew after a failure.
         self._outlook: Outlook | None = None
 
@@ -47,6 +67,8 @@
 
     def look_ahead(self, at_us: int) -> None:
         """Bring the forecasts that are due up to date."""
+        if self.keep_time is not None:
+            self.keep_time(at_us, wall_us())
         outlook = self._kept_outlook()
         try:
             for job in outlook.look(at_us):
@@ -62,6 +84,12 @@
         if job.cancelled:
             return
         due = due_us(job)
+        if job.bound is not None:
+            self._say_of_bound(job, at_us)
+            if job.spec.deadline_s is None:
+                return
+            # Its owner's deadline is told of as that of any other job.
+            due = job.first_seen_us + seconds_us(job.spec.deadline_s)
         late = due is not None and (
             at_us > due or (job.forecast_us is not None and job.forecast_us > due)
         )
@@ -83,3 +111,53 @@
                 "" if stage is job else "it waits for ", stage.id, stage.spec.job_class,
                 stage.done, stage.spec.tasks,
             )  # fmt: skip
+
+    # -- bound jobs ------------------------------------------------------------------------
+
+    def standing(self, job: Job, at_us: int) -> Standing:
+        """Say how a bound job stands, by its latest forecast, or as it was told last.
+
+        A successor of no history called those unknown that its predecessor had told late.
+        """
+        # Who does not know yet what runs where would take all that runs for waiting.
+        known = self._term.ready and self._term.estimates.knows(job)
+        least_us = self._stage_us(job) if job.held is not None else 0
+        stands = lateness.standing(job, at_us, has_history=known, least_us=least_us)
+        if stands is Standing.UNKNOWN and self.notes is not None and self.notes.told(job):
+            return Standing.LATE
+        return stands
+
+    def _say_of_bound(self, job: Job, at_us: int) -> None:
+        """Have it said once, by whichever term, that a bound job will be late."""
+        notes, due_us = self.notes, job.bound_due_us
+        if due_us is None or self.standing(job, at_us) is not Standing.LATE:
+            return
+        if not self._term.ready or not self._term.valid:
+            return
+        if notes.told(job) if notes is not None else job.late:
+            return
+        job.late = job.late or notes is None
+        forecast_us = job.forecast_us
+        expected = "no end in sight"
+        if forecast_us is not None and not job.broken:
+            expected = f"expected {span(max(0, forecast_us - due_us))} after that"
+        boots = self._kept_outlook().boots()
+        why = lateness.reason(self._term.cluster, job, boots, at_us, self.held)
+        state = "is late" if at_us > due_us else "will be late"
+        assert job.bound is not None
+        words = f"{job.id} {state}: {due_words(job.bound)}, {expected}: {why}"
+        if notes is not None:
+            notes.tell(job, words)
+        else:
+            log.warning("%s", words)
+
+    def say_account(self, at_us: int) -> None:
+        """Log how the bound jobs stand that a new term has found."""
+        jobs = [job for job in self._term.cluster.jobs.values() if job.bound is not None]
+        if self.notes is None and not jobs:
+            return
+        for job in jobs:
+            if job.bound_due_us is not None and job.bound_due_us - at_us <= lateness.SOON_US:
+                self.tell(job)
+        found = lateness.account(((job, self.standing(job, at_us)) for job in jobs), at_us)
+        log.info("term %d: %s", self._term.token, found.line())
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -62,12 +62,16 @@
     outcome = Outcome()
     if report.session > machine.session and machine.session:
         machine.listing = None
+        machine.report_sequence = 0
         for attempt in cluster.release_all(machine):
             outcome.lost.append((attempt, "new session"))
     if machine.booting:
         machine.touch()
     machine.order = (report.session, report.sequence)
+    machine.seen_us = at_us
     machine.token = max(machine.token, report.token)
+    if report.token == cluster.token:
+        machine.unshown = 0
     if report.address:
         machine.address = report.address
     if report.notice_s is not None:
@@ -204,6 +208,9 @@
             if verdict is Verdict.FINISHED and job is not None:
                 job.complete_waiting(index)
                 outcome.completed.append(job)
+            elif job is not None and task.why == "halted":
+                # Stopped by an earlier leader that may have had no time to write it down.
+                job.give_back(index, machine.name)
             return None
         case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT if job is not None:
             return _adopt(cluster, machine, job, index, task, at_us)
@@ -227,6 +234,10 @@
     cluster.adopt(attempt, machine)
     if job.cancelled:
         cluster.stop(attempt, Stop.HARD, at_us, "cancelled")
+    elif attempt.phase is Phase.SAVING:
+        # Whoever led before has stopped it: it goes, and what it holds is being freed. Taken
+        # for one that runs, its team could lose as much once more in the first pass.
+        cluster.stop(attempt, Stop.SOFT, at_us, "stopped by an earlier leader")
     return attempt
 
 
@@ -244,6 +255,25 @@
     return False
 
 
+def withdraw_unbegun(cluster: Cluster, machine: Machine) -> int:
+    """Take back what was assigned to a machine and surely never begins there; return how many.
+
+    Nothing of it is on its way: it was not sent, or the answer that carried it was dropped, which
+    a later report has shown. What was sent directly and not answered stays.
+    """
+    gone = [
+        attempt
+        for attempt in machine.attempts.values()
+        if attempt.phase is Phase.ASSIGNED
+        and attempt.sent_sequence is None
+        and not attempt.posted
+        and not attempt.limbo_us
+    ]
+    for attempt in gone:
+        cluster.release(attempt)
+    return len(gone)
+
+
 def pending_commands(
     machine: Machine,
     committed: Callable[[str], bool],
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -1,6 +1,7 @@
 """When machines are rented, emptied and returned; what is said of the fleet."""
 
 import logging
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.jobs import Stop
 from weldhead.clock import SECOND_US, now_us, to_seconds
@@ -22,6 +23,9 @@
 )
 from weldhead.planning.placement import plan_nothing
 
+if TYPE_CHECKING:
+    from weldhead.coordination.gates import Gates
+
 log = logging.getLogger(__name__)
 
 #: A new leader rents what replaces machines that have not answered by then.
@@ -35,12 +39,18 @@
     """Keeps the fleet at the size that the work needs."""
 
     def __init__(
-        self, term: Term, deciding: Deciding, rentals: Rentals, watch: MachineWatch
+        self,
+        term: Term,
+        deciding: Deciding,
+        rentals: Rentals,
+        watch: MachineWatch,
+        gates: "Gates | None" = None,
     ) -> None:
         self._term = term
         self._deciding = deciding
         self._rentals = rentals
         self._watch = watch
+        self._gates = gates
 
     async def size_fleet(self) -> None:
         """Look at the fleet's size, again and again; a duty."""
@@ -113,6 +123,8 @@
         settings = self._term.tunables.fleet.settings()
         silent = self._watch.doubtful(at_us)
         upcoming = self._upcoming(at_us + settings.foresight_us)
+        if self._gates is not None:
+            upcoming += self._gates.outlook.upcoming(at_us, at_us + settings.foresight_us)
         upcoming += endangered(silent, at_us, self._term.lease_us)
         closing = plan_closings(self._term.cluster, self._deciding.last_plan, settings, upcoming)
         for machine in self._term.cluster.machines.values():
@@ -159,6 +171,7 @@
             Upcoming(job, job.starts_us)
             for job in self._term.chains.blocked.values()
             if job.starts_us is not None
+            and job.held is None
             and job.starts_us <= until_us
             and job.team in self._term.cluster.teams
         ]
@@ -193,3 +206,24 @@
             waiting,
             sum(count * job.spec.cpus for job, count in self._deciding.last_plan.unplaced),
         )
+        self._log_cards()
+
+    def _log_cards(self) -> None:
+        """Say how the fleet's cards are used, where it has any; ``bare`` machines have no CPUs."""
+        machines = [m for m in self._term.cluster.machines.values() if m.type.gpus > 0]
+        if not machines:
+            return
+        names = ("booting", "free", "bare", "assigned", "pulling", "running", "saving")
+        cards = dict.fromkeys(names, 0.0)
+        for machine in machines:
+            state = "booting" if machine.booting else "free" if machine.cpus >= 1.0 else "bare"
+            cards[state] += machine.gpus
+            for attempt in machine.attempts.values():
+                cards[attempt.phase.value] += attempt.job.spec.gpus
+        unplaced = [(job, n) for job, n in self._deciding.last_plan.unplaced if job.spec.gpus > 0]
+        log.info(
+            "cards: %s, allowed %.0f of %d jobs",
+            ", ".join(f"{name} {amount:.0f}" for name, amount in cards.items()),
+            sum(count * job.spec.gpus for job, count in unplaced),
+            len(unplaced),
+        )
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -8,18 +8,25 @@
 
 import hashlib
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.records import FinalRecord, JobRecord, final_key, job_key
 from weldhead.clock import SECOND_US
+from weldhead.emulator.serving import Course, unserved
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import JobSpec, MachineType, split_task
 from weldhead.site.store.model import Store
 from weldhead.transport.state import decode
 
-#: A user that is answered nothing for so long, while others are, was forgotten.
+if TYPE_CHECKING:
+    from weldhead.emulator.calendars import CalendarRules
+
+#: A user that is answered nothing for so long, while most others are, was forgotten; and once
+#: troubles are over, however others fare.
 FORGOTTEN_US = 90 * SECOND_US
+FORGOTTEN_IN_CALM_US = 75 * SECOND_US
 
 
 @dataclass(frozen=True)
@@ -38,7 +45,9 @@
     """What the users of a job know."""
 
     spec: JobSpec
-    accepted: bool = False
+    #: When that was told first, and when the first task ran.
+    accepted_us: int = 0
+    begun_us: int = 0
     final: str = ""
     #: When that was told first.
     final_us: int = 0
@@ -46,6 +55,11 @@
     cancelled_us: int = 0
     failing_since_us: int = 0
 
+    @property
+    def accepted(self) -> bool:
+        """Whether a user was told so."""
+        return bool(self.accepted_us)
+
 
 @dataclass
 class Checker:
@@ -68,6 +82,14 @@
     broken_jobs: set[str] = field(default_factory=set)
     broken_us: float = 0.0
     others_us: float = 0.0
+    #: When the last trouble was over; None while one is to come.
+    calm_us: int | None = None
+    #: Who else looks at starts, and at tasks told to stop: called with task and machine.
+    on_started: list[Callable[[str, str], None]] = field(default_factory=list)
+    on_told_to_stop: list[Callable[[str, str], None]] = field(default_factory=list)
+    calendars: "CalendarRules | None" = None
+    #: Seconds of work that tasks have saved.
+    saved_s: Counter[str] = field(default_factory=Counter)
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
     _begun: set[tuple[str, int]] = field(default_factory=set)
     _polls: Counter[bool] = field(default_factory=Counter)
@@ -103,6 +125,7 @@
         if told is None:
             self.breaks("invented", f"{task} starts, and nobody submitted it")
             return
+        told.begun_us = told.begun_us or self.now_us()
         others = [s for s in self.on[task].values() if s.present() and s.machine != site.machine]
         if others:
             self.breaks(
@@ -114,6 +137,13 @@
         self._check_quota(told.spec.team)
         if told.cancelled_us and self.now_us() - told.cancelled_us > self.cancel_us:
             self.breaks("ran_cancelled", f"{task} starts")
+        for look in self.on_started:
+            look(task, site.machine)
+
+    def told_to_stop(self, task: str, machine: str) -> None:
+        """A task that runs is told to stop."""
+        for look in self.on_told_to_stop:
+            look(task, machine)
 
     def left(self, task: str, machine: str, why: str) -> None:
         """A task is on a machine no more."""
@@ -172,14 +202,17 @@
             self.breaks("wrong_place", f"{spec.id}/{index} starts on {site.machine}")
 
     def _check_quota(self, name: str) -> None:
-        used = 0.0
+        cpus = cards = 0.0
         for task, here in self.on.items():
             told = self.jobs.get(split_task(task)[0])
             if told is not None and told.spec.team == name:
-                used += told.spec.cpus * sum(site.present() for site in here.values())
-        limit = next(team.cpus_max for team in self.teams if team.name == name)
-        if used > limit + 1e-6:
-            self.breaks("quota", f"{name} uses {used:g} of {limit:g} CPUs")
+                present = sum(site.present() for site in here.values())
+                cpus += told.spec.cpus * present
+                cards += told.spec.gpus * present
+        team = next(team for team in self.teams if team.name == name)
+        for used, limit, what in ((cpus, team.cpus_max, "CPUs"), (cards, team.gpus_max, "cards")):
+            if used > limit + 1e-6:
+                self.breaks("quota", f"{name} uses {used:g} of {limit:g} {what}")
 
     # -- users -----------------------------------------------------------------------------
 
@@ -200,25 +233,29 @@
                 self.breaks("invented", f"{verb} of {job_id}, which nobody submitted: 200")
             return
         if verb == "poll":
-            self._polled(told, status in (200, 404), at_us)
+            self._polled(told, status in (200, 404), asked_us or at_us)
         if status in (400, 422) and told.accepted and verb == "submit":
             self.breaks("forgotten", f"{job_id}: repeated submission answered {status}")
         if status == 404 and told.accepted:
             self.breaks("forgotten", f"{job_id}: 404 to a {verb}")
         if status in (200, 201):
-            told.accepted = True
+            told.accepted_us = told.accepted_us or at_us
             self._state(told, state, at_us, at_us if asked_us is None else asked_us)
 
-    def _polled(self, told: Told, good: bool, at_us: int) -> None:
+    def _polled(self, told: Told, good: bool, asked_us: int) -> None:
         self._polls[good] += 1
         if good:
             told.failing_since_us = 0
-        elif not told.failing_since_us:
-            told.failing_since_us = at_us
-        elif (
-            at_us - told.failing_since_us > FORGOTTEN_US and self._polls[True] > self._polls[False]
-        ):
+            return
+        told.failing_since_us = told.failing_since_us or asked_us
+        at_us = self.now_us()
+        most_answered = self._polls[True] > self._polls[False]
+        if at_us - told.failing_since_us > FORGOTTEN_US and most_answered:
             self.breaks("forgotten", f"{told.spec.id}: every poll fails")
+        elif self.calm_us is not None:
+            # This counts from the first question after all troubles.
+            if at_us - max(told.failing_since_us, self.calm_us) > FORGOTTEN_IN_CALM_US:
+                self.breaks("forgotten", f"{told.spec.id}: no answer in calm")
 
     def _state(self, told: Told, state: str, at_us: int, asked_us: int) -> None:
         spec = told.spec
@@ -251,13 +288,24 @@
         entry = self.store.get(job_key(job_id))
         if entry is None or state == "done":
             return False
-        return state != "withdrawn" or decode(bytes(entry.value), JobRecord).cancelled
+        record = decode(bytes(entry.value), JobRecord)
+        if self.calendars is not None:
+            self.calendars.recorded(record)
+        return state != "withdrawn" or record.cancelled
 
     # -- the end ---------------------------------------------------------------------------
 
-    def finish(self) -> None:
-        """The run is over: see what is left."""
+    def _courses(self) -> Iterator[Course]:
+        for told in self.jobs.values():
+            if told.accepted and not told.cancel_asked and told.spec.id not in self.broken_jobs:
+                served = told.final == "done" or (told.spec.is_service and told.begun_us > 0)
+                yield Course(told.spec, told.accepted_us, told.begun_us, served)
+
+    def finish(self, *, serves: bool = False) -> None:
+        """The run is over: see what is left, and who was served if there was room for all."""
         at_us = self.now_us()
+        for text in unserved(self._courses(), at_us) if serves else ():
+            self.breaks("unserved", text)
         for task, here in self.on.items():
             told = self.jobs.get(split_task(task)[0])
             if told is None or not told.cancelled_us:
--- /dev/null
+++ b/weldhead/planning/cards.py
@@ -0,0 +1,220 @@
+"""Whose work makes room for a task that takes cards.
+
+Natjam's Most Resources, in the resource that is short: within the lowest level that has
+something to give, first the job that holds the most cards. Then the task: nearest its end
+where it saves, else the one that has run least. Before both, where there are several to
+choose from: machines whose cache holds the claimant's weights. A card that waits for weights
+is as idle as a free one, and they take longer to fetch than most victims to save; images that
+take less than a step of FETCH_STEP_US make no difference.
+
+Victims are chosen as sets on one machine: a task of several cards fits nowhere else, and
+cards freed here and there are whole for nobody. A team never loses cards that it is
+guaranteed, and a task that was stopped of late keeps its place for a while (``bookkeeping/
+reclaim.py``).
+"""
+
+from collections.abc import Iterable
+from heapq import heapify, heappop, heapreplace
+from typing import TYPE_CHECKING, NamedTuple
+
+from weldhead.account.amounts import need
+from weldhead.bookkeeping.jobs import Attempt, Job
+from weldhead.bookkeeping.machines import EPSILON, Machine
+from weldhead.clock import SECOND_US, seconds_us
+from weldhead.planning.backlog import Shape
+from weldhead.protocol.wire import JobSpec
+
+if TYPE_CHECKING:
+    from weldhead.planning.preemptor import Pass
+
+
+#: Machines on which the claimant's image takes about as long to fetch are equals.
+FETCH_STEP_US = 5 * SECOND_US
+
+
+#: By what sets are compared, the least stops first: the first fields of ``Victims``.
+Order = tuple[int, bool, int, int, int, int]
+
+
+class Victims(NamedTuple):
+    """A set of victims on one machine; compared by the first fields, the least stops first."""
+
+    level: int
+    service: bool
+    #: How many steps the claimant's image takes to fetch.
+    fetch: int
+    #: Place of the job that holds the fewest cards of those in the set.
+    rank: int
+    cost_us: int
+    serial: int
+    machine: Machine
+    attempts: list[Attempt]
+
+    @property
+    def order(self) -> Order:
+        """By what sets are compared."""
+        return self[:6]
+
+
+def fetch_us(spec: JobSpec, machine: Machine) -> int:
+    """How long an image takes to arrive on a machine that fetches nothing else."""
+    if spec.image_gb <= 0:
+        return 0
+    if spec.image in machine.images and spec.image_gb <= machine.type.cache_gb:
+        return 0
+    return seconds_us(spec.image_gb / (machine.type.fetch_gb_per_s or 1.0))
+
+
+class CardClaims:
+    """Claims on cards within one pass.
+
+    Each kind of claimant keeps the machines in order of what it would stop there: at first of
+    the least that it could be, so that only those are looked at closely whose turn comes. As
+    in a pass less and less may be stopped, an order that still holds then is the right one;
+    otherwise the machine is put in its place anew.
+    """
+
+    def __init__(self, run: "Pass") -> None:
+        self._run = run
+        holders = sorted(run.cluster.holders.values(), key=cards_key)
+        self._rank = {job.id: number for number, job in enumerate(holders)}
+        #: The lowest level and the first place of a job on each machine that has cards.
+        self._least: dict[str, tuple[int, int]] = {}
+        for machine in run.cluster.machines.values():
+            if machine.type.gpus > 0 and machine.attempts:
+                jobs = [attempt.job for attempt in machine.attempts.values()]
+                least = min(job.level for job in jobs), min(self._rank[job.id] for job in jobs)
+                self._least[machine.name] = least
+        self._kinds: dict[tuple[object, ...], list[tuple[Order, Machine]]] = {}
+
+    def choose(self, claimant: Job, kind: tuple[object, ...], guaranteed: bool) -> Victims | None:
+        """Return whom to stop for one task of the claimant; None: nobody may be stopped."""
+        kind = (*kind, claimant.spec.image)
+        heap = self._kinds.get(kind)
+        if heap is None:
+            heap = self._kinds[kind] = []
+            for name, (level, rank) in self._least.items():
+                machine = self._run.cluster.machines[name]
+                step = fetch_us(claimant.spec, machine) // FETCH_STEP_US
+                heap.append(((level, False, step, rank, 0, machine.serial), machine))
+            heapify(heap)
+        while heap:
+            order, machine = heap[0]
+            now = self._on(claimant, machine, guaranteed)
+            if now is None:
+                heappop(heap)
+            elif now.order <= order:
+                # Looked at again when it is asked next: what is left there is another set.
+                return now
+            else:
+                heapreplace(heap, (now.order, machine))
+        return None
+
+    def _on(self, claimant: Job, machine: Machine, guaranteed: bool) -> Victims | None:
+        """Return the least set on a machine that makes room for one task, if there is any."""
+        run, spec = self._run, claimant.spec
+        if not machine.type.fits(spec) or not run.may_be_on(claimant, machine):
+            return None
+        room = run.room(machine.name)
+        if room is None:
+            return None
+        short = [spec.cpus - room[0], spec.gpus - room[1], spec.memory_gb - room[2]]
+        may: list[tuple[tuple[int, ...], Attempt]] = []
+        for attempt in machine.attempts.values():
+            if run.may_stop(claimant, attempt, guaranteed):
+                job = attempt.job
+                key = (job.level, job.spec.is_service, self._rank[job.id], *run.key_of(attempt))
+                may.append((key, attempt))
+        may.sort(key=lambda item: item[0])
+        chosen: list[tuple[tuple[int, ...], Attempt]] = []
+        lost: dict[str, int] = {}
+        # Cards first; only then what is missing besides, of those who hold no cards if it can be.
+        for cards, only_cards in ((True, True), (False, False), (True, False)):
+            for key, attempt in may:
+                if not _missing(short, only_cards=only_cards):
+                    break
+                if (attempt.job.spec.gpus > 0) is not cards:
+                    continue
+                if any(attempt is other for _, other in chosen):
+                    continue
+                if cards and not self._may_lose(claimant, attempt, lost):
+                    continue
+                chosen.append((key, attempt))
+                _add(short, attempt.job, -1)
+        if _missing(short) or not chosen:
+            return None
+        # Whoever turns out not to be needed stays, the most protected first.
+        for item in sorted(chosen, key=lambda item: item[0], reverse=True):
+            _add(short, item[1].job, 1)
+            if _missing(short):
+                _add(short, item[1].job, -1)
+            else:
+                chosen.remove(item)
+        if not chosen:
+            return None
+        cost_us = sum(key[-1] for key, _ in chosen)
+        return Victims(
+            max(key[0] for key, _ in chosen), any(key[1] for key, _ in chosen),
+            fetch_us(spec, machine) // FETCH_STEP_US, max(key[2] for key, _ in chosen), cost_us,
+            machine.serial, machine, [attempt for _, attempt in chosen],
+        )  # fmt: skip
+
+    def _may_lose(self, claimant: Job, attempt: Attempt, lost: dict[str, int]) -> bool:
+        """Whether the victim's team keeps what it is guaranteed, with what the set takes of it."""
+        team = attempt.job.team
+        units = lost.get(team, 0) + need(attempt.job.spec.gpus)
+        if team != claimant.team and not self._run.account.may_lose_cards(team, units):
+            return False
+        lost[team] = units
+        return True
+
+
+class KeptCards:
+    """From whom free cards keep their CPUs while work with cards waits.
+
+    From work without cards that has somewhere else to run. Where all machines have cards it
+    would wait for as long as some task of several cards does that fits nowhere.
+    """
+
+    def __init__(self, machines: Iterable[Machine]) -> None:
+        #: One of each kind of machine without cards.
+        self._plain = list(
+            {
+                (m.type.name, m.zone, m.spot): m
+                for m in machines
+                if m.type.gpus <= 0 and not m.draining and not m.deleting
+            }.values()
+        )
+        self._known: dict[Shape, bool] = {}
+
+    def keep_from(self, job: Job) -> bool:
+        """Whether a job's tasks get nothing that free cards need beside them."""
+        if job.spec.gpus > 0:
+            return False
+        shape = Shape.of(job)
+        kept = self._known.get(shape)
+        if kept is None:
+            kept = any(m.allows(job) and m.type.fits(job.spec) for m in self._plain)
+            self._known[shape] = kept
+        return kept
+
+
+def cards_key(job: Job) -> tuple[float, ...]:
+    """Sort the jobs that hold room: in each level first the one that holds the most cards."""
+    return (
+        job.level, job.spec.is_service, -len(job.active) * job.spec.gpus, -job.first_seen_us,
+        job.serial,
+    )  # fmt: skip
+
+
+def _missing(short: Iterable[float], *, only_cards: bool = False) -> bool:
+    cpus, cards, memory_gb = short
+    if only_cards:
+        return cards > EPSILON
+    return cpus > EPSILON or cards > EPSILON or memory_gb > EPSILON
+
+
+def _add(short: list[float], job: Job, sign: int) -> None:
+    short[0] += sign * job.spec.cpus
+    short[1] += sign * job.spec.gpus
+    short[2] += sign * job.spec.memory_gb
--- a/weldhead/planning/holding.py
+++ b/weldhead/planning/holding.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop
 
+from weldhead.account.amounts import need
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
@@ -427,7 +428,7 @@
             # It has changed since it was put in its place.
             return
         given = self._given[job.team]
-        allowed = min(most, cluster.within_limit(job, given[0], given[1]))
+        allowed = min(most, cluster.within_limit(job, (need(given[0]), need(given[1]))))
         if allowed <= 0:
             self._hold_limit(job)
             return
