--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -10,6 +10,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from weldhead.bookkeeping.records import FinalRecord, JobRecord, final_key, job_key
 from weldhead.clock import SECOND_US
@@ -19,6 +20,9 @@
 from weldhead.site.store.model import Store
 from weldhead.transport.state import decode
 
+if TYPE_CHECKING:
+    from weldhead.emulator.calendars import CalendarRules
+
 #: A user that is answered nothing for so long, while most others are, was forgotten; and once
 #: troubles are over, however others fare.
 FORGOTTEN_US = 90 * SECOND_US
@@ -80,6 +84,12 @@
     others_us: float = 0.0
     #: When the last trouble was over; None while one is to come.
     calm_us: int | None = None
+    #: Who else looks at starts, and at tasks told to stop: called with task and machine.
+    on_started: list[Callable[[str, str], None]] = field(default_factory=list)
+    on_told_to_stop: list[Callable[[str, str], None]] = field(default_factory=list)
+    calendars: "CalendarRules | None" = None
+    #: Seconds of work that tasks have saved.
+    saved_s: Counter[str] = field(default_factory=Counter)
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
     _begun: set[tuple[str, int]] = field(default_factory=set)
     _polls: Counter[bool] = field(default_factory=Counter)
@@ -127,6 +137,13 @@
         self._check_quota(told.spec.team)
         if told.cancelled_us and self.now_us() - told.cancelled_us > self.cancel_us:
             self.breaks("ran_cancelled", f"{task} starts")
+        for look in self.on_started:
+            look(task, site.machine)
+
+    def told_to_stop(self, task: str, machine: str) -> None:
+        """A task that runs is told to stop."""
+        for look in self.on_told_to_stop:
+            look(task, machine)
 
     def left(self, task: str, machine: str, why: str) -> None:
         """A task is on a machine no more."""
@@ -185,14 +202,17 @@
             self.breaks("wrong_place", f"{spec.id}/{index} starts on {site.machine}")
 
     def _check_quota(self, name: str) -> None:
-        used = 0.0
+        cpus = cards = 0.0
         for task, here in self.on.items():
             told = self.jobs.get(split_task(task)[0])
             if told is not None and told.spec.team == name:
-                used += told.spec.cpus * sum(site.present() for site in here.values())
-        limit = next(team.cpus_max for team in self.teams if team.name == name)
-        if used > limit + 1e-6:
-            self.breaks("quota", f"{name} uses {used:g} of {limit:g} CPUs")
+                present = sum(site.present() for site in here.values())
+                cpus += told.spec.cpus * present
+                cards += told.spec.gpus * present
+        team = next(team for team in self.teams if team.name == name)
+        for used, limit, what in ((cpus, team.cpus_max, "CPUs"), (cards, team.gpus_max, "cards")):
+            if used > limit + 1e-6:
+                self.breaks("quota", f"{name} uses {used:g} of {limit:g} {what}")
 
     # -- users -----------------------------------------------------------------------------
 
@@ -268,7 +288,10 @@
         entry = self.store.get(job_key(job_id))
         if entry is None or state == "done":
             return False
-        return state != "withdrawn" or decode(bytes(entry.value), JobRecord).cancelled
+        record = decode(bytes(entry.value), JobRecord)
+        if self.calendars is not None:
+            self.calendars.recorded(record)
+        return state != "withdrawn" or record.cancelled
 
     # -- the end ---------------------------------------------------------------------------
 
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -12,11 +12,16 @@
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
+from weldhead.bookkeeping.records import Bound
+from weldhead.calendars.binding import state_of
+from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
 from weldhead.coordination import reports
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.recovery import Recovery
+from weldhead.hearing.evidence import Ear
+from weldhead.planning import preemptor
 from weldhead.protocol.wire import JobStatus
 from weldhead.recovery.readiness import Partial
 
@@ -95,6 +100,30 @@
     yield patch.object(record, "is_faulty", accuses)
 
 
+def _below_a_guarantee() -> Iterator[Any]:
+    """Whatever a team runs counts as borrowed."""
+    yield patch.object(preemptor, "over_guarantee", lambda *_: True)
+
+
+def _deaf_as_healthy() -> Iterator[Any]:
+    """Nothing that a machine shows of not being reached counts."""
+    yield patch.object(Ear, "note", lambda *_: False)
+
+
+def _calendar_of_the_term() -> Iterator[Any]:
+    """A new term binds the jobs that it finds anew, to the instants that come then."""
+    enter = Dues.enter
+
+    def anew(self: Dues, job: Job, at_us: int, wall_us: int) -> None:
+        kept = state_of(self.shelf, job.bound.calendar) if self.shelf and job.bound else None
+        due_us = kept.value.after(wall_us) if kept is not None else None
+        if job.bound is not None and due_us is not None:
+            job.bound = Bound(job.bound.calendar, job.bound.edition, due_us)
+        enter(self, job, at_us, wall_us)
+
+    yield patch.object(Dues, "enter", anew)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -103,6 +132,9 @@
     "in-flight-not-counted": _in_flight_not_counted,
     "everything-settled": _everything_settled,
     "any-failure-accuses": _any_failure_accuses,
+    "below-a-guarantee": _below_a_guarantee,
+    "deaf-as-healthy": _deaf_as_healthy,
+    "calendar-of-the-term": _calendar_of_the_term,
 }
 
 
