--- a/weldhead/coordination/gateoutlook.py
+++ b/weldhead/coordination/gateoutlook.py
@@ -41,6 +41,7 @@
                 continue
             jobs = self._term.cluster.jobs
             acts = [jobs[p.job] for p in book.state.pending if p.job in jobs]
+            book.opening.why = book.why()
             book.opening.starts_us = opens_us(book, {a.id: self._end_us(a, at_us) for a in acts})
             self._lend(book, acts, at_us)
         self.fresh.clear()
