--- /dev/null
+++ b/weldhead/bookkeeping/taken.py
@@ -0,0 +1,166 @@
+"""What was taken: tasks that held cards and were stopped for others. No I/O.
+
+They are to be given back: stopped tasks first, on their last machine, from their checkpoint.
+And none is stopped again and again: a task that was stopped within the last hour is left
+alone until it has run for the least hold, which doubles with each stop in that hour. So
+however claims come and go, no task is stopped more than ``MOST_AN_HOUR`` times an hour:
+before the n-th stop in an hour it has run for LEAST_HOLD_US times 2 to the power n - 2,
+and 120 + 240 + 480 + 960 + 1,920 seconds are more than an hour.
+"""
+
+import zlib
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from weldhead.bookkeeping.jobs import Attempt, Job, TaskState
+from weldhead.clock import SECOND_US
+
+#: How long a task that was stopped is let run when it has begun again.
+LEAST_HOLD_US = 120 * SECOND_US
+#: For so long a stop counts.
+MEMORY_US = 3_600 * SECOND_US
+#: How often the same task is stopped for others within an hour at most.
+MOST_AN_HOUR = 5
+
+
+@dataclass
+class Loan:
+    """One task from which cards were taken: its last machine, and when it was stopped."""
+
+    job_id: str
+    index: int
+    machine: str
+    #: Steady clock; the last one is the latest. No more than MOST_AN_HOUR.
+    stops_us: list[int]
+
+    @property
+    def since_us(self) -> int:
+        """When it was stopped last."""
+        return self.stops_us[-1]
+
+
+class Taken:
+    """The loans of all jobs, by job and task."""
+
+    def __init__(self) -> None:
+        self._loans: dict[str, dict[int, Loan]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(loans) for loans in self._loans.values())
+
+    def clear(self) -> None:
+        """Forget everything, to be read anew."""
+        self._loans.clear()
+
+    def loans(self) -> Iterator[Loan]:
+        """Iterate over all loans."""
+        for loans in self._loans.values():
+            yield from loans.values()
+
+    def of(self, job_id: str) -> dict[int, Loan]:
+        """Return a job's loans by task."""
+        return self._loans.get(job_id, {})
+
+    def stop(self, attempt: Attempt, at_us: int) -> None:
+        """Note that a task is stopped for another."""
+        loans = self._loans.setdefault(attempt.job.id, {})
+        loan = loans.get(attempt.index)
+        if loan is None:
+            loan = loans[attempt.index] = Loan(attempt.job.id, attempt.index, "", [])
+        loan.machine = attempt.machine
+        loan.stops_us = [s for s in loan.stops_us if s > at_us - MEMORY_US] + [at_us]
+
+    def enter(self, loan: Loan) -> None:
+        """Take up a loan from the records."""
+        self._loans.setdefault(loan.job_id, {})[loan.index] = loan
+
+    def hold_us(self, job_id: str, index: int, at_us: int) -> int:
+        """Return for how long a task is let run before it may be stopped for another."""
+        loan = self._loans.get(job_id, {}).get(index)
+        if loan is None:
+            return 0
+        recent = sum(1 for stop_us in loan.stops_us if stop_us > at_us - MEMORY_US)
+        return LEAST_HOLD_US << (recent - 1) if recent else 0
+
+    def kept(self, attempt: Attempt, at_us: int) -> bool:
+        """Whether a task is left alone: it was stopped of late and has not run for long since.
+
+        One that has not begun yet has lost nothing; but it is a stop as any other, and the
+        hold would not bound how often such a task is turned away.
+        """
+        hold_us = self.hold_us(attempt.job.id, attempt.index, at_us)
+        if hold_us == 0:
+            return False
+        return attempt.running_us == 0 or at_us - attempt.running_us < hold_us
+
+    def expire(self, at_us: int, keep: Mapping[str, Job]) -> None:
+        """Drop what nobody asks for any more: of jobs that are over, and what is long past.
+
+        What still waits to be given back is kept, however long it waits.
+        """
+        for job_id, loans in list(self._loans.items()):
+            job = keep.get(job_id)
+            for index, loan in list(loans.items()):
+                waits = job is not None and job.states[index] == TaskState.WAITING
+                if job is None or (loan.since_us <= at_us - MEMORY_US and not waits):
+                    del loans[index]
+            if not loans:
+                del self._loans[job_id]
+
+
+# -- records -------------------------------------------------------------------------------
+
+#: Keys of the records; one holds the loans of many jobs, so that a burst costs few changes.
+TAKEN = "t/"
+#: How many records there are at most; a job's loans are always in the same one.
+SHARDS = 16
+
+#: A row: the task's job and index, its last machine, and the times of day of its stops.
+Row = tuple[str, int, str, tuple[int, ...]]
+
+
+def shard_of(job_id: str) -> int:
+    """Return which record holds a job's loans."""
+    return zlib.crc32(job_id.encode()) % SHARDS
+
+
+def taken_key(shard: int) -> str:
+    """Return the key of a record."""
+    return f"{TAKEN}{shard}"
+
+
+def rows_of(taken: Taken, shard: int, offset_us: int, limit: int) -> list[Row]:
+    """Return a record's rows, the latest stops first, as many as a value of ``limit`` bytes has.
+
+    ``offset_us`` makes times of day of the steady clock's. What a full record leaves out is
+    what was stopped longest ago: it is given back in some order then.
+    """
+    loans = [loan for loan in taken.loans() if shard_of(loan.job_id) == shard]
+    loans.sort(key=lambda loan: (-loan.since_us, loan.job_id, loan.index))
+    rows: list[Row] = []
+    size = 2
+    for loan in loans:
+        stops = tuple(stop_us + offset_us for stop_us in loan.stops_us)
+        row: Row = (loan.job_id, loan.index, loan.machine, stops)
+        size += len(msgspec.json.encode(row)) + 1
+        if size > limit:
+            break
+        rows.append(row)
+    return rows
+
+
+def take_up(taken: Taken, rows: Iterable[Row], jobs: Mapping[str, Job], offset_us: int) -> None:
+    """Take up a record that an earlier leader wrote: who is given back first, and where.
+
+    Stopped tasks are the first of their job to start, the one that was stopped first before
+    the others, each on its last machine if that has room. Tasks that run again already have
+    been found there, or will be: they are not waiting when their turn comes.
+    """
+    for job_id, index, machine, stops in sorted(rows, key=lambda row: (row[3], row[1])):
+        job = jobs.get(job_id)
+        if job is None or index >= job.spec.tasks or not stops:
+            continue
+        taken.enter(Loan(job_id, index, machine, [stop - offset_us for stop in stops]))
+        job.give_back(index, machine)
--- a/weldhead/client/transport.py
+++ b/weldhead/client/transport.py
@@ -105,6 +105,9 @@
     return 0
 
 
+_NO_REASON = "no reason given"
+
+
 def understand(step: Step, job_id: str, status: int, body: bytes, retry_after_us: int = 0) -> Reply:
     """Return what an answer amounts to."""
     if step is Step.UPLOAD:
@@ -130,9 +133,11 @@
         return _refused(status, body)
     if status == 404 and step is not Step.SUBMIT:
         return Missing()
-    reason = _refused(status, body).reason if status == 503 and step is Step.POLL else ""
-    told_why = f"status {status}" + (f": {reason[:200]}" if reason else "")
-    return Failed(told_why, retry_after_us=retry_after_us)
+    why = f"status {status}"
+    if status == 503 and step is Step.POLL and _refused(status, body).reason != _NO_REASON:
+        # It may say by when the job is due, though not how it stands.
+        why += f": {_refused(status, body).reason[:200]}"
+    return Failed(why, retry_after_us=retry_after_us)
 
 
 def _refused(status: int, body: bytes) -> Refused:
@@ -140,5 +145,5 @@
         told = _errors.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         # The status alone decides; what is wrong is not told.
-        return Refused(status, "no reason given")
+        return Refused(status, _NO_REASON)
     return Refused(status, told.error, told.field)
--- a/weldhead/coordination/calendars.py
+++ b/weldhead/coordination/calendars.py
@@ -29,9 +29,12 @@
 from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.documents import Documents, Publisher, Unready
+from weldhead.coordination.history import History
+from weldhead.coordination.lateness import LateNotes
 from weldhead.coordination.term import Term, parts
 from weldhead.documents.records import HEAD_KEY, Offer, document_key, state_key
 from weldhead.protocol.wire import JobSpec
+from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import Compacted, Rejected, StateClient
 
@@ -152,6 +155,15 @@
         publisher.shelf.listeners.append(self._heard)
         publisher.vets.append(self.vet)
         term.dues.shelf = publisher.shelf
+        self.notes = LateNotes(term, publisher)
+        self.history = History(term, publisher)
+
+    def start(self, duties: Duties) -> None:
+        """Begin, once the term is loaded."""
+        self.history.load()
+        duties.start("calendars", self.keep)
+        duties.start("history", self.history.keep)
+        duties.start("late jobs", self.notes.keep)
 
     def _heard(self, key: str) -> None:
         if key == HEAD_KEY:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
-from weldhead.coordination.calendars import CalendarBinder, TableKeeper
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
 from weldhead.coordination.documents import Documents
@@ -128,12 +127,13 @@
 
     def _follow_documents(self, offer: Offer) -> Documents:
         """Begin what a node does that is given documents."""
-        documents = Documents(self._state, offer, self.company.ask_leader)
-        self._duties.start("documents", documents.follow)
-        self._duties.start("edition", documents.bring)
         # Loaded by controllers that are given documents only.
+        from weldhead.coordination.calendars import CalendarBinder, TableKeeper
         from weldhead.coordination.gates import GateBinder
 
+        documents = Documents(self._state, offer, self.company.ask_leader)
+        self._duties.start("documents", documents.follow)
+        self._duties.start("edition", documents.bring)
         documents.binders.append(GateBinder(documents.shelf))
         CalendarBinder(documents, round(self.settings.facts.clock_error_ms * MILLISECOND_US))
         self._duties.start("due table", TableKeeper(documents, self._state).follow)
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -27,6 +27,7 @@
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.documents import Publisher
+from weldhead.coordination.lending import read_taken
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.rentals import Rentals
@@ -145,6 +146,7 @@
             await asyncio.sleep(0)
         # All others have their own priority and deadline.
         self._linking.refresh(term.chains.blocked.values())
+        await read_taken(term, at_us, wall)
         async for entries, _ in term.state.pages(PROGRESS):
             for part in parts(entries):
                 for entry in part:
@@ -254,6 +256,7 @@
         term = self._term
         await self.known.wait()
         term.ready, term.ready_us = True, now_us()
+        term.became_ready.set()
         term.cluster.doubts = {}
         log.info(
             "term %d: ready after %.3f s, %d questions; %s",
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -208,6 +208,9 @@
             if verdict is Verdict.FINISHED and job is not None:
                 job.complete_waiting(index)
                 outcome.completed.append(job)
+            elif job is not None and task.why == "halted":
+                # Stopped by an earlier leader that may have had no time to write it down.
+                job.give_back(index, machine.name)
             return None
         case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT if job is not None:
             return _adopt(cluster, machine, job, index, task, at_us)
@@ -231,6 +234,10 @@
     cluster.adopt(attempt, machine)
     if job.cancelled:
         cluster.stop(attempt, Stop.HARD, at_us, "cancelled")
+    elif attempt.phase is Phase.SAVING:
+        # Whoever led before has stopped it: it goes, and what it holds is being freed. Taken
+        # for one that runs, its team could lose as much once more in the first pass.
+        cluster.stop(attempt, Stop.SOFT, at_us, "stopped by an earlier leader")
     return attempt
 
 
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -4,12 +4,13 @@
 """
 
 import heapq
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import cache
 from itertools import islice
 
+from weldhead.account.teams import within_guarantee
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
@@ -168,26 +169,33 @@
         at_us: int,
         boots: Expectations,
         silent: Collection[str] = (),
+        *,
+        cards: bool = False,
     ) -> None:
+        """Look at CPUs, or at cards for work that takes any."""
         pools: dict[int, float] = defaultdict(float)
         for item in coming:
-            pools[at_us + seconds_us(item.type.boot_s)] += item.type.cpus * item.count
+            amount = item.type.gpus if cards else item.type.cpus
+            pools[at_us + seconds_us(item.type.boot_s)] += amount * item.count
         away = set(silent)
         for machine in cluster.machines.values():
             if machine.deleting or machine.draining or machine.name in away:
                 away.add(machine.name)
             elif machine.booting:
                 if not boots.is_late(machine, at_us):
-                    pools[boots.ready_us(machine, at_us)] += machine.cpus
-            elif machine.cpus > EPSILON:
-                pools[at_us] += machine.cpus
+                    amount = machine.gpus if cards else machine.cpus
+                    pools[boots.ready_us(machine, at_us)] += amount
+            elif (amount := machine.gpus if cards else machine.cpus) > EPSILON:
+                pools[at_us] += amount
         for job in cluster.holders.values():
             if job.spec.is_service:
                 continue
-            task_us, cpus = estimates.task_us(job), job.spec.cpus
+            task_us, amount = estimates.task_us(job), job.spec.gpus if cards else job.spec.cpus
+            if cards and amount <= 0:
+                continue
             for attempt in job.active.values():
                 if attempt.machine not in away:
-                    pools[at_us + attempt.remaining_us(task_us, at_us)] += cpus
+                    pools[at_us + attempt.remaining_us(task_us, at_us)] += amount
         #: When how many CPUs are given back. What comes at one moment is one item, as are
         #: tasks that start together: their number is not what this costs.
         self._heap = list(pools.items())
@@ -249,11 +257,15 @@
     settings: FleetSettings,
     upcoming: Sequence[Upcoming] = (),
     backlog: int = 0,
+    cards: Callable[[], _Queue] | None = None,
 ) -> Missing:
     """Forecast what waits too long if nothing more is rented.
 
-    ``backlog`` is how many jobs wait; of very many only the foremost are looked at.
+    ``backlog`` is how many jobs wait; of very many only the foremost are looked at. ``cards``
+    makes the queue for cards, in which work that takes any has its place besides: free CPUs
+    elsewhere are no room for it, and nothing was rented for it while there were some.
     """
+    of_cards: _Queue | None = None
     missing = Missing()
     boot_up_us = at_us + boot_us
     held = defaultdict(float, {team: usage.cpus for team, usage in cluster.usage.items()})
@@ -277,12 +289,20 @@
         # (A job that still waits for others has no waiting tasks by which to count.)
         team = cluster.teams[job.team]
         guaranteed = how_many(job.spec, team.cpus - held[job.team], team.gpus) >= count
+        if job.spec.gpus > 0:
+            cpus, used = cluster.usage[job.team].units
+            guaranteed = within_guarantee(team, (cpus, used), job.spec, count) >= count
         held[job.team] += job.spec.cpus * count
         late_us = settings.overdue_patience_us if lost else max(0, target_us - task_us - up_us)
         bound_us = up_us if guaranteed else up_us + late_us
         stretch = stretches(job)
         slow = late = 0
-        for start_us, together in queue.take(job.spec.cpus, task_us, ready_us, count):
+        taken = queue.take(job.spec.cpus, task_us, ready_us, count)
+        if job.spec.gpus > 0 and cards is not None:
+            of_cards = of_cards or cards()
+            deque(taken, maxlen=0)
+            taken = of_cards.take(job.spec.gpus, task_us, ready_us, count)
+        for start_us, together in taken:
             never = start_us is None
             start_us = 0 if start_us is None else ready_us + round((start_us - ready_us) * stretch)
             # A machine rented now is up only after its boot: it helps only what would
@@ -358,6 +378,7 @@
         settings,
         upcoming,
         backlog,
+        lambda: _Queue(cluster, coming, estimates, at_us, boots, silent, cards=True),
     )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
@@ -630,6 +651,20 @@
         idle_us = at_us - machine.idle_since_us
         paid = at_us - machine.hired_us >= settings.minimum_charge_us
         keep_us = settings.keep_idle_spot_us if machine.spot else settings.keep_idle_us
-        if machine.draining or (paid and (machine.closing or idle_us >= keep_us)):
+        if machine.closing:
+            keep_us = 0
+        if machine.draining or (paid and idle_us >= max(keep_us, weights_worth_us(machine))):
             found.append(machine)
     return found
+
+
+def weights_worth_us(machine: Machine) -> int:
+    """Return for how long an idle machine with cards is worth keeping for what its cache holds.
+
+    For as long as it would take another one to boot and to fetch the same: so whether or not
+    the weights are wanted again, no more than twice the least is paid.
+    """
+    if machine.type.gpus <= 0 or not machine.images:
+        return 0
+    rate = machine.type.fetch_gb_per_s or 1.0
+    return seconds_us(machine.type.boot_s + max(machine.images.values()) / rate)
