--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -56,6 +56,20 @@
 """
 
 
+def test_who_only_binds_jobs_loads_no_libraries_of_calendars() -> None:
+    """A controller with documents: only the leader of the moment computes instants."""
+    program = """
+import sys
+sys.path[:0] = [{root!r}, {deps!r}]
+import weldhead.coordination.calendars, weldhead.coordination.gates, weldhead.documents.source
+print(sorted({{"dateutil", "zoneinfo"}} & set(sys.modules)))
+""".format(root=str(ROOT), deps=str(ROOT / "target/deps"))
+    ran = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, timeout=60, check=True
+    )
+    assert ran.stdout == "[]\n"
+
+
 def test_serve_imports_nothing_of_the_new_parts() -> None:
     program = PROGRAM.format(
         root=str(ROOT), deps=str(ROOT / "target/deps"), extras=str(ROOT / "target/extras")
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -71,9 +71,9 @@
         self.market = Market(types=types)
         self.boots = Boots()
         self.tally = Tally()
+        self.dues = Dues(round(settings.facts.clock_error_ms * MILLISECOND_US))
         #: What was taken from whom, to be given back.
         self.taken = Taken()
-        self.dues = Dues(round(settings.facts.clock_error_ms * MILLISECOND_US))
         self.duties = Duties()
         workers = settings.facts.workers
         self.lease_us = seconds_us(workers.lease_s)
@@ -88,6 +88,7 @@
         #: Recovery is over: work may be started and evicted.
         self.ready = False
         self.ready_us = 0
+        self.became_ready = asyncio.Event()
         #: Something that placement should look at.
         self.place = asyncio.Event()
         #: Jobs may be over, or have completions to commit.
--- a/weldhead/planning/backlog.py
+++ b/weldhead/planning/backlog.py
@@ -16,7 +16,7 @@
 from itertools import islice
 from typing import NamedTuple
 
-from weldhead.account.amounts import NOTHING, Amount, bound, need, needs, times_in
+from weldhead.account.amounts import NOTHING, Amount, need, needs, times_in
 from weldhead.account.teams import bounds_of, left, within_guarantee
 from weldhead.bookkeeping.cluster import CERTAIN, Cluster, Doubt
 from weldhead.bookkeeping.jobs import Job
@@ -226,8 +226,8 @@
         limit = bounds_of(self._team).limit
         # While machines are unknown, what they may hold of the team counts as used.
         self._left: Amount = (
-            left(limit[0], cpus, bound(doubt.cpus)),
-            left(limit[1], cards, bound(doubt.gpus)),
+            left(limit[0], cpus, need(doubt.cpus)),
+            left(limit[1], cards, need(doubt.gpus)),
         )
         #: What was given so far, in units.
         self.given: Amount = NOTHING
