--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.builders import add_job, add_machine, cluster, job_spec, machine_type
+from tests.builders import add_job, add_machine, cluster, job_spec, machine_type, report
 from weldhead.account.amounts import UNBOUNDED, UNITS, Resource, bound, need, needs
 from weldhead.account.teams import Account, bounds_of
 from weldhead.bookkeeping.cluster import Cluster
@@ -23,7 +23,7 @@
     shard_of,
     take_up,
 )
-from weldhead.coordination.reports import request_stop
+from weldhead.coordination.reports import apply_report, request_stop
 from weldhead.planning.cards import fetch_us
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.fleet import Market, plan_hires, plan_returns
@@ -31,6 +31,7 @@
 from weldhead.planning.placement import Plan, Room, fetch_delay_us, plan_starts
 from weldhead.planning.preemptor import plan_reclaims
 from weldhead.protocol.settings import Objective, Team
+from weldhead.protocol.wire import TaskReport
 from weldhead.tunables.defaults import Tunables
 
 S = 1_000_000
@@ -182,6 +183,28 @@
     assert len(victims(found)) == 2
 
 
+def test_two_leaders_in_overlap_take_no_more_than_one() -> None:
+    """What the former leader stopped is saving when the next one finds it."""
+    into = with_cards(4)
+    tuned = add(into, tuning(1, 8))
+    place(into, S)
+    add(into, replicas(2, 24))
+    stopped = victims(reclaim(into, place(into, 2 * S), ReclaimLists(), 2 * S))
+    assert len(stopped) == 6
+    after = with_cards(4)
+    add(after, tuning(1, 8))
+    add(after, replicas(2, 24))
+    for machine in after.machines.values():
+        tasks = [
+            TaskReport(a.task, a.number, "saving" if a in stopped else "running")
+            for a in tuned.active.values()
+            if a.machine == machine.name
+        ]
+        apply_report(after, machine, report(machine, 5, tasks), 3 * S, direct=False)
+    assert len(after.stopping) == 6
+    assert victims(reclaim(after, place(after, 3 * S), ReclaimLists(), 3 * S)) == []
+
+
 def test_two_teams_that_burst_at_once_keep_each_to_its_own() -> None:
     into = with_cards(4, Team("serving", 0, 0, 8), Team("other", 0, 0, 8), Team("tuning", 0))
     add(into, tuning(1, 8))
