--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -44,6 +44,9 @@
         ("recovery", 6),
         ("blame", 2),
         ("boots", 1),
+        ("admission", 2),
+        ("membership", 2),
+        ("planning", 11),
         ("admission", 1),
         ("planning", 12),
         ("account", 2),
@@ -52,9 +55,6 @@
         ("calendars", 8),
         ("gates", 3),
         ("hearing", 3),
-        ("admission", 2),
-        ("membership", 2),
-        ("planning", 11),
     ],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -103,9 +103,12 @@
 class Opening:
     """What holds jobs that wait for the same; shared by all of them."""
 
-    __slots__ = ("starts_us",)
+    __slots__ = ("name", "starts_us", "why")
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "") -> None:
+        #: The gate, and what it waits for in words, as far as is known.
+        self.name = name
+        self.why = ""
         #: When they are expected to wait no more, on the steady clock; None: cannot be told.
         self.starts_us: int | None = None
 
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -196,28 +196,28 @@
 
     async def _accept(self, spec: JobSpec) -> Response:
         """Judge a job by what the store says, and create it."""
-        refused: Refusal | None = None
+        trouble: Refusal | CallFailed
         try:
             record, binding = self._bound(spec, wall_us())
             check_feasible(spec, self._teams, self._node.catalog)
             size = len(_encode(record))
             check_size(spec, size, self._state.limits.value_bytes)
             await self._check_needs(spec)
-            return await self._create(record, size, binding.conditions)
-        except Refusal as error:
-            refused = error
-        except CallFailed:
-            # What it needs or is bound by cannot be read just now; accepted before, it needs no
-            # reading.
-            if not spec.needs and self._node.documents is None:
-                raise
-        # An accepted job stays accepted, whatever has changed since.
+        except (Refusal, CallFailed) as error:
+            trouble = error
+        else:
+            try:
+                return await self._create(record, size, binding.conditions)
+            except Refusal as error:
+                trouble = error
+        # An accepted job stays accepted, whatever has changed since, and whatever cannot be
+        # told just now of what it needs or is bound to.
         stored = await self._from_store(spec.id)
         if stored is not None:
             return Response(200, _encode(stored))
-        if refused is None:
-            raise CallFailed("what it needs or is bound by cannot be read")
-        return refusal(refused.status, refused.reason, refused.field)
+        if isinstance(trouble, CallFailed):
+            raise trouble
+        return refusal(trouble.status, trouble.reason, trouble.field)
 
     def _bound(self, spec: JobSpec, at_us: int) -> tuple[JobRecord, Binding]:
         """Return a job's record with what calendars and gates say; CallFailed if unknown."""
--- a/weldhead/gates/book.py
+++ b/weldhead/gates/book.py
@@ -32,7 +32,7 @@
         self.changed = True
         #: All jobs that are bound to it, held or not.
         self.jobs: dict[str, Job] = {}
-        self.opening = Opening()
+        self.opening = Opening(name)
         #: Acts that are entered and wait until it is surely closed.
         self.waiting: dict[str, Job] = {}
         #: No task of a job that it holds can begin any more.
