--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -47,6 +47,7 @@
         ("admission", 1),
         ("planning", 11),
         ("documents", 4),
+        ("gates", 3),
         ("hearing", 3),
     ],
 )
