Emulator: a gate whose acts are jobs; what starts while it is closed, and what opens it again

Users rebuild, approve, publish and withdraw; rules stale_start and gate_reopened are judged by what has truly completed.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -27,6 +27,8 @@
     "everything-settled": "half-silent",
     "below-a-guarantee": "cards",
     "deaf-as-healthy": "deaf",
+    "gate-from-memory": "gate",
+    "gate-opened-by-a-late-write": "gate",
 }
 MOST_SEEDS = 8
 #: What is found on machines while nothing is wrong with the controllers.
@@ -87,7 +89,7 @@
 
 @pytest.mark.parametrize(
     ("name", "controllers"),
-    [("deaf", 5), ("copies", 3), ("alone", 3), ("at-once", 5), ("cards", 3)],
+    [("deaf", 5), ("copies", 3), ("alone", 3), ("at-once", 5), ("cards", 3), ("gate", 3)],
 )
 def test_new_troubles(name: str, controllers: int) -> None:
     """Deaf machines, copies of reports, lone controllers, lives that follow at once; cards."""
--- a/weldhead/emulator/controller.py
+++ b/weldhead/emulator/controller.py
@@ -5,6 +5,7 @@
 
 from weldhead.clock import now_us
 from weldhead.coordination.node import Node
+from weldhead.documents.records import Offer
 from weldhead.emulator.loop import Life, VirtualLoop
 from weldhead.emulator.network import Network, SimulatedHttp, SimulatedServer
 from weldhead.protocol.settings import Settings
@@ -22,12 +23,13 @@
         settings: Settings,
         tunables: Tunables,
         clock: tuple[float, int],
+        offer: Offer | None,
         answered: Callable[["Controller", str], None],
     ) -> None:
         self._loop, self._network, self._tunables = loop, network, tunables
         self.settings = settings
         self.name = settings.name
-        self._clock, self._answered = clock, answered
+        self._clock, self._offer, self._answered = clock, offer, answered
         self.life: Life | None = None
         self.node: Node | None = None
 
@@ -45,6 +47,7 @@
                 client=lambda *_: SimulatedHttp(network),
                 server=lambda handler: SimulatedServer(network, partial(watched, handler)),
                 started_us=now_us(),
+                offer=self._offer,
             )
             await node.run()
 
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -9,10 +9,13 @@
 
 from weldhead.clock import SECOND_US, now_us
 from weldhead.coordination.leader import Leader
+from weldhead.documents.records import Offer
+from weldhead.documents.source import parse_source
 from weldhead.emulator.cards import CardRules, Holding
 from weldhead.emulator.checker import Checker
 from weldhead.emulator.controller import Controller
 from weldhead.emulator.faults import Faults
+from weldhead.emulator.gates import GateKeeper
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
@@ -106,6 +109,9 @@
             loop, self.network, kinds, scenario.cloud_rps, self._machine,
             random.Random(rng.random()),
         )  # fmt: skip
+        self.offer: Offer | None = None
+        if scenario.documents:
+            self.offer = parse_source(scenario.name, scenario.documents, limits.value_bytes)
         self.controllers = self._make_controllers(teams, limits)
         self.addresses = {c.name: c.settings.listen for c in self.controllers}
         self.users = Users(loop, self.network, self.checker, scenario, self.jobs, self.addresses,
@@ -116,6 +122,13 @@
         )  # fmt: skip
         lease_us = round(scenario.lease_s * SECOND_US)
         self.cards = CardRules(self.checker, lease_us, self._holdings)
+        self.keeper: GateKeeper | None = None
+        if self.offer is not None and any(
+            name.startswith("gate/") for name in self.offer.documents
+        ):
+            self.keeper = GateKeeper(
+                self.offer, self.users, self.checker, random.Random(rng.random())
+            )
         self.undecided: list[float] = []
         self.led_s: dict[int, float] = {}
         self.ready_s: dict[int, float] = {}
@@ -146,7 +159,13 @@
             clock = rate, self.rng.randint(-500_000, 500_000)
             made.append(
                 Controller(
-                    self.loop, self.network, settings, self.tunables, clock, self.check_lease
+                    self.loop,
+                    self.network,
+                    settings,
+                    self.tunables,
+                    clock,
+                    self.offer,
+                    self.check_lease,
                 )
             )
             self.network.known(settings.listen, peer.name)
@@ -181,6 +200,8 @@
             controller.start()
         duties = self.faults.start()
         duties.append(asyncio.create_task(self._look()))
+        if self.keeper is not None:
+            duties.append(asyncio.create_task(self.keeper.keep()))
         if self.scenario.card_machines:
             duties.append(asyncio.create_task(self._look_at_cards()))
         self.users.store(self.store.service.store)
@@ -205,6 +226,8 @@
         while True:
             await asyncio.sleep(LOOK_S)
             ready = False
+            if self.keeper is not None:
+                self.keeper.look()
             for controller in self.controllers:
                 node, life = controller.node, controller.life
                 leader = node.leader if node is not None else None
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -13,14 +13,17 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
 from weldhead.clock import now_us
-from weldhead.coordination import reports
+from weldhead.coordination import gates, reports
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.recovery import Recovery
+from weldhead.documents.shelf import Shelf
+from weldhead.gates.state import GateState
 from weldhead.hearing.evidence import Ear
 from weldhead.planning import preemptor
-from weldhead.protocol.wire import JobStatus
+from weldhead.protocol.wire import Condition, Delete, JobStatus, Put
 from weldhead.recovery.readiness import Partial
+from weldhead.transport.state import StateClient
 
 
 def _lease_from_the_answer() -> Iterator[Any]:
@@ -107,6 +110,33 @@
     yield patch.object(Ear, "note", lambda *_: False)
 
 
+def _gate_from_memory() -> Iterator[Any]:
+    """A term takes a gate for open as somebody knew it last, whatever is on record now."""
+    read, memory = gates._state, dict[str, GateState]()
+
+    def remembered(shelf: Shelf, name: str) -> GateState | None:
+        state = read(shelf, name)
+        if state is not None and state.newest is not None and state.newest.open:
+            memory[name] = state
+        return memory.get(name, state)
+
+    yield patch.object(gates, "_state", remembered)
+
+
+def _gate_opened_by_a_late_write() -> Iterator[Any]:
+    """A gate's state is written whoever leads by then, and whatever was written since."""
+    transact = StateClient.transact
+
+    async def anyhow(
+        self: StateClient, conditions: list[Condition], writes: list[Put | Delete], **more: Any
+    ) -> int:
+        if any(write.key.startswith("d/state/gate/") for write in writes):
+            conditions = []
+        return await transact(self, conditions, writes, **more)
+
+    yield patch.object(StateClient, "transact", anyhow)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -117,6 +147,8 @@
     "any-failure-accuses": _any_failure_accuses,
     "below-a-guarantee": _below_a_guarantee,
     "deaf-as-healthy": _deaf_as_healthy,
+    "gate-from-memory": _gate_from_memory,
+    "gate-opened-by-a-late-write": _gate_opened_by_a_late_write,
 }
 
 
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -160,6 +160,8 @@
     serves: bool = False
     faults: list[Fault] = []
     drawn: Drawn | None = None
+    #: The file of gates and calendars that all controllers are given; empty: none.
+    documents: str = ""
 
 
 def parse_scenario(source: str, text: str) -> Scenario:
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -121,7 +121,15 @@
             record = msgspec.Raw(_encode(JobRecord(spec, self._loop.true_us)))
             store.commit(Batch([], [Write(set=job_key(spec.id), value=record)]), 0)
 
-    def _draw(self, job: JobClass, tasks: int) -> JobSpec:
+    def act(self, job_class: str, *needs: str) -> str:
+        """Submit a job of one task that needs others; return its id."""
+        job = next(each for each in self._scenario.jobs if each.name == job_class)
+        spec = self._draw(job, 1, needs)
+        self._checker.submitted(spec)
+        self._loop.spawn(self.life, lambda: self._follow(spec, job))
+        return spec.id
+
+    def _draw(self, job: JobClass, tasks: int, needs: tuple[str, ...] = ()) -> JobSpec:
         self._count += 1
         cpus = job.cpus
         if job.large_cpus and self._count % job.large_each == 0:
@@ -131,7 +139,7 @@
             "standing" if job.standing else "batch", job.priority, tasks, cpus,
             job.cards, 1.0, f"img-{job.name}", job.image_gb, job.one_zone, job.spread, True,
             0.0 if job.standing else self._rng.uniform(0.2, 2.0) * job.run_s,
-            job.saves_every_s, job.save_s,
+            job.saves_every_s, job.save_s, needs=needs or None,
         )  # fmt: skip
         self._jobs[spec.id] = spec
         return spec
