--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -8,6 +8,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from weldhead.account.teams import Account
 from weldhead.blame import record
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
@@ -106,6 +107,7 @@
 def _below_a_guarantee() -> Iterator[Any]:
     """Whatever a team runs counts as borrowed."""
     yield patch.object(preemptor, "over_guarantee", lambda *_: True)
+    yield patch.object(Account, "may_lose_cards", lambda *_: True)
 
 
 def _deaf_as_healthy() -> Iterator[Any]:
