--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -22,6 +22,7 @@
 from weldhead.planning.cards import KeptCards
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
+from weldhead.planning.holding import Holds
 from weldhead.protocol.wire import JobSpec
 
 #: Seconds of image fetching that are worth not starting on an idle machine, and on one that
@@ -36,6 +37,10 @@
 #: A card that is left over weighs more than CPUs: tasks of several need them on one machine.
 CARD_FIT_WEIGHT = 8.0
 
+#: Work that ends before a held machine is wanted may still run there: its estimate counts so
+#: many times, as estimates are rough.
+FILL_FACTOR = 2
+
 
 @dataclass(frozen=True)
 class Start:
@@ -113,8 +118,19 @@
     between passes not before some appears (``FreeRooms``).
     """
 
-    def __init__(self, free: FreeRooms, at_us: int, silence_us: int) -> None:
+    def __init__(
+        self,
+        free: FreeRooms,
+        at_us: int,
+        silence_us: int,
+        holds: Holds | None = None,
+        estimates: Estimates | None = None,
+    ) -> None:
         self._free = free
+        #: Machines that are held for others' work, and until when that cannot begin there.
+        self._held = holds.machines if holds is not None else {}
+        self._until_us = holds.until_us if holds is not None else {}
+        self._estimates = estimates
         self._at_us = at_us
         self._silence_us = silence_us
         self._rooms: dict[str, Room] = {}
@@ -126,6 +142,24 @@
         """Whether it is known that no machine has room for the job's tasks."""
         return Shape.of(job) in self._hopeless
 
+    def room_of(self, machine: Machine) -> Room:
+        """Return what is left of a machine in this pass."""
+        room = self._rooms.get(machine.name)
+        if room is None:
+            room = self._rooms[machine.name] = Room(machine, self.keep)
+        return room
+
+    def _may_fill(self, job: Job, room: Room) -> bool:
+        """Whether a task surely ends before a held machine can be used as it is to be."""
+        until_us, _ = self._until_us.get(room.machine.name, (0, 0))
+        if until_us <= self._at_us or self._estimates is None or job.spec.is_service:
+            return False
+        task_us = self._estimates.task_us(job)
+        # One of no estimate may run for ever.
+        return task_us > 0 and (
+            self._at_us + fetch_delay_us(job, room) + FILL_FACTOR * task_us <= until_us
+        )
+
     def for_job(self, job: Job) -> list[Room]:
         """Return the machines with room for the job's tasks."""
         shape = Shape.of(job)
@@ -136,9 +170,9 @@
         for machine in self._free.candidates(shape, job.spec.cpus, job.spec.memory_gb):
             if not machine.allows(job) or not usable(machine, self._at_us, self._silence_us):
                 continue
-            room = self._rooms.get(machine.name)
-            if room is None:
-                room = self._rooms[machine.name] = Room(machine, self.keep)
+            room = self.room_of(machine)
+            if machine.name in self._held and not self._may_fill(job, room):
+                continue
             if room.fits(job) > 0:
                 fitting.append(room)
             else:
@@ -150,6 +184,17 @@
         return fitting
 
 
+class HeldRoom:
+    """A machine that is held, for the job that it is held for."""
+
+    def __init__(self, room: Room) -> None:
+        self._room = room
+
+    def for_job(self, job: Job) -> list[Room]:
+        """Return the machine if it has room for the job's tasks."""
+        return [self._room] if self._room.fits(job) > 0 else []
+
+
 def usable(machine: Machine, at_us: int, silence_us: int) -> bool:
     """Whether new work may be placed on a machine."""
     return (
@@ -208,8 +253,11 @@
         self, cluster: Cluster, estimates: Estimates, goals: Goals, patience_us: int
     ) -> None:
         self.cluster = cluster
+        self.estimates = estimates
         self.backlog = Backlog(cluster, estimates, goals, patience_us)
         self.free = FreeRooms(cluster.machines)
+        #: What is kept free for wide work; nothing unless somebody decides it.
+        self.holds = Holds()
 
     def refresh(self, at_us: int) -> None:
         """Take up what has changed, and what time has brought."""
@@ -275,8 +323,10 @@
     plan = Plan()
     if not scene.backlog.queues:
         return plan
-    rooms = Rooms(scene.free, at_us, silence_us)
+    rooms = Rooms(scene.free, at_us, silence_us, scene.holds, scene.estimates)
     run = _PlacementPass(scene, plan, rooms, fetch_weight, may_start)
+    if scene.holds.machines or scene.holds.limits:
+        run.give_held(scene, at_us, silence_us, may_start)
     # Two rounds: first what each team is guaranteed, then what it borrows.
     run.give(guaranteed=True)
     run.give(guaranteed=False)
@@ -318,6 +368,39 @@
         self._planned: dict[str, int] = defaultdict(int)
         self._zones: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
 
+    def give_held(
+        self,
+        scene: Scene,
+        at_us: int,
+        silence_us: int,
+        may_start: Callable[[Job], bool] | None,
+    ) -> None:
+        """Give held machines to those that they are held for, before anything else.
+
+        What is kept of their teams' limits is out of the others' reach.
+        """
+        kept = {team: list(limit) for team, limit in scene.holds.limits.items()}
+        for name, job_id in scene.holds.machines.items():
+            place, machine = scene.backlog.place_of(job_id), self._cluster.machines.get(name)
+            if place is None or machine is None or not usable(machine, at_us, silence_us):
+                continue
+            job = place[1].job
+            if not machine.allows(job) or (may_start is not None and not may_start(job)):
+                continue
+            reserve = self._reserves[job.team]
+            allowed = min(
+                job.waiting - self._planned[job.id], self._most(job, reserve, guaranteed=False)
+            )
+            if allowed <= 0:
+                continue
+            placed = self._place(job, allowed, reserve, HeldRoom(self._rooms.room_of(machine)))
+            if job.team in kept:
+                kept[job.team][0] -= placed * job.spec.cpus
+                kept[job.team][1] -= placed * job.spec.gpus
+        for team, (cpus, gpus) in kept.items():
+            if team in self._reserves:
+                self._reserves[team].withhold(max(0.0, cpus), max(0.0, gpus))
+
     def give(self, *, guaranteed: bool) -> None:
         """Go through the queues in one order, and leave those where no more is to be had."""
         if not guaranteed:
@@ -357,10 +440,12 @@
         most = reserve.within_limit(job)
         return min(most, reserve.within_guarantee(job)) if guaranteed else most
 
-    def _place(self, job: Job, allowed: int, reserve: Reserve) -> int:
+    def _place(
+        self, job: Job, allowed: int, reserve: Reserve, rooms: Rooms | HeldRoom | None = None
+    ) -> int:
         placed = _place(
-            self._plan, job, allowed, self._rooms, self._planned[job.id], self._zones[job.id],
-            self._fetch_weight,
+            self._plan, job, allowed, rooms or self._rooms, self._planned[job.id],
+            self._zones[job.id], self._fetch_weight,
         )  # fmt: skip
         if placed:
             self._planned[job.id] += placed
@@ -373,7 +458,7 @@
     plan: Plan,
     job: Job,
     most: int,
-    rooms: Rooms,
+    rooms: Rooms | HeldRoom,
     skip: int,
     zones: dict[str, int],
     fetch_weight: float,
