A former life's record was there before anybody answered this one

Who comes back at once had waited 3 s for leaders that had long said that they are in no term, as their answers were older than its reading of the key.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -261,6 +261,10 @@
         for link in node._links:
             node.heard_pong(link, Pong(1, True, 3, False), asked_us)
         assert node._earlier_us == 0
+        # Of a record from before this life, also those count that said so before it was read.
+        node._read_token = 0
+        await node.read_leader()
+        assert node._earlier_us == 0
 
     asyncio.run(read())
 
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -59,6 +59,8 @@
         self._leader_revision = 0
         #: Nonces of this process's own records: any other under our name is a former life's.
         self._nonces: set[str] = set()
+        #: How all nonces of this process begin, those given up among them.
+        self._life = secrets.token_hex(4)
         self._vacant = asyncio.Event()
         #: One attempt at the key at a time: the end of an earlier one spoiled a later one's term.
         self._standing = asyncio.Lock()
@@ -68,6 +70,8 @@
         self._ended: set[str] = set()
         #: The newest version at which the key was read, and when it was first read.
         self._read_token = self._read_us = 0
+        #: Whether a former life of this node wrote that.
+        self._read_former = False
         #: The leader that this node last tried to replace.
         self._tried_token = 0
         self.judging = Judging(links, duties, self._judged_dead)
@@ -132,8 +136,12 @@
         record = decode(bytes(entry.value), LeaderRecord)
         if entry.version != self._read_token:
             self._read_token, self._read_us = entry.version, now_us()
-            self._ended.clear()
-            if record.earlier_us:
+            mine = record.name == self.settings.name
+            former = mine and not record.nonce.startswith(self._life)
+            # What a former life wrote was there before anybody answered this one.
+            self._read_former = former
+            self._ended = set(self._in_no_term) if former else set()
+            if record.earlier_us and len(self._ended) < len(self._links):
                 over_us = surely_over_us(self._read_us, record.earlier_us)
                 self._earlier_us = max(self._earlier_us, over_us)
         if self.leader is not None and entry.version > self.leader.token:
@@ -223,7 +231,7 @@
         async with self._standing:
             if self.leader is not None:
                 return
-            nonce = secrets.token_hex(8)
+            nonce = self._life + secrets.token_hex(4)
             self._nonces.add(nonce)
             try:
                 await self._stand(replaced, believes_us, nonce)
@@ -394,7 +402,7 @@
         self._in_no_term.add(name)
         if len(self._in_no_term) == len(self._links):
             self.candidacy.nobody_leads()
-        if sent_us >= self._read_us:
+        if sent_us >= self._read_us or self._read_former:
             self._ended.add(name)
         if len(self._ended) == len(self._links):
             # Whoever led before that record was written has ended since.
