--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -48,6 +48,8 @@
         ("membership", 2),
         ("planning", 11),
         ("admission", 1),
+        ("planning", 12),
+        ("account", 2),
         ("planning", 11),
         ("documents", 4),
         ("calendars", 8),
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -103,9 +103,12 @@
 class Opening:
     """What holds jobs that wait for the same; shared by all of them."""
 
-    __slots__ = ("starts_us",)
+    __slots__ = ("name", "starts_us", "why")
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "") -> None:
+        #: The gate, and what it waits for in words, as far as is known.
+        self.name = name
+        self.why = ""
         #: When they are expected to wait no more, on the steady clock; None: cannot be told.
         self.starts_us: int | None = None
 
@@ -324,6 +327,13 @@
             self.restarts.append(index)
         self.touch()
 
+    def give_back(self, index: int, machine: str) -> None:
+        """An earlier leader stopped a task: it starts first, and best where it was last."""
+        if self.states[index] == TaskState.WAITING and index not in self.restarts:
+            self.restarts.append(index)
+            self.last_machine[index] = machine
+            self.touch()
+
     def complete_waiting(self, index: int) -> None:
         """Record that a task without an active attempt turned out to be completed."""
         if self.states[index] != TaskState.WAITING:
--- a/weldhead/bookkeeping/reclaim.py
+++ b/weldhead/bookkeeping/reclaim.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from weldhead.bookkeeping.jobs import Attempt
+from weldhead.bookkeeping.taken import Taken
 
 
 @dataclass
@@ -26,8 +27,10 @@
 class ReclaimLists:
     """The lists of all waiting jobs."""
 
-    def __init__(self) -> None:
+    def __init__(self, taken: Taken | None = None) -> None:
         self._lists: dict[str, list[Reclaim]] = {}
+        #: Tasks that were stopped for others while they held cards.
+        self.taken = taken if taken is not None else Taken()
 
     def add(self, reclaim: Reclaim) -> None:
         """Enter a request."""
--- a/weldhead/calendars/lateness.py
+++ b/weldhead/calendars/lateness.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from weldhead.bookkeeping.cluster import Cluster
@@ -28,33 +28,43 @@
     UNKNOWN = "unknown"
 
 
-def standing(job: Job, at_us: int, *, has_history: bool) -> Standing:
-    """Say how a bound job stands, by its latest forecast; ``due_s`` is another matter."""
+def standing(job: Job, at_us: int, *, has_history: bool, least_us: int = 0) -> Standing:
+    """Say how a bound job stands, by its latest forecast; ``due_s`` is another matter.
+
+    ``least_us`` is what it would take if it were released now: one that is held, nobody knows
+    for how long, is late when even that is too much.
+    """
     due_us = job.bound_due_us
     if due_us is None or job.complete:
         return Standing.ON_TRACK
     if at_us > due_us or job.broken:
         return Standing.LATE
-    if not has_history or job.forecast_us is None:
+    if not has_history:
         return Standing.UNKNOWN
+    if job.forecast_us is None:
+        too_much = job.held is not None and at_us + least_us > due_us
+        return Standing.LATE if too_much else Standing.UNKNOWN
     return Standing.LATE if job.forecast_us > due_us else Standing.ON_TRACK
 
 
-def reason(cluster: Cluster, job: Job, boots: Boots, at_us: int) -> str:
-    """Say why a job is late: what keeps it now, the first of what has to go first."""
+def reason(cluster: Cluster, job: Job, boots: Boots, at_us: int, held: Callable[[Job], str]) -> str:
+    """Say why a job is late: what keeps it now, the first of what has to go first.
+
+    ``held`` says of a held job which gate holds it, and why.
+    """
     stage = holding_up(cluster, job)
     if stage is not job:
-        own = _own(cluster, stage, boots, at_us)
+        own = _own(cluster, stage, boots, at_us, held)
         return f"it waits for {stage.id} ({stage.spec.job_class}), {own}"
     if job.blockers:
         return "it waits for a job of which nothing is known yet"
-    return _own(cluster, job, boots, at_us)
+    return _own(cluster, job, boots, at_us, held)
 
 
-def _own(cluster: Cluster, job: Job, boots: Boots, at_us: int) -> str:
-    if job.hold is not None and not job.active and not job.waiting and not job.complete:
-        # It waits for nothing else, and nothing of it may start.
-        return f"held by gate {job.hold.gate}"
+def _own(cluster: Cluster, job: Job, boots: Boots, at_us: int, held: Callable[[Job], str]) -> str:
+    if job.held is not None and not job.active and not job.complete:
+        # Nothing of it may start, whatever room there is.
+        return f"held by {held(job) or 'a gate of which nothing is known yet'}"
     done = f"{job.done} of {job.spec.tasks} tasks done"
     if job.broken:
         return f"its tasks fail everywhere; {done}"
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -71,10 +71,17 @@
 
 _encode = msgspec.json.Encoder().encode
 
+
+def _alone(known: str = "") -> Response:
+    """Send a user on to other nodes, with what is known of the job."""
+    answer = refusal(503, "this node reaches nobody" + known, retry_after_s=1)
+    answer.close = True
+    return answer
+
+
 #: The caller's next connection goes to another node, once the balancer knows; none is kept
 #: waiting for what cannot come.
-_ALONE = refusal(503, "this node reaches nobody", retry_after_s=1)
-_ALONE.close = True
+_ALONE = _alone()
 
 
 class NodeView(Protocol):
@@ -401,7 +408,7 @@
             self._turns.answered(job_id)
             return Response(200, _encode(known))
         if self._node.alone:
-            return _ALONE
+            return _alone(self._known_of(job_id))
         if not forwarded and self._node.leader is None:
             answer = await self._node.ask_leader("poll", job_id, b"")
             if answer is not None and answer.status in (200, 404):
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -7,6 +7,7 @@
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.ledger import Ledger
+from weldhead.bookkeeping.taken import Taken
 from weldhead.boots.expect import Boots
 from weldhead.calendars.dues import Dues
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, seconds_us
@@ -71,6 +72,8 @@
         self.boots = Boots()
         self.tally = Tally()
         self.dues = Dues(round(settings.facts.clock_error_ms * MILLISECOND_US))
+        #: What was taken from whom, to be given back.
+        self.taken = Taken()
         self.duties = Duties()
         workers = settings.facts.workers
         self.lease_us = seconds_us(workers.lease_s)
@@ -85,6 +88,7 @@
         #: Recovery is over: work may be started and evicted.
         self.ready = False
         self.ready_us = 0
+        self.became_ready = asyncio.Event()
         #: Something that placement should look at.
         self.place = asyncio.Event()
         #: Jobs may be over, or have completions to commit.
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -8,17 +8,26 @@
 from typing import Any
 from unittest.mock import patch
 
+from weldhead.account.teams import Account
 from weldhead.blame import record
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
+from weldhead.bookkeeping.records import Bound
+from weldhead.calendars.binding import state_of
+from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
-from weldhead.coordination import reports
+from weldhead.coordination import gates, reports
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.recovery import Recovery
-from weldhead.protocol.wire import JobStatus
+from weldhead.documents.shelf import Shelf
+from weldhead.gates.state import GateState
+from weldhead.hearing.evidence import Ear
+from weldhead.planning import preemptor
+from weldhead.protocol.wire import Condition, Delete, JobStatus, Put
 from weldhead.recovery.readiness import Partial
+from weldhead.transport.state import StateClient
 
 
 def _lease_from_the_answer() -> Iterator[Any]:
@@ -95,6 +104,58 @@
     yield patch.object(record, "is_faulty", accuses)
 
 
+def _below_a_guarantee() -> Iterator[Any]:
+    """Whatever a team runs counts as borrowed."""
+    yield patch.object(preemptor, "over_guarantee", lambda *_: True)
+    yield patch.object(Account, "may_lose_cards", lambda *_: True)
+
+
+def _deaf_as_healthy() -> Iterator[Any]:
+    """Nothing that a machine shows of not being reached counts."""
+    yield patch.object(Ear, "note", lambda *_: False)
+
+
+def _calendar_of_the_term() -> Iterator[Any]:
+    """A new term binds the jobs that it finds anew, to the instants that come then."""
+    enter = Dues.enter
+
+    def anew(self: Dues, job: Job, at_us: int, wall_us: int) -> None:
+        kept = state_of(self.shelf, job.bound.calendar) if self.shelf and job.bound else None
+        due_us = kept.value.after(wall_us) if kept is not None else None
+        if job.bound is not None and due_us is not None:
+            job.bound = Bound(job.bound.calendar, job.bound.edition, due_us)
+        enter(self, job, at_us, wall_us)
+
+    yield patch.object(Dues, "enter", anew)
+
+
+def _gate_from_memory() -> Iterator[Any]:
+    """A term takes a gate for open as somebody knew it last, whatever is on record now."""
+    read, memory = gates._state, dict[str, GateState]()
+
+    def remembered(shelf: Shelf, name: str) -> GateState | None:
+        state = read(shelf, name)
+        if state is not None and state.newest is not None and state.newest.open:
+            memory[name] = state
+        return memory.get(name, state)
+
+    yield patch.object(gates, "_state", remembered)
+
+
+def _gate_opened_by_a_late_write() -> Iterator[Any]:
+    """A gate's state is written whoever leads by then, and whatever was written since."""
+    transact = StateClient.transact
+
+    async def anyhow(
+        self: StateClient, conditions: list[Condition], writes: list[Put | Delete], **more: Any
+    ) -> int:
+        if any(write.key.startswith("d/state/gate/") for write in writes):
+            conditions = []
+        return await transact(self, conditions, writes, **more)
+
+    yield patch.object(StateClient, "transact", anyhow)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -103,6 +164,11 @@
     "in-flight-not-counted": _in_flight_not_counted,
     "everything-settled": _everything_settled,
     "any-failure-accuses": _any_failure_accuses,
+    "below-a-guarantee": _below_a_guarantee,
+    "deaf-as-healthy": _deaf_as_healthy,
+    "calendar-of-the-term": _calendar_of_the_term,
+    "gate-from-memory": _gate_from_memory,
+    "gate-opened-by-a-late-write": _gate_opened_by_a_late_write,
 }
 
 
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -8,22 +8,33 @@
 
 Beyond the paper: work that a team borrowed, whatever its priority, yields to work inside
 another team's guarantee, and nobody's guaranteed work yields to another team's borrowing.
+Both are judged in the resource that is claimed (``account/``); whoever claims cards has
+victims of its own (``cards.py``), and no team loses cards that it is guaranteed.
 """
 
 from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from weldhead.account.amounts import Resource, claimed_resource, need
+from weldhead.account.teams import Account
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.bookkeeping.rooms import FreeRooms
-from weldhead.clock import seconds_us
+from weldhead.clock import SECOND_US, seconds_us
 from weldhead.planning.backlog import Walk
+from weldhead.planning.cards import CardClaims, KeptCards
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, Press
 from weldhead.planning.placement import Plan, usable
 
+#: The first task of a job that waited for so long is not stopped for higher priorities' sake
+#: (a guarantee's apart) before it has run for so long.
+WAITED_US = 120 * SECOND_US
+BEGUN_US = 32 * SECOND_US
+
 
 @dataclass(frozen=True)
 class PreemptorSettings:
@@ -35,25 +46,9 @@
     silence_us: int
 
 
-def over_guarantee(cluster: Cluster, name: str, freed: dict[str, float]) -> bool:
-    """Whether a team runs more than it is guaranteed."""
-    team = cluster.teams.get(name)
-    if team is None:
-        return True
-    usage = cluster.usage[name]
-    return usage.cpus - freed[name] > team.cpus + EPSILON or usage.gpus > team.gpus + EPSILON
-
-
-def within_guarantee(cluster: Cluster, job: Job, claimed: dict[str, float]) -> bool:
-    """Whether one more task of the job is inside its team's guarantee."""
-    team = cluster.teams.get(job.team)
-    if team is None:
-        return False
-    usage = cluster.usage[job.team]
-    return (
-        usage.cpus + claimed[job.team] + job.spec.cpus <= team.cpus + EPSILON
-        and usage.gpus + job.spec.gpus <= team.gpus + EPSILON
-    )
+def over_guarantee(account: Account, team: str, resource: Resource) -> bool:
+    """Whether a team runs more of a resource than it is guaranteed."""
+    return account.borrows(team, resource)
 
 
 def victim_key(attempt: Attempt, estimates: Estimates, at_us: int) -> tuple[int, ...]:
@@ -65,6 +60,19 @@
     return (1, attempt.elapsed_us(at_us))
 
 
+def just_begun(attempt: Attempt, at_us: int) -> bool:
+    """Whether it is the first task of a job that waited for long, and has run for a moment.
+
+    Where work that presses keeps arriving, such a job begins by its age (``holding.py``). Were
+    its task stopped at once, that would have been for nothing.
+    """
+    job = attempt.job
+    if job.spec.tasks < 2 or job.done or len(job.active) > 1 or attempt.adopted:
+        return False
+    begun_us = attempt.running_us or at_us
+    return at_us - begun_us < BEGUN_US and begun_us - job.ready_us >= WAITED_US
+
+
 class _Claim:
     """How far the claimants of one kind have looked in this pass.
 
@@ -83,7 +91,7 @@
         self.attempt = 0
 
 
-class _Pass:
+class Pass:
     """One run of the reclaim algorithm."""
 
     def __init__(
@@ -94,8 +102,15 @@
         at_us: int,
         settings: PreemptorSettings,
         free: FreeRooms,
+        *,
+        kept: KeptCards | None = None,
+        held: Mapping[str, str] | None = None,
     ) -> None:
+        #: Machines that are held, and the job that each is held for.
+        self.held = held or {}
         self.cluster = cluster
+        #: Work with cards waits, and some other work gets no room beside cards.
+        self._kept = kept
         self.estimates = estimates
         self.at_us = at_us
         self._settings = settings
@@ -106,17 +121,18 @@
         self._free: dict[str, list[float] | None] = {}
         #: How that differs from what is free, where it does.
         self._moved: dict[str, list[float]] = {}
-        self.freed: dict[str, float] = defaultdict(float)
-        self.claimed: dict[str, float] = defaultdict(float)
+        self.account = Account(cluster.teams, cluster.usage)
+        self._taken = lists.taken
         for attempt in cluster.stopping.values():
             self._move(attempt.machine, attempt.job, 1)
-            self.freed[attempt.job.team] += attempt.job.spec.cpus
+            self.account.free(attempt.job.team, attempt.job.spec)
         for entry in lists.entries():
             job = cluster.jobs.get(entry.job_id)
             if job is None:
                 continue
             self._move(entry.machine, job, -1)
-            self.claimed[job.team] += job.spec.cpus
+            self.account.claim(job.team, job.spec)
+        self._cards: CardClaims | None = None
         self._order: list[Job] | None = None
         self._rank: dict[str, int] = {}
         self._holders: set[tuple[int, str]] | None = None
@@ -150,6 +166,8 @@
                 key=lambda job: (
                     job.level,
                     job.spec.is_service,
+                    # Its cards would lie idle for want of the CPUs.
+                    job.spec.gpus > 0,
                     -len(job.active) * job.spec.cpus,
                     -job.first_seen_us,
                     job.serial,
@@ -194,35 +212,81 @@
         """Whether the rules let the claimant stop tasks of this job."""
         return job is not claimant and self.may_stop_work(claimant, job.level, job.team, guaranteed)
 
-    def may_stop_work(self, claimant: Job, level: int, team: str, guaranteed: bool) -> bool:
+    def within(self, claimant: Job) -> bool:
+        """Whether one more task of the job is inside its team's guarantee."""
+        return self.account.within(claimant.team, claimant.spec)
+
+    def borrows(self, team: str, resource: Resource) -> bool:
+        """Whether a team uses more of a resource than it is guaranteed."""
+        return over_guarantee(self.account, team, resource)
+
+    def may_stop_work(
+        self,
+        claimant: Job,
+        level: int,
+        team: str,
+        guaranteed: bool,
+        resource: Resource = Resource.CPUS,
+    ) -> bool:
         """Whether the rules let the claimant stop a team's work of a level."""
-        borrowed = over_guarantee(self.cluster, team, self.freed)
+        borrowed = self.borrows(team, resource)
         if level < claimant.level:
             return team == claimant.team or borrowed or guaranteed
         return guaranteed and borrowed and team != claimant.team
 
     def may_stop(self, claimant: Job, victim: Attempt, guaranteed: bool) -> bool:
         """Whether the rules let the claimant stop this task."""
-        return (
-            victim.stop is Stop.NO
-            and id(victim) not in self.taken
-            and self.may_stop_of(claimant, victim.job, guaranteed)
-        )
+        if victim.stop is not Stop.NO or id(victim) in self.taken or victim.job is claimant:
+            return False
+        if not guaranteed and just_begun(victim, self.at_us):
+            return False
+        job = victim.job
+        # Cards are judged as cards where it is cards that are claimed.
+        resource = min(claimed_resource(claimant.spec), claimed_resource(job.spec))
+        return self.may_stop_work(
+            claimant, job.level, job.team, guaranteed, Resource(resource)
+        ) and self._may_lose_cards(claimant, victim)
+
+    def _may_lose_cards(
+        self, claimant: Job, victim: Attempt, others: Iterable[Attempt] = ()
+    ) -> bool:
+        """Whether a victim's cards may go: none that its team is guaranteed, none too soon.
+
+        ``others`` are to go with it, and count as far as they are of the same team.
+        """
+        spec = victim.job.spec
+        if spec.gpus <= 0:
+            return True
+        if self._taken.kept(victim, self.at_us):
+            return False
+        team = victim.job.team
+        if team == claimant.team:
+            return True
+        units = need(spec.gpus)
+        units += sum(need(a.job.spec.gpus) for a in others if a.job.team == team)
+        return self.account.may_lose_cards(team, units)
+
+    def key_of(self, attempt: Attempt) -> tuple[int, ...]:
+        """Sort the tasks of a job, the first one stops first."""
+        return victim_key(attempt, self.estimates, self.at_us)
 
     def press(self, claimant: Job, goals: Goals) -> Press:
         """Say how urgently a claimant needs room: the patient claim none by themselves."""
         task_us = self.estimates.order_us(claimant)
         return goals.press(claimant, task_us, self.at_us, self._settings.claim_patience_us)
 
-    def _claim(self, claimant: Job) -> _Claim:
-        """Return what claimants of the same kind share."""
+    def _kind(self, claimant: Job) -> tuple[object, ...]:
+        """Return what claimants have in common that look for room alike."""
         spec = claimant.spec
-        kind = (
+        return (
             claimant.team, claimant.level, spec.cpus, spec.gpus, spec.memory_gb, spec.types,
             spec.zone, spec.spot,
             # Its own tasks limit where it may go.
             claimant.id if spec.one_zone or spec.spread else None,
         )  # fmt: skip
+
+    def _claim(self, claimant: Job, kind: tuple[object, ...]) -> _Claim:
+        """Return what claimants of the same kind share."""
         claim = self._claims.get(kind)
         if claim is None:
             rooms = self._rooms_for(claimant)
@@ -243,22 +307,30 @@
         found.sort(key=lambda machine: machine.serial, reverse=True)
         return [machine.name for machine in found]
 
-    def _may_be_on(self, claimant: Job, machine: Machine) -> bool:
+    def may_be_on(self, claimant: Job, machine: Machine) -> bool:
+        """Whether a task of the claimant may be on a machine, by its kind and its zone."""
+        if self.held.get(machine.name, claimant.id) != claimant.id:
+            return False
+        if machine.type.gpus > 0 and self._kept is not None and self._kept.keep_from(claimant):
+            return False
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
 
     def choose(self, claimant: Job) -> Reclaim | None:
         """Choose victims for one task of the claimant; None if nobody may be stopped."""
-        claim = self._claim(claimant)
+        kind = self._kind(claimant)
+        claim = self._claim(claimant, kind)
         # A victim larger than its claimant leaves room for others: without this, a
         # job of six small tasks stopped six large ones (found on the bench).
         while claim.rooms:
             name = claim.rooms[-1]
             room = self.room(name)
             if room is not None and self._fits(room, claimant):
-                if self._may_be_on(claimant, self.cluster.machines[name]):
+                if self.may_be_on(claimant, self.cluster.machines[name]):
                     return self._take(claimant, name, room, [])
             claim.rooms.pop()
-        guaranteed = within_guarantee(self.cluster, claimant, self.claimed)
+        guaranteed = self.within(claimant)
+        if claimant.spec.gpus > 0:
+            return self._choose_cards(claimant, kind, guaranteed)
         if self._order is None and self.nobody_to_stop(claimant, guaranteed):
             return None
         while claim.job < len(self.order):
@@ -270,9 +342,13 @@
                     claim.attempt += 1
                     if attempt.stop is not Stop.NO or id(attempt) in self.taken:
                         continue
+                    if not guaranteed and just_begun(attempt, self.at_us):
+                        continue
+                    if not self._may_lose_cards(claimant, attempt):
+                        continue
                     machine = self.cluster.machines[attempt.machine]
                     room = self.room(attempt.machine)
-                    if room is None or not self._may_be_on(claimant, machine):
+                    if room is None or not self.may_be_on(claimant, machine):
                         continue
                     victims = self._complete(claimant, attempt, machine, room, guaranteed)
                     if victims:
@@ -281,6 +357,36 @@
             claim.attempt = 0
         return None
 
+    def empty_held(self, claimant: Job, name: str) -> Reclaim | None:
+        """Choose what must go on a machine that is held for the claimant.
+
+        None: not yet, as what may not be stopped leaves too little; or nothing need be.
+        """
+        machine, room = self.cluster.machines.get(name), self.room(name)
+        if machine is None or room is None or not self.may_be_on(claimant, machine):
+            return None
+        if self._fits(room, claimant):
+            return None
+        guaranteed = self.within(claimant)
+        if not self.order or self.nobody_to_stop(claimant, guaranteed):
+            return None
+        victims = self._add_victims(claimant, [], machine, list(room), guaranteed)
+        return self._take(claimant, name, room, victims) if victims else None
+
+    def _choose_cards(
+        self, claimant: Job, kind: tuple[object, ...], guaranteed: bool
+    ) -> Reclaim | None:
+        """Choose victims for one task that takes cards."""
+        if self._cards is None:
+            self._cards = CardClaims(self)
+        victims = self._cards.choose(claimant, kind, guaranteed)
+        if victims is None:
+            return None
+        name = victims.machine.name
+        room = self.room(name)
+        assert room is not None
+        return self._take(claimant, name, room, victims.attempts)
+
     def _complete(
         self,
         claimant: Job,
@@ -295,13 +401,26 @@
         self._add(room, first.job, 1)
         if self._fits(room, claimant):
             return victims
+        return self._add_victims(claimant, victims, machine, room, guaranteed)
+
+    def _add_victims(
+        self,
+        claimant: Job,
+        victims: list[Attempt],
+        machine: Machine,
+        room: list[float],
+        guaranteed: bool,
+    ) -> list[Attempt]:
+        """Add tasks of a machine until what they leave is enough; nothing if it never is."""
         others = [
             attempt
             for attempt in machine.attempts.values()
-            if attempt is not first and self.may_stop(claimant, attempt, guaranteed)
+            if attempt not in victims and self.may_stop(claimant, attempt, guaranteed)
         ]
         others.sort(key=lambda a: (self._rank[a.job.id], victim_key(a, self.estimates, self.at_us)))
         for attempt in others:
+            if not self._may_lose_cards(claimant, attempt, victims):
+                continue
             victims.append(attempt)
             self._add(room, attempt.job, 1)
             if self._fits(room, claimant):
@@ -314,9 +433,9 @@
         for victim in victims:
             self.taken.add(id(victim))
             self._add(room, victim.job, 1)
-            self.freed[victim.job.team] += victim.job.spec.cpus
+            self.account.free(victim.job.team, victim.job.spec)
         self._add(room, claimant, -1)
-        self.claimed[claimant.team] += claimant.spec.cpus
+        self.account.claim(claimant.team, claimant.spec)
         if victims and room[0] > EPSILON:
             for claim in self._claims.values():
                 claim.rooms.append(machine)
@@ -334,6 +453,7 @@
     goals: Goals,
     most: int = 64,
     free: FreeRooms | None = None,
+    held: Mapping[str, str] | None = None,
 ) -> list[Reclaim]:
     """Return the new requests of one run; ``plan`` says who found no room."""
     walk = plan.unplaced.walk()
@@ -341,31 +461,34 @@
     try:
         following.refresh()
         return _reclaims(
-            _Pass(cluster, lists, estimates, at_us, settings, following), walk, lists, goals, most
-        )
+            Pass(
+                cluster, lists, estimates, at_us, settings, following,
+                kept=plan.kept, held=held,
+            ),
+            walk, lists, goals, most,
+        )  # fmt: skip
     finally:
         if free is None:
             following.close()
 
 
-def _reclaims(
-    run: _Pass, walk: Walk, lists: ReclaimLists, goals: Goals, most: int
-) -> list[Reclaim]:
+def _reclaims(run: Pass, walk: Walk, lists: ReclaimLists, goals: Goals, most: int) -> list[Reclaim]:
     """Choose victims for those who found no room, in order.
 
     A queue of claimants of one kind is left where the next of them could not claim, or
     found nobody to stop, as then none behind it can or does.
     """
     reclaims: list[Reclaim] = []
+    held = _empty_held(run, lists, reclaims, most) if run.held else {}
     while (found := walk.next()) is not None:
         job, unplaced = found
         press = run.press(job, goals)
-        if press is Press.PATIENT and not within_guarantee(run.cluster, job, run.claimed):
+        if press is Press.PATIENT and not run.within(job):
             # They stand in the order of their laxity: those behind have more of it. What is
             # late already claims, and comes after what can be in time.
             walk.skip_to(Press.LATE)
             continue
-        for _ in range(max(0, unplaced - lists.count(job.id))):
+        for _ in range(max(0, unplaced - lists.count(job.id) - held.get(job.id, 0))):
             if len(reclaims) >= most:
                 return reclaims
             reclaim = run.choose(job)
@@ -379,6 +502,25 @@
     return reclaims
 
 
+def _empty_held(
+    run: Pass, lists: ReclaimLists, reclaims: list[Reclaim], most: int
+) -> dict[str, int]:
+    """Empty held machines as far as the rules let; return by job how many are not asked for yet.
+
+    Their jobs wait for them, and ask for so much less elsewhere.
+    """
+    asked = {(entry.machine, entry.job_id) for entry in lists.entries()}
+    held: dict[str, int] = defaultdict(int)
+    for name, job_id in run.held.items():
+        job = run.cluster.jobs.get(job_id)
+        if job is None or job.waiting <= 0 or (name, job_id) in asked:
+            continue
+        held[job_id] += 1
+        if len(reclaims) < most and (reclaim := run.empty_held(job, name)) is not None:
+            reclaims.append(reclaim)
+    return held
+
+
 def stop_for(claimant: Job, victim: Job, goals: Goals) -> Stop:
     """Whether a victim may save first: not if the claimant's start cannot wait for that."""
     wait_us = goals.wait_us(claimant)
