Placement: weights placed side by side share a machine's rate

Replicas of several models that were placed in one pass, or were ordered and had not begun to fetch, went to one machine as if each had its whole rate.

--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -439,6 +439,14 @@
     assert fetch_delay_us(large, Room(machine)) == fetch_us(large.spec, machine) == 80 * S
 
 
+def test_weights_that_are_placed_side_by_side_go_to_machines_of_their_own() -> None:
+    into = with_cards(4)
+    for number in range(4):
+        add(into, replicas(number, 1, image=f"weights-{number}"))
+    starts = place(into, S).starts
+    assert len({start.machine.name for start in starts}) == 4
+
+
 def test_work_without_cards_leaves_free_cards_their_cpus_while_they_are_wanted() -> None:
     into = with_cards(1, Team("serving", 0, 0, 4), Team("red", 100))
     add(into, replicas(1, 1, gpus=3.0))
--- a/weldhead/planning/placement.py
+++ b/weldhead/planning/placement.py
@@ -14,7 +14,7 @@
 from itertools import islice
 
 from weldhead.bookkeeping.cluster import CERTAIN, Cluster
-from weldhead.bookkeeping.jobs import Job
+from weldhead.bookkeeping.jobs import Job, Phase
 from weldhead.bookkeeping.machines import Machine, how_many
 from weldhead.bookkeeping.rooms import FreeRooms
 from weldhead.clock import SECOND_US, seconds_us
@@ -91,13 +91,19 @@
         self.gpus -= job.spec.gpus * count
         self.memory_gb -= job.spec.memory_gb * count
         self.used = True
-        self.wanted_images().add(job.spec.image)
+        images = self.wanted_images()
+        if self.machine.type.gpus > 0 and job.spec.image not in images | self.machine.images.keys():
+            # Weights placed side by side in one pass share the rate, as those under way do.
+            self._pulls += 1
+        images.add(job.spec.image)
 
     def wanted_images(self) -> set[str]:
         """Return the images that tasks there use or wait for."""
         if self.images is None:
             self.images = {a.job.spec.image for a in self.machine.attempts.values()}
             self._pulls = self.machine.pulls()
+            if self.machine.type.gpus > 0:
+                self._pulls = coming_images(self.machine)
         return self.images
 
     def pulls(self) -> int:
@@ -106,6 +112,13 @@
         return self._pulls
 
 
+def coming_images(machine: Machine) -> int:
+    """How many images a machine fetches or is about to fetch."""
+    before = (Phase.ASSIGNED, Phase.PULLING)
+    images = {a.job.spec.image for a in machine.attempts.values() if a.phase in before}
+    return len(images - machine.images.keys())
+
+
 class Rooms:
     """The machines that may take work in this pass.
 
