--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -624,3 +624,19 @@
     # The end of the act and the opening are one change.
     assert world.state.revision == before + 1
     assert all(world.job(n).waiting == 4 for n in range(1, count + 1))
+
+
+def test_a_cancelled_rebuild_leaves_the_gate_closed_until_another(world: World) -> None:
+    world.open(2)
+    world.submit(10, "prices")
+    world.submit(11, "quotes")
+    job = world.job(10)
+    world.run(world.leader.cancel(job.id))
+    world.run(world.leader.completions._end(job))
+    world.look()
+    assert not world.kept().pending
+    told = world.leader.status(run_id(11))
+    assert told is not None and "has to begin another" in (told.held_by or "")
+    world.open(20)
+    # The next edition does for whoever needed the one that never came.
+    assert world.kept().edition == 3 and world.job(11).waiting == 4
--- a/weldhead/gates/state.py
+++ b/weldhead/gates/state.py
@@ -212,8 +212,8 @@
     if not edition.rebuilt:
         if state.pends("rebuild", number):
             return f"edition {number} is being rebuilt by {edition.rebuild}"
-        who = gate.rebuild
-        return f"the rebuild of edition {number}, {edition.rebuild}, was cancelled; {who} has to"
+        again = f"{gate.rebuild} has to begin another"
+        return f"the rebuild of edition {number}, {edition.rebuild}, was cancelled; {again}"
     for act, by in (("approval", edition.approved_by), ("publication", edition.published_by)):
         if by:
             continue
