--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -17,6 +17,7 @@
 from weldhead.emulator.checker import Checker
 from weldhead.emulator.controller import Controller
 from weldhead.emulator.faults import Faults
+from weldhead.emulator.gates import GateKeeper
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
@@ -125,6 +126,13 @@
         self.cards = CardRules(self.checker, lease_us, self._holdings)
         self.checker.calendars = calendars = CalendarRules(self.checker)
         lateness.log.handlers = [calendars]
+        self.keeper: GateKeeper | None = None
+        if self.offer is not None and any(
+            name.startswith("gate/") for name in self.offer.documents
+        ):
+            self.keeper = GateKeeper(
+                self.offer, self.users, self.checker, random.Random(rng.random())
+            )
         self.undecided: list[float] = []
         self.led_s: dict[int, float] = {}
         self.ready_s: dict[int, float] = {}
@@ -196,6 +204,8 @@
             controller.start()
         duties = self.faults.start()
         duties.append(asyncio.create_task(self._look()))
+        if self.keeper is not None:
+            duties.append(asyncio.create_task(self.keeper.keep()))
         if self.scenario.card_machines:
             duties.append(asyncio.create_task(self._look_at_cards()))
         self.users.store(self.store.service.store)
@@ -220,6 +230,8 @@
         while True:
             await asyncio.sleep(LOOK_S)
             ready = False
+            if self.keeper is not None:
+                self.keeper.look()
             for controller in self.controllers:
                 node, life = controller.node, controller.life
                 leader = node.leader if node is not None else None
--- a/weldhead/planning/preemptor.py
+++ b/weldhead/planning/preemptor.py
@@ -12,7 +12,8 @@
 victims of its own (``cards.py``), and no team loses cards that it is guaranteed.
 """
 
-from collections.abc import Iterable
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from weldhead.account.amounts import Resource, claimed_resource, need
@@ -22,13 +23,18 @@
 from weldhead.bookkeeping.machines import EPSILON, Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
 from weldhead.bookkeeping.rooms import FreeRooms
-from weldhead.clock import seconds_us
+from weldhead.clock import SECOND_US, seconds_us
 from weldhead.planning.backlog import Walk
 from weldhead.planning.cards import CardClaims, KeptCards
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, Press
 from weldhead.planning.placement import Plan, usable
 
+#: The first task of a job that waited for so long is not stopped for higher priorities' sake
+#: (a guarantee's apart) before it has run for so long.
+WAITED_US = 120 * SECOND_US
+BEGUN_US = 32 * SECOND_US
+
 
 @dataclass(frozen=True)
 class PreemptorSettings:
@@ -54,6 +60,19 @@
     return (1, attempt.elapsed_us(at_us))
 
 
+def just_begun(attempt: Attempt, at_us: int) -> bool:
+    """Whether it is the first task of a job that waited for long, and has run for a moment.
+
+    Where work that presses keeps arriving, such a job begins by its age (``holding.py``). Were
+    its task stopped at once, that would have been for nothing.
+    """
+    job = attempt.job
+    if job.spec.tasks < 2 or job.done or len(job.active) > 1 or attempt.adopted:
+        return False
+    begun_us = attempt.running_us or at_us
+    return at_us - begun_us < BEGUN_US and begun_us - job.ready_us >= WAITED_US
+
+
 class _Claim:
     """How far the claimants of one kind have looked in this pass.
 
@@ -85,7 +104,10 @@
         free: FreeRooms,
         *,
         kept: KeptCards | None = None,
+        held: Mapping[str, str] | None = None,
     ) -> None:
+        #: Machines that are held, and the job that each is held for.
+        self.held = held or {}
         self.cluster = cluster
         #: Work with cards waits, and some other work gets no room beside cards.
         self._kept = kept
@@ -216,6 +238,8 @@
         """Whether the rules let the claimant stop this task."""
         if victim.stop is not Stop.NO or id(victim) in self.taken or victim.job is claimant:
             return False
+        if not guaranteed and just_begun(victim, self.at_us):
+            return False
         job = victim.job
         # Cards are judged as cards where it is cards that are claimed.
         resource = min(claimed_resource(claimant.spec), claimed_resource(job.spec))
@@ -285,6 +309,8 @@
 
     def may_be_on(self, claimant: Job, machine: Machine) -> bool:
         """Whether a task of the claimant may be on a machine, by its kind and its zone."""
+        if self.held.get(machine.name, claimant.id) != claimant.id:
+            return False
         if machine.type.gpus > 0 and self._kept is not None and self._kept.keep_from(claimant):
             return False
         return machine.allows(claimant) and claimant.room_in_zone(machine.zone) > 0
@@ -316,6 +342,8 @@
                     claim.attempt += 1
                     if attempt.stop is not Stop.NO or id(attempt) in self.taken:
                         continue
+                    if not guaranteed and just_begun(attempt, self.at_us):
+                        continue
                     if not self._may_lose_cards(claimant, attempt):
                         continue
                     machine = self.cluster.machines[attempt.machine]
@@ -329,6 +357,22 @@
             claim.attempt = 0
         return None
 
+    def empty_held(self, claimant: Job, name: str) -> Reclaim | None:
+        """Choose what must go on a machine that is held for the claimant.
+
+        None: not yet, as what may not be stopped leaves too little; or nothing need be.
+        """
+        machine, room = self.cluster.machines.get(name), self.room(name)
+        if machine is None or room is None or not self.may_be_on(claimant, machine):
+            return None
+        if self._fits(room, claimant):
+            return None
+        guaranteed = self.within(claimant)
+        if not self.order or self.nobody_to_stop(claimant, guaranteed):
+            return None
+        victims = self._add_victims(claimant, [], machine, list(room), guaranteed)
+        return self._take(claimant, name, room, victims) if victims else None
+
     def _choose_cards(
         self, claimant: Job, kind: tuple[object, ...], guaranteed: bool
     ) -> Reclaim | None:
@@ -357,10 +401,21 @@
         self._add(room, first.job, 1)
         if self._fits(room, claimant):
             return victims
+        return self._add_victims(claimant, victims, machine, room, guaranteed)
+
+    def _add_victims(
+        self,
+        claimant: Job,
+        victims: list[Attempt],
+        machine: Machine,
+        room: list[float],
+        guaranteed: bool,
+    ) -> list[Attempt]:
+        """Add tasks of a machine until what they leave is enough; nothing if it never is."""
         others = [
             attempt
             for attempt in machine.attempts.values()
-            if attempt is not first and self.may_stop(claimant, attempt, guaranteed)
+            if attempt not in victims and self.may_stop(claimant, attempt, guaranteed)
         ]
         others.sort(key=lambda a: (self._rank[a.job.id], victim_key(a, self.estimates, self.at_us)))
         for attempt in others:
@@ -398,6 +453,7 @@
     goals: Goals,
     most: int = 64,
     free: FreeRooms | None = None,
+    held: Mapping[str, str] | None = None,
 ) -> list[Reclaim]:
     """Return the new requests of one run; ``plan`` says who found no room."""
     walk = plan.unplaced.walk()
@@ -407,7 +463,7 @@
         return _reclaims(
             Pass(
                 cluster, lists, estimates, at_us, settings, following,
-                kept=plan.kept,
+                kept=plan.kept, held=held,
             ),
             walk, lists, goals, most,
         )  # fmt: skip
@@ -423,6 +479,7 @@
     found nobody to stop, as then none behind it can or does.
     """
     reclaims: list[Reclaim] = []
+    held = _empty_held(run, lists, reclaims, most) if run.held else {}
     while (found := walk.next()) is not None:
         job, unplaced = found
         press = run.press(job, goals)
@@ -431,7 +488,7 @@
             # late already claims, and comes after what can be in time.
             walk.skip_to(Press.LATE)
             continue
-        for _ in range(max(0, unplaced - lists.count(job.id))):
+        for _ in range(max(0, unplaced - lists.count(job.id) - held.get(job.id, 0))):
             if len(reclaims) >= most:
                 return reclaims
             reclaim = run.choose(job)
@@ -445,6 +502,25 @@
     return reclaims
 
 
+def _empty_held(
+    run: Pass, lists: ReclaimLists, reclaims: list[Reclaim], most: int
+) -> dict[str, int]:
+    """Empty held machines as far as the rules let; return by job how many are not asked for yet.
+
+    Their jobs wait for them, and ask for so much less elsewhere.
+    """
+    asked = {(entry.machine, entry.job_id) for entry in lists.entries()}
+    held: dict[str, int] = defaultdict(int)
+    for name, job_id in run.held.items():
+        job = run.cluster.jobs.get(job_id)
+        if job is None or job.waiting <= 0 or (name, job_id) in asked:
+            continue
+        held[job_id] += 1
+        if len(reclaims) < most and (reclaim := run.empty_held(job, name)) is not None:
+            reclaims.append(reclaim)
+    return held
+
+
 def stop_for(claimant: Job, victim: Job, goals: Goals) -> Stop:
     """Whether a victim may save first: not if the claimant's start cannot wait for that."""
     wait_us = goals.wait_us(claimant)
