--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from weldhead.bookkeeping.jobs import Attempt, Stop
 from weldhead.bookkeeping.machines import Machine
@@ -13,8 +13,10 @@
 from weldhead.coordination.pacing import Pacer, Rank
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
-from weldhead.planning.placement import Plan, Scene, plan_pass
+from weldhead.planning.holding import Ahead, Holding, Holds
+from weldhead.planning.placement import Plan, Scene, plan_pass, usable
 from weldhead.planning.preemptor import overdue, plan_reclaims, stop_for
+from weldhead.protocol.wire import MachineType
 from weldhead.recovery.pace import StopPace
 from weldhead.recovery.readiness import Partial
 
@@ -38,6 +40,7 @@
         #: What placement and forecasts keep in order; made when first needed, and made anew
         #: after a failure.
         self.scene: Scene | None = None
+        self._holding: Holding | None = None
         #: What is known while recovery goes on.
         self.partial: Callable[[], Partial] | None = None
 
@@ -48,8 +51,35 @@
                 self._term.cluster, self._term.estimates, self._term.goals,
                 self._term.tunables.preemptor.patience_us,
             )  # fmt: skip
+            if self._holding is not None:
+                self._holding.close()
+            self._holding = Holding(
+                self._term.cluster, self.scene.backlog, self._term.estimates,
+                self._term.tunables.holding.settings(),
+            )  # fmt: skip
         return self.scene
 
+    def ahead(self, coming: Iterable[tuple[MachineType, int]], up_us: int) -> Ahead:
+        """Return which wide tasks will find machines by a time."""
+        holds = self.scene.holds if self.scene is not None else Holds()
+        least = self._term.tunables.holding.least
+        return Ahead(self._term.cluster.machines.values(), coming, holds, least, up_us)
+
+    def _hold(self, scene: Scene, at_us: int) -> None:
+        """Decide what is kept free for wide work; nothing while machines are unknown."""
+        if self._holding is None or not self._term.ready:
+            return
+        before = scene.holds
+        scene.holds = self._holding.look(
+            at_us,
+            lambda machine: usable(machine, at_us, self._term.silence_us),
+            ((entry.machine, entry.job_id) for entry in self.reclaims.entries()),
+        )
+        if scene.holds is not before:
+            for name, job_id in scene.holds.machines.items():
+                if name not in before.machines:
+                    log.info("%s is held for %s", name, job_id)
+
     async def fill_scene(self) -> None:
         """Put all waiting jobs in order while workers are still being asked what they run."""
         backlog = self.kept_scene().backlog
@@ -84,6 +114,7 @@
             assert self.partial is not None
             may_start = self.partial().settled
         try:
+            self._hold(scene, at_us)
             plan = plan_pass(
                 scene, at_us, self._term.silence_us, self._term.tunables.fetch_weight, may_start
             )
@@ -138,6 +169,7 @@
             settings,
             self._term.goals,
             free=self.scene.free if self.scene is not None else None,
+            held=self.scene.holds.machines if self.scene is not None else None,
         )
         running = sum(len(job.active) for job in self._term.cluster.holders.values())
         allowed = self._pace.allowed(self._term.ready_us, running, at_us)
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -19,6 +19,7 @@
 from weldhead.planning.demand import Demand
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals, slack_us
+from weldhead.planning.holding import Ahead
 from weldhead.planning.placement import Plan, usable
 from weldhead.protocol.wire import MachineType
 
@@ -258,6 +259,7 @@
     upcoming: Sequence[Upcoming] = (),
     backlog: int = 0,
     cards: Callable[[], _Queue] | None = None,
+    ahead: Ahead | None = None,
 ) -> Missing:
     """Forecast what waits too long if nothing more is rented.
 
@@ -313,6 +315,8 @@
                 slow += together
             if never or start_us > bound_us:
                 late += together
+        if ahead is not None and (short := ahead.short(job, count)):
+            slow, late = max(slow, short), max(late, short)
         # Tasks that a new machine can run one after the other and still be in time.
         turns = max(1, (target_us - up_us) // max(1, task_us))
         if slow:
@@ -340,6 +344,7 @@
     backlog: int = 0,
     silent: Collection[str] = (),
     boots: Expectations | None = None,
+    ahead: Callable[[int], Ahead] | None = None,
 ) -> dict[Offer, int]:
     """Decide how many of which machines to rent.
 
@@ -379,6 +384,7 @@
         upcoming,
         backlog,
         lambda: _Queue(cluster, coming, estimates, at_us, boots, silent, cards=True),
+        ahead(at_us + boot_us) if ahead is not None else None,
     )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
