Emulator: faults tied to events and to roles, and one controller's writes that come late

Cause: rules broke where two troubles met, and scenarios could bring such a meeting about by their times only, so by luck. Change: a fault can wait for an event (a user learns that a job is withdrawn; a term is won, loaded or ready; the n-th write of a kind is given up; a command is sent; the first task of a term runs), with a latest moment, after which it lapses and the rest is judged as calm. It can befall a role: the leader, who leads next, a follower, whom most workers report to; or the machine that the event concerns. store_late_writes: a share of the chosen controllers' writes, those of leases among them, gets no answer and is executed 2 to 12 s later; store_late uses the same part. Which ties came about is in the result and in the table. Senseless ones are refused with field and line.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -125,6 +125,55 @@
         parse_scenario("s.toml", text)
 
 
+@pytest.mark.parametrize(
+    ("lines", "line", "field", "what"),
+    [
+        ('on = "leader_won"', 4, "on", "invalid enum value 'leader_won'"),
+        ('role = "boss"', 4, "role", "invalid enum value 'boss'"),
+        ('on = "term_won"', 1, "until-s", "must be after at-s and within the run"),
+        ('on = "term_won"\nuntil-s = 95', 5, "until-s", "must be after at-s and within the run"),
+        ('role = "successor"\nuntil-s = 5', 5, "until-s", "must be after at-s"),
+        ("until-s = 50", 4, "until-s", "waits for something"),
+        ("after-s = 1", 4, "after-s", "tied to an event"),
+        ("nth = 2", 4, "nth", "tied to an event"),
+        ("elsewhere = true", 4, "elsewhere", "tied to an event"),
+        ('on = "term_won"\nuntil-s = 50\nnth = 0', 6, "nth", "at least 1"),
+        ('on = "term_won"\nuntil-s = 50\nafter-s = -1', 6, "after-s", "not be below 0"),
+        ('on = "term_won"\nuntil-s = 50\nwrite = "lease"', 6, "write", "is of write_given_up"),
+        ('on = "write_given_up"\nuntil-s = 50', 1, "write", "is of write_given_up"),
+        ('on = "run_sent"\nuntil-s = 50\nconcerned = true', 6, "concerned", "is of no machine"),
+        ('role = "leader"\nleader = true', 4, "role", "and leader too"),
+        ('role = "leader"\ncount = 2', 5, "count", "there is one leader"),
+    ],
+)
+def test_ties_to_events_and_roles_are_checked(lines: str, line: int, field: str, what: str) -> None:
+    fault = f'[[faults]]\nkind = "controllers_end"\nat-s = 10.0\n{lines}\n'
+    base = (SCENARIOS / "drawn.toml").read_text()
+    with pytest.raises(FileProblem, match=what) as caught:
+        parse_scenario("s.toml", f"{base}\n{fault}")
+    begins = base.count("\n") + 2
+    assert caught.value.line == begins + line - 1
+    assert caught.value.field == f"faults[0].{field}"
+
+
+@pytest.mark.parametrize(
+    ("kind", "lines", "what"),
+    [
+        ("machines_die", 'role = "leader"', "machines_die is of no controller"),
+        (
+            "machines_hang",
+            'on = "term_won"\nuntil-s = 50\nconcerned = true',
+            "term_won is of no machine",
+        ),
+        ("store_late_writes", "least-s = 30", "must be from 0 to most-s"),
+    ],
+)
+def test_a_fault_has_to_fit_its_tie(kind: str, lines: str, what: str) -> None:
+    fault = f'[[faults]]\nkind = "{kind}"\nat-s = 10.0\n{lines}\n'
+    with pytest.raises(FileProblem, match=what):
+        parse_scenario("s.toml", (SCENARIOS / "drawn.toml").read_text() + fault)
+
+
 def new_checker() -> Checker:
     store = Store(StateLimits(1e6, 1e6, 8.0, 12))
     return Checker([Team("red", 8, 5.0)], 10, lambda: 1_000, store)
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -81,6 +81,11 @@
             served[name] = [a + b for a, b in zip(served.get(name, [0, 0]), counted, strict=True)]
     told = ", ".join(f"{name} {done} of {due}" for name, (due, done) in served.items())
     click.echo(f"  told done at the end: {told}")
+    if tied := sum(result.tied for result in results):
+        met = Counter(f"{m.event or 'next leader'}: {m.kind}" for r in results for m in r.met)
+        said = ", ".join(f"{what} {count}" for what, count in sorted(met.items()))
+        click.echo(f"  tied faults that came about: {met.total()} of {tied} ({said or 'none'}); "
+            f"late writes: {counts['late writes']}")  # fmt: skip
     if counts["failed"]:
         share = sum(result.broken_share for result in results) / runs
         click.echo(f"  broken jobs took {share:.4f} of the CPU time that tasks had; "
--- /dev/null
+++ b/weldhead/emulator/events.py
@@ -0,0 +1,231 @@
+"""What happens in a run that a fault can be tied to.
+
+Those who see something happen say so here; faults wait for it, each for no longer than it says.
+What no fault of the scenario waits for is not looked at, and costs nothing.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from weldhead.bookkeeping.records import (
+    FINAL,
+    HIRES,
+    JOBS,
+    LEADER_KEY,
+    PROGRESS,
+    LeaderRecord,
+)
+from weldhead.bookkeeping.taken import TAKEN
+from weldhead.documents.records import PREFIX as DOCUMENTS
+from weldhead.emulator.checker import Checker
+from weldhead.emulator.controller import Controller
+from weldhead.emulator.loop import VirtualLoop
+from weldhead.emulator.network import Network
+from weldhead.emulator.scenario import Event, WriteKind
+from weldhead.protocol.wire import Command, DirectCommands, ReportAnswer
+from weldhead.site.store.model import Batch, Store, Write
+from weldhead.transport.server import Response
+from weldhead.transport.state import decode
+
+#: How often it is looked how far a term is.
+LOOK_S = 0.01
+
+_KINDS: dict[str, WriteKind] = {
+    FINAL: "completion",
+    PROGRESS: "progress",
+    HIRES: "rental",
+    TAKEN: "taken",
+    DOCUMENTS: "document",
+}
+
+
+@dataclass(frozen=True)
+class Happened:
+    """Something that happened: whose doing it was (a controller), and on which machine.
+
+    ``leader`` led by then, as the store's record says.
+    """
+
+    event: Event
+    at_s: float
+    controller: str
+    leader: str
+    machine: str = ""
+    write: WriteKind | None = None
+
+
+@dataclass
+class Waiting:
+    """A fault that waits for the ``nth`` event of its kind from now on."""
+
+    event: Event
+    write: WriteKind | None
+    #: Only what another leader's term brought, or None.
+    not_under: str | None
+    nth: int
+    came: "asyncio.Future[Happened]"
+
+    def see(self, happened: Happened) -> None:
+        """Count what happened, if it is of the kind."""
+        if happened.event != self.event or happened.write != self.write:
+            return
+        if self.not_under is not None and happened.leader in ("", self.not_under):
+            return
+        self.nth -= 1
+        if self.nth == 0 and not self.came.done():
+            self.came.set_result(happened)
+
+
+class Events:
+    """Sees what happens, and wakes who waits for it."""
+
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        wanted: set[Event],
+        network: Network,
+        store: Store,
+        checker: Checker,
+        controllers: list[Controller],
+    ) -> None:
+        self._loop, self._wanted, self._store = loop, wanted, store
+        self._network, self._checker = network, checker
+        self._controllers = controllers
+        self._waiting: list[Waiting] = []
+        #: Who led last, as the store's record said, and that record's version.
+        self.leader = ""
+        self._version = 0
+        #: The terms that were seen to have come so far.
+        self._seen: set[tuple[Event, int]] = set()
+        network.on_given_up.append(self._given_up)
+        if wanted & {"run_sent", "kill_sent", "forget_sent", "first_run_sent"}:
+            network.on_sent.append(self._sent)
+            network.on_answered.append(self._answered)
+        if "first_run_started" in wanted:
+            checker.on_started.append(self._started)
+
+    def happened(
+        self, event: Event, controller: str, machine: str = "", write: WriteKind | None = None
+    ) -> None:
+        """Say what has happened just now."""
+        if event not in self._wanted:
+            return
+        came = Happened(event, self._loop.true_s, controller, self.leader, machine, write)
+        for waiting in list(self._waiting):
+            waiting.see(came)
+
+    async def wait(
+        self,
+        event: Event,
+        *,
+        nth: int,
+        until_s: float,
+        write: WriteKind | None = None,
+        not_under: str | None = None,
+    ) -> Happened | None:
+        """Wait for an event from now on; None: it had not come at that (true) time."""
+        came: asyncio.Future[Happened] = self._loop.create_future()
+        waiting = Waiting(event, write, not_under, nth, came)
+        self._waiting.append(waiting)
+        try:
+            async with asyncio.timeout_at(until_s):
+                return await came
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting.remove(waiting)
+
+    # -- who leads -------------------------------------------------------------------------
+
+    async def watch(self) -> None:
+        """See how far each term is, for ever, if anybody waits for that."""
+        while self._wanted & {"term_loaded", "term_ready"}:
+            self._look_at_terms()
+            await asyncio.sleep(LOOK_S)
+
+    def look(self) -> None:
+        """See whether a term was won; whoever writes to the store calls this too."""
+        entry = self._store.get(LEADER_KEY)
+        if entry is None or entry.version == self._version:
+            return
+        self._version = entry.version
+        self.leader = decode(bytes(entry.value), LeaderRecord).name
+        self.happened("term_won", self.leader)
+
+    def _look_at_terms(self) -> None:
+        for controller in self._controllers:
+            leader = controller.node.leader if controller.node is not None else None
+            if leader is None:
+                continue
+            states: list[tuple[Event, bool]] = [
+                ("term_loaded", leader.term.loaded),
+                ("term_ready", leader.term.ready),
+            ]
+            for event, so in states:
+                if so and (event, leader.token) not in self._seen:
+                    self._seen.add((event, leader.token))
+                    self.happened(event, controller.name)
+
+    # -- writes ----------------------------------------------------------------------------
+
+    def _given_up(self, controller: str, path: str, body: bytes) -> None:
+        if "write_given_up" not in self._wanted:
+            return
+        if path.startswith("grants/"):
+            self.happened("write_given_up", controller, write="lease")
+        elif path == "multi":
+            batch = msgspec.json.decode(body, type=Batch)
+            for kind in dict.fromkeys(kinds(batch)):
+                self.happened("write_given_up", controller, write=kind)
+
+    # -- commands --------------------------------------------------------------------------
+
+    def _sent(self, source: str, target: str, path: str, body: bytes) -> None:
+        if path == "commands":
+            asked = msgspec.json.decode(body, type=DirectCommands)
+            self._commanded(source, target, asked.token, asked.commands)
+
+    def _answered(self, source: str, target: str, path: str, answer: Response) -> None:
+        if path == "v1/report" and answer.status == 200:
+            told = msgspec.json.decode(answer.body, type=ReportAnswer)
+            self._commanded(source, target, told.token, told.commands)
+
+    def _commanded(
+        self, controller: str, machine: str, token: int, commands: list[Command]
+    ) -> None:
+        sent: dict[str, Event] = {
+            "run": "run_sent", "kill": "kill_sent", "forget": "forget_sent"
+        }  # fmt: skip
+        for op in dict.fromkeys(command.op for command in commands):
+            self.happened(sent[op], controller, machine)
+            if op == "run" and ("first_run_sent", token) not in self._seen:
+                self._seen.add(("first_run_sent", token))
+                self.happened("first_run_sent", controller, machine)
+
+    def _started(self, task: str, machine: str) -> None:
+        for token in self._checker.first_starts:
+            if ("first_run_started", token) not in self._seen:
+                self._seen.add(("first_run_started", token))
+                self.happened("first_run_started", self.leader, machine)
+
+
+def kinds(batch: Batch) -> Iterator[WriteKind]:
+    """Say of what kinds a transaction's writes are."""
+    for write in batch.writes:
+        key = write.set or write.delete or ""
+        if key == LEADER_KEY:
+            yield "leader"
+        elif key.startswith(JOBS):
+            if write.set is not None:
+                yield "cancellation" if _cancels(write) else "submission"
+        else:
+            for prefix, kind in _KINDS.items():
+                if key.startswith(prefix):
+                    yield kind
+
+
+def _cancels(write: Write) -> bool:
+    return bool(msgspec.json.decode(write.value).get("cancelled"))
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -16,7 +16,7 @@
 from weldhead.emulator.cards import CardRules, Holding
 from weldhead.emulator.checker import Checker
 from weldhead.emulator.controller import Controller
-from weldhead.emulator.faults import Faults
+from weldhead.emulator.faults import Faults, Met
 from weldhead.emulator.gates import GateKeeper
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
@@ -78,6 +78,9 @@
     served: dict[str, tuple[int, int]] = field(default_factory=dict)
     #: What jobs submitted with a mistake took of all CPU time that tasks had.
     broken_share: float = 0.0
+    #: The faults tied to an event, or to who leads next, that came about; how many there were.
+    met: list[Met] = field(default_factory=list)
+    tied: int = 0
 
 
 class Experiment:
@@ -307,6 +310,7 @@
 def _result(experiment: Experiment, seed: int) -> Result:
     checker, led = experiment.checker, experiment.led_s
     checker.counts["writes"] = experiment.store.writes
+    checker.counts["late writes"] = experiment.store.late_writes
     checker.counts["cloud calls"] = experiment.cloud.calls
     checker.counts["terms"] = len(led)
     checker.counts["bytes"] = experiment.network.bytes
@@ -328,6 +332,8 @@
         max((_most_within(stops, at_s) for at_s in ready.values()), default=0),
         checker.served(),
         checker.broken_share(),
+        experiment.faults.met,
+        sum(f.on is not None or f.role == "successor" for f in experiment.scenario.faults),
     )  # fmt: skip
 
 
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -4,20 +4,33 @@
 import contextlib
 import random
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
 
 from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
 from weldhead.emulator.checker import Checker
 from weldhead.emulator.controller import Controller
-from weldhead.emulator.loop import VirtualLoop
+from weldhead.emulator.events import LOOK_S, Events, Happened
+from weldhead.emulator.loop import BEGIN_S, VirtualLoop
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Mode, Network, Weather
-from weldhead.emulator.scenario import Fault, Scenario
-from weldhead.emulator.services import SimulatedCloud, SimulatedStore
+from weldhead.emulator.roles import Roles
+from weldhead.emulator.scenario import Event, Fault, Kind, Scenario
+from weldhead.emulator.services import LateWrites, SimulatedCloud, SimulatedStore
 from weldhead.emulator.users import Users
 from weldhead.transport.state import decode
 
-#: How often it is looked whether a term was won or lost.
-LOOK_S = 0.01
+
+@dataclass(frozen=True)
+class Met:
+    """A fault that was tied to an event, or to who leads next, and came about."""
+
+    kind: Kind
+    event: Event | None
+    at_s: float
+    #: Whose doing the event was, who led at the fault's ``at_s``, and who when it came.
+    controller: str
+    former: str
+    leader: str
 
 
 class Faults:
@@ -39,6 +52,15 @@
         self._network, self._store, self._cloud = network, store, cloud
         self._controllers, self._users, self._checker = controllers, users, checker
         self._left = 0
+        wanted = {fault.on for fault in scenario.faults if fault.on is not None}
+        self._events = Events(
+            loop, wanted, network, store.service.store, checker, controllers
+        )  # fmt: skip
+        self._roles = Roles(rng, controllers, cloud, self._events)
+        store.on_written = self._events.look
+        users.on_confirmed = lambda controller: self._events.happened("confirmed", controller)
+        #: The faults tied to something that came about, in their order.
+        self.met: list[Met] = []
         #: Machines that hear no controller at all, and since when.
         self.deaf: dict[str, float] = {}
         network.weather = self._fair()
@@ -49,7 +71,8 @@
         self._left = len(faults)
         if not faults:
             self._checker.calm_us = self._loop.true_us
-        return [asyncio.create_task(self._befall(fault)) for fault in faults]
+        duties = [asyncio.create_task(self._befall(fault)) for fault in faults]
+        return [*duties, asyncio.create_task(self._events.watch())]
 
     def _fair(self) -> Weather:
         return Weather(delay_s=self._scenario.delay_s, lost=self._scenario.lost)
@@ -71,33 +94,61 @@
                 chance=rng.choice((0.05, 0.3)),
                 most_s=rng.choice((2.0, 20.0, drawn.most_for_s)),
             )
+            if fault.kind == "store_late_writes":
+                fault.most_s = 12.0
             if drawn.backs_s:
                 fault.back_s = rng.choice(drawn.backs_s)
                 fault.again = fault.kind == "controllers_end" and rng.random() < 0.3
             yield fault
 
-    def _chosen(self, fault: Fault) -> list[Controller]:
-        count = fault.count or len(self._controllers)
-        order = self._rng.sample(self._controllers, len(self._controllers))
-        if fault.leader:
-            order.sort(key=lambda c: c.node is None or c.node.leader is None)
-        return order[:count]
+    async def _tie(self, fault: Fault) -> tuple[bool, Happened | None]:
+        """Wait for what a fault is tied to; false: that has not come in time."""
+        events, until_s = self._events, BEGIN_S + fault.until_s
+        former, happened = events.leader, None
+        if fault.on is not None:
+            happened = await events.wait(
+                fault.on, nth=fault.nth, until_s=until_s, write=fault.write,
+                not_under=former if fault.elsewhere else None,
+            )  # fmt: skip
+            if happened is None:
+                return False, None
+            await asyncio.sleep(fault.after_s)
+        if fault.role == "successor":
+            # Of an event: who leads next after the one that led when it came.
+            before = happened.leader if happened is not None else former
+            while events.leader in ("", before):
+                if self._loop.true_s > until_s:
+                    return False, None
+                await asyncio.sleep(LOOK_S)
+        if fault.on is not None or fault.role == "successor":
+            by = happened.controller if happened is not None else events.leader
+            at_s = self._loop.true_s - BEGIN_S
+            self.met.append(Met(fault.kind, fault.on, at_s, by, former, events.leader))
+        return True, happened
 
-    def _some_machines(self, fault: Fault) -> list[Machine]:
+    def _some_machines(self, fault: Fault, concerned: str) -> list[Machine]:
         up = self._cloud.up()
+        if fault.concerned:
+            return [machine for machine in up if machine.name == concerned]
         return self._rng.sample(up, round(len(up) * fault.share))
 
     async def _befall(self, fault: Fault) -> None:
         duties: dict[str, Callable[[Fault], Awaitable[None]]] = {
             "controllers": self._befall_controllers,
-            "machines": self._befall_machines,
             "store": self._befall_store,
             "boots": self._befall_boots,
             "users": self._befall_users,
         }
         await asyncio.sleep(fault.at_s)
-        self._checker.note("fault", fault.kind)
-        await duties.get(fault.kind.partition("_")[0], self._befall_messages)(fault)
+        comes, happened = await self._tie(fault)
+        if comes:
+            self._checker.note("fault", fault.kind)
+            if fault.kind.startswith("machines_"):
+                concerned = happened.machine if happened is not None else ""
+                await self._befall_machines(fault, self._some_machines(fault, concerned))
+            else:
+                await duties.get(fault.kind.partition("_")[0], self._befall_messages)(fault)
+        # What lapses is over as well: the rest of the run is judged as calm.
         self._left -= 1
         if not self._left:
             self._checker.calm_us = self._loop.true_us
@@ -105,7 +156,7 @@
     # -- controllers -----------------------------------------------------------------------
 
     async def _befall_controllers(self, fault: Fault) -> None:
-        chosen = self._chosen(fault)
+        chosen = self._roles.chosen(fault)
         names = {c.name for c in chosen}
         peers, machines = {c.name for c in self._controllers}, set(self._cloud.machines)
         match fault.kind:
@@ -174,8 +225,7 @@
 
     # -- machines --------------------------------------------------------------------------
 
-    async def _befall_machines(self, fault: Fault) -> None:
-        chosen = self._some_machines(fault)
+    async def _befall_machines(self, fault: Fault, chosen: list[Machine]) -> None:
         match fault.kind:
             case "machines_die":
                 for machine in chosen:
@@ -200,7 +250,7 @@
                     if machine.life.frozen:
                         self._loop.thaw(machine.life)
             case "machines_deaf":
-                unheard = self._chosen(fault)
+                unheard = self._roles.chosen(fault)
                 pairs = [(c.name, machine.name) for machine in chosen for c in unheard]
                 names = [m.name for m in chosen if len(unheard) == len(self._controllers)]
                 self.deaf.update(dict.fromkeys(names, self._loop.true_s))
@@ -226,14 +276,26 @@
                 await asyncio.sleep(fault.for_s)
                 store.slow_s = 0.0
             case "store_refuses":
-                names = {c.name for c in self._chosen(fault)}
+                names = {c.name for c in self._roles.chosen(fault)}
                 store.refused |= names
                 await asyncio.sleep(fault.for_s)
                 store.refused -= names
+            case "store_late":
+                await self._late(LateWrites(fault.chance, 0.0, fault.most_s), {""}, fault.for_s)
             case _:
-                store.late, store.late_s = fault.chance, fault.most_s
-                await asyncio.sleep(fault.for_s)
-                store.late = 0.0
+                late = LateWrites(fault.chance, fault.least_s, fault.most_s, grants=True)
+                chosen = {c.name for c in self._roles.chosen(fault)}
+                await self._late(late, chosen, fault.for_s)
+                # The last of them are still to be executed.
+                await asyncio.sleep(fault.most_s)
+
+    async def _late(self, late: LateWrites, names: set[str], for_s: float) -> None:
+        self._store.late |= dict.fromkeys(names, late)
+        await asyncio.sleep(for_s)
+        for name in names:
+            # Another such fault may have taken its place.
+            if self._store.late.get(name) is late:
+                del self._store.late[name]
 
     async def _befall_boots(self, fault: Fault) -> None:
         if fault.kind == "boots_late":
--- a/weldhead/emulator/machines.py
+++ b/weldhead/emulator/machines.py
@@ -113,6 +113,11 @@
         # One that hangs past its lease ends its tasks before anything else.
         return self.life.context.run(now_us) <= self.worker.lease_ends_us
 
+    @property
+    def reports_to(self) -> str:
+        """The controller that its next report goes to."""
+        return self._nodes[self._at][0]
+
     def tasks(self) -> list[str]:
         """Return the tasks that are on it, or wait for their image."""
         return [task for task, _ in self._running] if self.present else []
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -70,6 +70,12 @@
         #: the addresses that reports are sent to; its answer goes nowhere.
         self.copied, self.copied_s = 0.0, 0.0
         self._reported_to: dict[str, None] = {}
+        #: Who is told of each request just before it leaves (caller, called, path, body), of
+        #: each answer (called, caller, path, answer), and of requests that were sent and got no
+        #: answer in time (caller, path, body).
+        self.on_sent: list[Callable[[str, str, str, bytes], None]] = []
+        self.on_answered: list[Callable[[str, str, str, Response], None]] = []
+        self.on_given_up: list[Callable[[str, str, bytes], None]] = []
         loop.dial = self._dial
         loop.answer = self._listen_stream
 
@@ -172,6 +178,7 @@
         life = current_life()
         assert life is not None
         machine = self._machines.get(address, address)
+        sent = False
         try:
             async with asyncio.timeout(timeout_us / SECOND_US):
                 listener = await self._connected(life, machine, address, connect_us)
@@ -179,9 +186,21 @@
                 self.bytes += len(body or b"")
                 if self.copied and path == "v1/report" and self._rng.random() < self.copied:
                     self._copy(life.machine, address, body or b"")
+                for look in self.on_sent:
+                    look(life.machine, machine, path, body or b"")
+                sent = True
                 return await self._exchange(life, listener, method, "/" + path, body or b"")
         except asyncio.TimeoutError as error:
+            self._give_up(life, path, body, sent=sent)
             raise CallFailed(f"{method} {url}: no answer in time") from error
+        except CallFailed:
+            self._give_up(life, path, body, sent=sent)
+            raise
+
+    def _give_up(self, life: Life, path: str, body: bytes | None, *, sent: bool) -> None:
+        """No answer came, or none will: say so if the request may have arrived."""
+        for look in self.on_given_up if sent and not life.ended else ():
+            look(life.machine, path, body or b"")
 
     async def _connected(
         self, life: Life, machine: str, address: str, connect_us: int
@@ -248,6 +267,8 @@
                 self._carry(target.machine, life, fail)
                 raise
             self.bytes += len(answer.body)
+            for look in self.on_answered:
+                look(target.machine, life.machine, path.removeprefix("/"), answer)
             if target.ended or (weather.lost and self._rng.random() < weather.lost):
                 self._carry(target.machine, life, fail)
                 return
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -1,7 +1,7 @@
 """Scenarios: what a simulated site consists of and what befalls it. TOML, checked.
 
-Times are seconds of the experiment. ``who`` of a fault names controllers (``all``,
-``leader``, ``others``, a number of them) or a share of the machines.
+Times are seconds of the experiment. A fault comes at its time, or after an event; it is of
+controllers (a number of them, or a role) or of a share of the machines.
 """
 
 from collections.abc import Iterator
@@ -32,6 +32,7 @@
     "store_slow",
     "store_refuses",
     "store_late",
+    "store_late_writes",
     "messages_lost",
     "messages_late",
     "reports_copied",
@@ -41,6 +42,40 @@
     "users_poll",
 ]
 
+#: What a fault can be tied to: a user learns that a job is withdrawn; a term is won, loaded,
+#: ready; a write gets no answer in time; a command is sent, or the first task of a term runs.
+Event = Literal[
+    "confirmed",
+    "term_won",
+    "term_loaded",
+    "term_ready",
+    "write_given_up",
+    "run_sent",
+    "kill_sent",
+    "forget_sent",
+    "first_run_sent",
+    "first_run_started",
+]
+#: Of what kind a write is: by its key, and of leases.
+WriteKind = Literal[
+    "leader",
+    "lease",
+    "submission",
+    "cancellation",
+    "completion",
+    "progress",
+    "rental",
+    "taken",
+    "document",
+]
+#: Which controller: who leads; who leads next; one that does not; the one that most workers
+#: report to.
+Role = Literal["leader", "successor", "follower", "most_workers"]
+
+#: Whose faults can be of a controller in a role, and which events concern a machine.
+_OF_CONTROLLERS = ("controllers_", "store_refuses", "store_late_writes", "machines_deaf")
+_OF_MACHINES = ("run_sent", "kill_sent", "forget_sent", "first_run_sent", "first_run_started")
+
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
     """Something that goes wrong at ``at_s`` for ``for_s`` (ends and deaths: back after it).
@@ -54,6 +89,14 @@
     ``chance`` and ``most_s`` are also how many reports come a second time, and how late.
     ``back_s``: ended controllers and restarted machines are back after so long, in place of
     the above. ``again``: until ``for_s`` is over, whoever stands or wins a term next is ended.
+
+    ``on``: it comes ``after_s`` after the ``nth`` such event from ``at_s`` on (of
+    ``write_given_up``: of that ``write``), with ``elsewhere`` only such as come while another
+    than at ``at_s`` leads; ``concerned``: it befalls the machine of the event. ``role``: it
+    befalls that controller, ``successor`` as soon as another leads than when the trouble came.
+    What has not come about at ``until_s`` does not befall anybody.
+    ``store_late_writes``: the share ``chance`` of the chosen controllers' writes gets no answer
+    and is executed ``least_s`` to ``most_s`` later.
     """
 
     kind: Kind
@@ -69,6 +112,15 @@
     factor: float = 8.0
     back_s: float = 0.0
     again: bool = False
+    on: Event | None = None
+    nth: int = 1
+    write: WriteKind | None = None
+    elsewhere: bool = False
+    concerned: bool = False
+    role: Role | None = None
+    after_s: float = 0.0
+    until_s: float = 0.0
+    least_s: float = 2.0
 
 
 class Drawn(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
@@ -196,6 +248,8 @@
         if getattr(scenario, field) <= 0:
             yield [field.replace("_", "-")], "must be above 0"
     for number, fault in enumerate(scenario.faults):
+        for field, reason in _wrong_tie(fault, scenario):
+            yield ["faults", number, field], reason
         if min(fault.at_s, fault.for_s) < 0:
             yield ["faults", number, "at-s"], "times must not be below 0"
         if not 0 <= fault.share <= 1 or not 0 <= fault.chance <= 1:
@@ -214,6 +268,43 @@
         yield ["drawn", "from-s"], "must be before to-s"
 
 
+def _wrong_tie(fault: Fault, scenario: Scenario) -> Iterator[tuple[str, str]]:
+    """Yield what cannot be of a fault's event and role."""
+    waits = fault.on is not None or fault.role == "successor"
+    if fault.on is None:
+        for field, given in (
+            ("nth", fault.nth != 1), ("after-s", fault.after_s), ("write", fault.write),
+            ("elsewhere", fault.elsewhere), ("concerned", fault.concerned),
+        ):  # fmt: skip
+            if given:
+                yield field, "is of a fault that is tied to an event (on)"
+    elif (fault.on == "write_given_up") != (fault.write is not None):
+        yield "write", "is of write_given_up, which has to name one"
+    if fault.nth < 1:
+        yield "nth", "must be at least 1"
+    if fault.after_s < 0:
+        yield "after-s", "must not be below 0"
+    if waits and not fault.at_s < fault.until_s <= scenario.seconds:
+        yield "until-s", "must be after at-s and within the run: it waits for something"
+    if not waits and fault.until_s:
+        yield "until-s", "is of a fault that waits for something (on, or a successor)"
+    if fault.role is not None and not fault.kind.startswith(_OF_CONTROLLERS):
+        yield "role", f"{fault.kind} is of no controller"
+    if fault.role is not None and fault.leader:
+        yield "role", "is given, and leader too"
+    if fault.role not in (None, "follower") and fault.count > 1:
+        yield "count", f"there is one {fault.role}"
+    if fault.role in ("successor", "follower") and scenario.controllers < 2:
+        yield "role", "there is one controller"
+    if fault.concerned and fault.on is not None:
+        if not fault.kind.startswith("machines_"):
+            yield "concerned", f"{fault.kind} is of no machine"
+        elif fault.on not in _OF_MACHINES:
+            yield "concerned", f"{fault.on} is of no machine"
+    if fault.kind == "store_late_writes" and not 0 <= fault.least_s <= fault.most_s:
+        yield "least-s", "must be from 0 to most-s"
+
+
 def read_scenario(path: Path) -> Scenario:
     """Read a scenario's file."""
     return parse_scenario(str(path), read_text(path))
--- a/weldhead/emulator/services.py
+++ b/weldhead/emulator/services.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -34,6 +35,19 @@
         self.query = dict(parse_qsl(query))
 
 
+@dataclass(frozen=True)
+class LateWrites:
+    """How many writes are executed late: a share of them, by how much at least and at most.
+
+    ``grants`` too: those of leases. Otherwise transactions only.
+    """
+
+    share: float
+    least_s: float
+    most_s: float
+    grants: bool = False
+
+
 class SimulatedStore:
     """A local site's state service, behind faults."""
 
@@ -43,9 +57,11 @@
         self.slow_s = 0.0
         #: Controllers that are refused.
         self.refused: set[str] = set()
-        #: The share of transactions that are executed late, by up to so much.
-        self.late, self.late_s = 0.0, 0.0
-        self.writes = 0
+        #: Whose writes are executed late; those of "" are everybody's.
+        self.late: dict[str, LateWrites] = {}
+        #: Who is told of it when a transaction has been executed.
+        self.on_written: Callable[[], None] = lambda: None
+        self.writes = self.late_writes = 0
         self._rng = random.Random(loop.true_us)
         network.listen(self.life, STATE_ADDRESS, self._serve)
         self._network = network
@@ -60,11 +76,15 @@
         if caller in self.refused:
             return refusal(503, "trouble")
         await self._dawdle()
-        if path == "/multi":
-            self.writes += 1
-            if self.late and self._rng.random() < self.late:
-                await asyncio.sleep(self._rng.uniform(0, self.late_s))
+        self.writes += path == "/multi"
+        late = self.late.get(caller) or self.late.get("")
+        if late is not None and (path == "/multi" or (late.grants and path.startswith("/grants"))):
+            if self._rng.random() < late.share:
+                self.late_writes += 1
+                await asyncio.sleep(self._rng.uniform(late.least_s, late.most_s))
         answer = await self.service.handle(_Asked(method, path), body)  # type: ignore[arg-type]
+        if path == "/multi":
+            self.on_written()
         await self._dawdle()
         while path.startswith("/changes") and caller in self.refused:  # noqa: ASYNC110
             # Open watches wait as they do in an outage.
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -38,6 +39,9 @@
         self._loop, self._network, self._checker = loop, network, checker
         self._scenario, self._jobs, self._rng = scenario, jobs, rng
         self._addresses = list(nodes.values())
+        self._names = {address: name for name, address in nodes.items()}
+        #: Who is told of it when a user learns first that a job is withdrawn, and from whom.
+        self.on_confirmed: Callable[[str], None] = lambda controller: None
         self._healthy = dict.fromkeys(self._addresses, False)
         self._count = 0
         #: The connections that users keep open, and since when a controller is not healthy.
@@ -76,8 +80,8 @@
 
     async def _ask(
         self, job_id: str, method: str, path: str, body: bytes, limit_s: float
-    ) -> Response | None:
-        """Ask on the job's connection; a new one only once that is closed."""
+    ) -> tuple[Response | None, str]:
+        """Ask on the job's connection; a new one only once that is closed. Also who was asked."""
         address = self._connected.get(job_id)
         since_s = self._ailing_s.get(address or "")
         if since_s is not None and self._loop.true_s - since_s > RESET_S:
@@ -86,12 +90,12 @@
             healthy = [address for address in self._addresses if self._healthy[address]]
             if not healthy:
                 self._checker.counts["no healthy controller"] += 1
-                return None
+                return None, ""
             address = self._connected[job_id] = self._rng.choice(healthy)
         answer = await self._call(method, address, path, body, limit_s)
         if answer is None:
             self._connected.pop(job_id, None)
-        return answer
+        return answer, self._names[address]
 
     async def _arrivals(self, job: JobClass) -> None:
         for _ in range(job.initial):
@@ -186,8 +190,8 @@
         until_s = self._loop.true_s + 60
         while self._loop.true_s < until_s:
             asked_us = self._loop.true_us
-            answer = await self._ask(job_id, "POST", path, body, 5.0)
-            self._tell(job_id, verb, answer, asked_us)
+            answer, asked = await self._ask(job_id, "POST", path, body, 5.0)
+            self._tell(job_id, verb, answer, asked_us, asked)
             if answer is not None and answer.status in (200, 201, 400, 404, 422):
                 return True
             await asyncio.sleep(max(1.0, answer.retry_after_s if answer else 1.0))
@@ -195,10 +199,12 @@
 
     async def _poll(self, job_id: str) -> None:
         asked_us = self._loop.true_us
-        answer = await self._ask(job_id, "GET", f"/submissions/{job_id}", b"", 2.0)
-        self._tell(job_id, "poll", answer, asked_us)
+        answer, asked = await self._ask(job_id, "GET", f"/submissions/{job_id}", b"", 2.0)
+        self._tell(job_id, "poll", answer, asked_us, asked)
 
-    def _tell(self, job_id: str, verb: str, answer: Response | None, asked_us: int) -> None:
+    def _tell(
+        self, job_id: str, verb: str, answer: Response | None, asked_us: int, asked: str
+    ) -> None:
         state = ""
         if answer is not None and answer.status in (200, 201):
             told = msgspec.json.decode(answer.body, type=JobStatus)
@@ -206,7 +212,11 @@
             if self._checker.calendars is not None:
                 self._checker.calendars.told(told)
         status = answer.status if answer is not None else 0
+        knew = self._checker.jobs.get(job_id)
+        news = state == "withdrawn" and knew is not None and not knew.cancelled_us
         self._checker.answered(job_id, verb, status, state, asked_us)
+        if news:
+            self.on_confirmed(asked)
 
     async def _strangers(self) -> None:
         """Users ask about jobs that nobody has submitted."""
