--- a/weldhead/emulator/events.py
+++ b/weldhead/emulator/events.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
@@ -100,7 +101,10 @@
         self._version = 0
         #: The terms that were seen to have come so far.
         self._seen: set[tuple[Event, int]] = set()
-        network.on_given_up.append(self._given_up)
+        if "write_sent" in wanted:
+            network.on_sent.append(partial(self._written, "write_sent"))
+        if "write_given_up" in wanted:
+            network.on_given_up.append(partial(self._written, "write_given_up"))
         if wanted & {"run_sent", "kill_sent", "forget_sent", "first_run_sent"}:
             network.on_sent.append(self._sent)
             network.on_answered.append(self._answered)
@@ -171,15 +175,13 @@
 
     # -- writes ----------------------------------------------------------------------------
 
-    def _given_up(self, controller: str, path: str, body: bytes) -> None:
-        if "write_given_up" not in self._wanted:
-            return
+    def _written(self, event: Event, controller: str, _: str, path: str, body: bytes) -> None:
         if path.startswith("grants/"):
-            self.happened("write_given_up", controller, write="lease")
+            self.happened(event, controller, write="lease")
         elif path == "multi":
             batch = msgspec.json.decode(body, type=Batch)
             for kind in dict.fromkeys(kinds(batch)):
-                self.happened("write_given_up", controller, write=kind)
+                self.happened(event, controller, write=kind)
 
     # -- commands --------------------------------------------------------------------------
 
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -96,6 +96,8 @@
             )
             if fault.kind == "store_late_writes":
                 fault.most_s = 12.0
+            elif fault.kind == "store_slow":
+                fault.most_s = min(fault.most_s, 0.4)
             if drawn.backs_s:
                 fault.back_s = rng.choice(drawn.backs_s)
                 fault.again = fault.kind == "controllers_end" and rng.random() < 0.3
@@ -272,7 +274,7 @@
                 await asyncio.sleep(fault.for_s)
                 store.life.context.run(store.service.end_outage)
             case "store_slow":
-                store.slow_s = min(fault.most_s, 0.4)
+                store.slow_s = fault.most_s
                 await asyncio.sleep(fault.for_s)
                 store.slow_s = 0.0
             case "store_refuses":
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -72,10 +72,10 @@
         self._reported_to: dict[str, None] = {}
         #: Who is told of each request just before it leaves (caller, called, path, body), of
         #: each answer (called, caller, path, answer), and of requests that were sent and got no
-        #: answer in time (caller, path, body).
+        #: answer (as of those that leave).
         self.on_sent: list[Callable[[str, str, str, bytes], None]] = []
         self.on_answered: list[Callable[[str, str, str, Response], None]] = []
-        self.on_given_up: list[Callable[[str, str, bytes], None]] = []
+        self.on_given_up: list[Callable[[str, str, str, bytes], None]] = []
         loop.dial = self._dial
         loop.answer = self._listen_stream
 
@@ -191,16 +191,18 @@
                 sent = True
                 return await self._exchange(life, listener, method, "/" + path, body or b"")
         except asyncio.TimeoutError as error:
-            self._give_up(life, path, body, sent=sent)
+            self._give_up(life, machine, path, body, sent=sent)
             raise CallFailed(f"{method} {url}: no answer in time") from error
         except CallFailed:
-            self._give_up(life, path, body, sent=sent)
+            self._give_up(life, machine, path, body, sent=sent)
             raise
 
-    def _give_up(self, life: Life, path: str, body: bytes | None, *, sent: bool) -> None:
+    def _give_up(
+        self, life: Life, machine: str, path: str, body: bytes | None, *, sent: bool
+    ) -> None:
         """No answer came, or none will: say so if the request may have arrived."""
         for look in self.on_given_up if sent and not life.ended else ():
-            look(life.machine, path, body or b"")
+            look(life.machine, machine, path, body or b"")
 
     async def _connected(
         self, life: Life, machine: str, address: str, connect_us: int
