Who keeps a worker's lease knows all cancellations, or stops in time

Cause: a term that has not read the jobs answered every report with its token and no commands, in an outage for as long as the others promised. Machines that heard again kept their leases, and with them tasks that a leader before had told cancelled. And tasks of a job were stopped only once the write was answered.

Change: such a term answers workers with tasks until a lease before the time of the earliest confirmation that it can have missed is up; a row of terms shares one allowance (key `unsettled`). Tasks stop when the user asks. No answer renews a lease without the kills. A cancelled job is ended once everything is known.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -96,6 +96,7 @@
     at_us: int,
     predecessor_over_us: int = 0,
     documents: Documents | None = None,
+    answers_until_us: int | None = None,
 ) -> Leader:
     """A leader whose term has not been loaded yet."""
     document = msgspec.json.decode(msgspec.json.encode(SETTINGS))
@@ -107,6 +108,7 @@
     term = Term(
         settings, Tunables(), authority, cast(StateClient, state), cast(CloudClient, None),
         cast(HttpClient, None), [machine_type()], predecessor_over_us, lambda reason: None,
+        at_us + 15 * S if answers_until_us is None else answers_until_us,
     )  # fmt: skip
     return Leader(term, documents)
 
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -122,6 +122,7 @@
 
     __slots__ = (
         "_bound_due_us",
+        "_cancel_asked",
         "_cancelled",
         "_chain_due_us",
         "_finishing",
@@ -164,6 +165,7 @@
 
     #: What decides whether and when its tasks are placed tells of its changes.
     cancelled = Noted[bool]("_cancelled")
+    cancel_asked = Noted[bool]("_cancel_asked")
     finishing = Noted[bool]("_finishing")
     first_seen_us = Noted[int]("_first_seen_us")
     ready_us = Noted[int]("_ready_us")
@@ -200,7 +202,9 @@
         #: the jobs that need it to be in time, the nearest bound first (``urgency.py``).
         self._level = spec.level
         self._chain_due_us: tuple[int, ...] = ()
+        #: That is committed; and that its user has asked for it, so it may be committed.
         self._cancelled = False
+        self._cancel_asked = False
         #: Its end or its cancellation is being committed, or its progress.
         self._finishing = False
         self.saving = False
@@ -253,13 +257,18 @@
         One that fails wherever it runs took its whole width in room, again and again, and
         spoiled every machine for others (found on the operations' sites): it waits for one.
         """
-        if self._cancelled or self.blockers or self._held is not None:
+        if self.unwanted or self.blockers or self._held is not None:
             return 0
         if self._probing and self.active:
             return 0
         waiting = self.spec.tasks - self.done - len(self.active)
         return min(waiting, 1) if self._probing else waiting
 
+    @property
+    def unwanted(self) -> bool:
+        """Whether its tasks have to go: it is cancelled, or is to be and may be already."""
+        return self._cancelled or self._cancel_asked
+
     @property
     def running(self) -> int:
         """How many tasks run."""
--- a/weldhead/bookkeeping/records.py
+++ b/weldhead/bookkeeping/records.py
@@ -1,16 +1,17 @@
 """Records in the state service.
 
-========  =========================================================================
-key       value
-========  =========================================================================
-leader    LeaderRecord, attached to the leader's lease; its revision is the token
-j/ID      JobRecord: a job that is not over, or whose tasks may still be somewhere
-p/ID/N    the completed tasks of a job, N-th chunk of a bitmap
-f/ID      FinalRecord: how a job ended, kept for good
-h/NAME    HireRecord: a rental that may have been asked for, and its machines
-t/N       tasks that were stopped for others while they held cards (``taken.py``)
-d/...     documents, see ``documents/records.py``
-========  =========================================================================
+=========  =========================================================================
+key        value
+=========  =========================================================================
+leader     LeaderRecord, attached to the leader's lease; its revision is the token
+unsettled  UnsettledRecord, while tasks may be left that the leader would not know to kill
+j/ID       JobRecord: a job that is not over, or whose tasks may still be somewhere
+p/ID/N     the completed tasks of a job, N-th chunk of a bitmap
+f/ID       FinalRecord: how a job ended, kept for good
+h/NAME     HireRecord: a rental that may have been asked for, and its machines
+t/N        tasks that were stopped for others while they held cards (``taken.py``)
+d/...      documents, see ``documents/records.py``
+=========  =========================================================================
 
 Only the leader writes anything but ``leader`` and new ``j/`` keys, and each of its
 transactions is conditional on the version of ``leader``.
@@ -24,6 +25,7 @@
 from weldhead.protocol.wire import Condition, JobSpec
 
 LEADER_KEY = "leader"
+UNSETTLED_KEY = "unsettled"
 JOBS = "j/"
 PROGRESS = "p/"
 FINAL = "f/"
@@ -49,6 +51,16 @@
     earlier_us: int = 0
 
 
+class UnsettledRecord(msgspec.Struct):
+    """Written with each leader's record, deleted once that term has seen to what it found.
+
+    ``from_us``: the earliest cancellation (time of day) of which tasks may still be somewhere
+    without the next leader's knowing, however many terms have ended since before they could.
+    """
+
+    from_us: int
+
+
 class Bound(msgspec.Struct, omit_defaults=True, frozen=True):
     """The instant that a calendar binds a job to (time of day, UTC)."""
 
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -8,8 +8,21 @@
 import secrets
 from collections.abc import Mapping
 
-from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
-from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, surely_over_us, to_seconds
+from weldhead.bookkeeping.records import (
+    LEADER_KEY,
+    UNSETTLED_KEY,
+    LeaderRecord,
+    UnsettledRecord,
+)
+from weldhead.clock import (
+    MILLISECOND_US,
+    SECOND_US,
+    now_us,
+    seconds_us,
+    surely_over_us,
+    to_seconds,
+    wall_us,
+)
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.judging import Judging
 from weldhead.coordination.leader import Leader
@@ -24,6 +37,7 @@
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.wire import Condition, MachineType, Put
+from weldhead.recovery.answering import answers_until_us, earliest_missed
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
@@ -241,15 +255,24 @@
                     self._nonces.discard(nonce)
 
     async def _stand(self, replaced: int, believes_us: int, nonce: str) -> None:
-        sent_us = now_us()
-        lease = await self._state.grant(self.timing.ttl_us)
+        sent_us, wall = now_us(), wall_us()
+        lease, inherited_us = await asyncio.gather(
+            self._state.grant(self.timing.ttl_us), self._inherited()
+        )
         # A successor that takes this record over at once, though its writer never led or ended
         # at once, has to wait for the same leaders as this one.
         earlier_us = max(believes_us, self._earlier_us - sent_us, 0)
         record = LeaderRecord(self.settings.name, nonce, self.timing.ttl_us, earlier_us)
+        facts = self.settings.facts
+        cancel_us, lease_us = seconds_us(facts.workers.cancel_s), seconds_us(facts.workers.lease_s)
+        unsettled = UnsettledRecord(earliest_missed(wall, lease_us, inherited_us))
         try:
             token = await self._state.transact(
-                [Condition(LEADER_KEY, replaced)], [Put(LEADER_KEY, record, lease)], urgent=True
+                [Condition(LEADER_KEY, replaced)],
+                # On no condition of its own: applied late, it says what was so earlier, and
+                # whoever believes that is only more careful.
+                [Put(LEADER_KEY, record, lease), Put(UNSETTLED_KEY, unsettled)],
+                urgent=True,
             )
         except (Conflict, LeaseGone):
             self._duties.once("lease returned", self._state.revoke(lease))
@@ -277,11 +300,26 @@
         term = Term(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
             self._worker_http, self.catalog, over_us, self.step_down,
+            answers_until_us(
+                sent_us, wall, inherited_us, cancel_us, lease_us,
+                round(facts.clock_error_ms * MILLISECOND_US),
+            ),
         )  # fmt: skip
         self.leader = Leader(term, self._documents)
         self.leader.start()
         self._duties.once("lease renewal", self._renew(self.leader))
 
+    async def _inherited(self) -> int | None:
+        """Return what an unsettled row of terms may have missed; None: the last was settled."""
+        entry = await self._state.get(UNSETTLED_KEY, urgent=True)
+        if entry is None:
+            return None
+        try:
+            return decode(bytes(entry.value), UnsettledRecord).from_us
+        except CallFailed:
+            # Not ours: anything may have been missed, and to lead is better than not to.
+            return 0
+
     async def _renew(self, leader: Leader) -> None:
         """Keep the lease; the term ends with the authority."""
         pause_us = self.timing.renew_us
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -31,17 +31,22 @@
 
 
 class Completions:
-    """Commits what has been completed; ``ended`` and ``withdrawn`` are told of the rest."""
+    """Commits what has been completed; ``ended`` and ``withdrawn`` are told of the rest.
+
+    ``stop`` ends the tasks of a job that its user wants cancelled.
+    """
 
     def __init__(
         self,
         term: Term,
         ended: Callable[[Job, FinalRecord], None],
         withdrawn: Callable[[Job], None],
+        stop: Callable[[Job], None],
     ) -> None:
         self._term = term
         self._ended = ended
         self._withdrawn = withdrawn
+        self._stop = stop
         #: Commits an end that does something to a gate; False: it does not.
         self.with_gate: WithGate | None = None
         self.finals: dict[str, FinalRecord] = {}
@@ -122,6 +127,11 @@
                     # Its end waits for that write, so that it leaves nothing behind.
                     self._hasten(job)
             over = [job for job in over if not job.saving]
+            if not term.ready:
+                # Its tasks may be on machines that have not shown them. Ended now, it would be on
+                # record no more, and what it still uses would count for nobody: its team could
+                # start as much again. The end of recovery sets ``flush``.
+                over = [job for job in over if not job.cancelled]
             if not over:
                 continue
             wait_us = term.predecessor_over_us - now_us()
@@ -220,10 +230,15 @@
     async def cancel(self, job: Job, patience_us: int) -> bool:
         """Commit a cancellation; false if that has not come about in time.
 
-        One that the store cannot take now goes on without keeping the user waiting.
+        One that the store cannot take now goes on without keeping the user waiting. Its tasks
+        are stopped before it is committed: a write without an answer may have been applied, and
+        whoever reads the store says ``withdrawn`` then, for as long as an outage may last. If
+        it never is, the user who asked for it has lost nothing that is of use.
         """
         task = self.cancelling.get(job.id)
         if task is None:
+            job.cancel_asked = True
+            self._stop(job)
             task = self._term.duties.once("cancellation", self._commit_cancel(job))
             self.cancelling[job.id] = task
         await asyncio.wait({task}, timeout=to_seconds(patience_us))
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -28,7 +28,14 @@
 from weldhead.coordination.pacing import Pacer
 from weldhead.coordination.recovery import Recovery
 from weldhead.coordination.rentals import Rentals
-from weldhead.coordination.reports import Outcome, apply_report, is_newer, pending_commands
+from weldhead.coordination.reports import (
+    Outcome,
+    apply_report,
+    is_newer,
+    kill_all,
+    pending_commands,
+    pending_kills,
+)
 from weldhead.coordination.sizing import Sizing
 from weldhead.coordination.term import Term, parts
 from weldhead.coordination.watching import MachineWatch
@@ -69,7 +76,9 @@
         self._duties = term.duties
         self._dispatcher = Dispatcher(term, self._answered, self._unanswered)
         self.linking = Linking(term, self._dispatcher, self.job_created)
-        self.completions = Completions(term, self._ended, self.linking.withdraw_with_followers)
+        self.completions = Completions(
+            term, self._ended, self.linking.withdraw_with_followers, self.linking.stop_tasks
+        )
         self.linking.start(self.completions)
         self.pacer = Pacer(round(term.tunables.leadership.ttl_us * term.tunables.most_hold))
         self.deciding = Deciding(term, self._dispatcher, self.pacer)
@@ -164,6 +173,7 @@
         duties.once("questions", self.recovery.ask())
         duties.once("safe revision", self.recovery.learn_safe())
         await self.recovery.load_until_done()
+        duties.once("settling", self.recovery.settle())
         duties.start("job watch", self._watch_jobs)
         duties.start("machine watch", self.watch.watch)
         duties.start("hearing", self.listening.attend)
@@ -282,13 +292,13 @@
             self.term.on_deposed(f"{report.machine} has seen token {report.token}")
             return None
         if not self.loaded:
-            # An answer keeps the worker's lease; it needs the token, not the records.
-            kept = self.recovery.early.answer(report, at_us, relayed=relayed)
+            kept = self.recovery.answer_early(report, at_us, relayed=relayed)
             return ReportAnswer(self.token, []) if kept else None
         machine = self.cluster.machines.get(report.machine)
         if machine is None:
             self._stranger(report)
-            return ReportAnswer(self.token, [])
+            # The answer renews a lease, and what runs there counts for nobody: it has to go.
+            return ReportAnswer(self.token, kill_all(report))
         word = self.listening.word(machine, report)
         if machine.deleting or word is Word.COPY:
             return None
@@ -296,7 +306,8 @@
             if not self.listening.answerable(machine):
                 return None
             machine.lease_from_us = max(machine.lease_from_us, machine.seen_us)
-            return ReportAnswer(self.token, [])
+            # No answer renews a lease without the kills: a run may not be repeated, they may.
+            return ReportAnswer(self.token, pending_kills(machine))
         self.listening.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
         self._apply(machine, report, direct=False)
@@ -354,7 +365,7 @@
         if early.answered_us:
             self._count_answer(machine, word, early.answered_us)
             machine.relayed = early.relayed
-            if not early.direct:
+            if early.answered:
                 self.listening.told(
                     machine, early.report, [], early.answered_us, relayed=early.relayed
                 )
--- a/weldhead/coordination/lending.py
+++ b/weldhead/coordination/lending.py
@@ -61,7 +61,7 @@
     def inherit(self, at_us: int) -> None:
         """Note what an earlier leader stopped last, and may not have written down."""
         for attempt in list(self._term.cluster.stopping.values()):
-            if attempt.job.spec.gpus <= 0 or attempt.job.cancelled or not attempt.adopted:
+            if attempt.job.spec.gpus <= 0 or attempt.job.unwanted or not attempt.adopted:
                 continue
             known = self._term.taken.of(attempt.job.id).get(attempt.index)
             if attempt.phase is Phase.SAVING and known is None:
--- a/weldhead/coordination/linking.py
+++ b/weldhead/coordination/linking.py
@@ -97,7 +97,7 @@
                 if name in self._term.cluster.jobs:
                     needed[name] = self._term.cluster.jobs[name]
             self._term.chains.remove(job)
-            self._stop_all(job)
+            self.stop_tasks(job)
         if needed:
             # What they gave to the jobs that they need goes with them.
             self.refresh(needed.values())
@@ -135,8 +135,8 @@
             # On its way from one key to the other, or named by a record that is nonsense.
             await asyncio.sleep(0.5)
 
-    def _stop_all(self, job: Job) -> None:
-        """Stop what runs of a job that is withdrawn."""
+    def stop_tasks(self, job: Job) -> None:
+        """Stop what runs of a job that is withdrawn, or is about to be."""
         at_us = now_us()
         for attempt in list(job.active.values()):
             machine = self._term.cluster.machines[attempt.machine]
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us
+from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us, seconds_us
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
 from weldhead.coordination.documents import Documents
@@ -30,6 +30,7 @@
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.versions import FORMAT
 from weldhead.protocol.wire import MachineType, Redirect, Report
+from weldhead.recovery.answering import shortfall
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
@@ -75,6 +76,13 @@
         self.campaign = Campaign(settings, tunables, self._links, self._duties, started_us)
         self.company = Company(settings.name, self._links, self.campaign, started_us)
 
+    def _say_shortfall(self) -> None:
+        """Tell the operator once what the site's times do not allow to guarantee."""
+        workers = self.settings.facts.workers
+        missing = shortfall(seconds_us(workers.cancel_s), seconds_us(workers.lease_s))
+        if missing:
+            log.warning("%s", missing)
+
     @property
     def leader(self) -> Leader | None:
         """This node's term, if it leads."""
@@ -115,6 +123,7 @@
             self._duties.start("catalog", self._watch_catalog)
             self._duties.start("company", self.company.watch)
             self.campaign.start()
+            self._say_shortfall()
             log.info("%s serves %s", self.settings.name, self.settings.listen)
             await asyncio.Event().wait()
         finally:
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/recovery.py
@@ -1,6 +1,7 @@
 """The start of a term: what is recorded is read, and what runs where is learned."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 from weldhead.bookkeeping.chains import Chains
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import UNKNOWN_OPENING, Job
+from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import (
     CHUNK_TASKS,
@@ -17,13 +19,14 @@
     JOBS,
     LEADER_KEY,
     PROGRESS,
+    UNSETTLED_KEY,
     HireRecord,
     JobRecord,
     decode_progress,
     job_key,
     without_gate,
 )
-from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
+from weldhead.clock import MILLISECOND_US, now_us, surely_over_us, to_seconds, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.documents import Publisher
@@ -35,18 +38,20 @@
 from weldhead.coordination.watching import MachineWatch
 from weldhead.planning.demand import Demand
 from weldhead.planning.silence import look_gone
-from weldhead.protocol.wire import Entry
+from weldhead.protocol.wire import Entry, Report, split_task
 from weldhead.recovery.asking import Asking
 from weldhead.recovery.early import Early, EarlyReports
 from weldhead.recovery.readiness import Partial, doubts, partial_of
 from weldhead.transport.http import CallFailed
-from weldhead.transport.state import decode
+from weldhead.transport.state import Rejected, decode
 
 if TYPE_CHECKING:
     from weldhead.coordination.gates import Gates
 
 log = logging.getLogger(__name__)
 
+#: How often it is looked whether all that was cancelled before is gone.
+SETTLE_LOOK_US = 500 * MILLISECOND_US
 #: How often it is looked whom to ask next.
 ASK_PAUSE_US = 20 * MILLISECOND_US
 
@@ -84,10 +89,14 @@
         self.jobs_revision = 0
         self.known = asyncio.Event()
         self.early = EarlyReports()
+        #: Jobs that were read and are not cancelled: before the term is loaded nobody cancels one.
+        self._wanted: set[str] = set()
         sockets = term.settings.facts.limits.sockets
         self.asking = Asking(term.tunables.recovery.asking(sockets))
         #: Machines on record that have not been seen to be known or gone.
         self._unknown: dict[str, Machine] = {}
+        self._said_mute = False
+        term.ledger.learn(UNSETTLED_KEY, term.token)
         self._safe_from: int | None = None
         if term.predecessor_over_us <= term.won_us:
             self._safe_from = term.token
@@ -138,6 +147,8 @@
                 for entry in part:
                     record = decode(bytes(entry.value), JobRecord)
                     self.add_job(record, entry.version, at_us, wall)
+                    if not record.cancelled:
+                        self._wanted.add(record.spec.id)
                 await asyncio.sleep(0)
         jobs = list(term.cluster.jobs.values())
         for loaded in parts(jobs):
@@ -190,6 +201,56 @@
         term.ledger.learn(job_key(job.id), version)
         return job
 
+    # -- before it is loaded -----------------------------------------------------------------
+
+    def answer_early(self, report: Report, at_us: int, *, relayed: bool) -> bool:
+        """Keep a report that comes before the records are read; whether to answer it.
+
+        An answer renews the worker's lease. In an outage that began before the jobs were read
+        all workers were kept, with tasks whose cancellation an earlier leader had confirmed and
+        this one did not know (``docs/incidents/meetings.md``).
+        """
+        if at_us < self._term.answers_until_us or self._runs_wanted_only(report):
+            return self.early.answer(report, at_us, relayed=relayed)
+        self.early.unanswered(report, relayed=relayed)
+        if not self._said_mute:
+            self._said_mute = True
+            log.warning(
+                "term %d: the jobs are not read, and some may be cancelled: workers with tasks "
+                "are not answered", self._term.token,
+            )  # fmt: skip
+        return False
+
+    def _runs_wanted_only(self, report: Report) -> bool:
+        """Whether all that is on a machine was read in this term, and is not cancelled."""
+        try:
+            return all(
+                split_task(task.task)[0] in self._wanted
+                for task in report.tasks
+                if task.state != "ended"
+            )
+        except ValueError:
+            return False
+
+    async def settle(self) -> None:
+        """Once nothing can be left that was cancelled before this term, say so in the store.
+
+        Until then a successor counts from the cancellations that this one may have missed.
+        """
+        term = self._term
+        over_us = surely_over_us(max(term.loaded_us, term.predecessor_over_us), term.lease_us)
+        while now_us() < over_us and not (term.ready and self._clean()):  # noqa: ASYNC110
+            await asyncio.sleep(to_seconds(SETTLE_LOOK_US))
+        with contextlib.suppress(Deposed, Rejected):
+            await term.ledger.write({UNSETTLED_KEY: None})
+
+    def _clean(self) -> bool:
+        """Whether no machine is known to hold what must end."""
+        cluster = self._term.cluster
+        return not any(a.job.unwanted for a in cluster.stopping.values()) and not any(
+            machine.ghosts for machine in cluster.machines.values()
+        )
+
     # -- what runs where ---------------------------------------------------------------------
 
     async def ask(self) -> None:
@@ -265,6 +326,8 @@
         )  # fmt: skip
         start_preempting()
         term.place.set()
+        # Cancelled jobs may be ended now.
+        term.flush.set()
 
     # -- what may be decided already ---------------------------------------------------------
 
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -232,7 +232,7 @@
         attempt.running_us = at_us
         machine.note_image(job.spec.image, job.spec.image_gb)
     cluster.adopt(attempt, machine)
-    if job.cancelled:
+    if job.unwanted:
         cluster.stop(attempt, Stop.HARD, at_us, "cancelled")
     elif attempt.phase is Phase.SAVING:
         # Whoever led before has stopped it: it goes, and what it holds is being freed. Taken
@@ -274,6 +274,31 @@
     return len(gone)
 
 
+def kill_all(report: Report) -> list[Command]:
+    """Return what ends everything that a worker says is on its machine."""
+    return [
+        Command("kill", task.task, task.attempt, 0.0)
+        for task in report.tasks
+        if task.state != "ended"
+    ]
+
+
+def pending_kills(machine: Machine) -> list[Command]:
+    """Return the kills that the machine still has to carry out; repeated, they do no harm."""
+    kills = [Command("kill", task, number, 0.0) for task, number in machine.ghosts]
+    for attempt in machine.attempts.values():
+        if attempt.stop is Stop.NO:
+            continue
+        if attempt.phase is not Phase.ASSIGNED or attempt.limbo_us or attempt.posted:
+            grace_s = 0.0
+            if attempt.stop is Stop.SOFT:
+                if attempt.phase is Phase.SAVING:
+                    continue
+                grace_s = attempt.job.spec.save_s + 1.0
+            kills.append(Command("kill", attempt.task, attempt.number, grace_s))
+    return kills
+
+
 def pending_commands(
     machine: Machine,
     committed: Callable[[str], bool],
@@ -287,21 +312,10 @@
     attempt may be forgotten. ``sequence`` is that of the report being answered, or None
     for a direct request, in which ``run`` commands are marked as posted.
     """
-    kills: list[Command] = []
     runs: list[Command] = []
     forgets: list[Command] = []
-    for task, number in machine.ghosts:
-        kills.append(Command("kill", task, number, 0.0))
     for attempt in machine.attempts.values():
-        if attempt.stop is not Stop.NO:
-            if attempt.phase is not Phase.ASSIGNED or attempt.limbo_us or attempt.posted:
-                grace_s = 0.0
-                if attempt.stop is Stop.SOFT:
-                    if attempt.phase is Phase.SAVING:
-                        continue
-                    grace_s = attempt.job.spec.save_s + 1.0
-                kills.append(Command("kill", attempt.task, attempt.number, grace_s))
-        elif attempt.phase is Phase.ASSIGNED and may_start:
+        if attempt.stop is Stop.NO and attempt.phase is Phase.ASSIGNED and may_start:
             if attempt.posted or attempt.limbo_us:
                 continue
             if sequence is None:
@@ -319,4 +333,4 @@
             continue
         if committed(task):
             forgets.append(Command("forget", task, number))
-    return kills + forgets + runs
+    return pending_kills(machine) + forgets + runs
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -50,10 +50,13 @@
         types: list[MachineType],
         predecessor_over_us: int,
         on_deposed: Callable[[str], None],
+        answers_until_us: int,
     ) -> None:
         self.settings = settings
         self.tunables = tunables
         self._authority = authority
+        #: Until then workers with tasks are answered although the jobs are not read.
+        self.answers_until_us = answers_until_us
         self.state = state
         self.cloud = cloud
         self.worker_http = worker_http
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -16,6 +16,7 @@
 from weldhead.coordination.term import Term
 from weldhead.planning.goals import FOR_EVER_US
 from weldhead.planning.silence import look_gone
+from weldhead.recovery.answering import span_us
 from weldhead.transport.http import CallFailed
 
 log = logging.getLogger(__name__)
@@ -181,7 +182,11 @@
     def in_trouble(self, at_us: int) -> list[Machine]:
         """Return machines on which something must be ended by deleting them."""
         cluster = self._term.cluster
-        limbo_us, stop_us = self._term.cancel_us // 4, self._term.cancel_us // 2
+        # One that is being returned is not answered: its lease has to end within ``cancel_s``
+        # even if the cloud does not take it back.
+        left_us = max(0, span_us(self._term.cancel_us, self._term.lease_us))
+        limbo_us = min(self._term.cancel_us // 4, left_us)
+        stop_us = min(self._term.cancel_us // 2, left_us)
         found = [a for a in cluster.limbo.values() if a.limbo_us and at_us - a.limbo_us > limbo_us]
         found += [
             attempt
--- a/weldhead/recovery/early.py
+++ b/weldhead/recovery/early.py
@@ -1,8 +1,8 @@
 """Reports that come before the term is loaded: answered at once, kept, and applied later.
 
 An answer renews a worker's lease and needs the token only. So from the moment the token is
-won every report is answered; what it says waits here for the records, the newest message of
-each machine. Times are microseconds of the steady clock.
+won reports are answered (for how long: ``answering.py``); what they say waits here for the
+records, the newest message of each machine. Times are microseconds of the steady clock.
 """
 
 from dataclasses import dataclass
@@ -19,6 +19,8 @@
     direct: bool
     answered_us: int
     relayed: bool
+    #: This very message was a report and was answered.
+    answered: bool = False
 
 
 class EarlyReports:
@@ -43,14 +45,14 @@
         """
         kept = self._kept.get(report.machine)
         if kept is None:
-            self._kept[report.machine] = Early(report, False, at_us, relayed)
+            self._kept[report.machine] = Early(report, False, at_us, relayed, True)
             return True
         if _order(report) < _order(kept.report):
             return False
         if _order(report) == _order(kept.report):
             # The same once more: its sender had sent it when it was first counted.
             return True
-        kept.report, kept.direct = report, False
+        kept.report, kept.direct, kept.answered = report, False, True
         kept.answered_us, kept.relayed = at_us, relayed
         return True
 
@@ -60,7 +62,15 @@
         if kept is None:
             self._kept[report.machine] = Early(report, True, 0, False)
         elif _order(report) > _order(kept.report):
-            kept.report, kept.direct = report, True
+            kept.report, kept.direct, kept.answered = report, True, False
+
+    def unanswered(self, report: Report, *, relayed: bool) -> None:
+        """Keep a report that is not answered, unless something newer is here."""
+        kept = self._kept.get(report.machine)
+        if kept is None:
+            self._kept[report.machine] = Early(report, False, 0, relayed)
+        elif _order(report) > _order(kept.report):
+            kept.report, kept.direct, kept.answered = report, False, False
 
     def take(self) -> list[Early]:
         """Return everything, and keep nothing."""
--- a/weldhead/recovery/outbox.py
+++ b/weldhead/recovery/outbox.py
@@ -34,7 +34,7 @@
 def _rank_of(cluster: Cluster, attempt: Attempt) -> Rank:
     job = attempt.job
     if attempt.stop is not Stop.NO:
-        return (Errand.RULES if job.cancelled else Errand.ROOM), 0
+        return (Errand.RULES if job.unwanted else Errand.ROOM), 0
     if attempt.phase is not Phase.ASSIGNED:
         return Errand.REST, _NO_DUE_US
     due_us = job.chain_due_us[0] if job.chain_due_us else _NO_DUE_US
--- a/weldhead/recovery/squaring.py
+++ b/weldhead/recovery/squaring.py
@@ -26,7 +26,7 @@
     FINISHED = "finished"
     #: Ended without completing, or known to be completed: forgotten.
     ENDED = "ended"
-    #: Its job is cancelled: counted, and stopped hard.
+    #: Its job is cancelled, or is being: counted, and stopped hard.
     CANCELLED = "cancelled"
     #: Its job is over, or the task is completed: stopped, its machine takes nothing meanwhile.
     OVER = "of a job that is over"
@@ -85,7 +85,7 @@
         return Verdict.SECOND
     if machine.fits(job) < 1:
         return Verdict.CROWDED
-    if job.cancelled:
+    if job.unwanted:
         return Verdict.CANCELLED
     if cluster.within_limit(job) < 1 or job.team not in cluster.teams:
         return Verdict.OVER_LIMIT
