--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -143,6 +143,10 @@
             # that come meanwhile waited behind hundreds of one team's (found in the emulator).
             most = max(term.state.max_writes, round(term.settings.facts.state.write_rps / 2))
             turn = in_turns(over, lambda job: job.team)[:most]
+            for job in turn:
+                # Claimed before anything else may run: a cancellation that was about to be
+                # written came in between, was told, and the job then ended as done.
+                job.finishing = True
             await asyncio.gather(*(self._end(job) for job in turn))
             if len(turn) < len(over):
                 term.flush.set()
@@ -197,7 +201,6 @@
         job.mark_committed(fresh)
 
     async def _end(self, job: Job) -> None:
-        job.finishing = True
         try:
             await self._finish(job)
         except (Deposed, Rejected):
