A rental whose record was written late is not asked for once more

Cause: versions never come back, but absence does. The creation of a rental's record went unanswered, was repeated and committed, the rental was refused and its record deleted, all within two seconds; then the first transaction was carried out, as its key was absent again. The next leader found an unsettled rental and asked the cloud for it: what had been refused was rented though nobody wanted it, and of what had been returned it heard names of machines that were gone.

Change: the ledger knows of which keys a creation was not answered in its term; the record of such a rental stays, settled and empty, until the next term deletes it. No format changes.

--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -4,6 +4,10 @@
 version of every key that it changes. So a transaction that was given up and is applied
 late either comes before the next one, which then fails and learns the new versions, or
 fails itself: a late one can never put an older value over a newer.
+
+Versions never come back, but absence does: a key that was created by the repetition of an
+unanswered transaction and deleted since is as absent as before, and the unanswered one may
+bring it back. Whoever cannot bear that asks ``in_doubt`` before deleting a key.
 """
 
 import asyncio
@@ -56,6 +60,8 @@
         self._latest: dict[str, _Write] = {}
         self._wake = asyncio.Event()
         self._closed = False
+        #: Keys of which a creation was not answered: it may yet be applied, in this term.
+        self._in_doubt: set[str] = set()
         #: The latest moment at which the leader's key was surely still ours: when a request
         #: was sent whose answer showed it (steady clock, 0: never).
         self.proven_us = 0
@@ -77,6 +83,13 @@
         """Return a key's last known version; 0: it does not exist."""
         return self._versions.get(key, 0)
 
+    def in_doubt(self, key: str) -> bool:
+        """Whether a creation of the key may still be under way: deleted, it could come back.
+
+        With the term that ends: whatever a transaction does is conditional on its token.
+        """
+        return key in self._in_doubt
+
     async def write(self, changes: dict[str, Any], *, urgent: bool = False) -> int:
         """Commit changes that belong together; return the revision.
 
@@ -213,6 +226,10 @@
                 raise
             except CallFailed as failure:
                 log.info("write unanswered: %s", failure)
+                self._in_doubt.update(
+                    key for key, value in changes.items()
+                    if value is not None and not self.version(key)
+                )  # fmt: skip
             await asyncio.sleep(pause_s)
             pause_s = min(0.5, pause_s * 1.5)
 
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -80,6 +80,9 @@
             if name in self._untidy or len(self._parts(name)) > 1:
                 log.info("rental %s: its record is divided", name)
                 self._term.duties.once("rental record", self._enter(name))
+            if self._is_dropped(name):
+                # An earlier term could not delete it for good.
+                self._term.duties.once("rental record", self._write_or_drop(name))
         self._untidy.clear()
         for name in self._open():
             self._term.duties.once("hire", self._settle(name))
@@ -150,9 +153,12 @@
         await self._term.ledger.write_latest(HIRES + name, build, urgent=urgent)
 
     def _value(self, name: str) -> HireRecord | None:
-        """Return a rental's record as it is now; None once it holds nothing more."""
+        """Return a rental's record as it is now; None once it holds nothing more.
+
+        Whose creation may be under way stays, empty: it came back, and was rented once more.
+        """
         record = self._records.get(name)
-        if record is None or (record.settled and not record.machines):
+        if record is None or self._is_dropped(name):
             return None
         return HireRecord(
             record.type, record.zone, record.spot, record.count, record.hired_us,
@@ -277,9 +283,14 @@
             return
         self._drop_if_empty(name)
 
-    def _drop_if_empty(self, name: str) -> None:
+    def _is_dropped(self, name: str) -> bool:
+        """Whether a rental's record holds nothing more, and can be deleted for good."""
         record = self._records.get(name)
-        if record is not None and record.settled and not record.machines:
+        empty = record is not None and record.settled and not record.machines
+        return empty and not self._term.ledger.in_doubt(HIRES + name)
+
+    def _drop_if_empty(self, name: str) -> None:
+        if self._is_dropped(name):
             del self._records[name]
 
     # -- machines that nobody expected -----------------------------------------------------
@@ -302,9 +313,7 @@
         """Whether a rental is open that such a machine could have come of."""
         offer = (type_name, zone, spot)
         return any(
-            (record.type, record.zone, record.spot) == offer
-            for record in self._records.values()
-            if not record.settled
+            (r.type, r.zone, r.spot) == offer for r in self._records.values() if not r.settled
         )
 
     def _adopt_soon(self, name: str, record: HireRecord) -> None:
