A leader that was replaced counts its lease no longer than its key was seen

Cause: a lease can be extended when its key is another's already. Each answered extension moved the end of the holder's authority by 3 s, while its successor counts it as active for 3 s from the replacement. The holder looked at its key once a second; lost looks were repeated late and had no consequence, so with its watch held up two controllers believed to lead, and the later took the earlier for over.

Change: a lease counts no longer than its length from the last request whose answer showed the key to be the holder's own. A later token heard from another controller, and an absent key, end the term; LeaseGone of an earlier term ends no later one.

Tests: real controllers on the emulator's loop, in generated histories of ends, returns, cuts, refusals, outages, standstills and late writes, and on purpose. The model in test_leadership.py says with each answered renewal that the key was seen, as the code does now; its invariant is the same.

--- /dev/null
+++ b/tests/test_handing_back.py
@@ -0,0 +1,293 @@
+"""Controllers hand over and back, all end, one returns: no two rely on leading at once.
+
+The real controllers play on the emulator's loop, network, store and cloud, without machines and
+users. What is looked at every few milliseconds: whoever leads counts each leader before it as
+active for as long as that one would still command.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.builders import machine_type
+from weldhead.clock import now_us
+from weldhead.coordination.leader import Leader
+from weldhead.emulator.controller import Controller
+from weldhead.emulator.loop import VirtualLoop, simulated
+from weldhead.emulator.network import Network
+from weldhead.emulator.services import (
+    CLOUD_ADDRESS,
+    STATE_ADDRESS,
+    SimulatedCloud,
+    SimulatedStore,
+)
+from weldhead.protocol.settings import (
+    CloudLimits,
+    Facts,
+    MachineLimits,
+    Node,
+    Services,
+    Settings,
+    StateLimits,
+    Team,
+    WorkerLimits,
+)
+from weldhead.transport.server import Response
+from weldhead.tunables.defaults import Tunables
+
+LIMITS = StateLimits(1e4, 1e4, 8.0, 12)
+LOOK_S = 0.01
+
+
+class Store(SimulatedStore):
+    """A store of which single calls of single controllers can be lost or held up."""
+
+    def __init__(self, loop: VirtualLoop, network: Network) -> None:
+        super().__init__(loop, network, LIMITS)
+        self._net = network
+        #: What starts so, asked by that controller, is never carried out.
+        self.lost: set[tuple[str, str]] = set()
+        #: For how long its transactions are held up before they are carried out.
+        self.held_s: dict[str, float] = {}
+        self.holds = 0
+
+    async def _serve(self, method: str, path: str, body: bytes) -> Response:
+        caller = self._net.caller.get()
+        if any(caller == name and path.startswith(start) for name, start in self.lost):
+            await asyncio.sleep(1e6)
+        if path == "/multi" and caller in self.held_s:
+            self.holds += 1
+            await asyncio.sleep(self.held_s[caller])
+        return await super()._serve(method, path, body)
+
+
+class Site:
+    """Controllers, their store and an empty cloud."""
+
+    def __init__(self, loop: VirtualLoop, seed: int = 0, count: int = 3) -> None:
+        self.loop = loop
+        self.network = Network(loop, random.Random(seed))
+        self.store = Store(loop, self.network)
+        kinds = {machine_type(): 0}
+        self.cloud = SimulatedCloud(loop, self.network, kinds, 10.0, _none, random.Random(seed))
+        peers = [Node(f"n-{n}", "ab"[n % 2], f"10.0.0.{n}:81") for n in range(count)]
+        facts = Facts(
+            ["a", "b"], [Team("red", 8, 100)], WorkerLimits(3.0, 14.0, 44.0), LIMITS,
+            CloudLimits(10.0, 2.0), [], MachineLimits(1.0, 0.0, 1024),
+        )  # fmt: skip
+        self.controllers = []
+        for n, peer in enumerate(peers):
+            own = Settings(
+                peer.name, peer.zone, f"10.0.0.{n}:80", peer.address,
+                [other for other in peers if other is not peer],
+                Services(CLOUD_ADDRESS, STATE_ADDRESS), facts,
+            )  # fmt: skip
+            clock = (1.0 + 0.0002 * n, 0)
+            self.controllers.append(
+                Controller(loop, self.network, own, Tunables(), clock, None, lambda *_: None)
+            )
+            self.network.known(own.listen, peer.name)
+            self.network.known(peer.address, peer.name)
+        #: Terms by token, and what was wrong with them.
+        self.terms: dict[int, str] = {}
+        self.overlaps: list[str] = []
+
+    def start(self) -> None:
+        for controller in self.controllers:
+            controller.start()
+
+    def leading(self) -> list[tuple[Controller, Leader]]:
+        """Who may command now, by the clocks and authority of each; the oldest first."""
+        found = []
+        for controller in self.controllers:
+            node, life = controller.node, controller.life
+            leader = node.leader if node is not None else None
+            if leader is None or life is None or life.frozen:
+                continue
+            if life.context.run(lambda leader=leader: leader.valid):  # type: ignore[misc]
+                found.append((controller, leader))
+        return sorted(found, key=lambda pair: pair[1].token)
+
+    def look(self) -> None:
+        leading = self.leading()
+        self.terms.update((leader.token, controller.name) for controller, leader in leading)
+        for place, (controller, leader) in enumerate(leading):
+            assert controller.life is not None
+            over_us = leader.term.predecessor_over_us
+            if place and controller.life.context.run(now_us) >= over_us:
+                before, former = leading[place - 1]
+                self.overlaps.append(
+                    f"{self.loop.true_s - 1_000:.3f} s: {controller.name} takes the term "
+                    f"{former.token} of {before.name} for over"
+                )
+
+    async def watch(self) -> None:
+        while True:
+            self.look()
+            await asyncio.sleep(LOOK_S)
+
+    async def until(self, seen: Callable[[], bool], most_s: float = 30.0) -> None:
+        end_s = self.loop.true_s + most_s
+        while not seen():
+            assert self.loop.true_s < end_s, "it has not come about"
+            await asyncio.sleep(LOOK_S)
+
+    async def led(self) -> Controller:
+        """Wait until somebody leads."""
+        await self.until(lambda: bool(self.leading()))
+        return self.leading()[-1][0]
+
+    def others(self, than: Controller) -> list[Controller]:
+        return [controller for controller in self.controllers if controller is not than]
+
+    def cut(self, one: str, other: str, mode: Any) -> None:
+        self.network.cut(one, other, mode)
+        self.network.cut(other, one, mode)
+
+    def heal(self, one: str, other: str, mode: Any) -> None:
+        self.network.heal(one, other, mode)
+        self.network.heal(other, one, mode)
+
+
+def _none(_: Any) -> Any:
+    raise AssertionError("nothing is rented")
+
+
+def play(story: Callable[[Site], Coroutine[Any, Any, None]], seed: int = 0) -> Site:
+    with simulated() as loop:
+        site = Site(loop, seed)
+
+        async def run() -> None:
+            site.start()
+            watching = asyncio.create_task(site.watch())
+            await story(site)
+            watching.cancel()
+
+        loop.run_until_complete(run())
+        assert not site.overlaps, site.overlaps[0]
+    return site
+
+
+# -- generated ----------------------------------------------------------------------------------
+
+EVENTS = st.sampled_from(
+    ["end", "start", "end all", "freeze", "thaw", "refuse", "serve", "outage", "outage over",
+     "cut store", "cut peers", "drop peers", "heal", "held writes", "no key", "nothing"]
+)  # fmt: skip
+HISTORIES = st.lists(
+    st.tuples(
+        EVENTS,
+        #: Whom it befalls: the leader, or one of the others.
+        st.integers(0, 2),
+        st.sampled_from([0.0, 0.05, 0.3, 0.9, 1.6, 2.9, 3.2]),
+    ),
+    min_size=2,
+    max_size=14,
+)
+
+
+class History:
+    """Faults of a site, each until it is healed; the first controller is who leads."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self._cuts: list[tuple[str, str, str]] = []
+
+    def _whom(self, number: int) -> Controller:
+        leading = [controller for controller, _ in self.site.leading()][-1:]
+        rest = [c for c in self.site.controllers if c not in leading]
+        return [*leading, *rest][number]
+
+    def _cut(self, one: str, other: str, mode: str) -> None:
+        if not any({one, other} == {a, b} for a, b, _ in self._cuts):
+            self._cuts.append((one, other, mode))
+            self.site.cut(one, other, mode)
+
+    def befall(self, event: str, number: int) -> None:
+        site, store, whom = self.site, self.site.store, self._whom(number)
+        match event:
+            case "end":
+                whom.end()
+            case "end all":
+                for controller in site.controllers:
+                    controller.end()
+            case "start":
+                site.start()
+            case "freeze" if whom.life is not None:
+                site.loop.freeze(whom.life)
+            case "thaw":
+                self.thaw()
+            case "refuse":
+                store.refused.add(whom.name)
+            case "serve":
+                store.refused.clear()
+                store.lost.clear()
+                store.held_s.clear()
+            case "outage":
+                store.service.outage = True
+            case "outage over" if store.service.outage:
+                store.life.context.run(store.service.end_outage)
+            case "cut store":
+                self._cut(whom.name, "state", "drop")
+            case "cut peers" | "drop peers":
+                for other in site.others(whom):
+                    self._cut(whom.name, other.name, "refuse" if event == "cut peers" else "drop")
+            case "heal":
+                for cut in self._cuts:
+                    site.heal(*cut)
+                self._cuts.clear()
+            case "held writes":
+                store.held_s[whom.name] = 2.2
+            case "no key":
+                store.lost |= {(whom.name, "/store"), (whom.name, "/changes")}
+
+    def thaw(self) -> None:
+        for controller in self.site.controllers:
+            if controller.life is not None and controller.life.frozen:
+                self.site.loop.thaw(controller.life)
+
+
+@given(HISTORIES, st.integers(0, 3))
+@settings(max_examples=60)
+def test_no_history_has_two_that_rely_on_leading(
+    history: list[tuple[str, int, float]], seed: int
+) -> None:
+    async def story(site: Site) -> None:
+        await site.led()
+        faults = History(site)
+        for event, number, pause_s in history:
+            faults.befall(event, number)
+            await asyncio.sleep(pause_s)
+        for event in ("heal", "serve", "outage over", "thaw", "start"):
+            faults.befall(event, 0)
+        # All troubles over, somebody leads soon.
+        await asyncio.sleep(1.0)
+        await site.led()
+
+    play(story, seed)
+
+
+# -- on purpose -----------------------------------------------------------------------------------
+
+
+def test_an_extended_lease_does_not_show_that_the_key_is_still_ones_own() -> None:
+    """A leader that was replaced, and whose lease alone was answered, went on for longer than
+    its successor waits: its looks at the key were lost, one after the other.
+    """
+
+    async def story(site: Site) -> None:
+        first = await site.led()
+        await asyncio.sleep(5.0)
+        # It looks dead to the others, and reads nothing.
+        site.store.lost |= {(first.name, "/store"), (first.name, "/changes")}
+        for other in site.others(first):
+            site.cut(first.name, other.name, "refuse")
+        await site.until(lambda: len(site.terms) > 1)
+        assert site.leading()[0][0] is first
+        await asyncio.sleep(8.0)
+
+    play(story)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -104,6 +104,8 @@
         self.store.until = self.true_us + TIMING.ttl_us
         if answered:
             authority.renewed(sent)
+            # It is asked in the same moment whether the key is still its own.
+            authority.kept(sent)
 
     @rule(node=st.sampled_from(NODES), delay=st.sampled_from([0, 20_000, 700_000]))
     def ask_for_promises(self, node: str, delay: int) -> None:
@@ -154,6 +156,31 @@
     assert not authority.valid(1_000_000 + TIMING.ttl_us)
 
 
+def test_a_renewed_lease_counts_no_longer_than_the_key_was_seen() -> None:
+    """Extended after the key was another's, it outlasted what a successor waits for."""
+    authority = Authority(TIMING, frozenset({"n-1"}))
+    authority.begin(5, 7, S)
+    for sent_us in range(2 * S, 9 * S, S // 2):
+        authority.renewed(sent_us)
+    assert authority.until_us() < S + TIMING.ttl_us
+    authority.kept(3 * S)
+    assert S + TIMING.ttl_us < authority.until_us() < 3 * S + TIMING.ttl_us
+    # What was asked earlier and is answered later takes nothing back.
+    authority.kept(2 * S)
+    assert authority.until_us() > 2 * S + TIMING.ttl_us
+
+
+def test_a_leader_that_hears_of_a_later_token_ends_its_term() -> None:
+    node, _ = restarted_node(LeaderRecord("n-1", "x", 3 * S))
+    ended: list[str] = []
+    node.leader = cast(Any, type("Term", (), {"token": 5}))
+    node.step_down = ended.append  # type: ignore[assignment]
+    node.hear_leader("n-1", 4)
+    assert not ended
+    node.hear_leader("n-1", 6)
+    assert ended == ["n-1 leads with token 6"]
+
+
 def test_promises_count_only_when_all_others_gave_one() -> None:
     authority = Authority(TIMING, frozenset({"n-1", "n-2"}))
     authority.begin(5, 7, 0)
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -33,6 +33,9 @@
 
 log = logging.getLogger(__name__)
 
+#: How long an answer to a reading of the leader's key is waited for.
+READ_US = 800 * MILLISECOND_US
+
 
 class Campaign:
     """One controller's part in who leads; ``leader`` is its own term, if it has one."""
@@ -123,10 +126,13 @@
                     break
             self._leader_revision = max(self._leader_revision, changes.revision)
 
-    async def read_leader(self) -> None:
+    async def read_leader(self, timeout_us: int = READ_US) -> None:
         """Read the leader's key."""
-        entry = await self._state.get(LEADER_KEY, urgent=True)
+        sent_us = now_us()
+        entry = await self._state.get(LEADER_KEY, urgent=True, timeout_us=timeout_us)
         if entry is None:
+            if self.leader is not None and sent_us >= self.leader.term.won_us:
+                self.step_down("its key is gone")
             self.known_leader = None
             self._vacant.set()
             return
@@ -144,9 +150,12 @@
             if record.earlier_us and len(self._ended) < len(self._links):
                 over_us = surely_over_us(self._read_us, record.earlier_us)
                 self._earlier_us = max(self._earlier_us, over_us)
-        if self.leader is not None and entry.version > self.leader.token:
-            # Its lease would still be extended: that says nothing of the key.
-            self.step_down(f"{record.name} has replaced it")
+        if self.leader is not None:
+            if entry.version == self.leader.token:
+                self.authority.kept(sent_us)
+            elif entry.version > self.leader.token:
+                # Its lease would still be extended: that says nothing of the key.
+                self.step_down(f"{record.name} has replaced it")
         self.known_leader, self.known_token = record, entry.version
         self._leader_revision = max(self._leader_revision, entry.version)
         self._vacant.clear()
@@ -205,10 +214,7 @@
         """Stand whenever the key is free; a duty."""
         while True:
             try:
-                # Replaced while its watch was cut off, a leader extended its lease for longer
-                # than its successor waits for it: it looks well within that.
-                pause_s = to_seconds(self.timing.ttl_us) / 3 if self.leader is not None else 5.0
-                await asyncio.wait_for(self._vacant.wait(), pause_s)
+                await asyncio.wait_for(self._vacant.wait(), 5.0)
             except asyncio.TimeoutError:
                 await self.read_leader()
                 continue
@@ -288,15 +294,20 @@
         failing = False
         while self.leader is leader:
             await asyncio.sleep(to_seconds(pause_us))
-            sent_us = now_us()
+            if self.leader is not leader:
+                return
             try:
                 patience_us = self.timing.renew_us if failing else self.timing.renew_us * 2 // 3
-                await self._state.extend(self.authority.lease, patience_us)
-                self.authority.renewed(sent_us)
-                pause_us = self.timing.renew_us
+                _, seen = await asyncio.gather(
+                    self._extend(patience_us), self._see_key(leader, patience_us)
+                )
+                pause_us = self.timing.renew_us if seen else self.timing.renew_us // 3
                 failing = False
+                if self.leader is leader and not self.authority.valid(now_us()):
+                    self.step_down("it could not see that its key is its own")
             except LeaseGone:
-                self.step_down("the lease is gone")
+                if self.leader is leader:
+                    self.step_down("the lease is gone")
             except CallFailed as error:
                 # Said once for each trouble, not at each of its many attempts.
                 log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
@@ -312,6 +323,23 @@
                 if self.leader is leader and not self.authority.valid(now_us()):
                     self.step_down("the lease ran out")
 
+    async def _extend(self, patience_us: int) -> None:
+        sent_us = now_us()
+        await self._state.extend(self.authority.lease, patience_us)
+        self.authority.renewed(sent_us)
+
+    async def _see_key(self, leader: Leader, patience_us: int) -> bool:
+        """Look whether the key is still ours; false if that cannot be seen now."""
+        try:
+            await self.read_leader(patience_us)
+        except CallFailed as error:
+            log.debug("the leader's key is not read: %s", error)
+            if self.leader is leader:
+                # Whatever it has written since is as good.
+                self.authority.kept(leader.ledger.proven_us)
+            return False
+        return True
+
     async def _hold_on(self) -> None:
         """The state service does not serve the leader: is it an outage, or only us?
 
@@ -388,6 +416,9 @@
         Without this a follower cut off from the store sent workers to nobody, or to the
         leader before last, while it could have relayed their reports.
         """
+        if self.leader is not None and token > self.leader.token:
+            # Its key was replaced, and it has not read that yet.
+            self.step_down(f"{name} leads with token {token}")
         if token > self.known_token or (self.known_leader is None and self.leader is None):
             if self.leader is None:
                 self.known_leader = LeaderRecord(name, "", self.timing.ttl_us)
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -4,7 +4,9 @@
 
 * The key can be created only while it does not exist, and goes with its lease.
 * The holder counts its lease from *sending* the last renewal that was answered, shortens
-  it by the drift of clocks, and commands nothing after that.
+  it by the drift of clocks, and commands nothing after that. As a lease can be renewed when
+  its key is another's already, it counts no longer from the last request whose answer showed
+  the key to be its own.
 * Every write of a leader is conditional on the key's version.
 * A successor that did not wait for the lease to run out (the holder's process looked
   dead, so its key was replaced) counts the holder as active until its full lease would
@@ -43,6 +45,8 @@
         self._peers = peers
         self.token = 0
         self.lease = 0
+        #: When the last answered renewal was sent, and the last request that showed the key.
+        self._renewed_us = self._kept_us = 0
         self._lease_until_us = 0
         self._promised_until_us: dict[str, int] = {}
         self._promised_us: dict[str, int] = {}
@@ -51,14 +55,28 @@
         """Start a term whose lease was asked for at ``sent_us``."""
         self.token = token
         self.lease = lease
-        self._lease_until_us = surely_valid_us(sent_us, self._timing.ttl_us)
+        self._renewed_us = self._kept_us = sent_us
+        self._reckon()
         self._promised_until_us.clear()
         self._promised_us.clear()
 
     def renewed(self, sent_us: int) -> None:
         """Record an answered renewal."""
-        until_us = surely_valid_us(sent_us, self._timing.ttl_us)
-        self._lease_until_us = max(self._lease_until_us, until_us)
+        self._renewed_us = max(self._renewed_us, sent_us)
+        self._reckon()
+
+    def kept(self, sent_us: int) -> None:
+        """Record that the key was ours when a request was carried out that was sent then.
+
+        Renewals say nothing of that: who had been replaced, and read nothing, renewed its
+        lease for longer than its successor counted it as active.
+        """
+        self._kept_us = max(self._kept_us, sent_us)
+        self._reckon()
+
+    def _reckon(self) -> None:
+        from_us = min(self._renewed_us, self._kept_us)
+        self._lease_until_us = surely_valid_us(from_us, self._timing.ttl_us)
 
     def promised(self, peer: str, sent_us: int, at_us: int) -> None:
         """Record a peer's promise that was asked for at ``sent_us`` and has come now.
