Who takes a free key counts whom the record before it had replaced

Cause: a free key was taken for one whose lease had run out, and nobody counted as active. But the last record may have replaced a leader moments before and have gone at once: written nearly as late as its lease lasts, or withdrawn for a promise. A controller that had not read it (stood still, or just started) led while the leader before the last still commanded, for up to 3 s.

Change: the leader's key is followed by its changes, so that no record is left out. A new leader that has not waited for a replaced one asks for them once more before its term begins (one request), and counts somebody as replaced just now if they do not come within 0.3 s.

--- a/tests/test_handing_back.py
+++ b/tests/test_handing_back.py
@@ -291,3 +291,63 @@
         await asyncio.sleep(8.0)
 
     play(story)
+
+
+def test_a_key_that_was_replaced_and_is_gone_was_not_given_up_by_its_holder() -> None:
+    """A successor's key, written late, went with its lease a moment later. Who had stood still
+    meanwhile took the free key and counted nobody as active: the leader before the last still
+    commanded.
+    """
+
+    async def story(site: Site) -> None:
+        first = await site.led()
+        second, third = site.others(first)
+        await asyncio.sleep(5.0)
+        site.store.held_s[second.name] = 2.9
+        # The second alone takes it for dead, and ends before its key is written.
+        site.cut(third.name, first.name, "drop")
+        site.cut(second.name, third.name, "drop")
+        site.cut(second.name, first.name, "refuse")
+        await site.until(lambda: site.store.holds > 0)
+        second.end()
+        await asyncio.sleep(2.7)
+        # It learns nothing more, and commands by the last extension for 2 s and more.
+        site.cut(first.name, "state", "drop")
+        assert third.life is not None
+        site.loop.freeze(third.life)
+        await asyncio.sleep(0.5)
+        site.loop.thaw(third.life)
+        await site.until(lambda: len(site.terms) > 1)
+        assert [controller for controller, _ in site.leading()] == [first, third]
+        await asyncio.sleep(4.0)
+
+    play(story)
+
+
+def test_a_started_controller_does_not_take_a_free_key_for_one_that_was_given_up() -> None:
+    """As before, and the third was only started when the key was gone."""
+
+    async def story(site: Site) -> None:
+        first = await site.led()
+        second, third = site.others(first)
+        await asyncio.sleep(5.0)
+        site.store.held_s[second.name] = 2.9
+        site.cut(third.name, first.name, "drop")
+        site.cut(second.name, third.name, "drop")
+        site.cut(second.name, first.name, "refuse")
+        await site.until(lambda: site.store.holds > 0)
+        second.end()
+        third.end()
+        site.cut(third.name, "state", "refuse")
+        await asyncio.sleep(1.0)
+        # Whatever a former life of it promised is over when the key is gone.
+        third.start()
+        await asyncio.sleep(1.7)
+        site.cut(first.name, "state", "drop")
+        await asyncio.sleep(0.5)
+        site.heal(third.name, "state", "refuse")
+        await site.until(lambda: len(site.terms) > 1)
+        assert [controller for controller, _ in site.leading()] == [first, third]
+        await asyncio.sleep(4.0)
+
+    play(story)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -283,15 +283,15 @@
     async def read() -> None:
         await node.read_leader()
         asked_us = now_us()
-        assert node._earlier_us > asked_us + 2 * S
+        assert node.predecessors.over_us > asked_us + 2 * S
         # All others saying that they lead nothing, there is nobody to wait for.
         for link in node._links:
             node.heard_pong(link, Pong(1, True, 3, False), asked_us)
-        assert node._earlier_us == 0
+        assert node.predecessors.over_us == 0
         # Of a record from before this life, also those count that said so before it was read.
-        node._read_token = 0
+        node.predecessors.read_token = 0
         await node.read_leader()
-        assert node._earlier_us == 0
+        assert node.predecessors.over_us == 0
 
     asyncio.run(read())
 
@@ -322,7 +322,7 @@
     asyncio.run(stand())
     assert node.known_leader is not None and node.known_leader.name == name
     assert stood == [(node.known_token, 0)]
-    assert node._earlier_us > now_us() + 2 * S
+    assert node.predecessors.over_us > now_us() + 2 * S
 
 
 def test_a_leader_whose_key_was_replaced_ends_its_term() -> None:
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -4,12 +4,13 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import secrets
 from collections.abc import Mapping
 
 from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
-from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, surely_over_us, to_seconds
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.judging import Judging
 from weldhead.coordination.leader import Leader
@@ -20,6 +21,7 @@
     handicap_us,
     predecessor_over_us,
 )
+from weldhead.coordination.predecessors import Predecessors
 from weldhead.coordination.term import Term
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
@@ -59,7 +61,6 @@
         self.catalog: list[MachineType] = []
         self.known_leader: LeaderRecord | None = None
         self.known_token = 0
-        self._leader_revision = 0
         #: Nonces of this process's own records: any other under our name is a former life's.
         self._nonces: set[str] = set()
         #: How all nonces of this process begin, those given up among them.
@@ -67,19 +68,10 @@
         self._vacant = asyncio.Event()
         #: One attempt at the key at a time: the end of an earlier one spoiled a later one's term.
         self._standing = asyncio.Lock()
-        #: Until then a leader before the one that is known may command.
-        self._earlier_us = 0
-        #: Peers that have said since the key was read that they are in no term.
-        self._ended: set[str] = set()
-        #: The newest version at which the key was read, and when it was first read.
-        self._read_token = self._read_us = 0
-        #: Whether a former life of this node wrote that.
-        self._read_former = False
+        self.predecessors = Predecessors(settings.name, self._life, len(links), self.timing.ttl_us)
         #: The leader that this node last tried to replace.
         self._tried_token = 0
         self.judging = Judging(links, duties, self._judged_dead)
-        #: Peers that have said, in this process's life, that they are in no term.
-        self._in_no_term: set[str] = set()
 
     def open(
         self,
@@ -91,6 +83,7 @@
         """Use these from now on."""
         self._documents = documents
         self._state = state
+        self.predecessors.open(state)
         self._cloud = cloud
         self._worker_http = worker_http
 
@@ -115,16 +108,10 @@
         """Follow the leader's key."""
         await self.read_leader()
         while True:
-            try:
-                changes = await self._state.watch(LEADER_KEY, self._leader_revision, 10 * SECOND_US)
-            except Compacted:
-                await self.read_leader()
-                continue
-            for event in changes.events:
-                if event.put == LEADER_KEY or event.delete == LEADER_KEY:
+            # Compacted: it is begun anew at once.
+            with contextlib.suppress(Compacted):
+                if await self.predecessors.follow(10 * SECOND_US):
                     await self.read_leader()
-                    break
-            self._leader_revision = max(self._leader_revision, changes.revision)
 
     async def read_leader(self, timeout_us: int = READ_US) -> None:
         """Read the leader's key."""
@@ -140,16 +127,7 @@
             # Read before what is known was written, and answered late.
             return
         record = decode(bytes(entry.value), LeaderRecord)
-        if entry.version != self._read_token:
-            self._read_token, self._read_us = entry.version, now_us()
-            mine = record.name == self.settings.name
-            former = mine and not record.nonce.startswith(self._life)
-            # What a former life wrote was there before anybody answered this one.
-            self._read_former = former
-            self._ended = set(self._in_no_term) if former else set()
-            if record.earlier_us and len(self._ended) < len(self._links):
-                over_us = surely_over_us(self._read_us, record.earlier_us)
-                self._earlier_us = max(self._earlier_us, over_us)
+        self.predecessors.note(record, entry.version)
         if self.leader is not None:
             if entry.version == self.leader.token:
                 self.authority.kept(sent_us)
@@ -157,7 +135,6 @@
                 # Its lease would still be extended: that says nothing of the key.
                 self.step_down(f"{record.name} has replaced it")
         self.known_leader, self.known_token = record, entry.version
-        self._leader_revision = max(self._leader_revision, entry.version)
         self._vacant.clear()
         if record.name == self.settings.name:
             self._duties.once("return", self._come_back(record, entry.version))
@@ -251,7 +228,7 @@
         lease = await self._state.grant(self.timing.ttl_us)
         # A successor that takes this record over at once, though its writer never led or ended
         # at once, has to wait for the same leaders as this one.
-        earlier_us = max(believes_us, self._earlier_us - sent_us, 0)
+        earlier_us = max(believes_us, self.predecessors.over_us - sent_us, 0)
         record = LeaderRecord(self.settings.name, nonce, self.timing.ttl_us, earlier_us)
         try:
             token = await self._state.transact(
@@ -267,6 +244,9 @@
             if entry is None or decode(bytes(entry.value), LeaderRecord).nonce != record.nonce:
                 return
             token = entry.version
+        if believes_us < self.timing.ttl_us:
+            # Whoever was replaced of late is over as soon as a leader replaced just now.
+            await self.predecessors.catch_up()
         at_us = now_us()
         if not self.candidacy.may_lead(at_us):
             # Promised to another meanwhile: the key goes with its lease.
@@ -278,7 +258,7 @@
             return
         self.known_leader, self.known_token = record, token
         self._vacant.clear()
-        over_us = max(predecessor_over_us(at_us, believes_us), self._earlier_us)
+        over_us = max(predecessor_over_us(at_us, believes_us), self.predecessors.over_us)
         log.info("%s leads with token %d", self.settings.name, token)
         term = Term(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
@@ -392,7 +372,7 @@
     async def succeed(self, message: Resigned) -> None:
         """The leader says that it has stopped commanding: replace it at once."""
         if self.leader is None and self.catalog and self.candidacy.may_lead(now_us()):
-            if self._read_token != message.token:
+            if self.predecessors.read_token != message.token:
                 # Whom it replaced itself, moments ago, only its record says.
                 await self.read_leader()
             if self.known_token == message.token:
@@ -426,15 +406,5 @@
 
     def heard_pong(self, name: str, pong: Pong, sent_us: int) -> None:
         """A peer has said whether it is in a term; it was asked at ``sent_us``."""
-        if pong.leads:
-            self._in_no_term.discard(name)
-            self._ended.discard(name)
-            return
-        self._in_no_term.add(name)
-        if len(self._in_no_term) == len(self._links):
+        if self.predecessors.heard(name, pong, sent_us):
             self.candidacy.nobody_leads()
-        if sent_us >= self._read_us or self._read_former:
-            self._ended.add(name)
-        if len(self._ended) == len(self._links):
-            # Whoever led before that record was written has ended since.
-            self._earlier_us = 0
