A report from before a term adopts nothing

A new term adopted whatever the first report of a machine listed, also one that did not show the term's token and may be a copy from any time before. A task that had moved since counted where it had been; where it ran it was a second attempt, was killed and counted nowhere, and was free to start on a third machine as soon as the first one spoke for itself. On one machine the copy filled the books, and what ran there was killed for want of room.

What rests on what runs now waits for a report that shows the token; until then the machine is unknown and doubts count the most that it may hold. What a machine listed before it showed the token and lists no more is released before the rest of the list is judged.

One test told the models of an adopted task in a report without the token, which no worker on a synced machine sends: it shows it now.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -487,7 +487,7 @@
     into = cluster()
     job = add_job(into, job_spec(estimate_s=60.0))
     machine = add_machine(into)
-    worker = StandInWorker(machine.name, 4.0)
+    worker = StandInWorker(machine.name, 4.0, token=into.token)
     worker.tasks["run-000001/0"] = StandInTask(77, "running")
     apply_report(into, machine, worker.report(), 100 * S, direct=False)
     attempt = job.active[0]
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -21,6 +21,11 @@
 
 _PHASES = {"pulling": Phase.PULLING, "running": Phase.RUNNING, "saving": Phase.SAVING}
 
+#: Verdicts that rest on what runs now, and where: only a report that shows this term's token
+#: says so. One from before may be a copy of any age: counted, it took the place of the attempt
+#: that ran, and that one was killed while its task was free to start elsewhere.
+_WAIT_FOR_TOKEN = {Verdict.ADOPTED, Verdict.OVER_LIMIT, Verdict.SECOND, Verdict.CROWDED}
+
 
 @dataclass
 class Outcome:
@@ -83,22 +88,29 @@
         return outcome
     had_free = machine.cpus
     was_synced, was_haunted = machine.synced, bool(machine.ghosts)
+    shows_token = report.token == cluster.token
     seen: set[str] = set()
-    listed: set[tuple[str, int]] = set()
+    listed = {(task.task, task.attempt) for task in report.tasks}
+    if shows_token and not was_synced:
+        # What it listed before it heard of this term and lists no more is gone, and must not
+        # hold the room of what it lists now.
+        for attempt in list(machine.attempts.values()):
+            if (attempt.task, attempt.number) not in listed:
+                cluster.release(attempt)
+                outcome.lost.append((attempt, "gone from its worker"))
     for task in report.tasks:
-        listed.add((task.task, task.attempt))
         known = machine.attempts.get(task.task)
         if known is not None and known.number == task.attempt:
             seen.add(task.task)
             _known(cluster, machine, known, task, at_us, outcome)
         else:
-            adopted = _unknown(cluster, machine, task, at_us, outcome)
+            adopted = _unknown(cluster, machine, task, at_us, outcome, shows_token)
             if adopted is not None:
                 seen.add(task.task)
     # Attempts that the worker no longer lists need no more commands.
     machine.forget &= listed
     machine.ghosts &= listed
-    if report.token == cluster.token and not machine.synced:
+    if shows_token and not machine.synced:
         machine.synced = True
         machine.lease_from_us = max(machine.lease_from_us, at_us)
         if direct:
@@ -127,7 +139,7 @@
     outcome.room = outcome.room or machine.cpus > had_free or (machine.synced and not was_synced)
     if outcome.room:
         machine.touch()
-    if not machine.ghosts and all(task in seen for task in machine.attempts):
+    if shows_token and not machine.ghosts and all(task in seen for task in machine.attempts):
         machine.listing = report.tasks
     return outcome
 
@@ -192,13 +204,20 @@
 
 
 def _unknown(
-    cluster: Cluster, machine: Machine, task: TaskReport, at_us: int, outcome: Outcome
+    cluster: Cluster,
+    machine: Machine,
+    task: TaskReport,
+    at_us: int,
+    outcome: Outcome,
+    shows_token: bool,
 ) -> Attempt | None:
     """Deal with an attempt that this leader has not started here, as its verdict says."""
     key = (task.task, task.attempt)
     if key in machine.forget:
         return None
     verdict = judge(cluster, machine, task)
+    if verdict in _WAIT_FOR_TOKEN and not shows_token:
+        return None
     job, index = locate(cluster, task)
     if key not in machine.ghosts:
         outcome.verdicts[verdict] += 1
