A lease's beginning is never set back

A report answered before the load, of a machine that showed the token in a direct answer since, set the beginning of its lease back to that answer. A leader before, replaced and not knowing it, may have renewed the lease in between: it counted as over by up to three seconds before it was, and its tasks could start elsewhere.

The new test failed on the sources before (over at 1014.03 s, held until 1015.97 s), passes now.

--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -352,7 +352,12 @@
         word = self.listening.word(machine, early.report)
         self._apply(machine, early.report, direct=early.direct)
         if early.answered_us:
+            from_us = machine.lease_from_us
             self._count_answer(machine, word, early.answered_us)
+            if early.direct:
+                # It showed the token after that answer, which may have been lost: the leader
+                # before may have renewed its lease in between.
+                machine.lease_from_us = max(machine.lease_from_us, from_us)
             machine.relayed = early.relayed
             if not early.direct:
                 self.listening.told(
