What was to stop and could not be sent is released

An attempt that is asked to stop while its direct request is being connected, in vain, was sent neither run nor kill from then on, and no report could show it gone: it kept its room and its team's usage until its machine went; of a cancelled job, the machine was deleted for it.

The new test failed on the sources before (the attempt still in stopping after two reports).

--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -119,9 +119,14 @@
         if attempt.task in seen or attempt.posted or attempt.limbo_us:
             continue
         if attempt.phase is Phase.ASSIGNED:
-            if attempt.sent_sequence is None or direct:
+            if attempt.sent_sequence is None:
+                if attempt.stop is not Stop.NO:
+                    # Asked to stop while a direct request was being connected, in vain. Nothing
+                    # is on its way, and neither ``run`` nor ``kill`` would ever be sent.
+                    cluster.release(attempt)
+                    outcome.lost.append((attempt, "withdrawn before it was sent"))
                 continue
-            if report.sequence > attempt.sent_sequence:
+            if report.sequence > attempt.sent_sequence and not direct:
                 # A worker has one report in flight: its next report shows that the answer
                 # to the last one was either executed or dropped for good.
                 attempt.sent_sequence = None
