What must go counts until it has gone

An attempt that was judged without room, second, over or of no job on record was to be killed and stood in no book meanwhile: its task was free to start elsewhere and its team was given its room, whether or not the kill arrived.

What has no room by the books counts and is stopped; a type without amounts is never without room; what else must go counts in the usage of its team, if its job is on record, and its task starts nowhere until it has gone. One that turns out to be wanted is adopted and goes on. The case of a verdict's order in test_starts counts one attempt more than it did: stricter.

The four new cases failed on the sources before (killed; usage 0.0 instead of 5.0 and 4.0; task 0 started on the other machine while attempt 77 ran).

--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -105,7 +105,7 @@
         (Verdict.UNRECORDED, ("nonsense", "pulling", None), "", 0, ["kill"]),
         (Verdict.SECOND, ("run-000001/0", "running", None), "elsewhere", 1, ["kill"]),
         (Verdict.OVER_LIMIT, ("run-000001/0", "running", None), "limit", 1, []),
-        (Verdict.CROWDED, ("run-000001/0", "running", None), "large", 0, ["kill"]),
+        (Verdict.CROWDED, ("run-000001/0", "running", None), "large", 1, ["kill"]),
     ],
 )
 def test_each_verdict_has_its_order(
--- a/tests/test_unheard_machines.py
+++ b/tests/test_unheard_machines.py
@@ -1,11 +1,18 @@
 """Machines that can't be reached, or don't hear, while leaders change: until when they count."""
 
 import asyncio
+from typing import cast
+
+import pytest
 
 from tests.builders import job_spec
 from tests.stand_ins import StandInState, StandInTask
-from tests.test_recovery import Clock, clock, leader_of, put_job, put_machine
+from tests.test_held_commands import Wire, settle
+from tests.test_old_reports import meet
+from tests.test_recovery import Clock, clock, leader_of, new_leader, put_job, put_machine
 from weldhead.clock import surely_valid_us
+from weldhead.recovery.squaring import Verdict
+from weldhead.transport.http import HttpClient
 
 S = 1_000_000
 __all__ = ["clock"]
@@ -32,3 +39,63 @@
     lease_us = leader.term.lease_us
     over_us = machine.lease_over_us(lease_us, leader.term.floor_us())
     assert over_us > surely_valid_us(renewed_us, lease_us)
+
+
+def test_what_runs_on_a_type_that_left_the_catalog_goes_on(clock: Clock) -> None:
+    """No room by the books: it was killed, and free to start elsewhere before it had ended."""
+    state = StandInState()
+    put_job(state, job_spec(1))
+    worker = put_machine(state, "vm-000001")
+    worker.tasks["run-000001/0"] = StandInTask(77, "running")
+    leader = leader_of(state, clock())
+    leader.term.types.clear()
+    asyncio.run(leader.recovery.load())
+    for _ in range(3):
+        answer = leader.report(worker.report(), clock(), relayed=False)
+        assert answer is not None
+        worker.answered(answer)
+    assert worker.live() == {"run-000001/0"}
+    assert list(leader.cluster.jobs["run-000001"].active) == [0]
+
+
+@pytest.mark.parametrize("verdict", [Verdict.CROWDED, Verdict.OVER, Verdict.UNRECORDED])
+def test_what_must_go_counts_until_it_has_gone(clock: Clock, verdict: Verdict) -> None:
+    """Its kill may be lost: its team was given its room, and its task started elsewhere."""
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=2, cpus=5.0 if verdict is Verdict.CROWDED else 4.0))
+    runner, other = (put_machine(state, f"vm-{n:06}") for n in (1, 2))
+    leader = new_leader(state, clock())
+    leader.term.ready = True
+    job = leader.cluster.jobs["run-000001"]
+
+    async def place() -> None:
+        leader.term.worker_http = cast(HttpClient, Wire())
+        leader.deciding.place()
+        await settle()
+        await leader.close()
+
+    for worker in (runner, other):
+        for _ in range(2):
+            meet(leader, worker, clock())
+    if verdict is Verdict.OVER:
+        job.complete_waiting(0)
+    elif verdict is Verdict.UNRECORDED:
+        leader.cluster.jobs.remove(job.id)
+    runner.tasks["run-000001/0"] = StandInTask(77, "running")
+    meet(leader, runner, clock(), heard=False)
+    assert leader.term.tally.tasks == {verdict: 1}
+    if verdict is Verdict.UNRECORDED:
+        # Accepted and started under the leader before; the watch tells it late.
+        leader.cluster.jobs[job.id] = job
+    else:
+        assert leader.cluster.usage["red"].cpus == job.spec.cpus
+    asyncio.run(place())
+    # The other task may have been started.
+    assert all(a.number == 77 for index, a in job.active.items() if index == 0)
+    leader.cluster.check()
+    for _ in range(2):
+        meet(leader, runner, clock())
+    # What turns out to be wanted goes on.
+    assert (runner.live() == set()) == (verdict is not Verdict.UNRECORDED)
+    assert not leader.cluster.ghosts and not leader.cluster.haunted("run-000001/0")
+    leader.cluster.check()
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -3,7 +3,7 @@
 Usage counts every attempt from the decision to start it until it is surely gone.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -26,6 +26,15 @@
 CERTAIN = Doubt()
 
 
+@dataclass(frozen=True)
+class Ghost:
+    """An attempt that must go and is no job's attempt in the books; its job, if on record."""
+
+    machine: str
+    job: Job | None
+    since_us: int
+
+
 class Cluster:
     """All jobs that are not over and all machines of ours."""
 
@@ -40,6 +49,10 @@
         #: what tells them apart: an attempt's number is unique within its task.
         self.stopping: dict[tuple[str, int], Attempt] = {}
         self.limbo: dict[tuple[str, int], Attempt] = {}
+        #: Attempts that must go and that no job counts, by machine, task and number; and how
+        #: many there are of a task.
+        self.ghosts: dict[tuple[str, str, int], Ghost] = {}
+        self._haunted: Counter[str] = Counter()
         #: What each team's attempts take, by evidence; exact (``account/``).
         self.usage: Mapping[str, Use] = defaultdict(Use)
         #: By team, while some machines have not shown what runs there.
@@ -87,9 +100,37 @@
         for attempt in gone:
             self.release(attempt)
         machine.forget.clear()
-        machine.ghosts.clear()
+        self.lay(machine, set(machine.ghosts))
         return gone
 
+    def haunt(self, machine: Machine, key: tuple[str, int], job: Job | None, at_us: int) -> None:
+        """An attempt runs that must go: until it has gone, its job's team uses what it takes.
+
+        Its task is not started meanwhile: the kill may be lost on its way.
+        """
+        if key in machine.ghosts:
+            return
+        machine.ghosts.add(key)
+        self.ghosts[machine.name, *key] = Ghost(machine.name, job, at_us)
+        self._haunted[key[0]] += 1
+        if job is not None:
+            self.usage[job.team].add(job.spec)
+
+    def lay(self, machine: Machine, keys: Iterable[tuple[str, int]]) -> None:
+        """Record that ghosts are gone, or are a job's attempts after all."""
+        for key in keys:
+            machine.ghosts.discard(key)
+            ghost = self.ghosts.pop((machine.name, *key), None)
+            if ghost is None:
+                continue
+            self._haunted[key[0]] -= 1
+            if ghost.job is not None:
+                self.usage[ghost.job.team].add(ghost.job.spec, -1)
+
+    def haunted(self, task: str) -> bool:
+        """Whether an attempt of a task may run that no job counts."""
+        return self._haunted[task] > 0 if self.ghosts else False
+
     def remove_machine(self, machine: Machine) -> list[Attempt]:
         """Record that a machine is gone, and everything on it."""
         gone = self.release_all(machine)
@@ -142,6 +183,9 @@
                 assert attempt.job.active[attempt.index] is attempt, attempt.task
                 assert attempt.job.states[attempt.index] == TaskState.ACTIVE, attempt.task
                 recounted[attempt.job.team].add(attempt.job.spec)
+        for ghost in self.ghosts.values():
+            if ghost.job is not None:
+                recounted[ghost.job.team].add(ghost.job.spec)
         for kept in (*self.stopping.values(), *self.limbo.values()):
             assert kept.job.active.get(kept.index) is kept, kept.task
         assert set(self.holders) == {job.id for job in self.jobs.values() if job.active}
--- a/weldhead/bookkeeping/machines.py
+++ b/weldhead/bookkeeping/machines.py
@@ -150,6 +150,11 @@
         """What it costs per hour, by the catalog's prices."""
         return self.type.spot_price if self.spot else self.type.price
 
+    @property
+    def boundless(self) -> bool:
+        """Whether its type left the catalog: no amounts are known of it."""
+        return not self.type.cpus and not self.type.memory_gb
+
     @property
     def booting(self) -> bool:
         """Whether its worker has never been heard of."""
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/deciding.py
@@ -126,6 +126,9 @@
         self.last_plan = plan
         touched: dict[str, Machine] = {}
         for start in plan.starts:
+            if self._term.cluster.haunted(f"{start.job.id}/{start.index}"):
+                # An attempt that no job counts may still run: its kill may be lost.
+                continue
             self._term.cluster.start(start.job, start.index, start.machine, at_us)
             self.reclaims.granted(start.job.id, start.machine.name)
             touched[start.machine.name] = start.machine
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -109,7 +109,7 @@
                 seen.add(task.task)
     # Attempts that the worker no longer lists need no more commands.
     machine.forget &= listed
-    machine.ghosts &= listed
+    cluster.lay(machine, machine.ghosts - listed)
     if shows_token and not machine.synced:
         machine.synced = True
         machine.lease_from_us = max(machine.lease_from_us, at_us)
@@ -229,6 +229,7 @@
     match verdict:
         case Verdict.FINISHED | Verdict.ENDED:
             machine.forget.add(key)
+            cluster.lay(machine, {key} & machine.ghosts)
             if verdict is Verdict.FINISHED and job is not None:
                 job.complete_waiting(index)
                 outcome.completed.append(job)
@@ -236,12 +237,19 @@
                 # Stopped by an earlier leader that may have had no time to write it down.
                 job.give_back(index, machine.name)
             return None
-        case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT if job is not None:
-            return _adopt(cluster, machine, job, index, task, at_us)
+        case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT | Verdict.CROWDED if (
+            job is not None
+        ):
+            # It may have been a second attempt until the first was gone.
+            cluster.lay(machine, {key} & machine.ghosts)
+            attempt = _adopt(cluster, machine, job, index, task, at_us)
+            if verdict is Verdict.CROWDED:
+                cluster.stop(attempt, Stop.HARD, at_us, "no room by the books")
+            return attempt
     if verdict is Verdict.UNRECORDED and key not in machine.ghosts:
         log.info("%s reports %s, which nothing on record names", machine.name, task.task)
     # It must go, and until then nothing new is placed on this machine.
-    machine.ghosts.add(key)
+    cluster.haunt(machine, key, job, at_us)
     return None
 
 
--- a/weldhead/recovery/readiness.py
+++ b/weldhead/recovery/readiness.py
@@ -71,7 +71,7 @@
     if not machine.allows(job):
         return False
     kind, spec = machine.type, job.spec
-    if not kind.cpus and not kind.memory_gb:
+    if machine.boundless:
         return True
     return spec.cpus <= kind.cpus and spec.gpus <= kind.gpus and spec.memory_gb <= kind.memory_gb
 
@@ -84,7 +84,7 @@
     """
     if not partial.unknown:
         return {}
-    boundless = any(not m.type.cpus and not m.type.memory_gb for m in partial.unknown)
+    boundless = any(machine.boundless for machine in partial.unknown)
     cpus = float("inf") if boundless else sum(m.type.cpus for m in partial.unknown)
     gpus = float("inf") if boundless else sum(m.type.gpus for m in partial.unknown)
     wanted: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
--- a/weldhead/recovery/squaring.py
+++ b/weldhead/recovery/squaring.py
@@ -37,7 +37,7 @@
     #: Its team is over the limit with it: counted, and nothing is started for the team until
     #: enough has ended. It is not stopped: a limit that was lowered kills nothing.
     OVER_LIMIT = "over its team's limit"
-    #: The machine has no room for it by the books: stopped.
+    #: The machine has no room for it by the books: counted, and stopped hard.
     CROWDED = "without room"
 
 
@@ -83,7 +83,8 @@
         return Verdict.OVER
     if state == TaskState.ACTIVE or task.task in machine.attempts:
         return Verdict.SECOND
-    if machine.fits(job) < 1:
+    # A type that left the catalog has no amounts: what runs there has its room.
+    if machine.fits(job) < 1 and not machine.boundless:
         return Verdict.CROWDED
     if job.cancelled:
         return Verdict.CANCELLED
