Leases of machines that are being returned end, too

A machine that was being returned was not looked at any more: only the answered deletion took it off the books. With the cloud down, what had run there started nowhere, and a new leader that had given up machines that were asked in vain was not ready, for as long as the outage lasted. Nobody answers it, so its lease runs out like any other's: proven as ever, it holds nothing from then on.

The new test failed on the sources before (not known, attempt counted, two leases and three seconds later).

--- a/tests/test_unheard_machines.py
+++ b/tests/test_unheard_machines.py
@@ -99,3 +99,31 @@
     assert (runner.live() == set()) == (verdict is not Verdict.UNRECORDED)
     assert not leader.cluster.ghosts and not leader.cluster.haunted("run-000001/0")
     leader.cluster.check()
+
+
+def test_a_lease_ends_also_while_the_deletion_is_not_answered(clock: Clock) -> None:
+    """The cloud was down: what a machine held that was being returned waited for it to be back."""
+    state = StandInState()
+    put_job(state, job_spec(1))
+    worker, silent = (put_machine(state, f"vm-{n:06}") for n in (1, 2))
+    leader = new_leader(state, clock(), predecessor_over_us=clock() + 3 * S)
+    worker.tasks["run-000001/0"] = StandInTask(77, "running")
+    for _ in range(2):
+        meet(leader, worker, clock())
+    watch, term = leader.watch, leader.term
+    leader.rentals.delete(dict(leader.cluster.machines))
+    assert leader.report(worker.report(), clock(), relayed=False) is None
+    begun_us = clock()
+    while not leader.recovery.known.is_set() or leader.cluster.machines[worker.name].attempts:
+        clock.us += S // 2
+        assert clock() < begun_us + 3 * S + 2 * term.lease_us
+        if watch.over_unproven(clock()):
+            asyncio.run(watch._prove())
+        assert watch.expired_or_silent(clock(), term.proven_us) == []
+        if clock() < begun_us + term.lease_us:
+            # Not before its lease is over: the deletion may never be carried out.
+            assert leader.cluster.machines[worker.name].attempts
+        if clock() < begun_us + 3 * S + term.lease_us:
+            assert not leader.cluster.machines[silent.name].synced
+    assert set(leader.cluster.machines) == {worker.name, silent.name}
+    leader.cluster.check()
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/watching.py
@@ -24,6 +24,11 @@
 SILENT_NAMED = 1_000
 
 
+def _may_hold(machine: Machine) -> bool:
+    """Whether anything may run on a machine that is being returned."""
+    return bool(machine.attempts or machine.ghosts) or not machine.synced
+
+
 class MachineWatch:
     """Follows the term's machines; ``on_known`` is told when one more is known or gone."""
 
@@ -111,8 +116,11 @@
 
     def silent_live(self, at_us: int) -> list[Machine]:
         """Return the live machines that are silent for so long that nothing is placed there."""
+        return [machine for machine in self._silent_up(at_us) if not machine.deleting]
+
+    def _silent_up(self, at_us: int) -> list[Machine]:
         silent = self.silent(at_us, self._term.silence_us, self._term.floor_us())
-        return [machine for machine in silent if machine.up and not machine.deleting]
+        return [machine for machine in silent if machine.up]
 
     def over_unproven(self, at_us: int) -> bool:
         """Whether leases look over of which it is not proven that nobody renewed them.
@@ -123,7 +131,8 @@
         came later did not answer in time.
         """
         proven_us, floor_us = self._term.proven_us, self._term.floor_us()
-        overs = (m.lease_over_us(self._term.lease_us, floor_us) for m in self.silent_live(at_us))
+        silent = [m for m in self._silent_up(at_us) if not m.deleting or _may_hold(m)]
+        overs = (m.lease_over_us(self._term.lease_us, floor_us) for m in silent)
         return any(proven_us <= over_us < at_us for over_us in overs)
 
     async def _prove(self) -> None:
@@ -140,7 +149,15 @@
         ``proven_us`` is the latest moment at which surely nobody else led.
         """
         floor_us = self._term.floor_us()
-        silent = self.silent_live(at_us)
+        silent = []
+        for machine in self._silent_up(at_us):
+            if not machine.deleting:
+                silent.append(machine)
+            elif _may_hold(machine):
+                # Not answered since it is being returned: its lease ends also where the cloud
+                # does not answer, and what it held waited for that.
+                if min(at_us, proven_us) > machine.lease_over_us(self._term.lease_us, floor_us):
+                    self.expire(machine)
         if not silent:
             return []
         live = self.live()
