--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -21,6 +21,11 @@
 
 _PHASES = {"pulling": Phase.PULLING, "running": Phase.RUNNING, "saving": Phase.SAVING}
 
+#: Verdicts that rest on what runs now, and where: only a report that shows this term's token
+#: says so. One from before may be a copy of any age: counted, it took the place of the attempt
+#: that ran, and that one was killed while its task was free to start elsewhere.
+_WAIT_FOR_TOKEN = {Verdict.ADOPTED, Verdict.OVER_LIMIT, Verdict.SECOND, Verdict.CROWDED}
+
 
 @dataclass
 class Outcome:
@@ -83,22 +88,29 @@
         return outcome
     had_free = machine.cpus
     was_synced, was_haunted = machine.synced, bool(machine.ghosts)
+    shows_token = report.token == cluster.token
     seen: set[str] = set()
-    listed: set[tuple[str, int]] = set()
+    listed = {(task.task, task.attempt) for task in report.tasks}
+    if shows_token and not was_synced:
+        # What it listed before it heard of this term and lists no more is gone, and must not
+        # hold the room of what it lists now.
+        for attempt in list(machine.attempts.values()):
+            if (attempt.task, attempt.number) not in listed:
+                cluster.release(attempt)
+                outcome.lost.append((attempt, "gone from its worker"))
     for task in report.tasks:
-        listed.add((task.task, task.attempt))
         known = machine.attempts.get(task.task)
         if known is not None and known.number == task.attempt:
             seen.add(task.task)
             _known(cluster, machine, known, task, at_us, outcome)
         else:
-            adopted = _unknown(cluster, machine, task, at_us, outcome)
+            adopted = _unknown(cluster, machine, task, at_us, outcome, shows_token)
             if adopted is not None:
                 seen.add(task.task)
     # Attempts that the worker no longer lists need no more commands.
     machine.forget &= listed
-    machine.ghosts &= listed
-    if report.token == cluster.token and not machine.synced:
+    cluster.lay(machine, machine.ghosts - listed)
+    if shows_token and not machine.synced:
         machine.synced = True
         machine.lease_from_us = max(machine.lease_from_us, at_us)
         if direct:
@@ -107,9 +119,14 @@
         if attempt.task in seen or attempt.posted or attempt.limbo_us:
             continue
         if attempt.phase is Phase.ASSIGNED:
-            if attempt.sent_sequence is None or direct:
+            if attempt.sent_sequence is None:
+                if attempt.stop is not Stop.NO:
+                    # Asked to stop while a direct request was being connected, in vain. Nothing
+                    # is on its way, and neither ``run`` nor ``kill`` would ever be sent.
+                    cluster.release(attempt)
+                    outcome.lost.append((attempt, "withdrawn before it was sent"))
                 continue
-            if report.sequence > attempt.sent_sequence:
+            if report.sequence > attempt.sent_sequence and not direct:
                 # A worker has one report in flight: its next report shows that the answer
                 # to the last one was either executed or dropped for good.
                 attempt.sent_sequence = None
@@ -127,7 +144,7 @@
     outcome.room = outcome.room or machine.cpus > had_free or (machine.synced and not was_synced)
     if outcome.room:
         machine.touch()
-    if not machine.ghosts and all(task in seen for task in machine.attempts):
+    if shows_token and not machine.ghosts and all(task in seen for task in machine.attempts):
         machine.listing = report.tasks
     return outcome
 
@@ -192,19 +209,27 @@
 
 
 def _unknown(
-    cluster: Cluster, machine: Machine, task: TaskReport, at_us: int, outcome: Outcome
+    cluster: Cluster,
+    machine: Machine,
+    task: TaskReport,
+    at_us: int,
+    outcome: Outcome,
+    shows_token: bool,
 ) -> Attempt | None:
     """Deal with an attempt that this leader has not started here, as its verdict says."""
     key = (task.task, task.attempt)
     if key in machine.forget:
         return None
     verdict = judge(cluster, machine, task)
+    if verdict in _WAIT_FOR_TOKEN and not shows_token:
+        return None
     job, index = locate(cluster, task)
     if key not in machine.ghosts:
         outcome.verdicts[verdict] += 1
     match verdict:
         case Verdict.FINISHED | Verdict.ENDED:
             machine.forget.add(key)
+            cluster.lay(machine, {key} & machine.ghosts)
             if verdict is Verdict.FINISHED and job is not None:
                 job.complete_waiting(index)
                 outcome.completed.append(job)
@@ -212,12 +237,19 @@
                 # Stopped by an earlier leader that may have had no time to write it down.
                 job.give_back(index, machine.name)
             return None
-        case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT if job is not None:
-            return _adopt(cluster, machine, job, index, task, at_us)
+        case Verdict.ADOPTED | Verdict.CANCELLED | Verdict.OVER_LIMIT | Verdict.CROWDED if (
+            job is not None
+        ):
+            # It may have been a second attempt until the first was gone.
+            cluster.lay(machine, {key} & machine.ghosts)
+            attempt = _adopt(cluster, machine, job, index, task, at_us)
+            if verdict is Verdict.CROWDED:
+                cluster.stop(attempt, Stop.HARD, at_us, "no room by the books")
+            return attempt
     if verdict is Verdict.UNRECORDED and key not in machine.ghosts:
         log.info("%s reports %s, which nothing on record names", machine.name, task.task)
     # It must go, and until then nothing new is placed on this machine.
-    machine.ghosts.add(key)
+    cluster.haunt(machine, key, job, at_us)
     return None
 
 
