Tests: KNOWN-RED.txt is read by the tests' own configuration

A test that fails for a known fault could only land unlisted, and turn everything red, or with a mark in its file that nobody counts. What the file lists is now a strict xfail: run, its call may fail, printed with its cause.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,12 @@
-"""Hypothesis runs the same examples every time: the same verdict on every run."""
+"""Hypothesis runs the same examples every time: the same verdict on every run.
+
+What KNOWN-RED.txt lists may fail (``known_red.py``).
+"""
 
 from hypothesis import HealthCheck, settings
 
+pytest_plugins = ["pytester", "tests.known_red"]
+
 settings.register_profile(
     "fixed",
     derandomize=True,
