Emulator: cancelled tasks are judged when their time is over

ran_cancelled was judged when a task left or the run ended: on a machine that hung or was cut off it was found late, or never if the run ended first, and a task that left and started again counted twice. Now each cancelled job is judged once cancel-s is over: before every change, and every 0.02 s. A task counts once, wherever it is; what hangs beyond its lease is empty as in the other rules, unless it goes on and kills too late (as before).

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -4,15 +4,17 @@
 """
 
 from pathlib import Path
+from unittest.mock import patch
 
 import pytest
 
 from tests.builders import job_spec, machine_type
+from weldhead.bookkeeping.cluster import Cluster
 from weldhead.clock import SECOND_US
 from weldhead.emulator.checker import Checker, Site
 from weldhead.emulator.experiment import play
 from weldhead.emulator.planted import ERRORS, planted
-from weldhead.emulator.scenario import Scenario, parse_scenario, read_scenario
+from weldhead.emulator.scenario import Fault, Scenario, parse_scenario, read_scenario
 from weldhead.emulator.serving import Course, unserved
 from weldhead.protocol.settings import StateLimits, Team
 from weldhead.recovery.squaring import Verdict
@@ -156,6 +158,91 @@
     assert checker.broken["attempt_reused"] == 1
 
 
+class Cancelled:
+    """A job of two tasks that run; its user was told at 0 s that it is cancelled, and has 30 s."""
+
+    def __init__(self, lease_s: float = 1e3) -> None:
+        self.now_s = -5.0
+        site = Site("vm-1", machine_type(), "a", False, lambda: self.now_s <= lease_s)
+        store = Store(StateLimits(1e6, 1e6, 8.0, 12))
+        self.checker = Checker(
+            [Team("red", 8, 8.0)],
+            30 * SECOND_US,
+            lambda: round((self.now_s + 100) * SECOND_US),
+            store,
+        )
+        self.checker.submitted(job_spec(1, tasks=2))
+        self.checker.started("run-000001/0", 1, site)
+        self.checker.started("run-000001/1", 1, at("vm-2"))
+        self.now_s = 0.0
+        for _ in range(2):
+            self.checker.answered("run-000001", "cancel", 200, "withdrawn")
+
+    def left(self, at_s: float, index: int = 0, machine: str = "vm-1") -> None:
+        self.now_s = at_s
+        self.checker.left(f"run-000001/{index}", machine, "stopped")
+
+    def found(self) -> list[str]:
+        return [text for text in self.checker.details if "ran_cancelled" in text]
+
+
+def test_a_cancelled_task_is_judged_when_its_time_is_over() -> None:
+    job = Cancelled()
+    job.left(30.0, 1, "vm-2")
+    job.checker.look()
+    assert not job.found()
+    job.now_s = 30.000001
+    job.checker.look()
+    assert job.found() == ["130.000 s: ran_cancelled: run-000001/0 is on vm-1 still"]
+    # Whatever it does after that is the same fault.
+    job.left(40.0)
+    job.checker.started("run-000001/0", 2, at("vm-3"))
+    job.checker.finish()
+    assert job.checker.broken["ran_cancelled"] == 1
+    job.checker.started("run-000001/1", 2, at("vm-3"))
+    assert job.found()[1:] == ["140.000 s: ran_cancelled: run-000001/1 starts"]
+
+
+@pytest.mark.parametrize("index", [0, 1])
+def test_nothing_that_happens_first_hides_a_cancelled_task(index: int) -> None:
+    """Also where nobody asked for a look in time."""
+    job = Cancelled()
+    job.left(31.0, index, f"vm-{index + 1}")
+    assert job.checker.broken["ran_cancelled"] == 2
+
+
+def test_a_cancelled_task_counts_on_a_machine_that_hangs_until_its_lease_is_over() -> None:
+    job = Cancelled(lease_s=35.0)
+    job.left(1.0, 1, "vm-2")
+    job.now_s = 31.0
+    job.checker.look()
+    assert len(job.found()) == 1
+    job = Cancelled(lease_s=25.0)
+    job.left(1.0, 1, "vm-2")
+    job.now_s = 31.0
+    job.checker.look()
+    job.checker.finish()
+    assert not job.found()
+    # It goes on, and kills the task only now.
+    job.left(32.0)
+    assert job.found() == ["132.000 s: ran_cancelled: run-000001/0 was on vm-1 until now"]
+
+
+def test_a_run_has_cancelled_tasks_judged_in_time() -> None:
+    """Nothing is told to stop: found when the time is over, on machines that hang as well."""
+    site = scenario("drawn")
+    site.drawn, site.seconds = None, 75.0
+    site.faults = [Fault("machines_hang", at_s=20.0, for_s=50.0, share=1.0)]
+    site.lease_s, site.cancel_s = 60.0, 10.0
+    for job in site.jobs:
+        job.cancelled, job.run_s = 0.6, 40.0
+    with patch.object(Cluster, "stop", lambda *_: None):
+        result = play(site, 0)
+    assert set(result.broken) == {"ran_cancelled"}
+    hanging = [text for text in result.details if 1020 < float(text.split()[0]) < 1070]
+    assert hanging and all(text.endswith(" still") for text in result.details)
+
+
 def test_who_is_asked_about_in_vain_is_forgotten_once_troubles_are_over() -> None:
     now = [0]
     checker = Checker([], 10, lambda: now[0], Store(StateLimits(1e6, 1e6, 8.0, 12)))
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -7,7 +7,7 @@
 """
 
 import hashlib
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -92,6 +92,9 @@
     saved_s: Counter[str] = field(default_factory=Counter)
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
     _begun: set[tuple[str, int]] = field(default_factory=set)
+    #: Cancelled jobs whose tasks may still go on, and the tasks that broke that rule.
+    _ending: deque[Told] = field(default_factory=deque)
+    _ran_cancelled: set[str] = field(default_factory=set)
     _polls: Counter[bool] = field(default_factory=Counter)
     _digest: "hashlib._Hash" = field(default_factory=hashlib.sha256)
 
@@ -114,6 +117,7 @@
 
     def started(self, task: str, attempt: int, site: Site) -> None:
         """A task has its image and runs from now on."""
+        self.look()
         self.note("start", task, attempt, site.machine)
         self.counts["starts"] += 1
         self.first_starts.setdefault(attempt >> 20, self.now_us())
@@ -135,8 +139,8 @@
         self._since[task, site.machine] = self.now_us()
         self._check_place(told.spec, index, site)
         self._check_quota(told.spec.team)
-        if told.cancelled_us and self.now_us() - told.cancelled_us > self.cancel_us:
-            self.breaks("ran_cancelled", f"{task} starts")
+        if self._overdue(told):
+            self._breaks_cancelled(task, "starts")
         for look in self.on_started:
             look(task, site.machine)
 
@@ -147,6 +151,7 @@
 
     def left(self, task: str, machine: str, why: str) -> None:
         """A task is on a machine no more."""
+        self.look()
         self.note("left", task, machine, why)
         if self.on[task].pop(machine, None) is None:
             return
@@ -158,9 +163,36 @@
         if why == "done":
             self.done[job_id].add(index)
         told = self.jobs.get(job_id)
-        if told is not None and told.cancelled_us:
-            if self.now_us() - told.cancelled_us > self.cancel_us:
-                self.breaks("ran_cancelled", f"{task} was on {machine} until now")
+        if told is not None and self._overdue(told):
+            # Of a machine that hung beyond its lease, too: it was killed only now.
+            self._breaks_cancelled(task, f"was on {machine} until now")
+
+    def look(self) -> None:
+        """Judge the cancelled jobs whose time is over; before every change, and often.
+
+        A task is on its machine until it exits, is killed or the machine is gone: whether that
+        runs, hangs, is cut off or hears nothing makes no difference. One that hangs beyond its
+        lease kills its tasks before anything else, so they are not held against it here, as in
+        all other rules (``Site.present``); they are if it goes on and kills them too late.
+        """
+        while self._ending and self._overdue(self._ending[0]):
+            self._judge_cancelled(self._ending.popleft().spec)
+
+    def _judge_cancelled(self, spec: JobSpec) -> None:
+        for index in range(spec.tasks):
+            task = f"{spec.id}/{index}"
+            names = [name for name, site in self.on.get(task, {}).items() if site.present()]
+            if names:
+                self._breaks_cancelled(task, f"is on {names[0]} still")
+
+    def _overdue(self, told: Told) -> bool:
+        return bool(told.cancelled_us) and self.now_us() - told.cancelled_us > self.cancel_us
+
+    def _breaks_cancelled(self, task: str, text: str) -> None:
+        """Once for each task: what it does after that is the same fault."""
+        if task not in self._ran_cancelled:
+            self._ran_cancelled.add(task)
+            self.breaks("ran_cancelled", f"{task} {text}")
 
     def _count_room(self, job_id: str, since_us: int) -> None:
         told = self.jobs.get(job_id)
@@ -268,7 +300,9 @@
         if state == "withdrawn":
             if not told.cancel_asked:
                 self.breaks("went_back", f"{spec.id}: withdrawn, and nobody cancelled it")
-            told.cancelled_us = told.cancelled_us or at_us
+            if not told.cancelled_us:
+                told.cancelled_us = at_us
+                self._ending.append(told)
         if state == "done" and spec.id in self.broken_jobs:
             self.breaks("not_done", f"{spec.id} was submitted with a mistake")
         if state == "done" and len(self.done[spec.id]) < spec.tasks:
@@ -306,13 +340,8 @@
         at_us = self.now_us()
         for text in unserved(self._courses(), at_us) if serves else ():
             self.breaks("unserved", text)
-        for task, here in self.on.items():
-            told = self.jobs.get(split_task(task)[0])
-            if told is None or not told.cancelled_us:
-                continue
-            if at_us - told.cancelled_us > self.cancel_us and any(
-                s.present() for s in here.values()
-            ):
-                self.breaks("ran_cancelled", f"{task} runs still")
+        for told in self.jobs.values():
+            if self._overdue(told):
+                self._judge_cancelled(told.spec)
         if not self.counts["starts"]:
             self.breaks("nothing_ran", "no task was started")
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -45,7 +45,7 @@
 from weldhead.site.pool import Machine as PoolMachine
 from weldhead.tunables.defaults import Tunables
 
-#: How often it is looked whether somebody decides.
+#: How often it is looked whether somebody decides, and whether cancelled tasks are gone in time.
 LOOK_S = 0.02
 #: How much longer than a lease it may take to know that a machine hears nothing.
 DEAF_S = 6.0
@@ -226,9 +226,10 @@
             self.cards.look()
 
     async def _look(self) -> None:
-        """See whether somebody decides."""
+        """See whether somebody decides, and what cannot wait for an event."""
         while True:
             await asyncio.sleep(LOOK_S)
+            self.checker.look()
             ready = False
             if self.keeper is not None:
                 self.keeper.look()
