What must end is told so by the answer to a report from before the term, too

What waits until a machine shows the token is what may go on. Judged crowded or second, a cancelled task got no kill in that answer, which renewed its lease. Stand-ins follow the store's key, as a new leader does now.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -13,6 +13,7 @@
 
 from weldhead.protocol.settings import StateLimits
 from weldhead.protocol.wire import (
+    Changes,
     Command,
     Condition,
     Delete,
@@ -189,5 +190,10 @@
             yield page.items, revision
             more, start = page.more, page.items[-1].key if page.items else ""
 
+    async def watch(self, prefix: str, revision: int, wait_us: int) -> Changes:
+        """Return what has changed since; it never waits."""
+        await asyncio.sleep(0)
+        return Changes(self.store.revision, self.store.changes(prefix, revision))
+
     async def get(self, key: str, **_: Any) -> Entry | None:
         return self.store.get(key)
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -167,6 +167,20 @@
     assert worker.live() == set()
 
 
+@pytest.mark.parametrize("crowded", [False, True])
+def test_a_report_from_before_the_term_is_not_answered_without_the_kills(
+    clock: Clock, crowded: bool
+) -> None:
+    """What waits until a machine shows the token is what may go on, not what must end."""
+    state = StandInState()
+    put_job(state, job_spec(1, cpus=9.0 if crowded else 2.0), cancelled=True)
+    put_machine(state, "vm-000001")
+    leader, worker = new_leader(state, clock()), busy_worker()
+    worker.token = leader.token - 1
+    assert report(leader, worker, clock())
+    assert worker.live() == set()
+
+
 def test_an_overtaken_report_is_not_answered_without_the_kills(clock: Clock) -> None:
     state = StandInState()
     put_job(state, job_spec(1), cancelled=True)
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/reports.py
@@ -221,9 +221,10 @@
     if key in machine.forget:
         return None
     verdict = judge(cluster, machine, task)
-    if verdict in _WAIT_FOR_TOKEN and not shows_token:
-        return None
     job, index = locate(cluster, task)
+    if verdict in _WAIT_FOR_TOKEN and not shows_token and not (job is not None and job.unwanted):
+        # What is cancelled has to go wherever it is: no answer renews its lease without a kill.
+        return None
     if key not in machine.ghosts:
         outcome.verdicts[verdict] += 1
     match verdict:
