--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -12,7 +12,7 @@
 from tests.builders import machine_type
 from tests.stand_ins import StandInState
 from tests.test_wire import SETTINGS
-from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
+from weldhead.bookkeeping.records import LEADER_KEY, UNSETTLED_KEY, LeaderRecord
 from weldhead.clock import now_us
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.leadership import (
@@ -309,7 +309,8 @@
         state.__dict__["grant"] = lambda ttl_us: asyncio.sleep(0, 7)
         await node.stand(node.known_token, 3 * S)
         assert node.leader is None
-        (_, (put,)) = state.late.pop()
+        (_, (put, unsettled)) = state.late.pop()
+        assert unsettled.key == UNSETTLED_KEY
         state.put(LEADER_KEY, cast(Put, put).value)
         node.stand = note  # type: ignore[method-assign]
         await node.read_leader()
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -189,6 +189,10 @@
     async def hold_on() -> None:
         asks.append(1)
 
+    async def read_leader(timeout_us: int) -> None:
+        """The key is still its own."""
+
     cast(Any, campaign)._hold_on = hold_on
+    cast(Any, campaign).read_leader = read_leader
     asyncio.run(asyncio.wait_for(campaign._renew(leader), 5))
     assert (len(asks), fates) == (asked, [])
