--- a/weldhead/protocol/versions.py
+++ b/weldhead/protocol/versions.py
@@ -16,6 +16,7 @@
 4       documents: keys ``d/``; a ``j/`` record may have ``bound``, ``hold`` and ``deed``, and
         in the last two cases a need ``gate/NAME``; an ask may be of the kinds ``documents``,
         ``read`` and ``known``, which others refuse; the leader's record may have ``earlier_us``
+5       key ``unsettled``, written with the leader's record
 ======  =============================================================================
 
 Rules that keep it so:
@@ -38,6 +39,9 @@
   jobs: no job can have that name, and nobody ever writes how it ended. Whoever knows the
   format ignores that need; if it is given no documents itself, it starts no job with a
   ``hold`` or a ``deed``: closed when in doubt.
+* An older leader neither writes nor deletes ``unsettled``: what stands there since before makes
+  the next leader that reads it more careful for the moment in which it is not loaded, never
+  less. That older leader keeps leases without bound while it is not loaded, as it always did.
 * Whoever knows format 1 only would start the tasks of a job that waits. So a submission
   that names needed jobs is neither passed to such a peer nor accepted beside one.
 """
@@ -45,7 +49,7 @@
 #: What a peer has that says nothing.
 FIRST_FORMAT = 1
 #: The format of this version.
-FORMAT = 4
+FORMAT = 5
 #: The first that knows job chains.
 CHAINS_FORMAT = 2
 #: The first that can be asked whether it reaches a third controller.
