Ledger: which keys may have been written already, though no answer has come

Users' polls need it: between a transaction's sending and its answer others read in the store what this leader does not know yet. Cleared where the store surely executed nothing (503, 429, 400), and otherwise only after whoever waited for the write has taken it up. The new test fails on the sources before (there was no such thing to ask).

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -142,3 +142,41 @@
     assert 100_000 < budget.wait_us(1) <= 150_000
     # It slows down and drops nothing: the rate itself goes on.
     assert budget.try_take(1, at_us + 160_000)
+
+
+def test_what_may_have_been_carried_out_is_in_doubt_until_it_is_answered_and_taken_up() -> None:
+    """Others read it already, while this leader goes by what was there before."""
+    state = StandInState()
+    token = state.put(LEADER_KEY, {"name": "n-0"})
+    ledger = Ledger(cast(StateClient, state), token)
+    seen: list[frozenset[str]] = []
+    transact = state.transact
+
+    async def watched(*args: Any, **more: Any) -> int:
+        seen.append(ledger.doubted)
+        return await transact(*args, **more)
+
+    state.transact = watched  # type: ignore[method-assign]
+
+    async def scenario() -> None:
+        duty = asyncio.create_task(ledger.run())
+        state.fates = ["refused", "unanswered"]
+        write = asyncio.create_task(ledger.write({"f/x": 1, "j/x": None}))
+        while not seen:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert ledger.doubted == frozenset()
+        while len(seen) < 3:
+            await asyncio.sleep(0)
+            assert len(seen) < 2 or ledger.doubted == {"f/x", "j/x"}
+        while not write.done():
+            assert ledger.doubted == {"f/x", "j/x"}
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert ledger.doubted == frozenset()
+        ledger.close()
+        duty.cancel()
+        await asyncio.gather(duty, return_exceptions=True)
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+    assert set(seen) == {frozenset({"f/x", "j/x"})}
--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -59,6 +59,9 @@
         #: The latest moment at which the leader's key was surely still ours: when a request
         #: was sent whose answer showed it (steady clock, 0: never).
         self.proven_us = 0
+        #: Keys of the transaction under way, once it may have been carried out, and since when.
+        self.doubted: frozenset[str] = frozenset()
+        self.doubted_us = 0
 
     async def prove(self) -> None:
         """Show that the leader's key is still ours; Deposed if it is not."""
@@ -157,6 +160,12 @@
                     self._fail(write, cause)
                 raise
 
+    def _doubt(self, keys: Iterable[str]) -> None:
+        """Others may read from now on what a transaction writes to these keys."""
+        if not self.doubted:
+            self.doubted_us = now_us()
+        self.doubted = frozenset(keys)
+
     @staticmethod
     def _fail(write: _Write, cause: Exception) -> None:
         if not write.future.done():
@@ -173,6 +182,7 @@
         try:
             revision = await self._commit({k: v for _, values in batch for k, v in values.items()})
         except Rejected as error:
+            self.doubted = frozenset()
             if len(batch) > 1:
                 for one in batch:
                     await self._commit_batch([one])
@@ -184,9 +194,12 @@
         for write, _ in batch:
             if not write.future.done():
                 write.future.set_result(revision)
+        # It counts as in doubt until whoever waited has taken it up.
+        await asyncio.sleep(0)
+        self.doubted = frozenset()
 
     async def _commit(self, changes: dict[str, Any]) -> int:
-        pause_s = 0.05
+        pause_s, unanswered = 0.05, False
         while True:
             conditions = [Condition(LEADER_KEY, self._token)]
             conditions += [Condition(key, self.version(key)) for key in changes]
@@ -194,6 +207,7 @@
                 Delete(key) if value is None else Put(key, value) for key, value in changes.items()
             ]
             sent_us = now_us()
+            self._doubt(changes)
             try:
                 revision = await self._state.transact(conditions, writes)
                 self.proven_us = max(self.proven_us, sent_us)
@@ -209,10 +223,13 @@
                     return max(self.version(key) for key in changes)
             except Refused as refused:
                 log.debug("write refused: %s", refused)
+                if not unanswered:
+                    self.doubted = frozenset()
             except Rejected:
                 raise
             except CallFailed as failure:
                 log.info("write unanswered: %s", failure)
+                unanswered = True
             await asyncio.sleep(pause_s)
             pause_s = min(0.5, pause_s * 1.5)
 
