A leader denies no longer what others read in the store: writes in doubt

Cause: a cancellation or an end that the store has carried out, and whose answer is lost or late, is read by any node that cannot ask the leader, and told. Likewise it preferred its memory to an end that it had read from the store itself while its authority had lapsed.

What was read as over goes before the memory.

--- a/weldhead/bookkeeping/chains.py
+++ b/weldhead/bookkeeping/chains.py
@@ -10,7 +10,7 @@
 Accepted jobs stay accepted and only accepted ones can be named, so there are no circles.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from graphlib import TopologicalSorter
 
 from weldhead.bookkeeping.jobs import Job
@@ -93,19 +93,23 @@
 
     def settled(self, job: Job) -> bool:
         """Whether nothing unknown could already have withdrawn the job."""
-        if not self.unknown or not job.blockers:
-            return True
+        return not self.needs_any(job, self.unknown)
+
+    def needs_any(self, job: Job, among: Collection[str]) -> bool:
+        """Whether a job needs one of these, directly or through others."""
+        if not among or not job.blockers:
+            return False
         seen = set(job.blockers)
         names = list(seen)
         while names:
             name = names.pop()
-            if name in self.unknown:
-                return False
+            if name in among:
+                return True
             need = self._jobs.get(name)
             fresh = need.blockers - seen if need is not None else set()
             seen |= fresh
             names += fresh
-        return True
+        return False
 
     def upstream(self, jobs: Iterable[Job]) -> list[Job]:
         """Return these jobs and all unfinished ones that they need, followers first."""
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -309,17 +309,20 @@
         return documents.table.words(job_id, documents.shelf) if documents is not None else ""
 
     def _in_memory(self, job_id: str) -> JobStatus | None:
+        final = self._finals.get(job_id)
+        if final is not None:
+            # Before the leader's memory: it may have been told while that was not to be used.
+            return JobStatus(job_id, final.status, final.done, 0)
         leader = self._node.leader
         known: JobStatus | None = None
         try:
             known = leader.status(job_id) if leader is not None else None
+            if known is not None and leader is not None and leader.linking.in_doubt(job_id):
+                known = None
         except Exception:
             # A bug that one job brings out must not keep it from its users: the store's word
             # is as new.
             log.exception("status of %s", job_id)
-        final = self._finals.get(job_id)
-        if known is None and final is not None:
-            return JobStatus(job_id, final.status, final.done, 0)
         return known
 
     async def _from_store(self, job_id: str, *, urgent: bool = False) -> JobStatus | None:
--- a/weldhead/coordination/linking.py
+++ b/weldhead/coordination/linking.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterable
 
 from weldhead.bookkeeping.jobs import Job, Stop
-from weldhead.bookkeeping.records import FinalRecord, JobRecord, final_key, job_key
-from weldhead.clock import now_us, wall_us
+from weldhead.bookkeeping.records import FINAL, JOBS, FinalRecord, JobRecord, final_key, job_key
+from weldhead.clock import SECOND_US, now_us, wall_us
 from weldhead.coordination.completions import Completions
 from weldhead.coordination.dispatch import Dispatcher
 from weldhead.coordination.reports import request_stop
@@ -19,6 +19,9 @@
 
 #: How many needed jobs are looked up in the store at once.
 NEEDS_AT_ONCE = 8
+#: For so long at most a job is not answered for because a write of it is in doubt: in an
+#: outage nobody reads the store, and a job that no question is answered about is forgotten.
+DOUBT_US = 45 * SECOND_US
 
 
 class Linking:
@@ -102,6 +105,22 @@
             # What they gave to the jobs that they need goes with them.
             self.refresh(needed.values())
 
+    def in_doubt(self, job_id: str) -> bool:
+        """Whether the store may say already that a job is over or withdrawn.
+
+        Until the write of that is answered this term says something older, while other
+        nodes tell users what they read. Nobody is kept without an answer for long by it.
+        """
+        ledger = self._term.ledger
+        if not ledger.doubted or now_us() - ledger.doubted_us > DOUBT_US:
+            return False
+        job = self._term.cluster.jobs.get(job_id)
+        if job is None:
+            return False
+        keys = (JOBS, FINAL)
+        names = {key[len(JOBS) :] for key in ledger.doubted if key.startswith(keys)}
+        return job_id in names or self._term.chains.needs_any(job, names)
+
     def refresh(self, jobs: Iterable[Job]) -> None:
         """Bring up to date what these jobs and those that they need inherit."""
         refresh(self._term.chains, jobs, self._term.goals, self.stage_us, now_us())
