Campaign: a rate that is used up is no outage; a term's last renewal ends no other

Cause: 429 counted as 503. A leader whose renewal met it asked the others, found them served, and handed its term over, though its lease had seconds left; and a follower that met it promised, which keeps a leader in place that the store serves no more. Now such a renewal is asked again while the lease lasts for two more, and a promise is neither given nor denied.

A renewal that slept while its term ended asked for lease 0, and the answer (no such lease) ended the term that the node had begun meanwhile.

--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -16,12 +16,18 @@
 from tests.test_users import GOOD_BODY, JOB, StandInNode, desk, run
 from tests.test_wire import SETTINGS
 from weldhead.clock import SECOND_US as S
+from weldhead.clock import now_us
 from weldhead.coordination import frontdesk
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.frontdesk import FrontDesk
+from weldhead.coordination.leadership import Candidacy, default_timing
 from weldhead.coordination.node import Node
+from weldhead.protocol.peer import Hold
 from weldhead.protocol.settings import StateLimits, Team, parse_settings
+from weldhead.protocol.wire import Entry
+from weldhead.transport.http import CallFailed
 from weldhead.transport.server import Response
+from weldhead.transport.state import Busy, LeaseGone
 from weldhead.tunables.defaults import Tunables
 
 RPS, JOBS = 15.0, 200
@@ -88,6 +94,109 @@
     assert asyncio.run(scenario()) < 70 * S
 
 
+# -- promises ------------------------------------------------------------------------------------
+
+
+class SlowStore:
+    """A store that has what is asked for, in so many microseconds or in time for nobody."""
+
+    def __init__(self, answers: list[Any]) -> None:
+        self.answers = answers
+        self.patience: list[int] = []
+
+    async def get(self, key: str, *, urgent: bool, timeout_us: int) -> Entry | None:
+        self.patience.append(timeout_us)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        if answer > timeout_us:
+            raise CallFailed("no answer in time")
+        return None
+
+
+@pytest.mark.parametrize(
+    ("answers", "promised"),
+    [
+        ([10_000], False),
+        # Slow is like silent: nobody leads meanwhile who could have been told otherwise.
+        ([600_000], True),
+        ([CallFailed("503")], True),
+    ],
+)
+def test_who_promised_because_the_store_was_slow_does_not_stand_when_its_answer_comes(
+    answers: list[Any], promised: bool
+) -> None:
+    campaign = controller()
+    campaign.timing = default_timing()
+    campaign.candidacy = Candidacy(campaign.timing, now_us() - 60 * S)
+    campaign._state = cast(Any, SlowStore(answers))
+    assert campaign.candidacy.may_lead(now_us())
+    asked_us = now_us()
+    hold = Hold(1, 5, campaign.timing.promise_us)
+    assert asyncio.run(campaign.promise(hold)) is promised
+    # The key that it finds free now may be that of the leader it has promised to.
+    assert campaign.candidacy.may_lead(now_us()) is not promised
+    if promised:
+        assert not campaign.candidacy.may_lead(asked_us + campaign.timing.promise_us)
+
+
+def test_a_rate_that_is_used_up_is_no_outage() -> None:
+    """The store is well: a promise kept a leader in place that it did not serve."""
+    campaign = controller()
+    campaign._state = cast(Any, SlowStore([Busy("429")]))
+    with pytest.raises(Busy):
+        asyncio.run(campaign.promise(Hold(1, 5, campaign.timing.promise_us)))
+    campaign.candidacy.nobody_leads()
+    assert campaign.candidacy.may_lead(now_us())
+
+
+# -- renewals ------------------------------------------------------------------------------------
+
+
+def test_a_renewal_that_finds_the_rate_used_up_hands_nothing_over() -> None:
+    """All were served, so the leader gave up its term for one 429."""
+    asks: list[int] = []
+    answers: list[Exception] = [Busy("429"), Busy("429")]
+    campaign = controller()
+    campaign.timing = default_timing(200_000)
+
+    class Store:
+        async def extend(self, lease: int, timeout_us: int) -> None:
+            if answers:
+                raise answers.pop(0)
+            campaign.leader = None
+
+    campaign._state = cast(Any, Store())
+    campaign.authority.begin(5, 1, now_us() + 60 * S)
+    campaign.leader = leader = cast(Any, object())
+
+    async def hold_on() -> None:
+        asks.append(1)
+
+    cast(Any, campaign)._hold_on = hold_on
+    asyncio.run(asyncio.wait_for(campaign._renew(leader), 5))
+    assert (asks, answers) == ([], [])
+
+
+def test_the_last_renewal_of_a_term_does_not_end_the_next() -> None:
+    """It woke after its term, asked for lease 0, and took the answer for the new term's."""
+    ended: list[str] = []
+    campaign = controller()
+    campaign.timing = default_timing(100_000)
+
+    class Store:
+        async def extend(self, lease: int, timeout_us: int) -> None:
+            campaign.leader = cast(Any, "the next term")
+            raise LeaseGone
+
+    campaign._state = cast(Any, Store())
+    campaign.step_down = ended.append  # type: ignore[assignment]
+    campaign.authority.begin(5, 1, now_us() + 60 * S)
+    campaign.leader = leader = cast(Any, "a term")
+    asyncio.run(asyncio.wait_for(campaign._renew(leader), 5))
+    assert ended == []
+
+
 # -- submissions ---------------------------------------------------------------------------------
 
 
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -28,7 +28,15 @@
 from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.peers import PeerLink
-from weldhead.transport.state import Compacted, Conflict, LeaseGone, Refused, StateClient, decode
+from weldhead.transport.state import (
+    Busy,
+    Compacted,
+    Conflict,
+    LeaseGone,
+    Refused,
+    StateClient,
+    decode,
+)
 from weldhead.tunables.defaults import Tunables
 
 log = logging.getLogger(__name__)
@@ -288,6 +296,8 @@
         failing = False
         while self.leader is leader:
             await asyncio.sleep(to_seconds(pause_us))
+            if self.leader is not leader:
+                return
             sent_us = now_us()
             try:
                 patience_us = self.timing.renew_us if failing else self.timing.renew_us * 2 // 3
@@ -296,12 +306,19 @@
                 pause_us = self.timing.renew_us
                 failing = False
             except LeaseGone:
-                self.step_down("the lease is gone")
+                # A term of its own may have begun since this was asked for the one before.
+                if self.leader is leader:
+                    self.step_down("the lease is gone")
             except CallFailed as error:
                 # Said once for each trouble, not at each of its many attempts.
                 log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
                 lost = not failing and not isinstance(error, Refused)
                 failing = True
+                left_us = self.authority.lease_until_us - now_us()
+                if isinstance(error, Busy) and left_us > 2 * self.timing.renew_us:
+                    # The store is well, and the others are served: no reason to hand over.
+                    pause_us = self.timing.renew_us // 3
+                    continue
                 if lost:
                     # One lost message is no trouble of the store's: asked again at once, while
                     # the lease lasts. To hand over for it cost a term (found in the emulator).
@@ -351,6 +368,9 @@
         try:
             await self._state.get(LEADER_KEY, urgent=True, timeout_us=self.timing.renew_us // 2)
             return False
+        except Busy:
+            # The rate is used up, so the store is up: neither promised nor denied.
+            raise
         except CallFailed:
             if self.leader is not None or hold.duration_us > self.timing.promise_us:
                 raise
