--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -33,7 +33,7 @@
     handicap_us,
     predecessor_over_us,
 )
-from weldhead.coordination.predecessors import Predecessors
+from weldhead.coordination.predecessors import Predecessors, missed_from_us
 from weldhead.coordination.term import Term
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
@@ -43,7 +43,15 @@
 from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
 from weldhead.transport.peers import PeerLink
-from weldhead.transport.state import Compacted, Conflict, LeaseGone, Refused, StateClient, decode
+from weldhead.transport.state import (
+    Busy,
+    Compacted,
+    Conflict,
+    LeaseGone,
+    Refused,
+    StateClient,
+    decode,
+)
 from weldhead.tunables.defaults import Tunables
 
 log = logging.getLogger(__name__)
@@ -239,7 +247,7 @@
     async def _stand(self, replaced: int, believes_us: int, nonce: str) -> None:
         sent_us, wall = now_us(), wall_us()
         lease, inherited_us = await asyncio.gather(
-            self._state.grant(self.timing.ttl_us), self._inherited()
+            self._state.grant(self.timing.ttl_us), missed_from_us(self._state)
         )
         # A successor that takes this record over at once, though its writer never led or ended
         # at once, has to wait for the same leaders as this one.
@@ -294,17 +302,6 @@
         self.leader.start()
         self._duties.once("lease renewal", self._renew(self.leader))
 
-    async def _inherited(self) -> int | None:
-        """Return what an unsettled row of terms may have missed; None: the last was settled."""
-        entry = await self._state.get(UNSETTLED_KEY, urgent=True)
-        if entry is None:
-            return None
-        try:
-            return decode(bytes(entry.value), UnsettledRecord).from_us
-        except CallFailed:
-            # Not ours: anything may have been missed, and to lead is better than not to.
-            return 0
-
     async def _renew(self, leader: Leader) -> None:
         """Keep the lease; the term ends with the authority."""
         pause_us = self.timing.renew_us
@@ -323,6 +320,7 @@
                 if self.leader is leader and not self.authority.valid(now_us()):
                     self.step_down("it could not see that its key is its own")
             except LeaseGone:
+                # A term of its own may have begun since this was asked for the one before.
                 if self.leader is leader:
                     self.step_down("the lease is gone")
             except CallFailed as error:
@@ -330,6 +328,11 @@
                 log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
                 lost = not failing and not isinstance(error, Refused)
                 failing = True
+                left_us = self.authority.lease_until_us - now_us()
+                if isinstance(error, Busy) and left_us > 2 * self.timing.renew_us:
+                    # The store is well, and the others are served: no reason to hand over.
+                    pause_us = self.timing.renew_us // 3
+                    continue
                 if lost:
                     # One lost message is no trouble of the store's: asked again at once, while
                     # the lease lasts. To hand over for it cost a term (found in the emulator).
@@ -396,6 +399,9 @@
         try:
             await self._state.get(LEADER_KEY, urgent=True, timeout_us=self.timing.renew_us // 2)
             return False
+        except Busy:
+            # The rate is used up, so the store is up: neither promised nor denied.
+            raise
         except CallFailed:
             if self.leader is not None or hold.duration_us > self.timing.promise_us:
                 raise
--- a/weldhead/coordination/predecessors.py
+++ b/weldhead/coordination/predecessors.py
@@ -8,7 +8,12 @@
 import asyncio
 import logging
 
-from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
+from weldhead.bookkeeping.records import (
+    LEADER_KEY,
+    UNSETTLED_KEY,
+    LeaderRecord,
+    UnsettledRecord,
+)
 from weldhead.clock import MILLISECOND_US, now_us, surely_over_us, to_seconds
 from weldhead.protocol.peer import Pong
 from weldhead.transport.http import CallFailed
@@ -127,3 +132,18 @@
         except (CallFailed, Compacted, TimeoutError) as error:
             log.info("it is not known who led before: %r", error)
             self._doubt()
+
+
+async def missed_from_us(state: StateClient) -> int | None:
+    """Return since when an unsettled row of terms may have missed cancellations (time of day).
+
+    None: the last term was settled (``recovery/answering.py``).
+    """
+    entry = await state.get(UNSETTLED_KEY, urgent=True)
+    if entry is None:
+        return None
+    try:
+        return decode(bytes(entry.value), UnsettledRecord).from_us
+    except CallFailed:
+        # Not ours: anything may have been missed, and to lead is better than not to.
+        return 0
