--- a/tests/test_held_commands.py
+++ b/tests/test_held_commands.py
@@ -1,51 +1,22 @@
 """Commands and answers that are held up on the way, and the machine then goes on."""
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import cast
 
-import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.builders import job_spec
+from tests.held_network import Network, Wire, settle
 from tests.stand_ins import StandInState
-from tests.test_recovery import Clock, clock, new_leader, put_job, put_machine
+from tests.test_recovery import Clock, clock, fixed_clock, new_leader, put_job, put_machine
 from weldhead.bookkeeping.jobs import Stop
-from weldhead.protocol.wire import DirectCommands
 from weldhead.transport.http import HttpClient, NotConnected
 
 S = 1_000_000
 __all__ = ["clock"]
 
 
-@dataclass
-class Request:
-    """A direct request on its way; the test decides what becomes of it."""
-
-    address: str
-    sent: DirectCommands
-    answer: asyncio.Future[tuple[int, bytes]]
-
-
-@dataclass
-class Wire:
-    """Takes the place of the connections to workers."""
-
-    requests: list[Request] = field(default_factory=list)
-
-    async def call(
-        self, method: str, url: str, body: bytes, timeout_us: int, **more: object
-    ) -> tuple[int, bytes]:
-        sent = msgspec.json.decode(body, type=DirectCommands)
-        answer: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
-        self.requests.append(Request(url, sent, answer))
-        return await answer
-
-
-async def settle() -> None:
-    for _ in range(12):
-        await asyncio.sleep(0)
-
-
 def test_what_was_to_stop_and_could_not_be_sent_is_gone(clock: Clock) -> None:
     """Neither sent nor stopped nor released, it kept its room until its machine was deleted."""
     state, wire = StandInState(), Wire()
@@ -78,3 +49,92 @@
     asyncio.run(scenario())
     assert not leader.cluster.stopping and not leader.cluster.jobs["run-000001"].active
     assert worker.starts == []
+
+
+#: What may happen next; what ordinarily happens comes more often.
+EVENTS = (
+    *("round",) * 8, *("place",) * 6, *("direct",) * 5, *("exit",) * 5, *("direct arrives",) * 2,
+    *("speak",) * 2, *("arrive",) * 2, *("copy",) * 2, *("save",) * 2, *("take over",) * 2,
+    "meet", "arrive old", "lost", "place old", "direct answered", "direct fails",
+    "direct refused", "stop", "kill", "rest", "delete",
+)  # fmt: skip
+
+
+async def play(network: Network, events: list[tuple[str, int, int]]) -> None:
+    await network.take_over()
+    for _ in range(2):
+        network.round(heard=True)
+    for event, number, tenths in events:
+        network.clock.us += tenths * S // 10
+        await network.look()
+        newest = len(network.reports) - 1
+        match event:
+            case "round":
+                network.round(heard=number % 8 > 0)
+            case "meet":
+                sent = network.speak(number)
+                if sent is not None:
+                    network.arrive(sent, relayed=number % 5 == 0)
+            case "speak":
+                network.speak(number)
+            case "arrive" | "lost":
+                network.arrive(newest, relayed=number % 5 == 0, lost=event == "lost")
+            case "arrive old":
+                network.arrive(newest - number % 2, relayed=False, old=True)
+            case "copy":
+                network.arrive(number, relayed=number % 2 == 0)
+            case "place" | "place old":
+                await network.place(network.leader if event == "place" else network.before)
+            case "direct":
+                for fate in ("arrive", "answer"):
+                    await network.request(-1 - number % 3, fate)
+            case "direct arrives" | "direct answered" | "direct fails" | "direct refused":
+                fates = {"arrives": "arrive", "answered": "answer", "fails": "fail"}
+                await network.request(number, fates.get(event.split()[1], "refuse"))
+            case "exit":
+                network.exit(number)
+            case "stop" | "kill":
+                await network.stop(number, Stop.SOFT if event == "stop" else Stop.HARD)
+            case "save":
+                await network.save()
+            case "take over":
+                await network.take_over(number if network.reports and number % 2 else None)
+            case "rest":
+                network.clock.us += number % 6 * S
+            case "delete":
+                await network.delete()
+        await network.look()
+        network.check()
+
+
+@settings(max_examples=150)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(EVENTS), st.integers(0, 60), st.integers(0, 9)),
+        min_size=50,
+        max_size=90,
+    )
+)
+def test_whatever_is_held_up_nothing_runs_twice_and_all_is_counted(
+    events: list[tuple[str, int, int]],
+) -> None:
+    """Leaders in a row, each unaware for a while; messages held, copied, lost and reordered."""
+
+    async def history(clock: Clock) -> None:
+        network = Network(clock)
+        try:
+            await play(network, events)
+            await network.calm()
+            network.check()
+            # In the end the books hold just what runs.
+            live = {(name, task, number) for name, task, number in network.live()}
+            for machine in network.leader.cluster.machines.values():
+                if not machine.deleting and not machine.deaf:
+                    held = {(machine.name, a.task, a.number) for a in machine.attempts.values()
+                            if not a.limbo_us}  # fmt: skip
+                    assert held <= live, "counted for ever"
+        finally:
+            await network.close()
+
+    with fixed_clock() as clock:
+        asyncio.run(history(clock))
--- a/tests/test_unheard_machines.py
+++ b/tests/test_unheard_machines.py
@@ -6,8 +6,8 @@
 import pytest
 
 from tests.builders import job_spec
+from tests.held_network import Wire, settle
 from tests.stand_ins import StandInState, StandInTask
-from tests.test_held_commands import Wire, settle
 from tests.test_old_reports import meet
 from tests.test_recovery import Clock, clock, leader_of, new_leader, put_job, put_machine
 from weldhead.clock import surely_valid_us
