--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -32,6 +32,9 @@
     "calendar-of-the-term": "calendar",
     "gate-from-memory": "gate",
     "gate-opened-by-a-late-write": "gate",
+    "late-write-unconditional": "late-records",
+    "late-report-applied": "copies",
+    "forgotten-too-early": "lost-answers",
 }
 MOST_SEEDS = 8
 #: What is found on machines while nothing is wrong with the controllers.
@@ -100,10 +103,12 @@
         ("cards", 3),
         ("calendar", 3),
         ("gate", 3),
+        ("late-records", 3),
+        ("lost-answers", 5),
     ],
 )
 def test_new_troubles(name: str, controllers: int) -> None:
-    """Deaf machines, copies of reports, lone controllers, lives that follow at once; cards."""
+    """Deaf machines, copies, lone controllers, lives that follow at once, cards, lateness, loss."""
     site = scenario(name)
     site.controllers = controllers
     result = play(site, controllers)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -13,16 +13,17 @@
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
-from weldhead.bookkeeping.records import Bound
+from weldhead.bookkeeping.records import LEADER_KEY, Bound
 from weldhead.calendars.binding import state_of
 from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
-from weldhead.coordination import gates, reports
+from weldhead.coordination import gates, leader, listening, reports
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.recovery import Recovery
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.state import GateState
+from weldhead.hearing.copies import Word
 from weldhead.hearing.evidence import Ear
 from weldhead.planning import preemptor
 from weldhead.protocol.wire import Condition, Delete, JobStatus, Put
@@ -156,6 +157,36 @@
     yield patch.object(StateClient, "transact", anyhow)
 
 
+def _late_write_unconditional() -> Iterator[Any]:
+    """The leader's writes are conditional on its key alone, not on what they replace."""
+    transact = StateClient.transact
+
+    async def blindly(
+        self: StateClient, conditions: list[Condition], writes: list[Put | Delete], **more: Any
+    ) -> int:
+        if any(condition.key == LEADER_KEY and condition.version for condition in conditions):
+            conditions = [condition for condition in conditions if condition.key == LEADER_KEY]
+        return await transact(self, conditions, writes, **more)
+
+    yield patch.object(StateClient, "transact", blindly)
+
+
+def _late_report_applied() -> Iterator[Any]:
+    """What a report lists is taken for what runs, however old it is."""
+    yield patch.object(leader, "is_newer", lambda *_: True)
+    yield patch.object(listening, "word_of", lambda *_: Word.FRESH)
+
+
+def _forgotten_too_early() -> Iterator[Any]:
+    """An attempt whose direct ``run`` was not answered is taken for never begun."""
+
+    def lose(self: Cluster, attempt: Attempt, at_us: int) -> None:
+        if attempt.job.active.get(attempt.index) is attempt:
+            self.release(attempt)
+
+    yield patch.object(Cluster, "lose", lose)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -169,6 +200,9 @@
     "calendar-of-the-term": _calendar_of_the_term,
     "gate-from-memory": _gate_from_memory,
     "gate-opened-by-a-late-write": _gate_opened_by_a_late_write,
+    "late-write-unconditional": _late_write_unconditional,
+    "late-report-applied": _late_report_applied,
+    "forgotten-too-early": _forgotten_too_early,
 }
 
 
