--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -104,6 +104,8 @@
         self.store.until = self.true_us + TIMING.ttl_us
         if answered:
             authority.renewed(sent)
+            # It is asked in the same moment whether the key is still its own.
+            authority.kept(sent)
 
     @rule(node=st.sampled_from(NODES), delay=st.sampled_from([0, 20_000, 700_000]))
     def ask_for_promises(self, node: str, delay: int) -> None:
@@ -154,6 +156,31 @@
     assert not authority.valid(1_000_000 + TIMING.ttl_us)
 
 
+def test_a_renewed_lease_counts_no_longer_than_the_key_was_seen() -> None:
+    """Extended after the key was another's, it outlasted what a successor waits for."""
+    authority = Authority(TIMING, frozenset({"n-1"}))
+    authority.begin(5, 7, S)
+    for sent_us in range(2 * S, 9 * S, S // 2):
+        authority.renewed(sent_us)
+    assert authority.until_us() < S + TIMING.ttl_us
+    authority.kept(3 * S)
+    assert S + TIMING.ttl_us < authority.until_us() < 3 * S + TIMING.ttl_us
+    # What was asked earlier and is answered later takes nothing back.
+    authority.kept(2 * S)
+    assert authority.until_us() > 2 * S + TIMING.ttl_us
+
+
+def test_a_leader_that_hears_of_a_later_token_ends_its_term() -> None:
+    node, _ = restarted_node(LeaderRecord("n-1", "x", 3 * S))
+    ended: list[str] = []
+    node.leader = cast(Any, type("Term", (), {"token": 5}))
+    node.step_down = ended.append  # type: ignore[assignment]
+    node.hear_leader("n-1", 4)
+    assert not ended
+    node.hear_leader("n-1", 6)
+    assert ended == ["n-1 leads with token 6"]
+
+
 def test_promises_count_only_when_all_others_gave_one() -> None:
     authority = Authority(TIMING, frozenset({"n-1", "n-2"}))
     authority.begin(5, 7, 0)
@@ -256,15 +283,15 @@
     async def read() -> None:
         await node.read_leader()
         asked_us = now_us()
-        assert node._earlier_us > asked_us + 2 * S
+        assert node.predecessors.over_us > asked_us + 2 * S
         # All others saying that they lead nothing, there is nobody to wait for.
         for link in node._links:
             node.heard_pong(link, Pong(1, True, 3, False), asked_us)
-        assert node._earlier_us == 0
+        assert node.predecessors.over_us == 0
         # Of a record from before this life, also those count that said so before it was read.
-        node._read_token = 0
+        node.predecessors.read_token = 0
         await node.read_leader()
-        assert node._earlier_us == 0
+        assert node.predecessors.over_us == 0
 
     asyncio.run(read())
 
@@ -295,7 +322,7 @@
     asyncio.run(stand())
     assert node.known_leader is not None and node.known_leader.name == name
     assert stood == [(node.known_token, 0)]
-    assert node._earlier_us > now_us() + 2 * S
+    assert node.predecessors.over_us > now_us() + 2 * S
 
 
 def test_a_leader_whose_key_was_replaced_ends_its_term() -> None:
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -4,12 +4,25 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import secrets
 from collections.abc import Mapping
 
-from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
-from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, surely_over_us, to_seconds
+from weldhead.bookkeeping.records import (
+    LEADER_KEY,
+    UNSETTLED_KEY,
+    LeaderRecord,
+    UnsettledRecord,
+)
+from weldhead.clock import (
+    MILLISECOND_US,
+    SECOND_US,
+    now_us,
+    seconds_us,
+    to_seconds,
+    wall_us,
+)
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.judging import Judging
 from weldhead.coordination.leader import Leader
@@ -20,10 +33,12 @@
     handicap_us,
     predecessor_over_us,
 )
+from weldhead.coordination.predecessors import Predecessors
 from weldhead.coordination.term import Term
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
 from weldhead.protocol.wire import Condition, MachineType, Put
+from weldhead.recovery.answering import answers_until_us, earliest_missed
 from weldhead.transport.cloud import CloudClient
 from weldhead.transport.duties import Duties
 from weldhead.transport.http import CallFailed, HttpClient
@@ -33,6 +48,9 @@
 
 log = logging.getLogger(__name__)
 
+#: How long an answer to a reading of the leader's key is waited for.
+READ_US = 800 * MILLISECOND_US
+
 
 class Campaign:
     """One controller's part in who leads; ``leader`` is its own term, if it has one."""
@@ -56,7 +74,6 @@
         self.catalog: list[MachineType] = []
         self.known_leader: LeaderRecord | None = None
         self.known_token = 0
-        self._leader_revision = 0
         #: Nonces of this process's own records: any other under our name is a former life's.
         self._nonces: set[str] = set()
         #: How all nonces of this process begin, those given up among them.
@@ -64,19 +81,10 @@
         self._vacant = asyncio.Event()
         #: One attempt at the key at a time: the end of an earlier one spoiled a later one's term.
         self._standing = asyncio.Lock()
-        #: Until then a leader before the one that is known may command.
-        self._earlier_us = 0
-        #: Peers that have said since the key was read that they are in no term.
-        self._ended: set[str] = set()
-        #: The newest version at which the key was read, and when it was first read.
-        self._read_token = self._read_us = 0
-        #: Whether a former life of this node wrote that.
-        self._read_former = False
+        self.predecessors = Predecessors(settings.name, self._life, len(links), self.timing.ttl_us)
         #: The leader that this node last tried to replace.
         self._tried_token = 0
         self.judging = Judging(links, duties, self._judged_dead)
-        #: Peers that have said, in this process's life, that they are in no term.
-        self._in_no_term: set[str] = set()
 
     def open(
         self,
@@ -88,6 +96,7 @@
         """Use these from now on."""
         self._documents = documents
         self._state = state
+        self.predecessors.open(state)
         self._cloud = cloud
         self._worker_http = worker_http
 
@@ -112,21 +121,18 @@
         """Follow the leader's key."""
         await self.read_leader()
         while True:
-            try:
-                changes = await self._state.watch(LEADER_KEY, self._leader_revision, 10 * SECOND_US)
-            except Compacted:
-                await self.read_leader()
-                continue
-            for event in changes.events:
-                if event.put == LEADER_KEY or event.delete == LEADER_KEY:
+            # Compacted: it is begun anew at once.
+            with contextlib.suppress(Compacted):
+                if await self.predecessors.follow(10 * SECOND_US):
                     await self.read_leader()
-                    break
-            self._leader_revision = max(self._leader_revision, changes.revision)
 
-    async def read_leader(self) -> None:
+    async def read_leader(self, timeout_us: int = READ_US) -> None:
         """Read the leader's key."""
-        entry = await self._state.get(LEADER_KEY, urgent=True)
+        sent_us = now_us()
+        entry = await self._state.get(LEADER_KEY, urgent=True, timeout_us=timeout_us)
         if entry is None:
+            if self.leader is not None and sent_us >= self.leader.term.won_us:
+                self.step_down("its key is gone")
             self.known_leader = None
             self._vacant.set()
             return
@@ -134,21 +140,14 @@
             # Read before what is known was written, and answered late.
             return
         record = decode(bytes(entry.value), LeaderRecord)
-        if entry.version != self._read_token:
-            self._read_token, self._read_us = entry.version, now_us()
-            mine = record.name == self.settings.name
-            former = mine and not record.nonce.startswith(self._life)
-            # What a former life wrote was there before anybody answered this one.
-            self._read_former = former
-            self._ended = set(self._in_no_term) if former else set()
-            if record.earlier_us and len(self._ended) < len(self._links):
-                over_us = surely_over_us(self._read_us, record.earlier_us)
-                self._earlier_us = max(self._earlier_us, over_us)
-        if self.leader is not None and entry.version > self.leader.token:
-            # Its lease would still be extended: that says nothing of the key.
-            self.step_down(f"{record.name} has replaced it")
+        self.predecessors.note(record, entry.version)
+        if self.leader is not None:
+            if entry.version == self.leader.token:
+                self.authority.kept(sent_us)
+            elif entry.version > self.leader.token:
+                # Its lease would still be extended: that says nothing of the key.
+                self.step_down(f"{record.name} has replaced it")
         self.known_leader, self.known_token = record, entry.version
-        self._leader_revision = max(self._leader_revision, entry.version)
         self._vacant.clear()
         if record.name == self.settings.name:
             self._duties.once("return", self._come_back(record, entry.version))
@@ -205,10 +204,7 @@
         """Stand whenever the key is free; a duty."""
         while True:
             try:
-                # Replaced while its watch was cut off, a leader extended its lease for longer
-                # than its successor waits for it: it looks well within that.
-                pause_s = to_seconds(self.timing.ttl_us) / 3 if self.leader is not None else 5.0
-                await asyncio.wait_for(self._vacant.wait(), pause_s)
+                await asyncio.wait_for(self._vacant.wait(), 5.0)
             except asyncio.TimeoutError:
                 await self.read_leader()
                 continue
@@ -241,15 +237,24 @@
                     self._nonces.discard(nonce)
 
     async def _stand(self, replaced: int, believes_us: int, nonce: str) -> None:
-        sent_us = now_us()
-        lease = await self._state.grant(self.timing.ttl_us)
+        sent_us, wall = now_us(), wall_us()
+        lease, inherited_us = await asyncio.gather(
+            self._state.grant(self.timing.ttl_us), self._inherited()
+        )
         # A successor that takes this record over at once, though its writer never led or ended
         # at once, has to wait for the same leaders as this one.
-        earlier_us = max(believes_us, self._earlier_us - sent_us, 0)
+        earlier_us = max(believes_us, self.predecessors.over_us - sent_us, 0)
         record = LeaderRecord(self.settings.name, nonce, self.timing.ttl_us, earlier_us)
+        facts = self.settings.facts
+        cancel_us, lease_us = seconds_us(facts.workers.cancel_s), seconds_us(facts.workers.lease_s)
+        unsettled = UnsettledRecord(earliest_missed(wall, lease_us, inherited_us))
         try:
             token = await self._state.transact(
-                [Condition(LEADER_KEY, replaced)], [Put(LEADER_KEY, record, lease)], urgent=True
+                [Condition(LEADER_KEY, replaced)],
+                # On no condition of its own: applied late, it says what was so earlier, and
+                # whoever believes that is only more careful.
+                [Put(LEADER_KEY, record, lease), Put(UNSETTLED_KEY, unsettled)],
+                urgent=True,
             )
         except (Conflict, LeaseGone):
             self._duties.once("lease returned", self._state.revoke(lease))
@@ -261,6 +266,9 @@
             if entry is None or decode(bytes(entry.value), LeaderRecord).nonce != record.nonce:
                 return
             token = entry.version
+        if believes_us < self.timing.ttl_us:
+            # Whoever was replaced of late is over as soon as a leader replaced just now.
+            await self.predecessors.catch_up()
         at_us = now_us()
         if not self.candidacy.may_lead(at_us):
             # Promised to another meanwhile: the key goes with its lease.
@@ -272,31 +280,51 @@
             return
         self.known_leader, self.known_token = record, token
         self._vacant.clear()
-        over_us = max(predecessor_over_us(at_us, believes_us), self._earlier_us)
+        over_us = max(predecessor_over_us(at_us, believes_us), self.predecessors.over_us)
         log.info("%s leads with token %d", self.settings.name, token)
         term = Term(
             self.settings, self.tunables, self.authority, self._state, self._cloud,
             self._worker_http, self.catalog, over_us, self.step_down,
+            answers_until_us(
+                sent_us, wall, inherited_us, cancel_us, lease_us,
+                round(facts.clock_error_ms * MILLISECOND_US),
+            ),
         )  # fmt: skip
         self.leader = Leader(term, self._documents)
         self.leader.start()
         self._duties.once("lease renewal", self._renew(self.leader))
 
+    async def _inherited(self) -> int | None:
+        """Return what an unsettled row of terms may have missed; None: the last was settled."""
+        entry = await self._state.get(UNSETTLED_KEY, urgent=True)
+        if entry is None:
+            return None
+        try:
+            return decode(bytes(entry.value), UnsettledRecord).from_us
+        except CallFailed:
+            # Not ours: anything may have been missed, and to lead is better than not to.
+            return 0
+
     async def _renew(self, leader: Leader) -> None:
         """Keep the lease; the term ends with the authority."""
         pause_us = self.timing.renew_us
         failing = False
         while self.leader is leader:
             await asyncio.sleep(to_seconds(pause_us))
-            sent_us = now_us()
+            if self.leader is not leader:
+                return
             try:
                 patience_us = self.timing.renew_us if failing else self.timing.renew_us * 2 // 3
-                await self._state.extend(self.authority.lease, patience_us)
-                self.authority.renewed(sent_us)
-                pause_us = self.timing.renew_us
+                _, seen = await asyncio.gather(
+                    self._extend(patience_us), self._see_key(leader, patience_us)
+                )
+                pause_us = self.timing.renew_us if seen else self.timing.renew_us // 3
                 failing = False
+                if self.leader is leader and not self.authority.valid(now_us()):
+                    self.step_down("it could not see that its key is its own")
             except LeaseGone:
-                self.step_down("the lease is gone")
+                if self.leader is leader:
+                    self.step_down("the lease is gone")
             except CallFailed as error:
                 # Said once for each trouble, not at each of its many attempts.
                 log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
@@ -312,6 +340,23 @@
                 if self.leader is leader and not self.authority.valid(now_us()):
                     self.step_down("the lease ran out")
 
+    async def _extend(self, patience_us: int) -> None:
+        sent_us = now_us()
+        await self._state.extend(self.authority.lease, patience_us)
+        self.authority.renewed(sent_us)
+
+    async def _see_key(self, leader: Leader, patience_us: int) -> bool:
+        """Look whether the key is still ours; false if that cannot be seen now."""
+        try:
+            await self.read_leader(patience_us)
+        except CallFailed as error:
+            log.debug("the leader's key is not read: %s", error)
+            if self.leader is leader:
+                # Whatever it has written since is as good.
+                self.authority.kept(leader.ledger.proven_us)
+            return False
+        return True
+
     async def _hold_on(self) -> None:
         """The state service does not serve the leader: is it an outage, or only us?
 
@@ -364,7 +409,7 @@
     async def succeed(self, message: Resigned) -> None:
         """The leader says that it has stopped commanding: replace it at once."""
         if self.leader is None and self.catalog and self.candidacy.may_lead(now_us()):
-            if self._read_token != message.token:
+            if self.predecessors.read_token != message.token:
                 # Whom it replaced itself, moments ago, only its record says.
                 await self.read_leader()
             if self.known_token == message.token:
@@ -388,6 +433,9 @@
         Without this a follower cut off from the store sent workers to nobody, or to the
         leader before last, while it could have relayed their reports.
         """
+        if self.leader is not None and token > self.leader.token:
+            # Its key was replaced, and it has not read that yet.
+            self.step_down(f"{name} leads with token {token}")
         if token > self.known_token or (self.known_leader is None and self.leader is None):
             if self.leader is None:
                 self.known_leader = LeaderRecord(name, "", self.timing.ttl_us)
@@ -395,15 +443,5 @@
 
     def heard_pong(self, name: str, pong: Pong, sent_us: int) -> None:
         """A peer has said whether it is in a term; it was asked at ``sent_us``."""
-        if pong.leads:
-            self._in_no_term.discard(name)
-            self._ended.discard(name)
-            return
-        self._in_no_term.add(name)
-        if len(self._in_no_term) == len(self._links):
+        if self.predecessors.heard(name, pong, sent_us):
             self.candidacy.nobody_leads()
-        if sent_us >= self._read_us or self._read_former:
-            self._ended.add(name)
-        if len(self._ended) == len(self._links):
-            # Whoever led before that record was written has ended since.
-            self._earlier_us = 0
--- a/weldhead/recovery/squaring.py
+++ b/weldhead/recovery/squaring.py
@@ -26,7 +26,7 @@
     FINISHED = "finished"
     #: Ended without completing, or known to be completed: forgotten.
     ENDED = "ended"
-    #: Its job is cancelled: counted, and stopped hard.
+    #: Its job is cancelled, or is being: counted, and stopped hard.
     CANCELLED = "cancelled"
     #: Its job is over, or the task is completed: stopped, its machine takes nothing meanwhile.
     OVER = "of a job that is over"
@@ -37,7 +37,7 @@
     #: Its team is over the limit with it: counted, and nothing is started for the team until
     #: enough has ended. It is not stopped: a limit that was lowered kills nothing.
     OVER_LIMIT = "over its team's limit"
-    #: The machine has no room for it by the books: stopped.
+    #: The machine has no room for it by the books: counted, and stopped hard.
     CROWDED = "without room"
 
 
@@ -83,9 +83,10 @@
         return Verdict.OVER
     if state == TaskState.ACTIVE or task.task in machine.attempts:
         return Verdict.SECOND
-    if machine.fits(job) < 1:
+    # A type that left the catalog has no amounts: what runs there has its room.
+    if machine.fits(job) < 1 and not machine.boundless:
         return Verdict.CROWDED
-    if job.cancelled:
+    if job.unwanted:
         return Verdict.CANCELLED
     if cluster.within_limit(job) < 1 or job.team not in cluster.teams:
         return Verdict.OVER_LIMIT
