Emulator: a cancellation in doubt that a follower tells from the store

The leader is cut off as its write of a cancellation leaves, the write is executed, and a follower tells a user withdrawn from the store; then the store is down for all and the leader, which has had no answer, goes on by the others' promises with the job's tasks running.

--- a/tests/test_meet_scenarios.py
+++ b/tests/test_meet_scenarios.py
@@ -83,3 +83,15 @@
     assert confirmed.leader != confirmed.former
     assert confirmed.at_s < outage.at_s
     assert not result.broken, result.details
+
+
+@pytest.mark.parametrize(("controllers", "seed"), [(3, 7), (5, 2)])
+def test_a_cancellation_in_doubt_that_a_follower_tells(controllers: int, seed: int) -> None:
+    result = play_meeting("meet-cancelled-in-doubt", controllers, seed)
+    cut = next(met for met in result.met if met.event == "write_sent")
+    confirmed = next(met for met in result.met if met.event == "confirmed")
+    # Told by one that does not lead, while who wrote it was cut off; it leads on.
+    assert confirmed.controller not in ("", confirmed.leader)
+    assert confirmed.leader == cut.leader
+    assert cut.at_s < confirmed.at_s < cut.at_s + 2.0
+    assert not result.broken, result.details
