Tests: jobs whose tasks end far apart, across leaders and writes that are lost or late

Real leaders in a row over one store, two workers, a job of three tasks and one that needs it: no task that has completed runs again, records say only what is true, the follower starts only behind the committed end, and all ends.

--- /dev/null
+++ b/tests/test_uneven_ends.py
@@ -0,0 +1,192 @@
+"""Jobs of a few tasks that end far apart, across changes of leader and writes that come late.
+
+Real leaders, one after the other, over one store: each reads what is recorded and hears its
+workers. What one was told and had not written yet its successor has to hear again.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.builders import job_spec
+from tests.stand_ins import StandInState, StandInWorker
+from tests.test_recovery import S, fixed_clock, leader_of, put_job, put_machine
+from weldhead.bookkeeping.records import FINAL, decode_progress, final_key, job_key, progress_key
+from weldhead.coordination.leader import Leader
+
+TASKS = 3
+JOB, FOLLOWER = "run-000001", "run-000002"
+WORKERS = ["vm-000001", "vm-000002"]
+FATES = ["ok", "refused", "lost", "unanswered", "late"]
+
+KINDS = ["report", "report", "complete", "complete", "save", "end", "change", "late"]
+#: What happens next, and to which worker or write.
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(KINDS), st.integers(0, 1), st.sampled_from(FATES)), max_size=30
+)
+
+
+class History:
+    """Leaders in a row, two workers, one job, and another that needs it."""
+
+    def __init__(self, clock: Any) -> None:
+        self.clock = clock
+        self.state = StandInState()
+        put_job(self.state, job_spec(1, tasks=TASKS))
+        put_job(self.state, job_spec(2, tasks=1, needs=(JOB,)))
+        self.workers = {name: put_machine(self.state, name) for name in WORKERS}
+        #: Tasks that have completed on a worker.
+        self.completed: set[str] = set()
+        self.leader: Leader | None = None
+        self.duties: list[asyncio.Task[None]] = []
+
+    async def change(self) -> None:
+        """The leader ends, and another begins."""
+        await self.close()
+        self.state.fates = []
+        self.leader = leader_of(self.state, self.clock())
+        # All is told in reports' answers: nothing else is on its way when a leader ends.
+        self.leader._dispatcher.post_soon = lambda machine: None  # type: ignore[method-assign]
+        self.duties = [asyncio.create_task(self.leader.ledger.run())]
+        await self.leader.recovery.load()
+        self.leader._check_known()
+        while self.leader.chains.unknown:
+            for name in list(self.leader.chains.unknown):
+                await self.leader.linking.learn_need(name)
+
+    async def close(self) -> None:
+        if self.leader is not None:
+            await self.leader.close()
+        for duty in self.duties:
+            duty.cancel()
+        await asyncio.gather(*self.duties, return_exceptions=True)
+
+    async def report(self, worker: StandInWorker) -> None:
+        assert self.leader is not None
+        self.clock.us += S
+        before = set(worker.starts)
+        answer = self.leader.report(worker.report(), self.clock(), relayed=False)
+        await self.pause()
+        if answer is not None:
+            worker.answered(answer)
+        for task, _ in set(worker.starts) - before:
+            assert task not in self.completed, f"{task} runs again"
+            assert not task.startswith(FOLLOWER) or final_key(JOB) in self.state.keys
+        if not self.leader.term.ready and self.leader.recovery.known.is_set():
+            await self.leader.recovery.finish(lambda: None)
+        self.leader.deciding.place()
+
+    async def hear(self) -> None:
+        for worker in self.workers.values():
+            await self.report(worker)
+            await self.report(worker)
+
+    def complete(self, worker: StandInWorker) -> None:
+        for name in sorted(worker.live()):
+            worker.tasks[name].state, worker.tasks[name].why = "ended", "done"
+            self.completed.add(name)
+            return
+
+    def write(self, write: Callable[[Leader], Awaitable[None]], fate: str) -> None:
+        assert self.leader is not None
+        # What is lost or held back stays so until the next write, or the leader's end.
+        self.state.fates = [fate] * (1 if fate == "unanswered" else 40)
+        self.duties.append(asyncio.create_task(self._written(write, self.leader)))
+
+    async def _written(self, write: Callable[[Leader], Awaitable[None]], leader: Leader) -> None:
+        await write(leader)
+
+    @staticmethod
+    async def save(leader: Leader) -> None:
+        job = leader.cluster.jobs.get(JOB)
+        if job is not None and job.dirty and not job.over and not job.saving and not job.finishing:
+            await leader.completions._save(job)
+
+    @staticmethod
+    async def end(leader: Leader) -> None:
+        for job in list(leader.cluster.jobs.values()):
+            if job.over and not job.finishing and not job.saving:
+                await leader.completions._end(job)
+
+    async def pause(self) -> None:
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    def check(self) -> None:
+        """What is on record is true: of tasks, and of jobs."""
+        keys = self.state.keys
+        if progress_key(JOB, 0) in keys:
+            found = decode_progress(keys[progress_key(JOB, 0)][0], TASKS)
+            assert {f"{JOB}/{index}" for index in found} <= self.completed
+        for key in keys:
+            if key.startswith(FINAL):
+                tasks = TASKS if key == final_key(JOB) else 1
+                job_id = key.removeprefix(FINAL)
+                assert {f"{job_id}/{index}" for index in range(tasks)} <= self.completed
+                assert job_key(job_id) not in keys
+
+    async def play(self, events: list[tuple[str, int, str]]) -> None:
+        await self.change()
+        for _ in range(2):
+            await self.hear()
+        assert sum(len(worker.starts) for worker in self.workers.values()) == TASKS
+        for event, which, fate in events:
+            worker = self.workers[WORKERS[which]]
+            match event:
+                case "report":
+                    # The first answer shows it the leader's token, the second one counts.
+                    await self.report(worker)
+                    await self.report(worker)
+                case "complete":
+                    self.complete(worker)
+                case "save":
+                    self.write(self.save, fate)
+                case "end":
+                    self.write(self.end, fate)
+                case "late":
+                    self.state.release_late()
+                case "change":
+                    await self.change()
+            await self.pause()
+            self.check()
+        # Whatever had happened: all end, each task once.
+        self.state.fates = []
+        for _ in range(12):
+            await self.hear()
+            for worker in self.workers.values():
+                self.complete(worker)
+            self.write(self.save, "ok")
+            self.write(self.end, "ok")
+            await self.pause()
+            self.check()
+        self.state.release_late()
+        self.check()
+        keys = self.state.keys
+        assert final_key(JOB) in keys and final_key(FOLLOWER) in keys
+        assert progress_key(JOB, 0) not in keys
+        assert all(not worker.tasks for worker in self.workers.values())
+        starts = [task for worker in self.workers.values() for task, _ in worker.starts]
+        assert sorted(starts) == sorted({*starts})
+        await self.close()
+
+
+def play(events: list[tuple[str, int, str]]) -> None:
+    async def no_pause(_: float, result: Any = None) -> None:
+        await original(0)
+
+    original = asyncio.sleep
+    with fixed_clock() as clock, pytest.MonkeyPatch.context() as patch:
+        patch.setattr("weldhead.bookkeeping.ledger.asyncio.sleep", no_pause)
+        asyncio.run(asyncio.wait_for(History(clock).play(events), 30))
+
+
+@settings(max_examples=150)
+@given(EVENTS)
+def test_tasks_that_end_far_apart_count_once_across_leaders(
+    events: list[tuple[str, int, str]],
+) -> None:
+    play(events)
