--- a/tests/test_lone_leader.py
+++ b/tests/test_lone_leader.py
@@ -13,9 +13,9 @@
 
 from tests.builders import job_spec
 from tests.stand_ins import StandInState
-from tests.test_recovery import new_leader, put_job
+from tests.test_recovery import new_leader, put_job, put_machine, report
 from tests.test_users import StandInNode, desk
-from weldhead.bookkeeping.records import FinalRecord, final_key, job_key
+from weldhead.bookkeeping.records import LEADER_KEY, FinalRecord, final_key, job_key
 from weldhead.clock import now_us
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.linking import DOUBT_US
@@ -174,3 +174,50 @@
         await asyncio.gather(duty, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+def test_what_a_leader_commands_ends_with_its_authority(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Workers and users still reach it: it starts, kills, answers and ends nothing any more."""
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=2))
+    worker = put_machine(state, "vm-000001")
+    leader = new_leader(state, now_us())
+    sent: list[object] = []
+
+    async def command(*args: object, **more: object) -> tuple[bool, object]:
+        sent.append(args)
+        raise CallFailed("no answer")
+
+    monkeypatch.setattr("weldhead.transport.workers.command", command)
+    for _ in range(2):
+        assert report(leader, worker, now_us())
+
+    async def scenario() -> None:
+        await leader.recovery.finish(lambda: None)
+        machine = leader.cluster.machines["vm-000001"]
+        authority = leader.term._authority
+        monkeypatch.setattr(authority, "valid", lambda at_us: False)
+        leader.deciding.place()
+        assert leader.cluster.jobs[JOB].active == {}
+        assert leader.report(worker.report(), now_us(), relayed=False) is None
+        assert leader.status(JOB) is None
+        # Decided before, and its turn comes only now.
+        attempt = leader.cluster.start(leader.cluster.jobs[JOB], 0, machine, now_us())
+        leader._dispatcher.post_soon(machine)
+        await until(lambda: not machine.posting)
+        assert sent == [] and not attempt.posted
+        monkeypatch.setattr(authority, "valid", lambda at_us: True)
+        leader._dispatcher.post_soon(machine)
+        await until(lambda: not machine.posting)
+        assert len(sent) == 1
+        # Replaced, it ends and cancels nothing either.
+        state.put(LEADER_KEY, {"name": "n-1", "nonce": "y", "ttl_us": 3_000_000})
+        duty = asyncio.create_task(leader.ledger.run())
+        before = state.revision
+        assert not await leader.completions.cancel(leader.cluster.jobs[JOB], 100_000)
+        assert state.revision == before
+        duty.cancel()
+        await asyncio.gather(duty, return_exceptions=True)
+        await leader.close()
+
+    asyncio.run(scenario())
