The stand-in store of the renewals' test answers a reading of the key

The key is read with each renewal since a leader counts its lease no longer than its key was seen. It says now that the key is still the leader's own; what is asserted (how often promises are asked for, and that every renewal was tried) is as it was.

--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -1,6 +1,7 @@
 """A process that stood still while its clocks ran on acts on nothing that it knew before."""
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any, cast
 
 import msgspec
@@ -12,6 +13,7 @@
 from tests.test_size import StandInCloud, settle
 from tests.test_users import GOOD_BODY, JOB, StandInNode, desk, run
 from tests.test_wire import SETTINGS
+from weldhead.bookkeeping.records import LeaderRecord
 from weldhead.clock import SECOND_US as S
 from weldhead.clock import now_us
 from weldhead.coordination import company, frontdesk, node
@@ -179,12 +181,19 @@
                 raise fates.pop(0)
             here.campaign.leader = None
 
+        async def get(self, key: str, **_: Any) -> Entry:
+            # Read with each renewal: the key is still its own.
+            record = LeaderRecord("n-0", "x", 200_000)
+            return Entry(key, msgspec.Raw(msgspec.json.encode(record)), 5)
+
     here = controller()
     campaign, asks = here.campaign, []
     campaign.timing = default_timing(200_000)
     campaign._state = cast(Any, Store())
     campaign.authority.begin(5, 1, now_us() + 60 * S)
-    campaign.leader = leader = cast(Any, object())
+    campaign.known_token = 5
+    campaign._nonces.add("x")
+    campaign.leader = leader = cast(Any, SimpleNamespace(token=5))
 
     async def hold_on() -> None:
         asks.append(1)
