--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -35,6 +35,9 @@
     "late-write-unconditional": "late-records",
     "late-report-applied": "copies",
     "forgotten-too-early": "lost-answers",
+    "lease-kept-by-an-unloaded-leader": "meet-confirmed-elsewhere",
+    "cancelled-only-when-answered": "meet-unanswered-cancellation",
+    "cancel-clock-of-the-term": "meet-row-of-terms",
 }
 MOST_SEEDS = 8
 #: What is found on machines while nothing is wrong with the controllers.
@@ -105,6 +108,8 @@
         ("gate", 3),
         ("late-records", 3),
         ("lost-answers", 5),
+        ("meet-unanswered-cancellation", 3),
+        ("meet-row-of-terms", 3),
     ],
 )
 def test_new_troubles(name: str, controllers: int) -> None:
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -18,23 +18,32 @@
 from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
 from weldhead.coordination import gates, leader, listening, reports
+from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
+from weldhead.coordination.linking import Linking
 from weldhead.coordination.recovery import Recovery
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.state import GateState
 from weldhead.hearing.copies import Word
 from weldhead.hearing.evidence import Ear
 from weldhead.planning import preemptor
-from weldhead.protocol.wire import Condition, Delete, JobStatus, Put
+from weldhead.protocol.wire import Condition, Delete, JobStatus, Put, Report
 from weldhead.recovery.readiness import Partial
 from weldhead.transport.state import StateClient
 
 
 def _lease_from_the_answer() -> Iterator[Any]:
-    """A leader counts its lease from when the renewal was answered."""
-    renewed = Authority.renewed
+    """A leader counts its lease from when the renewal, or what shows its key, was answered."""
+    renewed, kept = Authority.renewed, Authority.kept
+
+    def late(self: Authority, sent_us: int) -> None:
+        # What shows nothing new was answered long ago.
+        if sent_us > self._kept_us:
+            kept(self, now_us())
+
     yield patch.object(Authority, "renewed", lambda self, sent_us: renewed(self, now_us()))
+    yield patch.object(Authority, "kept", late)
 
 
 def _attempt_used_twice() -> Iterator[Any]:
@@ -187,6 +196,36 @@
     yield patch.object(Cluster, "lose", lose)
 
 
+def _lease_kept_by_an_unloaded_leader() -> Iterator[Any]:
+    """A leader that has not read the jobs keeps all workers, for as long as that takes."""
+
+    def answer(self: Recovery, report: Report, at_us: int, *, relayed: bool) -> bool:
+        return self.early.answer(report, at_us, relayed=relayed)
+
+    yield patch.object(Recovery, "answer_early", answer)
+
+
+def _cancelled_only_when_answered() -> Iterator[Any]:
+    """Tasks are stopped once the cancellation's write was answered, whatever came of it."""
+    stop_tasks = Linking.stop_tasks
+
+    def stop(self: Linking, job: Job) -> None:
+        if job.cancelled:
+            stop_tasks(self, job)
+
+    yield patch.object(Linking, "stop_tasks", stop)
+    yield patch.object(Job, "cancel_asked", property(lambda _: False, lambda *_: None))
+
+
+def _cancel_clock_of_the_term() -> Iterator[Any]:
+    """Each term counts from its own beginning what it may have missed, not from the first's."""
+
+    async def inherited(self: Campaign) -> int | None:
+        return None
+
+    yield patch.object(Campaign, "_inherited", inherited)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -203,6 +242,9 @@
     "late-write-unconditional": _late_write_unconditional,
     "late-report-applied": _late_report_applied,
     "forgotten-too-early": _forgotten_too_early,
+    "lease-kept-by-an-unloaded-leader": _lease_kept_by_an_unloaded_leader,
+    "cancelled-only-when-answered": _cancelled_only_when_answered,
+    "cancel-clock-of-the-term": _cancel_clock_of_the_term,
 }
 
 
