--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -17,8 +17,7 @@
 from weldhead.calendars.binding import state_of
 from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
-from weldhead.coordination import gates, leader, listening, reports
-from weldhead.coordination.campaign import Campaign
+from weldhead.coordination import campaign, gates, leader, listening, reports
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.linking import Linking
@@ -220,10 +219,10 @@
 def _cancel_clock_of_the_term() -> Iterator[Any]:
     """Each term counts from its own beginning what it may have missed, not from the first's."""
 
-    async def inherited(self: Campaign) -> int | None:
+    async def settled(state: StateClient) -> int | None:
         return None
 
-    yield patch.object(Campaign, "_inherited", inherited)
+    yield patch.object(campaign, "missed_from_us", settled)
 
 
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
