--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -154,6 +154,30 @@
     assert run(front.poll(JOB))[0] == 200
 
 
+def test_a_term_that_began_before_a_submission_was_answered_does_not_take_it_up() -> None:
+    """Cancelled and ended by the leader before, it was entered as waiting, and ran."""
+    state, node, taken = StandInState(), StandInNode(), list[str]()
+    transact = state.transact
+
+    class Leader:
+        def status(self, job_id: str) -> None:
+            """It is over: no term keeps it in memory."""
+
+        def job_created(self, record: Any, version: int) -> None:
+            taken.append(record.spec.id)
+
+    async def answered_late(*args: Any, **more: Any) -> int:
+        revision = await transact(*args, **more)
+        state.delete(job_key(JOB))
+        state.put(final_key(JOB), FinalRecord("withdrawn", 0))
+        node.leader = cast(Any, Leader())
+        return revision
+
+    state.transact = answered_late  # type: ignore[method-assign]
+    assert run(desk(state, node).submit(GOOD_BODY))[0] == 201
+    assert taken == []
+
+
 def test_what_is_over_is_read_once_and_a_long_chain_gets_further_each_time() -> None:
     state = StandInState()
     front = desk(state)
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -273,6 +273,9 @@
         conditions = [Condition(job_key(spec.id), 0), Condition(final_key(spec.id), 0)]
         # What bound it must be so still, or it was bound by an edition that is over.
         conditions += bound_by
+        # A term that begins before the answer comes may have found the job ended by the leader
+        # before it: taken up as new, it ran once more. Its own reading and watch show the rest.
+        leader = self._node.leader
         try:
             version = await self._state.transact(
                 conditions, [Put(job_key(spec.id), record)], timeout_us=1_000_000,
@@ -287,7 +290,6 @@
             if stored is None:
                 raise CallFailed("job is neither new nor known") from None
             return Response(200, _encode(stored))
-        leader = self._node.leader
         if leader is not None:
             leader.job_created(record, version)
         log.debug("%s accepted", spec.id)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -7,17 +7,19 @@
 from contextlib import ExitStack, contextmanager
 from typing import Any
 from unittest.mock import patch
+from weakref import WeakKeyDictionary
 
 from weldhead.account.teams import Account
 from weldhead.blame import record
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
-from weldhead.bookkeeping.records import LEADER_KEY, Bound
+from weldhead.bookkeeping.records import LEADER_KEY, Bound, FinalRecord, JobRecord
 from weldhead.calendars.binding import state_of
 from weldhead.calendars.dues import Dues
 from weldhead.clock import now_us
 from weldhead.coordination import campaign, gates, leader, listening, reports
+from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.linking import Linking
@@ -225,6 +227,25 @@
     yield patch.object(campaign, "missed_from_us", settled)
 
 
+def _follower_answers_from_an_old_read() -> Iterator[Any]:
+    """A follower remembers the jobs that it has read, as if they could not change."""
+    read = FrontDesk._read
+    remembered: WeakKeyDictionary[FrontDesk, dict[str, JobRecord]] = WeakKeyDictionary()
+
+    async def from_memory(
+        self: FrontDesk, job_id: str, *, urgent: bool = False
+    ) -> JobRecord | FinalRecord | None:
+        records = remembered.setdefault(self, {})
+        if self._node.leader is None and job_id in records:
+            return records[job_id]
+        stored = await read(self, job_id, urgent=urgent)
+        if isinstance(stored, JobRecord):
+            records[job_id] = stored
+        return stored
+
+    yield patch.object(FrontDesk, "_read", from_memory)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -244,6 +265,7 @@
     "lease-kept-by-an-unloaded-leader": _lease_kept_by_an_unloaded_leader,
     "cancelled-only-when-answered": _cancelled_only_when_answered,
     "cancel-clock-of-the-term": _cancel_clock_of_the_term,
+    "follower-answers-from-an-old-read": _follower_answers_from_an_old_read,
 }
 
 
