emulator: users that ask everywhere or are wrong, mute machines, late commands, lost answers

The checker no longer takes a 404 that was asked for before the acceptance was told for a forgotten job, and takes a 201 for a job that nobody may accept for an invented one, as a 200.

odd-users.toml plays all of them with two changes of leader and an outage of the store; the test asserts that each came about: no rule broken, 3 and 5 controllers, simulated machines.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -121,6 +121,22 @@
     assert bool(result.counts["cards taken"]) == (name == "cards")
 
 
+@pytest.mark.parametrize("controllers", [3, 5])
+def test_users_that_are_in_a_hurry_or_wrong(controllers: int) -> None:
+    site = scenario("odd-users")
+    site.controllers = controllers
+    result = play(site, controllers)
+    assert not result.broken, result.details
+    counts = result.counts
+    for what in ("close looks", "cancelled now", "cancelled at the end", "odd submit 400",
+        "odd submit 422", "commands held", "reports kept", "late writes"):  # fmt: skip
+        assert counts[what], what
+    # Who neither holds the job nor knows that nobody does says that it cannot tell.
+    assert {name for name in counts if name.startswith("odd submit")} <= {
+        f"odd submit {status}" for status in (0, 400, 422, 503)
+    }
+
+
 @pytest.mark.parametrize(
     ("old", "new", "what"),
     [
@@ -178,6 +194,13 @@
             "term_won is of no machine",
         ),
         ("store_late_writes", "least-s = 30", "must be from 0 to most-s"),
+        ("commands_late", "least-s = 30", "must be from 0 to most-s"),
+        ("store_slow", "at-once = true", "at-once: is of store_late_writes"),
+        ("store_late", 'writes = ["lease"]', "writes: is of store_late_writes"),
+        ("messages_late", "for-next = true", "for-next: is of reports_copied"),
+        ("machines_hang", "hang-s = 5", "hang-s: is of users_cancel_now"),
+        ("users_cancel_now", "hang-s = 5", "count: of running jobs must be given"),
+        ("users_odd", 'role = "leader"', "users_odd is of no controller"),
     ],
 )
 def test_a_fault_has_to_fit_its_tie(kind: str, lines: str, what: str) -> None:
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -87,6 +87,8 @@
     #: Who else looks at starts, and at tasks told to stop: called with task and machine.
     on_started: list[Callable[[str, str], None]] = field(default_factory=list)
     on_told_to_stop: list[Callable[[str, str], None]] = field(default_factory=list)
+    #: Who is told of a job as the last of its tasks has completed.
+    on_complete: list[Callable[[str], None]] = field(default_factory=list)
     calendars: "CalendarRules | None" = None
     #: Seconds of work that tasks have saved.
     saved_s: Counter[str] = field(default_factory=Counter)
@@ -163,6 +165,9 @@
         if why == "done":
             self.done[job_id].add(index)
         told = self.jobs.get(job_id)
+        if why == "done" and told is not None and len(self.done[job_id]) == told.spec.tasks:
+            for look in self.on_complete:
+                look(job_id)
         if told is not None and self._overdue(told):
             # Of a machine that hung beyond its lease, too: it was killed only now.
             self._breaks_cancelled(task, f"was on {machine} until now")
@@ -261,14 +266,15 @@
         self.counts[f"{verb} {status}"] += 1
         told, at_us = self.jobs.get(job_id), self.now_us()
         if told is None:
-            if status == 200:
-                self.breaks("invented", f"{verb} of {job_id}, which nobody submitted: 200")
+            if status in (200, 201):
+                self.breaks("invented", f"{verb} of {job_id}, which nobody submitted: {status}")
             return
         if verb == "poll":
             self._polled(told, status in (200, 404), asked_us or at_us)
-        if status in (400, 422) and told.accepted and verb == "submit":
+        accepted = told.accepted and (asked_us is None or asked_us >= told.accepted_us)
+        if status in (400, 422) and accepted and verb == "submit":
             self.breaks("forgotten", f"{job_id}: repeated submission answered {status}")
-        if status == 404 and told.accepted:
+        if status == 404 and accepted:
             self.breaks("forgotten", f"{job_id}: 404 to a {verb}")
         if status in (200, 201):
             told.accepted_us = told.accepted_us or at_us
--- a/weldhead/emulator/events.py
+++ b/weldhead/emulator/events.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
 
@@ -99,6 +99,8 @@
         #: Who led last, as the store's record said, and that record's version.
         self.leader = ""
         self._version = 0
+        #: Who is told of it at once that a term was won.
+        self.on_term: list[Callable[[], None]] = []
         #: The terms that were seen to have come so far.
         self._seen: set[tuple[Event, int]] = set()
         if "write_sent" in wanted:
@@ -157,6 +159,8 @@
             return
         self._version = entry.version
         self.leader = decode(bytes(entry.value), LeaderRecord).name
+        for look in self.on_term:
+            look()
         self.happened("term_won", self.leader)
 
     def _look_at_terms(self) -> None:
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -13,12 +13,16 @@
 from weldhead.emulator.loop import BEGIN_S, VirtualLoop
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Mode, Network, Weather
+from weldhead.emulator.odd_users import OddUsers
 from weldhead.emulator.roles import Roles
 from weldhead.emulator.scenario import Event, Fault, Kind, Scenario
 from weldhead.emulator.services import LateWrites, SimulatedCloud, SimulatedStore
 from weldhead.emulator.users import Users
 from weldhead.transport.state import decode
 
+#: Of how many machines the jobs that users cancel at once let hang at most.
+MOST_HUNG = 8
+
 
 @dataclass(frozen=True)
 class Met:
@@ -46,9 +50,11 @@
         cloud: SimulatedCloud,
         controllers: list[Controller],
         users: Users,
+        odd_users: OddUsers,
         checker: Checker,
     ) -> None:
         self._loop, self._rng, self._scenario = loop, rng, scenario
+        self._odd = odd_users
         self._network, self._store, self._cloud = network, store, cloud
         self._controllers, self._users, self._checker = controllers, users, checker
         self._left = 0
@@ -245,12 +251,7 @@
                 for machine in chosen:
                     machine.sick = False
             case "machines_hang":
-                for machine in chosen:
-                    self._loop.freeze(machine.life)
-                await asyncio.sleep(fault.for_s)
-                for machine in chosen:
-                    if machine.life.frozen:
-                        self._loop.thaw(machine.life)
+                await self._hang(chosen, fault.for_s)
             case "machines_deaf":
                 unheard = self._roles.chosen(fault)
                 pairs = [(c.name, machine.name) for machine in chosen for c in unheard]
@@ -259,11 +260,23 @@
                 await self._cut_pairs(pairs, "deaf", fault.for_s)
                 for name in names:
                     self.deaf.pop(name, None)
+            case "machines_mute":
+                unreached = self._roles.chosen(fault)
+                pairs = [(machine.name, c.name) for machine in chosen for c in unreached]
+                await self._cut_pairs(pairs, "mute", fault.for_s)
             case _:
                 await self._cut(
                     {m.name for m in chosen}, {c.name for c in self._controllers}, fault
                 )
 
+    async def _hang(self, chosen: list[Machine], for_s: float) -> None:
+        for machine in chosen:
+            self._loop.freeze(machine.life)
+        await asyncio.sleep(for_s)
+        for machine in chosen:
+            if machine.life.frozen:
+                self._loop.thaw(machine.life)
+
     # -- services, users, the network ------------------------------------------------------
 
     async def _befall_store(self, fault: Fault) -> None:
@@ -285,7 +298,10 @@
             case "store_late":
                 await self._late(LateWrites(fault.chance, 0.0, fault.most_s), {""}, fault.for_s)
             case _:
-                late = LateWrites(fault.chance, fault.least_s, fault.most_s, grants=True)
+                late = LateWrites(
+                    fault.chance, fault.least_s, fault.most_s, grants=True,
+                    at_once=fault.at_once, kinds=frozenset(fault.writes),
+                )  # fmt: skip
                 chosen = {c.name for c in self._roles.chosen(fault)}
                 await self._late(late, chosen, fault.for_s)
                 # The last of them are still to be executed.
@@ -308,12 +324,39 @@
         self._cloud.boot_factor, self._cloud.boots_fail = 1.0, 0.0
 
     async def _befall_users(self, fault: Fault) -> None:
-        self._users.eager = fault.factor
-        await asyncio.sleep(fault.for_s)
-        self._users.eager = 1.0
+        match fault.kind:
+            case "users_poll":
+                self._users.eager = fault.factor
+                await asyncio.sleep(fault.for_s)
+                self._users.eager = 1.0
+            case "users_ask_everywhere":
+                await self._odd.ask_everywhere(fault.for_s)
+            case "users_odd":
+                await self._odd.send_odd_requests(fault.for_s)
+            case "users_cancel_at_end":
+                await self._odd.cancel_at_end(fault.chance, fault.for_s)
+            case _:
+                hung = self._odd.cancel_now(fault.count)
+                if fault.hang_s:
+                    await self._hang(hung[:MOST_HUNG], fault.hang_s)
 
     async def _befall_messages(self, fault: Fault) -> None:
         network, fair = self._network, self._fair()
+        if fault.kind == "commands_late":
+            held = fault.chance, fault.least_s, fault.most_s
+            names = [c.name for c in self._roles.chosen(fault)]
+            network.late_commands |= dict.fromkeys(names, held)
+            await asyncio.sleep(fault.for_s)
+            for name in names:
+                # Another such fault may have taken its place.
+                if network.late_commands.get(name) is held:
+                    del network.late_commands[name]
+            # The last of them are still to be carried out.
+            await asyncio.sleep(fault.most_s)
+            return
+        if fault.for_next:
+            await self._keep_reports(fault)
+            return
         if fault.kind == "reports_copied":
             network.copied, network.copied_s = fault.chance, fault.most_s
             await asyncio.sleep(fault.for_s)
@@ -329,3 +372,26 @@
             )
         await asyncio.sleep(fault.for_s)
         network.weather = fair
+
+    async def _keep_reports(self, fault: Fault) -> None:
+        """Keep copies until nobody leads, and until a term is won: then they come everywhere."""
+        network, store = self._network, self._store.service.store
+        addresses = [c.settings.listen for c in self._controllers]
+
+        def won() -> None:
+            network.deliver_kept(addresses, fault.most_s)
+            network.kept.clear()
+
+        self._events.on_term.append(won)
+        network.keeps, vacant = fault.chance, False
+        until_s = self._loop.true_s + fault.for_s
+        while self._loop.true_s < until_s:
+            await asyncio.sleep(LOOK_S)
+            if store.get(LEADER_KEY) is None and not vacant:
+                network.deliver_kept(addresses, fault.most_s)
+            vacant = store.get(LEADER_KEY) is None
+        self._events.on_term.remove(won)
+        network.keeps = 0.0
+        network.kept.clear()
+        # The last copies are still on their way.
+        await asyncio.sleep(fault.most_s)
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
-from contextvars import ContextVar
+from contextvars import Context, ContextVar
 from dataclasses import dataclass
 from typing import Any, Literal
 
@@ -20,7 +20,8 @@
 from weldhead.transport.server import Handler, Response
 
 #: ``deaf``: connections come about, and of what is sent on them half arrives after the cut.
-Mode = Literal["hold", "drop", "reset", "refuse", "deaf"]
+#: ``mute``: no connection comes about from this side; those from the other side work both ways.
+Mode = Literal["hold", "drop", "reset", "refuse", "deaf", "mute"]
 #: method, path with query, body -> status, body, seconds after which to come back
 Serve = Callable[[str, str, bytes], Awaitable[Response]]
 
@@ -70,6 +71,13 @@
         #: the addresses that reports are sent to; its answer goes nowhere.
         self.copied, self.copied_s = 0.0, 0.0
         self._reported_to: dict[str, None] = {}
+        #: The share of reports that are kept, to come again later; and those that were.
+        self.keeps = 0.0
+        self.kept: list[tuple[str, bytes]] = []
+        #: Whose direct commands are held up and stay unanswered: a share, by so much at least
+        #: and at most.
+        self.late_commands: dict[str, tuple[float, float, float]] = {}
+        self.commands_held = self.kept_delivered = 0
         #: Who is told of each request just before it leaves (caller, called, path, body), of
         #: each answer (called, caller, path, answer), and of requests that were sent and got no
         #: answer (as of those that leave).
@@ -125,14 +133,17 @@
 
     def _mode(self, source: str, target: str) -> Mode | None:
         modes = self._cuts.get((source, target))
-        if modes:
-            return modes[-1]
+        for mode in reversed(modes or ()):
+            if mode != "mute":
+                return mode
         if source in self.dark or target in self.dark:
             return "drop"
         return None
 
     def _path(self, source: str, target: str) -> Mode | None:
         """Return what stands in the way of a new connection."""
+        if "mute" in self._cuts.get((source, target), ()):
+            return "drop"
         modes = (self._mode(source, target), self._mode(target, source))
         return next((mode for mode in modes if mode not in (None, "deaf")), None)
 
@@ -186,6 +197,8 @@
                 self.bytes += len(body or b"")
                 if self.copied and path == "v1/report" and self._rng.random() < self.copied:
                     self._copy(life.machine, address, body or b"")
+                if self.keeps and path == "v1/report" and self._rng.random() < self.keeps:
+                    self.kept.append((life.machine, body or b""))
                 for look in self.on_sent:
                     look(life.machine, machine, path, body or b"")
                 sent = True
@@ -230,18 +243,29 @@
         """Have a report come once more, whatever has become of its sender by then."""
         self._reported_to[address] = None
         target = self._rng.choice([address, *self._reported_to])
+        self._report_again(machine, target, body, self._rng.uniform(0, self.copied_s))
 
+    def _report_again(self, machine: str, address: str, body: bytes, after_s: float) -> None:
         async def serve(listener: _Listener) -> None:
             self.caller.set(machine)
             assert listener.serve is not None
             await listener.serve("POST", "/v1/report", body)
 
         def arrive() -> None:
-            listener = self._listener(target)
+            listener = self._listener(address)
             if listener is not None:
                 self._loop.spawn(listener.life, lambda: serve(listener))
 
-        self._loop.call_at(self._loop.true_s + self._rng.uniform(0, self.copied_s), arrive)
+        # On the network it is nobody's: it arrives also if its sender has ended.
+        self._loop.call_at(self._loop.true_s + after_s, arrive, context=Context())
+
+    def deliver_kept(self, addresses: list[str], most_s: float) -> None:
+        """Have each report that was kept come at all addresses: half at once, the others later."""
+        for machine, body in self.kept:
+            for address in addresses:
+                self.kept_delivered += 1
+                after_s = self._rng.choice((0.0, self._rng.uniform(0, most_s)))
+                self._report_again(machine, address, body, after_s + self._delay_s())
 
     async def _exchange(
         self, life: Life, listener: _Listener, method: str, path: str, body: bytes
@@ -282,6 +306,17 @@
 
         if life.ended:
             raise CallFailed("the caller has ended")
+        held = self.late_commands.get(life.machine) if path == "/commands" else None
+        if held is not None and self._rng.random() < held[0]:
+            self.commands_held += 1
+            delay_s, later = self._rng.uniform(*held[1:]), self._carry
+            loop.call_at(
+                loop.true_s + delay_s, later, life.machine, target, arrive, context=Context()
+            )
+            # Nobody is told what came of it.
+            answered.cancel()
+            never: asyncio.Future[Response] = loop.create_future()
+            return await never
         if weather.lost and self._rng.random() < weather.lost:
             self._carry(life.machine, life, fail)
         elif weather.late and self._rng.random() < weather.late:
--- a/weldhead/emulator/services.py
+++ b/weldhead/emulator/services.py
@@ -9,13 +9,16 @@
 import msgspec
 
 from weldhead.clock import SECOND_US, now_us
+from weldhead.emulator.events import kinds
 from weldhead.emulator.loop import Life, VirtualLoop
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
+from weldhead.emulator.scenario import WriteKind
 from weldhead.protocol.settings import StateLimits
 from weldhead.protocol.wire import Catalog, MachineNames, MachineType, RentalRequest
 from weldhead.site.pool import Machine as PoolMachine
 from weldhead.site.pool import Pool, PoolError
+from weldhead.site.store.model import Batch
 from weldhead.site.store.server import StateService
 from weldhead.transport.budget import Budget
 from weldhead.transport.duties import Duties
@@ -39,13 +42,25 @@
 class LateWrites:
     """How many writes are executed late: a share of them, by how much at least and at most.
 
-    ``grants`` too: those of leases. Otherwise transactions only.
+    ``grants`` too: those of leases. Otherwise transactions only. ``kinds``: only of these kinds.
+    ``at_once``: they are executed at once, and only their answers come that late.
     """
 
     share: float
     least_s: float
     most_s: float
     grants: bool = False
+    at_once: bool = False
+    kinds: frozenset[WriteKind] = frozenset()
+
+    def concerns(self, path: str, body: bytes) -> bool:
+        """Whether a request is such a write."""
+        if path != "/multi":
+            lease = self.grants and path.startswith("/grants")
+            return lease and (not self.kinds or "lease" in self.kinds)
+        if not self.kinds:
+            return True
+        return not self.kinds.isdisjoint(kinds(msgspec.json.decode(body, type=Batch)))
 
 
 class SimulatedStore:
@@ -78,13 +93,17 @@
         await self._dawdle()
         self.writes += path == "/multi"
         late = self.late.get(caller) or self.late.get("")
-        if late is not None and (path == "/multi" or (late.grants and path.startswith("/grants"))):
-            if self._rng.random() < late.share:
-                self.late_writes += 1
-                await asyncio.sleep(self._rng.uniform(late.least_s, late.most_s))
+        late_s, at_once = 0.0, late is not None and late.at_once
+        if late is not None and late.concerns(path, body) and self._rng.random() < late.share:
+            self.late_writes += 1
+            late_s = self._rng.uniform(late.least_s, late.most_s)
+        if late_s and not at_once:
+            await asyncio.sleep(late_s)
         answer = await self.service.handle(_Asked(method, path), body)  # type: ignore[arg-type]
         if path == "/multi":
             self.on_written()
+        if late_s and at_once:
+            await asyncio.sleep(late_s)
         await self._dawdle()
         while path.startswith("/changes") and caller in self.refused:  # noqa: ASYNC110
             # Open watches wait as they do in an outage.
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -38,11 +38,14 @@
         self.life = Life("users")
         self._loop, self._network, self._checker = loop, network, checker
         self._scenario, self._jobs, self._rng = scenario, jobs, rng
-        self._addresses = list(nodes.values())
+        self.addresses = list(nodes.values())
         self._names = {address: name for name, address in nodes.items()}
         #: Who is told of it when a user learns first that a job is withdrawn, and from whom.
         self.on_confirmed: Callable[[str], None] = lambda controller: None
-        self._healthy = dict.fromkeys(self._addresses, False)
+        #: Who is told of it when a job is submitted or cancelled, and when that, its acceptance
+        #: or its end is told first; and whether it was accepted just now.
+        self.on_change: Callable[[str, bool], None] = lambda job_id, accepted: None
+        self._healthy = dict.fromkeys(self.addresses, False)
         self._count = 0
         #: The connections that users keep open, and since when a controller is not healthy.
         self._connected: dict[str, str] = {}
@@ -52,7 +55,7 @@
 
     def start(self) -> None:
         """Begin."""
-        for address in self._addresses:
+        for address in self.addresses:
             self._loop.spawn(self.life, lambda a=address: self._probe(a))  # type: ignore[misc]
         for job in self._scenario.jobs:
             self._loop.spawn(self.life, lambda j=job: self._arrivals(j))  # type: ignore[misc]
@@ -87,7 +90,7 @@
         if since_s is not None and self._loop.true_s - since_s > RESET_S:
             address = None
         if address is None:
-            healthy = [address for address in self._addresses if self._healthy[address]]
+            healthy = [address for address in self.addresses if self._healthy[address]]
             if not healthy:
                 self._checker.counts["no healthy controller"] += 1
                 return None, ""
@@ -158,6 +161,7 @@
     async def _follow(self, spec: JobSpec, job: JobClass) -> None:
         self._checker.submitted(spec)
         began_s = self._loop.true_s
+        self.on_change(spec.id, False)
         if not await self._repeat("submit", "/submissions", _encode(spec), spec.id):
             self._checker.counts["submissions given up"] += 1
         took_s = self._loop.true_s - began_s
@@ -186,6 +190,54 @@
         await self._poll(spec.id)
         await self._repeat("submit", "/submissions", _encode(spec), spec.id)
 
+    # -- what odd users do besides ---------------------------------------------------------
+
+    async def wait(self, for_s: float) -> None:
+        """Let time pass."""
+        await asyncio.sleep(for_s)
+
+    def cancel(self, job_id: str, after_s: float) -> None:
+        """Cancel an accepted job so much later, until that is answered."""
+
+        async def cancel() -> None:
+            await asyncio.sleep(after_s)
+            self._checker.jobs[job_id].cancel_asked = True
+            self.on_change(job_id, False)
+            await self._repeat("cancel", f"/submissions/{job_id}/cancel", b"", job_id)
+
+        self._loop.spawn(self.life, cancel)
+
+    async def look(self, job_id: str, address: str) -> None:
+        """Ask one controller about a job; that it does not answer says nothing."""
+        await self._ask_at("look", "GET", f"/submissions/{job_id}", b"", job_id, address)
+
+    async def submit_again(self, job_id: str, address: str) -> None:
+        """Submit a job once more, to one controller."""
+        body = _encode(self._jobs[job_id])
+        await self._ask_at("submit", "POST", "/submissions", body, job_id, address)
+
+    async def cancel_at(self, job_id: str, address: str) -> None:
+        """Cancel a job that is done, at one controller."""
+        path = f"/submissions/{job_id}/cancel"
+        await self._ask_at("cancel", "POST", path, b"", job_id, address)
+
+    async def submit_unfit(self, body: bytes, address: str) -> None:
+        """Submit what cannot be accepted, to one controller, and ask for it then."""
+        answer = await self._call("POST", address, "/submissions", body, 5.0)
+        job_id = msgspec.json.decode(body).get("uid", "")
+        self._checker.answered(job_id, "odd submit", answer.status if answer else 0, "")
+        if job_id:
+            await self._ask_at("look", "GET", f"/submissions/{job_id}", b"", job_id, address)
+
+    async def _ask_at(
+        self, verb: str, method: str, path: str, body: bytes, job_id: str, address: str
+    ) -> None:
+        asked_us = self._loop.true_us
+        answer = await self._call(method, address, path, body, 2.0 if method == "GET" else 5.0)
+        self._tell(job_id, verb, answer, asked_us, self._names[address])
+
+    # -- what is told ----------------------------------------------------------------------
+
     async def _repeat(self, verb: str, path: str, body: bytes, job_id: str) -> bool:
         until_s = self._loop.true_s + 60
         while self._loop.true_s < until_s:
@@ -214,9 +266,12 @@
         status = answer.status if answer is not None else 0
         knew = self._checker.jobs.get(job_id)
         news = state == "withdrawn" and knew is not None and not knew.cancelled_us
+        before = (knew.accepted, knew.final) if knew is not None else (False, "")
         self._checker.answered(job_id, verb, status, state, asked_us)
         if news:
             self.on_confirmed(asked)
+        if knew is not None and (knew.accepted, knew.final) != before:
+            self.on_change(job_id, knew.accepted and not before[0])
 
     async def _strangers(self) -> None:
         """Users ask about jobs that nobody has submitted."""
