What a term keeps of jobs that are over does not grow: attempt counts, versions, redirected workers

Cause: a leader kept for its whole term how often each task was ever started, and the version of the record of each job that was over; a follower kept each worker that it ever sent to the leader.

Change: both are forgotten once a job's end is committed; nothing of it is written or started again in the term, as its end is remembered and in the store. A follower forgets workers that did not come back within 9 s once it remembers 4,096.

--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -57,7 +57,8 @@
         self.usage: Mapping[str, Use] = defaultdict(Use)
         #: By team, while some machines have not shown what runs there.
         self.doubts: Mapping[str, Doubt] = {}
-        self._starts: dict[str, int] = defaultdict(int)
+        #: How often each task of a job was started in this term; until the job is over.
+        self._starts: dict[str, Counter[str]] = defaultdict(Counter)
 
     def next_attempt(self, task: str) -> int:
         """Return an attempt number that no leader ever used for this task.
@@ -65,8 +66,16 @@
         Tokens are unique and grow, so a number made of the token and a count within the
         term is unique across terms without being stored.
         """
-        self._starts[task] += 1
-        return (self.token << 20) + self._starts[task]
+        starts = self._starts[task.rpartition("/")[0]]
+        starts[task] += 1
+        return (self.token << 20) + starts[task]
+
+    def forget_starts(self, job_id: str) -> None:
+        """A job is over, and that is committed: none of its tasks is started again.
+
+        Kept for the whole term, these counts grew with every task ever started.
+        """
+        self._starts.pop(job_id, None)
 
     def start(self, job: Job, index: int, machine: Machine, at_us: int) -> Attempt:
         """Decide that a task starts on a machine."""
--- a/weldhead/bookkeeping/ledger.py
+++ b/weldhead/bookkeeping/ledger.py
@@ -82,6 +82,14 @@
         if version > self._versions.get(key, 0):
             self._versions[key] = version
 
+    def forget(self, key: str) -> None:
+        """A key was committed and is never written again: its version is not needed.
+
+        Kept for the whole term, the versions of ended jobs' records grew with every job.
+        """
+        self._versions.pop(key, None)
+        self._in_doubt.discard(key)
+
     def version(self, key: str) -> int:
         """Return a key's last known version; 0: it does not exist."""
         return self._versions.get(key, 0)
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -221,7 +221,9 @@
         if self.with_gate is None or not await self.with_gate(job, final, changes):
             await term.ledger.write(changes, urgent=True)
         self.remember_final(job.id, final)
+        term.ledger.forget(final_key(job.id))
         term.cluster.jobs.remove(job.id)
+        term.cluster.forget_starts(job.id)
         self._written_chunks.pop(job.id, None)
         job.dirty.clear()
         self._ended(job, final)
--- a/weldhead/coordination/relays.py
+++ b/weldhead/coordination/relays.py
@@ -11,6 +11,8 @@
 CAME_BACK_US = 9 * SECOND_US
 #: For how long reports are relayed before the worker is sent to the leader again.
 RELAY_US = 30 * SECOND_US
+#: How many workers are remembered before those that have not come back are forgotten.
+MOST_REMEMBERED = 4_096
 
 
 class Relays:
@@ -30,6 +32,16 @@
     def redirected(self, name: str, at_us: int) -> None:
         """Note that a worker was sent to the leader."""
         self._sent_us[name] = at_us
+        if len(self._sent_us) > MOST_REMEMBERED:
+            # Machines come and go: who does not report any more was remembered for good.
+            self._sent_us = {
+                name: sent_us
+                for name, sent_us in self._sent_us.items()
+                if at_us - sent_us < CAME_BACK_US
+            }
+            self._until_us = {
+                name: until_us for name, until_us in self._until_us.items() if until_us > at_us
+            }
 
     def wanted(self, name: str, at_us: int) -> bool:
         """Whether to relay a worker's report."""
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -50,11 +50,12 @@
 def _attempt_used_twice() -> Iterator[Any]:
     """Attempt numbers count within a term only."""
 
-    def next_attempt(self: Cluster, task: str) -> int:
-        self._starts[task] += 1
-        return self._starts[task]
+    next_attempt = Cluster.next_attempt
 
-    yield patch.object(Cluster, "next_attempt", next_attempt)
+    def without_token(self: Cluster, task: str) -> int:
+        return next_attempt(self, task) - (self.token << 20)
+
+    yield patch.object(Cluster, "next_attempt", without_token)
 
 
 def _told_before_committed() -> Iterator[Any]:
