Polls without a loaded leader: one controller counts how long a job waits, and the first in turn goes first

Cause: without a leader that has read the jobs each node counted for itself how long a job waits, and went on counting when another node had answered: answered jobs went before others on the next four nodes. A leader that had not loaded read the store for whatever was passed on to it, in an order of its own.

Change: when there is no room to spare, the node asks the job's home among the served controllers (rendezvous hash, the existing question 'read'); it counts the waits. 429 between controllers: its turn has not come; any other failure, and the node looks itself. A leader that has not loaded says so.

The stand-in follower of test_slow_store knows homes now, as nodes do; its limit stays.

--- a/tests/test_close_looks.py
+++ b/tests/test_close_looks.py
@@ -254,7 +254,7 @@
 
         async def users() -> None:
             losses = itertools.cycle(site.rng.sample(get_args(Loss), len(get_args(Loss))))
-            while site.leading() is None:
+            while site.leading() is None:  # noqa: ASYNC110
                 await asyncio.sleep(PAUSE_S)
             for _ in range(ROUNDS):
                 # What a leader lost too early has kept from coming about is tried once more.
--- /dev/null
+++ b/tests/test_fair_polls.py
@@ -0,0 +1,70 @@
+"""More is asked than a small store answers, and no leader has read the jobs: nobody is forgotten.
+
+Five real controllers on the emulator's network and store; each job's user reaches another one
+each time.
+"""
+
+import asyncio
+import itertools
+import random
+from unittest.mock import patch
+
+from weldhead.coordination.recovery import Recovery
+from weldhead.emulator.checker import FORGOTTEN_IN_CALM_US
+from weldhead.emulator.experiment import Experiment
+from weldhead.emulator.loop import BEGIN_S, simulated
+from weldhead.emulator.scenario import JobClass, Scenario, TeamPart
+from weldhead.tunables.defaults import Tunables
+
+JOBS, STORE_RPS, SECONDS = 300, 20.0, 160.0
+
+
+async def _never(_: Recovery) -> None:
+    """The jobs are not read: the leader has no memory to answer from."""
+    await asyncio.Event().wait()
+
+
+def test_each_job_is_answered_about_while_no_leader_has_read_the_jobs() -> None:
+    """Each of the five counted for itself how long a job waits: some waited for 118 s."""
+    job = JobClass("one", "red", 0.0, tasks=1, run_s=1_000.0, cpus=0.1, initial=0)
+    scenario = Scenario(
+        "fair-polls", [TeamPart("red", 8.0, 40.0)], [job], controllers=5, machines=4,
+        store_rps=STORE_RPS, store_write_rps=10.0, stored_jobs=JOBS,
+    )  # fmt: skip
+    chance, over_s = random.Random(1), BEGIN_S + SECONDS
+    with simulated() as loop, patch.object(Recovery, "load_until_done", _never):
+        experiment = Experiment(loop, scenario, 1, Tunables())
+        users, addresses = experiment.users, list(experiment.addresses.values())
+        users.store(experiment.store.service.store)
+        answered_s: dict[str, list[float]] = {}
+
+        async def poll(name: str) -> None:
+            address = chance.choice(addresses)
+            answer = await users._call("GET", address, f"/submissions/{name}", b"", 2.0)
+            if answer is not None and answer.status == 200:
+                answered_s[name].append(loop.true_s)
+
+        async def follow(name: str) -> None:
+            await asyncio.sleep(10.0 + chance.uniform(0, 5))
+            answered_s[name] = [loop.true_s]
+            polls = []
+            while loop.true_s < over_s:
+                polls.append(asyncio.create_task(poll(name)))
+                await asyncio.sleep(chance.uniform(4, 6))
+            await asyncio.gather(*polls)
+            answered_s[name].append(loop.true_s)
+
+        async def ask() -> None:
+            await asyncio.gather(*(follow(name) for name in experiment.checker.jobs))
+
+        async def run() -> None:
+            for controller in experiment.controllers:
+                controller.start()
+            await loop.spawn(users.life, ask)
+
+        loop.run_until_complete(run())
+    longest_s = max(b - a for times in answered_s.values() for a, b in itertools.pairwise(times))
+    assert len(answered_s) == JOBS
+    # More was asked than answered: it came about.
+    assert sum(len(times) for times in answered_s.values()) < JOBS * SECONDS / 5 / 2
+    assert longest_s < FORGOTTEN_IN_CALM_US / 1e6
--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -4,6 +4,7 @@
 from heapq import heapify, heappop, heappush
 from random import Random
 from typing import Any, cast
+from zlib import crc32
 
 import msgspec
 import pytest
@@ -51,8 +52,9 @@
 class Follower(StandInNode):
     """A node without a leader; it has others look, as a front desk wants it to."""
 
-    def __init__(self, chance: Random) -> None:
+    def __init__(self, chance: Random, number: int) -> None:
         super().__init__()
+        self.number = number
         self.peers: list[FrontDesk] = []
         self._chance = chance
 
@@ -61,6 +63,14 @@
     ) -> Response | None:
         return await self._chance.choice(self.peers).poll(job_id, elsewhere=False)
 
+    async def ask_home(self, job_id: str) -> Response | None:
+        homes = [self, *(cast(Follower, peer._node) for peer in self.peers)]
+        # Any choice will do that all make alike.
+        home = max(homes, key=lambda node: crc32(f"{job_id}{node.number * 7919}".encode()))
+        if home is self:
+            return None
+        return await self.peers[homes.index(home) - 1].poll(job_id, elsewhere=False)
+
 
 @pytest.mark.parametrize("seed", range(3))
 def test_whose_users_reach_another_node_each_time_are_not_forgotten_either(
@@ -69,7 +79,7 @@
     """Each node counted anew whoever came by only every half minute: some waited for 84 s."""
     clock, chance, state = Clock(), Random(seed), SmallStore()
     monkeypatch.setattr(frontdesk, "now_us", clock)
-    nodes = [Follower(chance) for _ in range(3)]
+    nodes = [Follower(chance, number) for number in range(3)]
     desks = [FrontDesk(node, cast(Any, state), [Team("red", 8, 16)], 3) for node in nodes]
     for node, own in zip(nodes, desks, strict=True):
         node.peers = [other for other in desks if other is not own]
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -47,6 +47,9 @@
     ) -> Response | None:
         return None
 
+    async def ask_home(self, job_id: str) -> Response | None:
+        return None
+
     def peers_know(self, least_format: int) -> bool:
         return self.all_know_chains
 
--- a/weldhead/coordination/company.py
+++ b/weldhead/coordination/company.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Mapping
+from hashlib import sha256
 
 from weldhead.bookkeeping.records import LEADER_KEY
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds
@@ -134,6 +135,23 @@
             link = served[self._turn % len(served)]
         return await self.forward(link, kind, job_id, body)
 
+    async def ask_home(self, job_id: str) -> Response | None:
+        """Have the one controller look that counts how long a job waits for an answer.
+
+        All controllers choose the same one of those that the state service serves, by the job's
+        id. None: that is this one. CallFailed if it does not answer in time.
+        """
+        links = {link.name: link for link in self._served_peers(now_us(), DOCUMENTS_FORMAT)}
+        home = max(
+            [self._name, *links], key=lambda name: sha256(f"{job_id} {name}".encode()).digest()
+        )
+        if home not in links:
+            return None
+        answer = await self.forward(links[home], "read", job_id, b"")
+        if answer is None:
+            raise CallFailed(f"{home} does not answer for {job_id}")
+        return answer
+
     def peers_know(self, least_format: int) -> bool:
         """Whether no peer is known to run a version of an earlier format."""
         return all(not 0 < link.format < least_format for link in self._links.values())
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -61,6 +61,9 @@
 #: A job whose polls have failed for so long is asked about elsewhere too, and its reads go
 #: before others' that can wait.
 URGENT_US = 20 * SECOND_US
+TOO_MANY = "too many ask at once"
+#: What a peer is answered that asks for a job whose turn has not come.
+NO_TURN = 429
 #: How many answers that never change are kept.
 KEPT = 4_096
 #: What the store said so long ago is told to nobody: this process may have stood still, and
@@ -111,6 +114,12 @@
     ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
 
+    async def ask_home(self, job_id: str) -> Response | None:
+        """Have the peer look that counts how long a job waits; None: that is this node.
+
+        CallFailed if it does not answer.
+        """
+
     def peers_know(self, least_format: int) -> bool:
         """Whether no peer is known to run a version of an earlier format."""
 
@@ -421,8 +430,23 @@
                 return answer
         at_us = now_us()
         waited = self._turns.waited_us(job_id, at_us) > URGENT_US
-        why = "too many ask at once"
-        if self._turns.take(job_id, POLL_REQUESTS, at_us):
+        why = TOO_MANY
+        taken = self._turns.take_spare(POLL_REQUESTS, at_us)
+        lost = False
+        if not taken and elsewhere and not forwarded:
+            # Each node counted waits that had ended when another answered: some jobs were
+            # answered again and again, and others waited for over 120 s.
+            try:
+                answer = await self._node.ask_home(job_id)
+            except CallFailed:
+                answer, lost = None, True
+            if answer is not None and answer.status in (200, 404):
+                self._turns.answered(job_id)
+                return answer
+            if answer is not None and answer.status == NO_TURN:
+                return refusal(503, why + self._known_of(job_id), retry_after_s=1)
+            at_us = now_us()
+        if taken or self._turns.take(job_id, POLL_REQUESTS, at_us, lost=lost):
             try:
                 stored = await self._from_store(job_id, urgent=waited)
             except CallFailed as error:
@@ -442,6 +466,8 @@
                 self._turns.answered(job_id)
                 return answer
         self._turns.failed(job_id, now_us())
+        if not elsewhere and why == TOO_MANY:
+            return refusal(NO_TURN, why)
         return refusal(503, why + self._known_of(job_id), retry_after_s=1)
 
     async def cancel(self, job_id: str, *, forwarded: bool = False) -> Response:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -202,8 +202,10 @@
             case "submit":
                 return await self._desk.submit(ask.body, forwarded=True)
             case "poll":
-                if self.leader is None:
-                    return refusal(503, "not the leader", retry_after_s=1)
+                # Without its memory it has nothing over others: whose turn it is to read is
+                # counted by the job's home.
+                if self.leader is None or not self.leader.loaded:
+                    return refusal(503, "not a leader that has read the jobs", retry_after_s=1)
                 return await self._desk.poll(ask.job_id, forwarded=True)
             case "read":
                 return await self._desk.poll(ask.job_id, elsewhere=False)
