--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/sizing.py
@@ -51,6 +51,7 @@
         self._rentals = rentals
         self._watch = watch
         self._gates = gates
+        self._said_summary = ""
 
     async def size_fleet(self) -> None:
         """Look at the fleet's size, again and again; a duty."""
@@ -115,7 +116,9 @@
             scene.close()
             self._deciding.scene = None
         summary = self._deciding.pacer.summary()
-        if summary:
+        if summary != self._said_summary:
+            # The counts only grow: repeated each time, an hour-old one looked like a load.
+            self._said_summary = summary
             log.info("loop: %s", summary)
 
     def _size_now(self, at_us: int) -> None:
