A term that is over gives its memory back: 14 MB of 1,400 machines and 24,000 tasks

Cause: the parts of a term know one another, so no count of references frees them, and the collector looks at what is old only when much is new. A controller that lost its term makes little anew, and kept the jobs, machines and attempts of every term it had lost until it led again.

Change: 5 s after the end the collector is called, unless the next term of this node has begun.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -1,6 +1,8 @@
 """Leadership: two nodes never both believe that they may command (revocations apart)."""
 
 import asyncio
+import gc
+import weakref
 from typing import Any, cast
 
 import msgspec
@@ -14,6 +16,7 @@
 from tests.test_wire import SETTINGS
 from weldhead.bookkeeping.records import LEADER_KEY, UNSETTLED_KEY, LeaderRecord
 from weldhead.clock import now_us
+from weldhead.coordination import campaign as campaigning
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.leadership import (
     Authority,
@@ -387,3 +390,38 @@
     asyncio.run(take_over())
     assert len(stood) == 2
     assert handicap_us(9) == handicap_us(4) > handicap_us(1)
+
+
+class StandInTerm:
+    """Something like a leader's term: its parts know one another."""
+
+    def __init__(self) -> None:
+        self.part = [self]
+
+    async def close(self) -> None:
+        """Nothing runs."""
+
+
+def test_the_memory_of_a_term_that_is_over_is_taken_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A follower kept its last term's jobs and machines until it led again."""
+    monkeypatch.setattr(campaigning, "RELEASE_S", 0.0)
+
+    async def lose(campaign: Campaign) -> "weakref.ref[StandInTerm]":
+        term = StandInTerm()
+        campaign.leader = cast(Any, term)
+        campaign._state = cast(Any, StandInState())
+        campaign.step_down("of the test")
+        return weakref.ref(term)
+
+    async def see() -> None:
+        campaign = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables()).campaign
+        kept = await lose(campaign)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert kept() is None
+
+    gc.disable()
+    try:
+        asyncio.run(see())
+    finally:
+        gc.enable()
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import secrets
 from collections.abc import Mapping
@@ -58,6 +59,12 @@
 
 #: How long an answer to a reading of the leader's key is waited for.
 READ_US = 800 * MILLISECOND_US
+#: So long after a term's end its memory is taken back, in seconds: whoever was about to use it
+#: has noticed by then. Its parts know one another, so only the collector finds that nobody needs
+#: them, and by itself it looks at what is old only when much is new: a follower kept its last
+#: term's picture (14 MB of 1,400 machines and 24,000 tasks) until it led again. In a next term
+#: much is new, and the processor is wanted for it.
+RELEASE_S = 5.0
 
 
 class Campaign:
@@ -430,9 +437,17 @@
         self.leader = None
         self.authority.end()
         self.known_leader = None
-        self._duties.once("end of term", leader.close())
+        self._duties.once("end of term", self._release(leader))
         self._duties.once("leader lookup", self.read_leader())
 
+    async def _release(self, leader: Leader) -> None:
+        """Close a term that is over, and have its memory back (``RELEASE_S``)."""
+        await leader.close()
+        del leader
+        await asyncio.sleep(RELEASE_S)
+        if self.leader is None:
+            gc.collect()
+
     def hear_leader(self, name: str, token: int) -> None:
         """A peer says that it leads: a node that the store does not serve learns it so.
 
