Near its memory limit a controller refuses new jobs with 503 and when to come back

Cause: what holds a controller within machine_limits.mem_mb was only that its site was small enough; over it the process is killed, and every job waits for the next leader's load.

The leader keeps every job, whoever accepts it, so it says in its pings whether it is full (a trailing optional element), and followers refuse for 3 s after its word. Polls, cancellations, reports and repeated submissions that are known are never refused for it. No limit stated, or no reading: nothing is refused. A limit that is negative or under 32 MB is an error of the settings, with the field's name.

--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from weldhead.admission.memory import COME_BACK_S
 from weldhead.admission.shares import Shares
 from weldhead.admission.turns import Turns
 from weldhead.bookkeeping.records import (
@@ -29,6 +30,7 @@
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.documents import Documents, Unready
 from weldhead.coordination.leader import Leader, NotReady
+from weldhead.coordination.memory import MemoryWatch
 from weldhead.protocol.settings import Team
 from weldhead.protocol.validation import (
     Refusal,
@@ -126,9 +128,15 @@
     """Answers users."""
 
     def __init__(
-        self, node: NodeView, state: StateClient, teams: list[Team], controllers: int = 1
+        self,
+        node: NodeView,
+        state: StateClient,
+        teams: list[Team],
+        controllers: int = 1,
+        memory: MemoryWatch | None = None,
     ) -> None:
         self._node = node
+        self._memory = memory or MemoryWatch(0.0)
         self._state = state
         self._teams = {team.name: team for team in teams}
         # All controllers' polls together leave the store to its leader and to submissions:
@@ -154,6 +162,8 @@
             return _ALONE
         if not self._node.catalog:
             return refusal(503, "machine types not known yet", retry_after_s=1)
+        if not self._memory.admits(now_us()):
+            return await self._turn_away(spec.id, COME_BACK_S, forwarded, "no memory is left")
         # Names that the settings do not know share one part, or many of them took all.
         team = spec.team if spec.team in self._teams else ""
         wait_s = self._shares.admit(team, self._state.creates.rate, now_us())
@@ -176,7 +186,9 @@
                     return answer
             return refusal(503, "state service unavailable", retry_after_s=1)
 
-    async def _turn_away(self, job_id: str, wait_s: int, forwarded: bool) -> Response:
+    async def _turn_away(
+        self, job_id: str, wait_s: int, forwarded: bool, why: str = "too much is submitted at once"
+    ) -> Response:
         """Ask to come back later, unless the job was accepted long ago: that costs nothing.
 
         A repeated submission to a follower was refused as long as others submitted much.
@@ -185,7 +197,7 @@
             answer = await self._node.ask_leader("known", job_id, b"")
             if answer is not None and answer.status == 200:
                 return answer
-        return refusal(503, "too much is submitted at once", retry_after_s=wait_s)
+        return refusal(503, why, retry_after_s=wait_s)
 
     def known(self, job_id: str) -> Response:
         """Tell a job's state if it is in memory; the store is not asked."""
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -13,6 +13,7 @@
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
+from weldhead.coordination.memory import MemoryWatch
 from weldhead.coordination.relays import Relays
 from weldhead.documents.records import Offer
 from weldhead.protocol.peer import (
@@ -73,6 +74,7 @@
         self._links = {p.name: PeerLink(p, settings.name) for p in settings.peers}
         self._relays = Relays()
         self._offer = offer
+        self.memory = MemoryWatch(settings.facts.limits.memory_mb)
         self.campaign = Campaign(settings, tunables, self._links, self._duties, started_us)
         self.company = Company(settings.name, self._links, self.campaign, started_us)
 
@@ -111,7 +113,7 @@
         self.campaign.open(self._state, self._cloud, self._worker_http, self.company.documents)
         self.company.open(self._state)
         teams = self.settings.facts.teams
-        self._desk = FrontDesk(self.company, self._state, teams, 1 + len(self._links))
+        self._desk = FrontDesk(self.company, self._state, teams, 1 + len(self._links), self.memory)
         server = self._serve(self._handle)
         peer_server = PeerServer(self._peer_request, self._duties, set(self._links))
         try:
@@ -163,7 +165,8 @@
             at_us = now_us()
             token = self.campaign.authority.token if self.campaign.authority.valid(at_us) else 0
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
-            ping = Ping(link.next_id(), token, self._state.ok, silent)
+            full = self.memory.full(at_us)
+            ping = Ping(link.next_id(), token, self._state.ok, silent, full)
             try:
                 pong = await link.ask(ping, Pong, PONG_US)
                 self.campaign.heard_pong(link.name, pong, at_us)
@@ -181,6 +184,7 @@
                 self._links[name].word_us = at_us
                 if message.token:
                     self.campaign.hear_leader(name, message.token)
+                    self.memory.hear_leader(at_us, full=message.full)
                     self._relays.leader_misses(message.silent, at_us)
                 return Pong(message.id, self._state.ok, FORMAT, self.leader is not None)
             case Ask():
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -23,13 +23,14 @@
 
     ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
     service has served the caller of late; ``silent`` names machines that a leader misses
-    and wants relayed.
+    and wants relayed. ``full``: the caller refuses new work for its memory.
     """
 
     id: int
     token: int
     state_ok: bool
     silent: tuple[str, ...] = ()
+    full: bool = False
 
 
 class Pong(msgspec.Struct, array_like=True, tag="pong"):
--- a/weldhead/protocol/settings.py
+++ b/weldhead/protocol/settings.py
@@ -128,8 +128,12 @@
     clock_error_ms: float = 1000.0
 
 
+#: Less than this holds no controller: at rest it takes 27 MB of its own.
+LEAST_MEMORY_MB = 32.0
+
+
 class MachineLimits(msgspec.Struct, rename={"cpu_share": "cores", "memory_mb": "mem_mb"}):
-    """What this controller may use."""
+    """What this controller may use; ``memory_mb`` 0 or absent: no limit is stated."""
 
     cpu_share: float = 1.0
     memory_mb: float = 0.0
@@ -179,6 +183,14 @@
             raise SettingsError(f"facts.teams: {team.name}: {wire}: {amount} is no amount")
 
 
+def _check_memory(stated_mb: float) -> None:
+    """SettingsError if no controller can live within the limit."""
+    if stated_mb and not LEAST_MEMORY_MB <= stated_mb < math.inf:
+        raise SettingsError(
+            f"facts.machine_limits.mem_mb: at least {LEAST_MEMORY_MB:g} are needed, is {stated_mb}"
+        )
+
+
 def parse_settings(body: bytes) -> Settings:
     """Decode and check the settings; SettingsError names the field."""
     try:
@@ -210,6 +222,7 @@
         raise SettingsError("facts.state.txn_ops: at least 4 are needed to finish a job")
     if tightest.value_kb < 2:
         raise SettingsError("facts.state.value_kb: at least 2 are needed for a job's progress")
+    _check_memory(facts.limits.memory_mb)
     for team in facts.teams:
         _check_team(team)
     if len({team.name for team in facts.teams}) != len(facts.teams):
--- a/weldhead/protocol/versions.py
+++ b/weldhead/protocol/versions.py
@@ -16,7 +16,8 @@
 4       documents: keys ``d/``; a ``j/`` record may have ``bound``, ``hold`` and ``deed``, and
         in the last two cases a need ``gate/NAME``; an ask may be of the kinds ``documents``,
         ``read`` and ``known``, which others refuse; the leader's record may have ``earlier_us``
-5       key ``unsettled``, written with the leader's record
+5       key ``unsettled``, written with the leader's record; a ping may end with whether its sender
+        refuses new work for its memory, which nobody relies on
 ======  =============================================================================
 
 Rules that keep it so:
