Jobs and attempts in less memory, and nothing kept of the attempts of jobs that are over

Cause: an empty deque takes 760 bytes and an empty set 216, of which each job had one and two that few ever use; and the count of starts of every task that a term ever started stayed until its end (159 bytes each, the only thing that grew without bound as long as a term lasted).

Change: a list, and frozen sets, of which the empty one is shared; starts are counted by job and forgotten with it, only the highest count of all ended jobs is kept, above which a job that should be entered once more begins. A task of which no ghost is left leaves no count of them.

--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -636,7 +636,7 @@
     for number in range(4):
         add_machine(into, f"vm-{number:06}", spot=True)
     waiting = add_job(into, job_spec(2, tasks=8, cpus=2.0, needs=(name(1),)))
-    waiting.blockers = {name(1)}
+    waiting.blockers = frozenset({name(1)})
     settings = TUNABLES.fleet.settings()
     assert len(plan_closings(into, Plan(), settings)) == 4
     soon = [Upcoming(waiting, 20 * S)]
@@ -669,7 +669,7 @@
         for index in range(2):
             into.start(filler, index, machine, S)
         waiting = add_job(into, job_spec(2, tasks=2, needs=(name(1),), deadline_s=9e5))
-        waiting.blockers = {name(1)}
+        waiting.blockers = frozenset({name(1)})
         market = Market([machine_type(boot_s=10.0)])
         # Cheap machines are had for anything that waits for long; none are left here.
         market.refused_until_us = {("m4", zone, True): 9 * S for zone in ("a", "b")}
--- a/tests/test_equivalence.py
+++ b/tests/test_equivalence.py
@@ -158,7 +158,7 @@
             case 7 if attempt is not None:
                 cluster.release(attempt)
                 if dice.random() < 0.5:
-                    attempt.job.failed_on.add(attempt.machine)
+                    attempt.job.failed_on |= {attempt.machine}
                     attempt.job.not_before_us = self.now + 2 * S
             case 8 if attempt is not None:
                 request_stop(cluster, attempt, Stop.SOFT, self.now, "test")
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -16,6 +16,7 @@
 from tests.builders import job_spec, machine_type
 from tests.stand_ins import StandInState, StandInTask, StandInWorker
 from tests.test_wire import SETTINGS
+from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Phase
 from weldhead.bookkeeping.records import (
     LEADER_KEY,
@@ -267,10 +268,25 @@
     state = StandInState()
     put_job(state, job_spec(1))
     first, second = new_leader(state, clock()), new_leader(state, clock())
-    numbers = {leader.cluster.next_attempt("run-000001/0") for leader in (first, second)}
+    numbers = {leader.cluster.next_attempt("run-000001", 0) for leader in (first, second)}
     assert len(numbers) == 2 and all(number < 2**64 for number in numbers)
 
 
+@given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 2), st.booleans()), max_size=40))
+def test_attempt_numbers_never_repeat_within_a_term(steps: list[tuple[str, int, bool]]) -> None:
+    """Nothing is kept of jobs that are over, each of which might be entered once more."""
+    into = Cluster([], 41)
+    given_out: set[tuple[str, int, int]] = set()
+    for job_id, index, over in steps:
+        if over:
+            into.forget_starts(job_id)
+            assert job_id not in into._starts
+        else:
+            number = into.next_attempt(job_id, index)
+            assert (job_id, index, number) not in given_out and number >> 20 == 41
+            given_out.add((job_id, index, number))
+
+
 @given(
     st.lists(
         st.tuples(
--- a/weldhead/blame/record.py
+++ b/weldhead/blame/record.py
@@ -76,7 +76,7 @@
         job = attempt.job
         ran_us = at_us - attempt.running_us if attempt.running_us else 0
         job.failures += 1
-        job.failed_on.add(attempt.machine)
+        job.failed_on |= {attempt.machine}
         against = self._machines.setdefault(attempt.machine, {}).setdefault(job.id, _Against())
         suspect = self._suspects.setdefault(job.id, _Suspect(job))
         against.count += 1
--- a/weldhead/bookkeeping/chains.py
+++ b/weldhead/bookkeeping/chains.py
@@ -33,7 +33,7 @@
     def add(self, job: Job, open_needs: Iterable[str]) -> None:
         """Enter a job that waits for these jobs, unless they turn out to be over."""
         self.unknown.discard(job.id)
-        job.blockers = set(open_needs)
+        job.blockers = frozenset(open_needs)
         for name in job.blockers:
             self._followers.setdefault(name, {})[job.id] = job
             if name not in self._jobs:
@@ -50,7 +50,7 @@
             if followers.pop(job.id, None) is not None and not followers:
                 del self._followers[name]
                 self.unknown.discard(name)
-        job.blockers = set()
+        job.blockers = frozenset()
         job.touch()
 
     def followers(self, job_id: str) -> list[Job]:
@@ -66,7 +66,7 @@
         self.unknown.discard(job_id)
         released = []
         for follower in self._followers.pop(job_id, {}).values():
-            follower.blockers.discard(job_id)
+            follower.blockers -= {job_id}
             # The users' times count from here, whenever and by whomever it is noticed.
             follower.ready_us = max(follower.ready_us, at_us)
             follower.touch()
@@ -113,7 +113,7 @@
 
     def upstream(self, jobs: Iterable[Job]) -> list[Job]:
         """Return these jobs and all unfinished ones that they need, followers first."""
-        graph: dict[str, set[str]] = {}
+        graph: dict[str, frozenset[str]] = {}
         names = [job.id for job in jobs]
         while names:
             name = names.pop()
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -57,20 +57,30 @@
         self.usage: Mapping[str, Use] = defaultdict(Use)
         #: By team, while some machines have not shown what runs there.
         self.doubts: Mapping[str, Doubt] = {}
-        self._starts: dict[str, int] = defaultdict(int)
+        #: The count of the newest attempt of each task, by job; of jobs that are over only the
+        #: highest of all: kept for each task, they were all that grew as long as a term lasted.
+        self._starts: dict[str, dict[int, int]] = defaultdict(dict)
+        self._highest_over = 0
 
-    def next_attempt(self, task: str) -> int:
+    def next_attempt(self, job_id: str, index: int) -> int:
         """Return an attempt number that no leader ever used for this task.
 
         Tokens are unique and grow, so a number made of the token and a count within the
         term is unique across terms without being stored.
         """
-        self._starts[task] += 1
-        return (self.token << 20) + self._starts[task]
+        starts = self._starts[job_id]
+        count = starts[index] = max(starts.get(index, 0), self._highest_over) + 1
+        return (self.token << 20) + count
+
+    def forget_starts(self, job_id: str) -> None:
+        """A job is over. Should it be entered again, it begins above all that it ever had."""
+        starts = self._starts.pop(job_id, None)
+        if starts:
+            self._highest_over = max(self._highest_over, max(starts.values()))
 
     def start(self, job: Job, index: int, machine: Machine, at_us: int) -> Attempt:
         """Decide that a task starts on a machine."""
-        attempt = Attempt(job, index, self.next_attempt(f"{job.id}/{index}"), machine.name, at_us)
+        attempt = Attempt(job, index, self.next_attempt(job.id, index), machine.name, at_us)
         self.adopt(attempt, machine)
         return attempt
 
@@ -124,6 +134,8 @@
             if ghost is None:
                 continue
             self._haunted[key[0]] -= 1
+            if not self._haunted[key[0]]:
+                del self._haunted[key[0]]
             if ghost.job is not None:
                 self.usage[ghost.job.team].add(ghost.job.spec, -1)
 
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -1,7 +1,7 @@
 """A job and its tasks in memory. No I/O."""
 
 import enum
-from collections import Counter, deque
+from collections import Counter
 
 from weldhead.bookkeeping.feeds import Feeds, Noted
 from weldhead.bookkeeping.records import CHUNK_TASKS, Bound, Hold
@@ -197,7 +197,7 @@
         #: What holds it now; None: nothing does.
         self._held: Opening | None = None
         #: Needed jobs that are not known to be committed as done.
-        self.blockers: set[str] = set()
+        self.blockers: frozenset[str] = frozenset()
         #: Its priority, or that of a job that needs it; and by when it has to be done for
         #: the jobs that need it to be in time, the nearest bound first (``urgency.py``).
         self._level = spec.level
@@ -213,13 +213,13 @@
         self.done = 0
         self.committed = 0
         #: Stopped tasks, to be restarted before new ones are started.
-        self.restarts: deque[int] = deque()
+        self.restarts: list[int] = []
         self._fresh = 0
         self.zones: Counter[str] = Counter()
         self.dirty: set[int] = set()
         self.last_machine: dict[int, str] = {}
         self.saved_us: dict[int, int] = {}
-        self.failed_on: set[str] = set()
+        self.failed_on: frozenset[str] = frozenset()
         self.failures = 0
         #: Its tasks fail and none is known to succeed: it is tried one task at a time, and
         #: nothing is stopped or rented for it; ``broken`` where it fails on healthy machines.
@@ -284,7 +284,7 @@
     def peek_waiting(self) -> int | None:
         """Return the next task to start: a stopped one if there is any."""
         while self.restarts and self.states[self.restarts[0]] != TaskState.WAITING:
-            self.restarts.popleft()
+            del self.restarts[0]
         if self.restarts:
             return self.restarts[0]
         while self._fresh < self.spec.tasks and self.states[self._fresh] != TaskState.WAITING:
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leader.py
@@ -439,6 +439,7 @@
     def _ended(self, job: Job, final: FinalRecord) -> None:
         """A job is over, and that is committed."""
         self.term.estimates.forget(job.id)
+        self.cluster.forget_starts(job.id)
         self.deciding.reclaims.trim(job.id, 0)
         self.chains.remove(job)
         self.linking.over(job.id, final)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -48,9 +48,10 @@
 def _attempt_used_twice() -> Iterator[Any]:
     """Attempt numbers count within a term only."""
 
-    def next_attempt(self: Cluster, task: str) -> int:
-        self._starts[task] += 1
-        return self._starts[task]
+    unique = Cluster.next_attempt
+
+    def next_attempt(self: Cluster, job_id: str, index: int) -> int:
+        return unique(self, job_id, index) - (self.token << 20)
 
     yield patch.object(Cluster, "next_attempt", next_attempt)
 
