--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -223,7 +223,6 @@
         self.remember_final(job.id, final)
         term.ledger.forget(final_key(job.id))
         term.cluster.jobs.remove(job.id)
-        term.cluster.forget_starts(job.id)
         self._written_chunks.pop(job.id, None)
         job.dirty.clear()
         self._ended(job, final)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -50,12 +50,12 @@
 def _attempt_used_twice() -> Iterator[Any]:
     """Attempt numbers count within a term only."""
 
-    next_attempt = Cluster.next_attempt
+    unique = Cluster.next_attempt
 
-    def without_token(self: Cluster, task: str) -> int:
-        return next_attempt(self, task) - (self.token << 20)
+    def next_attempt(self: Cluster, job_id: str, index: int) -> int:
+        return unique(self, job_id, index) - (self.token << 20)
 
-    yield patch.object(Cluster, "next_attempt", without_token)
+    yield patch.object(Cluster, "next_attempt", next_attempt)
 
 
 def _told_before_committed() -> Iterator[Any]:
