--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -8,6 +8,7 @@
 
 from tests.builders import machine_type
 from weldhead.bookkeeping.records import LeaderRecord
+from weldhead.clock import now_us
 from weldhead.coordination import company
 from weldhead.coordination.campaign import Campaign
 from weldhead.coordination.company import Company
@@ -101,3 +102,23 @@
     site.links["n-2"].state_ok = site.links["n-3"].state_ok = False
     asyncio.run(ask(1))
     assert site.links["n-1"].asked == ["poll"]
+
+
+def test_all_choose_the_same_home_of_a_job_among_those_that_are_served() -> None:
+    names = ["n-0", "n-1", "n-2", "n-3"]
+    homes: dict[str, set[str]] = {}
+    for own in names:
+        links = {name: Link(name, name != "n-2") for name in names if name != own}
+        for link in links.values():
+            link.heard_us = now_us()
+        here = Company(own, cast(Any, links), cast(Any, None), 1)
+        here.open(cast(Any, SimpleNamespace(ok=own != "n-2")))
+        for number in range(40):
+            job_id = f"run-{number:06}"
+            before = {name: len(link.asked) for name, link in links.items()}
+            answer = asyncio.run(here.ask_home(job_id))
+            asked = [name for name, link in links.items() if len(link.asked) > before[name]]
+            assert (answer is None) == (asked == [])
+            homes.setdefault(job_id, set()).update(asked or [own])
+    assert all(len(found) == 1 for found in homes.values())
+    assert set.union(*homes.values()) == {"n-0", "n-1", "n-3"}
--- a/weldhead/coordination/company.py
+++ b/weldhead/coordination/company.py
@@ -142,8 +142,9 @@
         id. None: that is this one. CallFailed if it does not answer in time.
         """
         links = {link.name: link for link in self._served_peers(now_us(), DOCUMENTS_FORMAT)}
+        served = [*links, self._name] if self._state.ok else [*links]
         home = max(
-            [self._name, *links], key=lambda name: sha256(f"{job_id} {name}".encode()).digest()
+            served, key=lambda name: sha256(f"{job_id} {name}".encode()).digest(), default=""
         )
         if home not in links:
             return None
