--- /dev/null
+++ b/tests/test_combinations.py
@@ -0,0 +1,69 @@
+"""Faults drawn at random, and the reduction of what breaks a rule to what it needs."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from weldhead.emulator.combinations import combined
+from weldhead.emulator.experiment import play
+from weldhead.emulator.planted import planted
+from weldhead.emulator.reduction import Reduction, first_found
+from weldhead.emulator.scenario import Fault, Scenario, parse_scenario, read_scenario
+from weldhead.emulator.scenario_file import scenario_text
+
+SCENARIOS = Path(__file__).parents[1] / "deploy" / "scenarios"
+
+
+def site() -> Scenario:
+    return read_scenario(SCENARIOS / "combined.toml")
+
+
+@pytest.mark.parametrize(("count", "controllers"), [(2, 3), (3, 5)])
+def test_drawn_faults_are_a_scenario_like_any_other(count: int, controllers: int) -> None:
+    base = msgspec.structs.replace(site(), controllers=controllers)
+    kinds = set()
+    for seed in range(200):
+        drawn = combined(base, seed, count)
+        assert drawn == combined(base, seed, count)
+        assert len(drawn.faults) == count
+        # It is valid, and written and read it is the same.
+        assert parse_scenario("s.toml", scenario_text(drawn, "why\nand how")) == drawn
+        kinds |= {fault.kind for fault in drawn.faults}
+    assert len(kinds) == 28
+
+
+@pytest.mark.parametrize("name", ["drawn", "cards", "meet-held-commands"])
+def test_a_written_scenario_is_read_as_it_was(name: str) -> None:
+    before = read_scenario(SCENARIOS / f"{name}.toml")
+    assert parse_scenario("s.toml", scenario_text(before)) == before
+
+
+def test_what_breaks_a_rule_is_found_and_reduced() -> None:
+    """New leaders that do not wait: of three drawn faults one that brings a new leader is left."""
+    base = msgspec.structs.replace(site(), seconds=80.0)
+    with planted("does-not-wait"):
+        for seed in range(8):
+            scenario = combined(base, seed, 3)
+            result = play(scenario, seed)
+            if result.broken:
+                break
+        found = Reduction(first_found(scenario, result)).reduce()
+        assert len(found.scenario.faults) == 1
+        assert len(found.scenario.jobs) < len(base.jobs)
+        assert found.scenario.seconds < base.seconds
+        again = parse_scenario("s.toml", scenario_text(found.scenario))
+        assert found.rule in play(again, found.seed).broken
+    # Without the error it breaks nothing.
+    assert not play(found.scenario, found.seed).broken
+
+
+def test_what_a_broken_rule_does_not_need_is_tried_for_as_long_as_there_is_time() -> None:
+    scenario = msgspec.structs.replace(site(), faults=[Fault("store_down", at_s=20.0)])
+    with planted("does-not-wait"):
+        result = play(scenario, 0)
+    result.details = ["1010.000 s: ran_twice: run-000001/0"]
+    reduction = Reduction(first_found(scenario, result), lambda: False)
+    assert reduction.reduce().scenario == scenario
+    assert reduction.found.broken_s == 10.0
+    assert not reduction.runs
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -2,6 +2,8 @@
 """Play scenarios of failing machines in simulated time, and say which rules broke.
 
 target/dev/bin/python tools/failures.py deploy/scenarios/drawn.toml --seeds 2000
+target/dev/bin/python tools/failures.py deploy/scenarios/combined.toml --combine 2 --seeds 500 \
+    --reduce /tmp/found --budget 20
 """
 
 import logging
@@ -10,7 +12,7 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
-from time import process_time
+from time import monotonic, process_time
 
 ROOT = Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(ROOT / part) for part in ("target/deps", "target/extras", ".")]
@@ -18,9 +20,12 @@
 import click  # noqa: E402
 from hdrh.histogram import HdrHistogram  # noqa: E402
 
+from weldhead.emulator.combinations import combined  # noqa: E402
 from weldhead.emulator.experiment import Result, play  # noqa: E402
 from weldhead.emulator.planted import ERRORS, planted  # noqa: E402
+from weldhead.emulator.reduction import Found, Reduction, first_found  # noqa: E402
 from weldhead.emulator.scenario import Scenario, read_scenario  # noqa: E402
+from weldhead.emulator.scenario_file import scenario_text  # noqa: E402
 from weldhead.tomlfiles import FileProblem  # noqa: E402
 
 #: What the table has a column for.
@@ -36,13 +41,32 @@
 )
 
 
-def one(scenario: Scenario, seed: int, plant: str | None, log: str) -> tuple[Result, float]:
+def one(
+    scenario: Scenario, seed: int, plant: str | None, log: str, combine: int, reduce: Path | None
+) -> tuple[Result, float]:
     """Play one seed; the result and its processor time in seconds."""
     logging.basicConfig(level=log.upper())
+    if combine:
+        scenario = combined(scenario, seed, combine)
     began = process_time()
     with planted(plant):
         result = play(scenario, seed)
-    return result, process_time() - began
+        took_s = process_time() - began
+        if result.broken and reduce is not None:
+            found = Reduction(first_found(scenario, result)).reduce()
+            _write(found, reduced_path(reduce, scenario, seed))
+    return result, took_s
+
+
+def reduced_path(directory: Path, scenario: Scenario, seed: int) -> Path:
+    """Return where what a run was reduced to is written."""
+    return directory / f"{scenario.name}-{scenario.controllers}-{seed}.toml"
+
+
+def _write(found: Found, path: Path) -> None:
+    comment = f"{found.rule} with seed {found.seed}:\n" + "\n".join(found.details[:3])
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(scenario_text(found.scenario, comment))
 
 
 def _table(results: list[Result], spent_s: float, scenario: Scenario) -> None:
@@ -103,6 +127,9 @@
 @click.option("--machines", type=int, help="In place of the scenario's.")
 @click.option("--controllers", type=int, help="In place of the scenario's.")
 @click.option("--minutes", type=float, help="In place of the scenario's seconds.")
+@click.option("--combine", default=0, help="Draw so many faults in place of the scenario's.")
+@click.option("--reduce", type=click.Path(path_type=Path), help="Reduce what breaks; write there.")
+@click.option("--budget", type=float, help="Begin no run after so many minutes.")
 @click.option("--plant", type=click.Choice(sorted(ERRORS)), help="An error to be found.")
 @click.option("--jobs", default=os.cpu_count() or 1, help="Processes.")
 @click.option("--log", default="critical", help="Level of the controllers' logs.")
@@ -113,6 +140,9 @@
     machines: int | None,
     controllers: int | None,
     minutes: float | None,
+    combine: int,
+    reduce: Path | None,
+    budget: float | None,
     plant: str | None,
     jobs: int,
     log: str,
@@ -127,9 +157,14 @@
     scenario.seconds = minutes * 60 if minutes else scenario.seconds
     results: list[Result] = []
     spent_s = 0.0
+    until_s = monotonic() + budget * 60 if budget else float("inf")
     with ProcessPoolExecutor(jobs) as pool:
-        runs = [pool.submit(one, scenario, first + n, plant, log) for n in range(seeds)]
+        runs = [
+            pool.submit(one, scenario, first + n, plant, log, combine, reduce) for n in range(seeds)
+        ]
         for run in runs:
+            if monotonic() > until_s and run.cancel():
+                continue
             result, took_s = run.result()
             spent_s += took_s
             results.append(result)
@@ -137,6 +172,8 @@
                 click.echo(f"seed {result.seed} ({result.digest}): {dict(result.broken)}")
                 for detail in result.details[:5]:
                     click.echo(f"    {detail}")
+                if reduce is not None:
+                    click.echo(f"    reduced: {reduced_path(reduce, scenario, result.seed)}")
                 if plant:
                     click.echo(f"{plant}: found by seed {result.seed}, run {len(results)}")
                     for other in runs:
