--- a/tests/test_combinations.py
+++ b/tests/test_combinations.py
@@ -1,12 +1,13 @@
 """Faults drawn at random, and the reduction of what breaks a rule to what it needs."""
 
+from collections import Counter
 from pathlib import Path
 
 import msgspec
 import pytest
 
 from weldhead.emulator.combinations import combined
-from weldhead.emulator.experiment import play
+from weldhead.emulator.experiment import Result, play
 from weldhead.emulator.planted import planted
 from weldhead.emulator.reduction import Reduction, first_found
 from weldhead.emulator.scenario import Fault, Scenario, parse_scenario, read_scenario
@@ -41,16 +42,16 @@
 
 def test_what_breaks_a_rule_is_found_and_reduced() -> None:
     """New leaders that do not wait: of three drawn faults one that brings a new leader is left."""
-    base = msgspec.structs.replace(site(), seconds=80.0)
+    base = msgspec.structs.replace(site(), seconds=45.0, jobs=site().jobs[:2])
     with planted("does-not-wait"):
         for seed in range(8):
             scenario = combined(base, seed, 3)
             result = play(scenario, seed)
             if result.broken:
                 break
-        found = Reduction(first_found(scenario, result)).reduce()
+        found = Reduction(first_found(scenario, result), seeds=2).reduce()
         assert len(found.scenario.faults) == 1
-        assert len(found.scenario.jobs) < len(base.jobs)
+        assert len(found.scenario.jobs) == 1
         assert found.scenario.seconds < base.seconds
         again = parse_scenario("s.toml", scenario_text(found.scenario))
         assert found.rule in play(again, found.seed).broken
@@ -58,12 +59,10 @@
     assert not play(found.scenario, found.seed).broken
 
 
-def test_what_a_broken_rule_does_not_need_is_tried_for_as_long_as_there_is_time() -> None:
+def test_a_reduction_ends_with_its_runs() -> None:
     scenario = msgspec.structs.replace(site(), faults=[Fault("store_down", at_s=20.0)])
-    with planted("does-not-wait"):
-        result = play(scenario, 0)
-    result.details = ["1010.000 s: ran_twice: run-000001/0"]
-    reduction = Reduction(first_found(scenario, result), lambda: False)
-    assert reduction.reduce().scenario == scenario
-    assert reduction.found.broken_s == 10.0
-    assert not reduction.runs
+    details = ["1010.000 s: ran_twice: run-000001/0", "1012.000 s: went_back: run-000002"]
+    result = Result("combined", 0, Counter("ab"), details, Counter(), "")
+    reduction = Reduction(first_found(scenario, result), most_runs=0)
+    found = reduction.reduce()
+    assert (found.scenario, found.rule, found.broken_s) == (scenario, "ran_twice", 10.0)
--- a/weldhead/emulator/reduction.py
+++ b/weldhead/emulator/reduction.py
@@ -4,7 +4,6 @@
 """
 
 import math
-from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -48,31 +47,29 @@
 
 
 class Reduction:
-    """Leaves out what a broken rule does not need; ``goes_on`` says whether there is time."""
+    """Leaves out what a broken rule does not need, in so many runs at most."""
 
-    def __init__(self, found: Found, goes_on: Callable[[], bool] = lambda: True) -> None:
+    def __init__(self, found: Found, *, seeds: int = SEEDS, most_runs: int = MOST_RUNS) -> None:
         self.found = found
         self.runs = 0
-        self._goes_on = goes_on
+        self._seeds, self._most_runs = seeds, most_runs
 
     def reduce(self) -> Found:
         """Return the smallest that was found."""
-        while any(self._try(smaller) for smaller in self._smaller()):
-            pass
+        self._leave_out("faults", least=0)
+        self._leave_out("jobs", least=1)
+        if self.found.scenario.controllers > 3:
+            self._try(msgspec.structs.replace(self.found.scenario, controllers=3))
         self._shorten()
         return self.found
 
-    def _smaller(self) -> Iterator[Scenario]:
-        """Yield what has one part less."""
-        scenario = self.found.scenario
-        for number in range(len(scenario.faults)):
-            faults = scenario.faults[:number] + scenario.faults[number + 1 :]
-            yield msgspec.structs.replace(scenario, faults=faults)
-        for number in range(len(scenario.jobs) if len(scenario.jobs) > 1 else 0):
-            jobs = scenario.jobs[:number] + scenario.jobs[number + 1 :]
-            yield msgspec.structs.replace(scenario, jobs=jobs)
-        if scenario.controllers > 3:
-            yield msgspec.structs.replace(scenario, controllers=3)
+    def _leave_out(self, name: str, *, least: int) -> None:
+        """Leave out what can be of a list, one after the other."""
+        number = 0
+        while number < len(parts := getattr(self.found.scenario, name)) > least:
+            fewer = parts[:number] + parts[number + 1 :]
+            if not self._try(msgspec.structs.replace(self.found.scenario, **{name: fewer})):
+                number += 1
 
     def _shorten(self) -> None:
         for factor in (1.0, 1.3):
@@ -85,8 +82,8 @@
 
     def _try(self, scenario: Scenario) -> bool:
         """Whether it breaks the rule too; then it is what was found."""
-        for seed in range(self.found.seed, self.found.seed + SEEDS):
-            if self.runs >= MOST_RUNS or not self._goes_on():
+        for seed in range(self.found.seed, self.found.seed + self._seeds):
+            if self.runs >= self._most_runs:
                 return False
             self.runs += 1
             result = play(scenario, seed)
