--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -12,6 +12,7 @@
 from weldhead.emulator.events import LOOK_S, Events, Happened
 from weldhead.emulator.loop import BEGIN_S, VirtualLoop
 from weldhead.emulator.machines import Machine
+from weldhead.emulator.message_faults import MessageFaults
 from weldhead.emulator.network import Mode, Network, Weather
 from weldhead.emulator.odd_users import OddUsers
 from weldhead.emulator.roles import Roles
@@ -69,7 +70,10 @@
         self.met: list[Met] = []
         #: Machines that hear no controller at all, and since when.
         self.deaf: dict[str, float] = {}
-        network.weather = self._fair()
+        fair = Weather(delay_s=scenario.delay_s, lost=scenario.lost)
+        self._messages = MessageFaults(
+            loop, network, fair, store, controllers, self._events, self._roles
+        )
 
     def start(self) -> list[asyncio.Task[None]]:
         """Have all faults come at their times."""
@@ -80,9 +84,6 @@
         duties = [asyncio.create_task(self._befall(fault)) for fault in faults]
         return [*duties, asyncio.create_task(self._events.watch())]
 
-    def _fair(self) -> Weather:
-        return Weather(delay_s=self._scenario.delay_s, lost=self._scenario.lost)
-
     def _draw(self) -> Iterator[Fault]:
         drawn, rng = self._scenario.drawn, self._rng
         if drawn is None:
@@ -155,7 +156,7 @@
                 concerned = happened.machine if happened is not None else ""
                 await self._befall_machines(fault, self._some_machines(fault, concerned))
             else:
-                await duties.get(fault.kind.partition("_")[0], self._befall_messages)(fault)
+                await duties.get(fault.kind.partition("_")[0], self._messages.befall)(fault)
         # What lapses is over as well: the rest of the run is judged as calm.
         self._left -= 1
         if not self._left:
@@ -339,59 +340,3 @@
                 hung = self._odd.cancel_now(fault.count)
                 if fault.hang_s:
                     await self._hang(hung[:MOST_HUNG], fault.hang_s)
-
-    async def _befall_messages(self, fault: Fault) -> None:
-        network, fair = self._network, self._fair()
-        if fault.kind == "commands_late":
-            held = fault.chance, fault.least_s, fault.most_s
-            names = [c.name for c in self._roles.chosen(fault)]
-            network.late_commands |= dict.fromkeys(names, held)
-            await asyncio.sleep(fault.for_s)
-            for name in names:
-                # Another such fault may have taken its place.
-                if network.late_commands.get(name) is held:
-                    del network.late_commands[name]
-            # The last of them are still to be carried out.
-            await asyncio.sleep(fault.most_s)
-            return
-        if fault.for_next:
-            await self._keep_reports(fault)
-            return
-        if fault.kind == "reports_copied":
-            network.copied, network.copied_s = fault.chance, fault.most_s
-            await asyncio.sleep(fault.for_s)
-            network.copied = 0.0
-            # The last copies are still on their way.
-            await asyncio.sleep(fault.most_s)
-            return
-        if fault.kind == "messages_lost":
-            network.weather = Weather(fair.delay_s, lost=min(fault.chance, 0.1))
-        else:
-            network.weather = Weather(
-                fair.delay_s, lost=fair.lost, late=fault.chance, late_s=fault.most_s
-            )
-        await asyncio.sleep(fault.for_s)
-        network.weather = fair
-
-    async def _keep_reports(self, fault: Fault) -> None:
-        """Keep copies until nobody leads, and until a term is won: then they come everywhere."""
-        network, store = self._network, self._store.service.store
-        addresses = [c.settings.listen for c in self._controllers]
-
-        def won() -> None:
-            network.deliver_kept(addresses, fault.most_s)
-            network.kept.clear()
-
-        self._events.on_term.append(won)
-        network.keeps, vacant = fault.chance, False
-        until_s = self._loop.true_s + fault.for_s
-        while self._loop.true_s < until_s:
-            await asyncio.sleep(LOOK_S)
-            if store.get(LEADER_KEY) is None and not vacant:
-                network.deliver_kept(addresses, fault.most_s)
-            vacant = store.get(LEADER_KEY) is None
-        self._events.on_term.remove(won)
-        network.keeps = 0.0
-        network.kept.clear()
-        # The last copies are still on their way.
-        await asyncio.sleep(fault.most_s)
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -41,6 +41,15 @@
     late_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class HeldUp:
+    """A share of messages that are held up on their way, by how much at least and at most."""
+
+    share: float
+    least_s: float
+    most_s: float
+
+
 @dataclass
 class _Listener:
     life: Life
@@ -74,9 +83,8 @@
         #: The share of reports that are kept, to come again later; and those that were.
         self.keeps = 0.0
         self.kept: list[tuple[str, bytes]] = []
-        #: Whose direct commands are held up and stay unanswered: a share, by so much at least
-        #: and at most.
-        self.late_commands: dict[str, tuple[float, float, float]] = {}
+        #: Whose direct commands are held up and stay unanswered.
+        self.commands_held_up: dict[str, HeldUp] = {}
         self.commands_held = self.kept_delivered = 0
         #: Who is told of each request just before it leaves (caller, called, path, body), of
         #: each answer (called, caller, path, answer), and of requests that were sent and got no
@@ -306,10 +314,10 @@
 
         if life.ended:
             raise CallFailed("the caller has ended")
-        held = self.late_commands.get(life.machine) if path == "/commands" else None
-        if held is not None and self._rng.random() < held[0]:
+        held = self.commands_held_up.get(life.machine) if path == "/commands" else None
+        if held is not None and self._rng.random() < held.share:
             self.commands_held += 1
-            delay_s, later = self._rng.uniform(*held[1:]), self._carry
+            delay_s, later = self._rng.uniform(held.least_s, held.most_s), self._carry
             loop.call_at(
                 loop.true_s + delay_s, later, life.machine, target, arrive, context=Context()
             )
