--- a/tools/failures.py
+++ b/tools/failures.py
@@ -163,7 +163,11 @@
             pool.submit(one, scenario, first + n, plant, log, combine, reduce) for n in range(seeds)
         ]
         for run in runs:
-            if monotonic() > until_s and run.cancel():
+            if monotonic() > until_s:
+                # Those that a process has taken already end as usual.
+                for other in runs:
+                    other.cancel()
+            if run.cancelled():
                 continue
             result, took_s = run.result()
             spent_s += took_s
