--- a/tools/failures.py
+++ b/tools/failures.py
@@ -38,6 +38,7 @@
     "cloud calls",
     "cards taken",
     "killed by a lease",
+    "runs after cancellation",
 )
 
 
--- a/weldhead/emulator/starts.py
+++ b/weldhead/emulator/starts.py
@@ -47,7 +47,7 @@
                 continue
             self._seen.add(key)
             late_us = self._checker.now_us() - told.cancelled_us
-            self._checker.counts["runs sent after a cancellation"] += 1
+            self._checker.counts["runs after cancellation"] += 1
             if late_us > LEARNS_US and token == self._leader_token():
                 self._checker.breaks(
                     "started_cancelled",
