Direct commands that never left, and idle machines that hold the only word of a completion

Cause: a direct request that waited for a free connection of its pool until its whole time was over failed as one that was sent and not answered, and its runs stayed in limbo. And an idle machine was returned although a completion that it lists was in no store yet. Change: a connection is waited for for three quarters of a direct request's time, and what fails then is NotConnected (nothing was written); plan_returns keeps a machine that lists a completed task which is not committed.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -409,6 +409,18 @@
     assert plan_returns(into, 200 * S, FLEET) == [idle, late]
 
 
+def test_an_idle_machine_stays_until_the_completions_it_lists_are_committed() -> None:
+    """In an outage of the store it was returned; the leader ended too, and the task ran again."""
+    into = cluster()
+    idle = add_machine(into, "vm-000001")
+    job = add_job(into, job_spec())
+    job.complete_waiting(0)
+    idle.forget = {("run-000001/0", 1), ("run-000001/9", 1), ("run-000009/0", 1), ("///", 1)}
+    assert plan_returns(into, 61 * S, FLEET) == []
+    job.mark_committed([0])
+    assert plan_returns(into, 61 * S, FLEET) == [idle]
+
+
 def test_what_is_not_needed_closes_but_the_rest_has_room() -> None:
     into = cluster()
     for number in range(4):
--- a/tests/test_held_commands.py
+++ b/tests/test_held_commands.py
@@ -1,17 +1,21 @@
 """Commands and answers that are held up on the way, and the machine then goes on."""
 
 import asyncio
-from typing import cast
+from typing import Any, cast
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.builders import job_spec
 from tests.held_network import Network, Wire, settle
+from tests.loopback import eventually, served
 from tests.stand_ins import StandInState
 from tests.test_recovery import Clock, clock, fixed_clock, new_leader, put_job, put_machine
 from weldhead.bookkeeping.jobs import Stop
-from weldhead.transport.http import HttpClient, NotConnected
+from weldhead.site.http import Reply
+from weldhead.transport import workers
+from weldhead.transport.http import CallFailed, HttpClient, NotConnected
 
 S = 1_000_000
 __all__ = ["clock"]
@@ -51,6 +55,38 @@
     assert worker.starts == []
 
 
+def test_what_waited_in_vain_for_a_free_connection_was_not_sent() -> None:
+    """It counted as sent: its task started nowhere until its machine listed or lost it."""
+    asked: list[bytes] = []
+    waiting = asyncio.Event()
+
+    async def handle(_: Any, body: bytes) -> Reply:
+        asked.append(body)
+        await waiting.wait()
+        return Reply(503, b"")
+
+    async def scenario() -> None:
+        http = HttpClient(1)
+        async with served(handle) as address:
+            one = asyncio.create_task(workers.command(http, address, 1, 1, [], 60 * S))
+            await eventually(lambda: len(asked) == 1)
+            with pytest.raises(NotConnected):
+                await workers.command(http, address, 2, 1, [], S // 10)
+            waiting.set()
+            with pytest.raises(CallFailed, match="503"):
+                await one
+            waiting.clear()
+            # One that was sent and is not answered in time is no such thing.
+            with pytest.raises(CallFailed) as sent:
+                await workers.command(http, address, 3, 1, [], S // 10)
+            assert not isinstance(sent.value, NotConnected)
+            waiting.set()
+            await http.close()
+        assert [b'"token":2' in body for body in asked] == [False] * 2
+
+    asyncio.run(scenario())
+
+
 #: What may happen next; what ordinarily happens comes more often.
 EVENTS = (
     *("round",) * 8, *("place",) * 6, *("direct",) * 5, *("exit",) * 5, *("direct arrives",) * 2,
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -12,7 +12,7 @@
 
 from weldhead.account.teams import within_guarantee
 from weldhead.bookkeeping.cluster import Cluster
-from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
+from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop, TaskState
 from weldhead.bookkeeping.machines import EPSILON, Machine, how_many
 from weldhead.boots.expect import Expectations, Expected
 from weldhead.clock import SECOND_US, seconds_us
@@ -21,7 +21,7 @@
 from weldhead.planning.goals import Goals, slack_us
 from weldhead.planning.holding import Ahead
 from weldhead.planning.placement import Plan, usable
-from weldhead.protocol.wire import MachineType
+from weldhead.protocol.wire import MachineType, split_task
 
 
 @dataclass(frozen=True)
@@ -642,7 +642,11 @@
 def plan_returns(
     cluster: Cluster, at_us: int, settings: FleetSettings, boots: Expectations | None = None
 ) -> list[Machine]:
-    """Decide which machines to return: idle ones, and those that never came up."""
+    """Decide which machines to return: idle ones, and those that never came up.
+
+    One that lists a completion which is not committed stays: if the leader ends before the
+    store has it, its successor learns of it from that machine only, and the task ran in vain.
+    """
     boots = boots or usual_boots(settings)
     found = []
     for machine in cluster.machines.values():
@@ -654,6 +658,8 @@
             continue
         if machine.booting or machine.attempts or machine.ghosts or not machine.synced:
             continue
+        if _lists_unsaved(cluster, machine):
+            continue
         idle_us = at_us - machine.idle_since_us
         paid = at_us - machine.hired_us >= settings.minimum_charge_us
         keep_us = settings.keep_idle_spot_us if machine.spot else settings.keep_idle_us
@@ -664,6 +670,22 @@
     return found
 
 
+def _lists_unsaved(cluster: Cluster, machine: Machine) -> bool:
+    """Whether a machine lists a completion that the store has not yet."""
+    for task, _ in machine.forget:
+        try:
+            job_id, index = split_task(task)
+        except ValueError:
+            continue
+        job = cluster.jobs.get(job_id)
+        # Workers may list what no job has.
+        if job is None or index >= job.spec.tasks:
+            continue
+        if job.states[index] == TaskState.COMPLETED:
+            return True
+    return False
+
+
 def weights_worth_us(machine: Machine) -> int:
     """Return for how long an idle machine with cards is worth keeping for what its cache holds.
 
--- a/weldhead/transport/http.py
+++ b/weldhead/transport/http.py
@@ -10,13 +10,17 @@
 
 _CLOSE = {"Connection": "close"}
 
+#: What of a call's time it may wait for a connection, where that is bounded. Less than all of
+#: it by more than the library rounds times up: what is over only then may have been sent.
+_CONNECT_SHARE = 0.75
+
 
 class CallFailed(Exception):
     """No usable answer; the request may or may not have been executed."""
 
 
 class NotConnected(CallFailed):
-    """No connection came about, so the request was surely not executed."""
+    """No connection came about, so nothing was sent and the request surely not executed."""
 
 
 #: A few thousand workers are called again and again; watches and pages are not.
@@ -28,9 +32,16 @@
 
 @lru_cache(maxsize=64)
 def _timeout(timeout_us: int, connect_us: int) -> aiohttp.ClientTimeout:
+    """Return a call's times.
+
+    A call that waited for a free connection of the pool until its whole time was over could
+    not be told from one that was sent and not answered.
+    """
+    total_s = timeout_us / SECOND_US
+    if not connect_us:
+        return aiohttp.ClientTimeout(total=total_s)
     return aiohttp.ClientTimeout(
-        total=timeout_us / SECOND_US,
-        sock_connect=connect_us / SECOND_US if connect_us else None,
+        total=total_s, connect=total_s * _CONNECT_SHARE, sock_connect=connect_us / SECOND_US
     )
 
 
@@ -65,7 +76,9 @@
     ) -> tuple[int, bytes]:
         """Return status and body; CallFailed if none came in time.
 
-        ``close`` asks the other side not to keep the connection.
+        ``connect_us`` bounds how long a new connection may take (0: the whole call), and has
+        a call that got none in time fail as NotConnected. ``close`` asks the other side not to
+        keep the connection.
         """
         timeout = _timeout(timeout_us, connect_us)
         try:
