Lost answers: each kind of write, read by others before its writer knows; gates of a coming edition

Cause: the head of an edition was carried out and not answered; followers held jobs by its new gate, which the leader took for abolished, so they started. Change: while a head is being written, the gates of its edition count.

--- a/tests/test_handing_back.py
+++ b/tests/test_handing_back.py
@@ -54,6 +54,10 @@
         #: For how long its transactions are held up before they are carried out.
         self.held_s: dict[str, float] = {}
         self.holds = 0
+        #: Whether a request (caller, method, path) is carried out and never answered; who sent
+        #: those that were.
+        self.loses: Callable[[str, str, str], bool] = lambda *_: False
+        self.unanswered: list[str] = []
 
     async def _serve(self, method: str, path: str, body: bytes) -> Response:
         caller = self._net.caller.get()
@@ -62,7 +66,11 @@
         if path == "/multi" and caller in self.held_s:
             self.holds += 1
             await asyncio.sleep(self.held_s[caller])
-        return await super()._serve(method, path, body)
+        answer = await super()._serve(method, path, body)
+        if self.loses(caller, method, path):
+            self.unanswered.append(caller)
+            await asyncio.sleep(1e6)
+        return answer
 
 
 class Site:
--- a/weldhead/coordination/documents.py
+++ b/weldhead/coordination/documents.py
@@ -12,7 +12,7 @@
 from weldhead.calendars.table import DueTable
 from weldhead.clock import SECOND_US, now_us
 from weldhead.documents.editions import Verdict, judge, leftovers, steps
-from weldhead.documents.records import HEAD_KEY, PREFIX, Offer
+from weldhead.documents.records import HEAD_KEY, PREFIX, HeadRecord, Offer
 from weldhead.documents.shelf import Shelf
 from weldhead.protocol.wire import JobSpec
 from weldhead.transport.http import CallFailed
@@ -153,6 +153,9 @@
         self._valid = valid
         self._offers: asyncio.Queue[Offer] = asyncio.Queue()
         self.shelf = Shelf()
+        #: The head that is being written: until that is answered it may be in force for whoever
+        #: reads the store, and bind what they accept.
+        self.coming: HeadRecord | None = None
         self.loaded = False
         #: Say why an edition cannot be used; the packages that use documents add theirs.
         self.vets: list[Callable[[Offer], str | None]] = []
@@ -238,7 +241,9 @@
     async def _publish(self, offer: Offer) -> None:
         most = self._state.max_writes
         for changes in steps(offer, self.shelf.documents(), most):
+            self.coming = changes.get(HEAD_KEY)
             await self.write(changes, urgent=HEAD_KEY in changes)
+        self.coming = None
         old = leftovers(self.shelf.head, self.shelf.documents())
         for start in range(0, len(old), most):
             await self.write(dict.fromkeys(old[start : start + most]))
--- a/weldhead/coordination/gates.py
+++ b/weldhead/coordination/gates.py
@@ -23,7 +23,7 @@
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term, parts
-from weldhead.documents.records import HEAD_KEY, state_key
+from weldhead.documents.records import HEAD_KEY, HeadRecord, document_key, state_key
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.book import Book, unbegun
 from weldhead.gates.document import Gate
@@ -44,12 +44,17 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def _documents(shelf: Shelf) -> list[tuple[str, Gate | None]]:
-    """Return the gates in force by name; None where the document cannot be read."""
-    head = shelf.head
-    names = [n for n in head.documents if n.startswith(KIND + "/")] if head is not None else []
-    readable = {kept.value.name: kept.value for kept in shelf.in_force(KIND, Gate)}
-    return [(name, readable.get(name)) for name in (n.partition("/")[2] for n in names)]
+def _documents(shelf: Shelf, head: HeadRecord | None) -> list[tuple[str, Gate | None]]:
+    """Return an edition's gates by name; None where the document cannot be read."""
+    if head is None:
+        return []
+    found: list[tuple[str, Gate | None]] = []
+    for name in head.documents:
+        kind, _, gate = name.partition("/")
+        if kind == KIND:
+            kept = shelf.kept(document_key(head.edition, name), Gate)
+            found.append((gate, kept.value if kept is not None else None))
+    return found
 
 
 def _state(shelf: Shelf, name: str) -> GateState | None:
@@ -74,7 +79,7 @@
         conditions = [Condition(HEAD_KEY, shelf.mark(HEAD_KEY))]
         hold: Hold | None = None
         deed: Deed | None = None
-        for name, gate in _documents(shelf):
+        for name, gate in _documents(shelf, shelf.head):
             if gate is None:
                 raise Unready
             holds = gate.holds_job(spec.job_class, spec.team)
@@ -133,10 +138,10 @@
         self._outdated = True
 
     def _read(self) -> None:
-        """Take up the documents in force."""
+        """Take up the documents in force, and gates that are about to be."""
         self._outdated = False
         names = set()
-        for name, gate in _documents(self._publisher.shelf):
+        for name, gate in self._documents():
             names.add(name)
             book = self._book(name)
             book.document, book.gone = gate, False
@@ -144,6 +149,17 @@
             # Without any edition nothing is known, and nothing let through.
             book.gone = book.name not in names and self._publisher.shelf.head is not None
 
+    def _documents(self) -> Iterable[tuple[str, Gate | None]]:
+        """Return the gates in force, and those of the edition that is being written.
+
+        Followers may have read that one and hold jobs by it before this term has its answer: a
+        gate that only it has was taken for one of an edition that is over, and let them pass.
+        """
+        shelf, coming = self._publisher.shelf, self._publisher.coming
+        found = dict(_documents(shelf, coming)) if coming is not None else {}
+        found.update(_documents(shelf, shelf.head))
+        return found.items()
+
     def _book(self, name: str) -> Book:
         book = self.books.get(name)
         if book is None:
@@ -156,7 +172,7 @@
         """Take up a job: hold it if a gate does, or until the act that it performs is entered."""
         if job.cancelled or not self._publisher.loaded:
             return
-        if self._outdated:
+        if self._outdated or self._publisher.coming is not None:
             self._read()
         if record.hold is not None:
             self._hold(self._book(record.hold.gate), job)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -13,6 +13,7 @@
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
+from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.records import LEADER_KEY, Bound
 from weldhead.calendars.binding import state_of
 from weldhead.calendars.dues import Dues
@@ -22,6 +23,7 @@
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.recovery import Recovery
+from weldhead.coordination.rentals import Rentals
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.state import GateState
 from weldhead.hearing.copies import Word
@@ -29,7 +31,8 @@
 from weldhead.planning import preemptor
 from weldhead.protocol.wire import Condition, Delete, JobStatus, Put, Report
 from weldhead.recovery.readiness import Partial
-from weldhead.transport.state import StateClient
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Refused, Rejected, StateClient
 
 
 def _lease_from_the_answer() -> Iterator[Any]:
@@ -225,6 +228,32 @@
     yield patch.object(campaign, "missed_from_us", settled)
 
 
+def _lost_answer_as_a_refusal() -> Iterator[Any]:
+    """A transaction whose answer was lost is taken for one that was not carried out."""
+    transact = StateClient.transact
+
+    async def refused(self: StateClient, *args: Any, **more: Any) -> int:
+        try:
+            return await transact(self, *args, **more)
+        except (Refused, Rejected):
+            raise
+        except CallFailed as lost:
+            raise Refused(str(lost)) from lost
+
+    yield patch.object(StateClient, "transact", refused)
+
+
+def _work_on_an_unrecorded_machine() -> Iterator[Any]:
+    """Tasks are sent to a machine before the store says that something may run there."""
+    mark_up = Rentals.mark_up
+
+    async def at_once(self: Rentals, machine: Machine) -> None:
+        machine.up = True
+        await mark_up(self, machine)
+
+    yield patch.object(Rentals, "mark_up", at_once)
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -244,6 +273,8 @@
     "lease-kept-by-an-unloaded-leader": _lease_kept_by_an_unloaded_leader,
     "cancelled-only-when-answered": _cancelled_only_when_answered,
     "cancel-clock-of-the-term": _cancel_clock_of_the_term,
+    "lost-answer-as-a-refusal": _lost_answer_as_a_refusal,
+    "work-on-an-unrecorded-machine": _work_on_an_unrecorded_machine,
 }
 
 
