--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -38,6 +38,8 @@
     "lease-kept-by-an-unloaded-leader": "meet-confirmed-elsewhere",
     "cancelled-only-when-answered": "meet-unanswered-cancellation",
     "cancel-clock-of-the-term": "meet-row-of-terms",
+    "lost-answer-as-a-refusal": "meet-cancelled-in-doubt",
+    "work-on-an-unrecorded-machine": "meet-new-machines",
 }
 MOST_SEEDS = 8
 #: What is found on machines while nothing is wrong with the controllers.
