Whole sites in which answers of every kind of write are lost while others read them

The test proves which kinds were carried out and not answered (all eight over its two runs), and which of them another controller read in that time.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any, ClassVar, cast
 
 import msgspec
@@ -42,11 +44,18 @@
 from weldhead.coordination.predecessors import missed_from_us
 from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key
 from weldhead.emulator.controller import Controller
+from weldhead.emulator.events import kinds
+from weldhead.emulator.experiment import Experiment
+from weldhead.emulator.loop import simulated
+from weldhead.emulator.scenario import read_scenario
 from weldhead.gates.state import GateState, ended, enter
 from weldhead.planning.fleet import Offer as MachineOffer
 from weldhead.protocol.wire import Command, Delete, Put
+from weldhead.site.store.model import Batch
 from weldhead.transport.http import CallFailed
+from weldhead.transport.server import Response
 from weldhead.transport.state import StateClient
+from weldhead.tunables.defaults import Tunables
 
 ONE, TWO = "run-000001", "run-000002"
 
@@ -780,3 +789,71 @@
         await asyncio.sleep(4.0)
 
     play_site(story)
+
+
+# -- whole sites ----------------------------------------------------------------------------------
+
+SCENARIO = Path(__file__).parents[1] / "deploy" / "scenarios" / "meet-lost-answers.toml"
+
+
+class LostWrites:
+    """Sees which writes were carried out and not answered, and which of them others read."""
+
+    def __init__(self, experiment: Experiment) -> None:
+        self._loop, self._store = experiment.loop, experiment.store.service.store
+        network = experiment.network
+        network.on_sent.append(self._sent)
+        network.on_given_up.append(self._given_up)
+        network.on_answered.append(self._answered)
+        #: When each transaction that is under way was sent.
+        self._sent_s: dict[tuple[str, bytes], float] = {}
+        #: What controllers have read lately: when, who, path and answer.
+        self._reads: deque[tuple[float, str, str, bytes]] = deque(maxlen=3_000)
+        self.carried_out: set[str] = set()
+        self.read: set[str] = set()
+
+    def _sent(self, source: str, target: str, path: str, body: bytes) -> None:
+        if path == "multi":
+            self._sent_s[source, body] = self._loop.true_s
+
+    def _answered(self, called: str, caller: str, path: str, answer: Response) -> None:
+        if called == "state" and path.startswith(("store", "changes")):
+            self._reads.append((self._loop.true_s, caller, path, answer.body))
+
+    def _given_up(self, source: str, target: str, path: str, body: bytes) -> None:
+        if path != "multi":
+            return
+        batch = msgspec.json.decode(body, type=Batch)
+        sent_s = self._sent_s.pop((source, body))
+        others = [read[2:] for read in self._reads if read[0] >= sent_s and read[1] != source]
+        for write in batch.writes:
+            entry = self._store.get(write.set) if write.set is not None else None
+            if entry is not None and bytes(entry.value) == bytes(write.value):
+                known = set(kinds(Batch([], [write])))
+                self.carried_out |= known
+                if any(self._shows(entry.key, *read) for read in others):
+                    self.read |= known
+
+    @staticmethod
+    def _shows(key: str, path: str, answer: bytes) -> bool:
+        return path == f"store/{key}" or f'"{key}"'.encode() in answer
+
+
+#: What others read of these writes before their writers knew; the rest is for successors.
+READ = {"document", "leader", "submission"}
+
+
+@pytest.mark.parametrize(
+    ("controllers", "seed", "read", "more"),
+    [(3, 1, "completion", set()), (5, 0, "cancellation", {"progress", "rental", "taken"})],
+)
+def test_lost_answers_of_every_kind(controllers: int, seed: int, read: str, more: set[str]) -> None:
+    site = read_scenario(SCENARIO)
+    site.controllers = controllers
+    with simulated() as loop:
+        experiment = Experiment(loop, site, seed, Tunables())
+        lost = LostWrites(experiment)
+        loop.run_until_complete(experiment.run())
+    assert lost.carried_out >= READ | {"cancellation", "completion"} | more
+    assert lost.read >= READ | {read}
+    assert not experiment.checker.broken, experiment.checker.details
