Gates: jobs on record are judged by the next edition also if a new job has had it read

Cause: the first job that came after an edition and before the gates' look had the documents read and thereby cleared the mark by which that look judges all jobs: what an abolished gate held stayed held for good. Change: two marks.

--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -29,7 +29,7 @@
 from weldhead.coordination.documents import Documents
 from weldhead.coordination.gates import GateBinder, Gates
 from weldhead.coordination.leader import Leader
-from weldhead.documents.records import HEAD_KEY, HeadRecord, document_key, state_key
+from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key, state_key
 from weldhead.documents.source import parse_source
 from weldhead.gates.document import Act, Gate
 from weldhead.gates.state import (
@@ -546,6 +546,16 @@
     world.state.fates = []
 
 
+def test_a_job_that_comes_first_does_not_keep_others_from_the_next_edition(world: World) -> None:
+    """It had the edition read: nobody else was judged by it, and a gate that was gone held."""
+    world.submit(1, "quotes")
+    assert world.job(1).waiting == 0
+    assert world.leader.publisher is not None
+    world.run(world.leader.publisher._publish(Offer(2, {})))
+    assert world.submit(5, "other") == 201
+    assert world.job(1).waiting == 4
+
+
 def test_who_is_given_no_documents_starts_nothing_that_a_gate_concerns(world: World) -> None:
     world.open(2)
     world.submit(10, "quotes")
--- a/weldhead/coordination/gates.py
+++ b/weldhead/coordination/gates.py
@@ -118,15 +118,16 @@
         #: One state is written at a time.
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
-        #: The documents have changed since they were read.
+        #: The documents have changed since they were read, and since all jobs were judged by them.
         self._outdated = True
+        self._unjudged = False
         publisher.shelf.listeners.append(self._changed)
 
     # -- what is known ---------------------------------------------------------------------
 
     def _changed(self, key: str) -> None:
         if not key.startswith("d/state/"):
-            self._outdated = True
+            self._outdated = self._unjudged = True
             self._wake.set()
 
     def reset(self) -> None:
@@ -135,7 +136,7 @@
         self._acts.clear()
         self._draining.clear()
         self.outlook.fresh.clear()
-        self._outdated = True
+        self._outdated, self._unjudged = True, False
 
     def _read(self) -> None:
         """Take up the documents in force, and gates that are about to be."""
@@ -276,7 +277,7 @@
         """Draw what follows from what has changed since the last look."""
         for job in changed:
             self._follow(job)
-        if self._outdated:
+        if self._outdated or self._unjudged:
             await self._read_anew()
         await self._enter_acts()
         self._drain()
@@ -285,7 +286,12 @@
         await self._release()
 
     async def _read_anew(self) -> None:
-        """Take up another edition of the documents: what holds, and who performs acts."""
+        """Take up another edition of the documents: what holds, and who performs acts.
+
+        Also where a job that came before this look has had it read already: those on record were
+        left as the former edition had them, and stayed held by a gate that was gone.
+        """
+        self._unjudged = False
         self._read()
         for some in parts(list(self._term.cluster.jobs.values()), LOADED_AT_ONCE):
             for job in some:
