Handing back: writes of the key and of leases that are carried out and never answered

The generated histories of three controllers let a controller's transactions and lease writes go unanswered, the leader's and others'.

--- a/tests/test_handing_back.py
+++ b/tests/test_handing_back.py
@@ -183,8 +183,11 @@
 # -- generated ----------------------------------------------------------------------------------
 
 #: What befalls the leader, mostly in pairs, one of the others, or all.
-LEADERS = ["end", "freeze", "refuse", "cut store", "cut peers", "drop peers", "no key", "cut off"]
-OTHERS = ["end", "freeze", "refuse", "cut store", "held writes", "held writes"]
+LEADERS = [
+    "end", "freeze", "refuse", "cut store", "cut peers", "drop peers", "no key", "cut off",
+    "no answers",
+]  # fmt: skip
+OTHERS = ["end", "freeze", "refuse", "cut store", "held writes", "held writes", "no answers"]
 ALL = ["start", "thaw", "serve", "heal", "outage", "outage over", "end all", "nothing"]
 EVENTS = st.one_of(
     st.tuples(st.sampled_from(LEADERS), st.just(0)),
@@ -205,6 +208,11 @@
     def __init__(self, site: Site) -> None:
         self.site = site
         self._cuts: list[tuple[str, str, str]] = []
+        #: Whose writes are carried out and not answered.
+        self._unanswered: set[str] = set()
+        site.store.loses = lambda caller, _, path: (
+            caller in self._unanswered and path.startswith(("/multi", "/grants"))
+        )
 
     def _whom(self, number: int) -> Controller:
         leading = [controller for controller, _ in self.site.leading()][-1:]
@@ -236,6 +244,7 @@
                 store.refused.clear()
                 store.lost.clear()
                 store.held_s.clear()
+                self._unanswered.clear()
             case "outage":
                 store.service.outage = True
             case "outage over" if store.service.outage:
@@ -253,6 +262,8 @@
                 self._cuts.clear()
             case "held writes":
                 store.held_s[whom.name] = 2.2
+            case "no answers":
+                self._unanswered.add(whom.name)
             case "no key":
                 store.lost |= {(whom.name, "/store"), (whom.name, "/changes")}
 
