--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -40,6 +40,8 @@
     "lease-kept-by-an-unloaded-leader": "meet-confirmed-elsewhere",
     "cancelled-only-when-answered": "meet-unanswered-cancellation",
     "cancel-clock-of-the-term": "meet-row-of-terms",
+    "lost-answer-as-a-refusal": "meet-cancelled-in-doubt",
+    "work-on-an-unrecorded-machine": "meet-new-machines",
     "answer-from-an-old-read": "odd-users",
     "any-job-accepted": "odd-users",
     "cancelled-jobs-started": "odd-users",
