Promises: none counts from whoever may have forgotten that it replaced the asker

Cause: a promise compared the asker's token with what its giver knew, and a giver forgot: a controller that replaced a leader, ended and was started again within 3 s in an outage of the store knew nothing of its own term. Beside it, without any restart: a successor whose term had ended took the token of whoever pinged it next, also a lower one, and promised to the leader that it had replaced.

Change: the highest token known never falls, and goes with pings, pongs and promises (optional fields); followers learn it from workers' reports too; a leader that learns of a higher one ends its term. Where nobody is left who knows it, the token closes nothing: so a promise counts only from a process that has run since the asker's key was last seen, or since a promise that binds the process before it. Of a version that does not say for how long it has run, its connection's age counts. A record that was replaced before its term began begins none.

test_handing_back.py now also looks that nobody who was replaced goes on for longer than its lease.

--- a/tests/test_handing_back.py
+++ b/tests/test_handing_back.py
@@ -2,7 +2,8 @@
 
 The real controllers play on the emulator's loop, network, store and cloud, without machines and
 users. What is looked at every few milliseconds: whoever leads counts each leader before it as
-active for as long as that one would still command.
+active for as long as that one would still command, and nobody who was replaced goes on for longer
+than its lease.
 """
 
 import asyncio
@@ -41,6 +42,8 @@
 
 LIMITS = StateLimits(1e4, 1e4, 8.0, 12)
 LOOK_S = 0.01
+#: For so long a leader may command after another's term has begun, by its lease alone.
+UNAWARE_S = 3.0
 
 
 class Store(SimulatedStore):
@@ -92,8 +95,9 @@
             )
             self.network.known(own.listen, peer.name)
             self.network.known(peer.address, peer.name)
-        #: Terms by token, and what was wrong with them.
+        #: Terms by token, when each was first seen to lead, and what was wrong with them.
         self.terms: dict[int, str] = {}
+        self.begun_s: dict[int, float] = {}
         self.overlaps: list[str] = []
 
     def start(self) -> None:
@@ -115,7 +119,12 @@
     def look(self) -> None:
         leading = self.leading()
         self.terms.update((leader.token, controller.name) for controller, leader in leading)
+        for token in self.terms:
+            self.begun_s.setdefault(token, self.loop.true_s)
         for place, (controller, leader) in enumerate(leading):
+            later_s = [at_s for token, at_s in self.begun_s.items() if token > leader.token]
+            if later_s and self.loop.true_s > min(later_s) + UNAWARE_S:
+                self.overlaps.append(f"{controller.name} goes on with {leader.token}: replaced")
             assert controller.life is not None
             over_us = leader.term.predecessor_over_us
             if place and controller.life.context.run(now_us) >= over_us:
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -34,6 +34,7 @@
     predecessor_over_us,
 )
 from weldhead.coordination.predecessors import Predecessors, missed_from_us
+from weldhead.coordination.promises import ask_for_promises
 from weldhead.coordination.term import Term
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
@@ -75,6 +76,7 @@
         self.tunables = tunables
         self._links = links
         self._duties = duties
+        self._started_us = started_us
         self.timing = default_timing(tunables.leadership.ttl_us)
         self.authority = Authority(self.timing, frozenset(links))
         self.candidacy = Candidacy(self.timing, started_us)
@@ -82,6 +84,8 @@
         self.catalog: list[MachineType] = []
         self.known_leader: LeaderRecord | None = None
         self.known_token = 0
+        #: The highest token of any leader that was heard of, of whomever. It never falls.
+        self.highest_token = 0
         #: Nonces of this process's own records: any other under our name is a former life's.
         self._nonces: set[str] = set()
         #: How all nonces of this process begin, those given up among them.
@@ -149,6 +153,7 @@
             return
         record = decode(bytes(entry.value), LeaderRecord)
         self.predecessors.note(record, entry.version)
+        self.highest_token = max(self.highest_token, entry.version)
         if self.leader is not None:
             if entry.version == self.leader.token:
                 self.authority.kept(sent_us)
@@ -277,6 +282,9 @@
         if believes_us < self.timing.ttl_us:
             # Whoever was replaced of late is over as soon as a leader replaced just now.
             await self.predecessors.catch_up()
+        if token < self.highest_token:
+            # Replaced already. Begun now, the term would lead others back to a token of the past.
+            return
         at_us = now_us()
         if not self.candidacy.may_lead(at_us):
             # Promised to another meanwhile: the key goes with its lease.
@@ -287,6 +295,7 @@
             self.authority.end()
             return
         self.known_leader, self.known_token = record, token
+        self.highest_token = token
         self._vacant.clear()
         over_us = max(predecessor_over_us(at_us, believes_us), self.predecessors.over_us)
         log.info("%s leads with token %d", self.settings.name, token)
@@ -372,27 +381,20 @@
         if not self.authority.valid(now_us()):
             return
         token = self.authority.token
-        sent_us = now_us()
-        asked = [
-            link.ask(
-                Hold(link.next_id(), self.authority.token, self.timing.promise_us),
-                Held,
-                self.timing.renew_us,
-            )
-            for link in links
-        ]
-        answers = await asyncio.gather(*asked, return_exceptions=True)
-        if self.authority.token != token:
-            # Promised to a term that is over: counted for the next one, they would bind
-            # nobody who has said since that it knows of no term.
+        denied = await ask_for_promises(links, self.authority, self.timing)
+        if denied is None or self.leader is None or self.authority.token != token:
             return
-        for link, answer in zip(links, answers, strict=True):
-            if isinstance(answer, Held) and answer.promised:
-                self.authority.promised(link.name, sent_us, now_us())
-            elif isinstance(answer, Held) and self.leader is not None:
-                self.step_down(f"the state service serves {link.name} but not this node")
-                link.send(Resigned(0, token))
-                return
+        self.learn_token(denied.link.name, denied.known_token)
+        if self.leader is not None:
+            self.step_down(f"the state service serves {denied.link.name} but not this node")
+            denied.link.send(Resigned(0, token))
+
+    async def answer_hold(self, name: str, hold: Hold) -> Held:
+        """Answer a leader that asks for a promise."""
+        self.learn_token(name, hold.token)
+        promised = await self.promise(hold)
+        running_us = now_us() - self._started_us
+        return Held(hold.id, promised, self.highest_token, running_us)
 
     async def promise(self, hold: Hold) -> bool:
         """Whether to promise the leader not to campaign: only if we are not served either."""
@@ -405,7 +407,7 @@
         except CallFailed:
             if self.leader is not None or hold.duration_us > self.timing.promise_us:
                 raise
-            if hold.token < self.known_token:
+            if hold.token < self.highest_token:
                 # Replaced, and does not know it: a later leader may have answered workers.
                 return False
             # From here on until the promise is over, this node does not become leader.
@@ -414,6 +416,7 @@
 
     async def succeed(self, message: Resigned) -> None:
         """The leader says that it has stopped commanding: replace it at once."""
+        self.highest_token = max(self.highest_token, message.token)
         if self.leader is None and self.catalog and self.candidacy.may_lead(now_us()):
             if self.predecessors.read_token != message.token:
                 # Whom it replaced itself, moments ago, only its record says.
@@ -433,12 +436,23 @@
         self._duties.once("end of term", leader.close())
         self._duties.once("leader lookup", self.read_leader())
 
+    def learn_token(self, source: str, token: int) -> None:
+        """A controller or a worker has named a token that some leader has had."""
+        self.highest_token = max(self.highest_token, token)
+        if self.leader is not None and token > self.leader.token:
+            self.step_down(f"{source} knows of token {token}")
+
     def hear_leader(self, name: str, token: int) -> None:
         """A peer says that it leads: a node that the store does not serve learns it so.
 
         Without this a follower cut off from the store sent workers to nobody, or to the
         leader before last, while it could have relayed their reports.
         """
+        if token < self.highest_token:
+            # Replaced, and does not know it: who took it for the leader forgot the later token,
+            # and promised to it.
+            return
+        self.highest_token = token
         if self.leader is not None and token > self.leader.token:
             # Its key was replaced, and it has not read that yet.
             self.step_down(f"{name} leads with token {token}")
@@ -449,5 +463,6 @@
 
     def heard_pong(self, name: str, pong: Pong, sent_us: int) -> None:
         """A peer has said whether it is in a term; it was asked at ``sent_us``."""
+        self.learn_token(name, pong.known_token)
         if self.predecessors.heard(name, pong, sent_us):
             self.candidacy.nobody_leads()
--- a/weldhead/coordination/leadership.py
+++ b/weldhead/coordination/leadership.py
@@ -18,6 +18,10 @@
   campaigning, and a node that has just started does not campaign for as long as a promise
   of its former life may last, unless every other node has told it since that it is in no
   term.
+* A promise shows that its giver's process has not replaced the asker: it compares tokens. A
+  former process of the giver may have, and its memory is gone. So a promise counts only from
+  a process that has run since the asker's key was last seen, or since a time at which an
+  earlier promise bound the giver; see ``Authority.unreplaced_until_us``.
 """
 
 import logging
@@ -91,6 +95,14 @@
         self._promised_until_us[peer] = max(self._promised_until_us.get(peer, 0), until_us)
         self._promised_us[peer] = max(self._promised_us.get(peer, 0), sent_us)
 
+    def unreplaced_until_us(self, peer: str) -> int:
+        """Return until when this peer has surely not replaced this node, whatever life it was in.
+
+        Until the key was last seen nobody had, and who has promised does not while that lasts.
+        A process of the peer that began later may follow one that has, and know nothing of it.
+        """
+        return max(self._kept_us, self._promised_until_us.get(peer, 0))
+
     def end(self) -> None:
         """Give everything up."""
         self.token = 0
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -18,7 +18,6 @@
 from weldhead.protocol.peer import (
     Answer,
     Ask,
-    Held,
     Hold,
     Look,
     Message,
@@ -163,7 +162,8 @@
             at_us = now_us()
             token = self.campaign.authority.token if self.campaign.authority.valid(at_us) else 0
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
-            ping = Ping(link.next_id(), token, self._state.ok, silent)
+            known = self.campaign.highest_token
+            ping = Ping(link.next_id(), token, self._state.ok, silent, known)
             try:
                 pong = await link.ask(ping, Pong, PONG_US)
                 self.campaign.heard_pong(link.name, pong, at_us)
@@ -179,15 +179,17 @@
         match message:
             case Ping():
                 self._links[name].word_us = at_us
+                self.campaign.learn_token(name, message.known_token)
                 if message.token:
                     self.campaign.hear_leader(name, message.token)
                     self._relays.leader_misses(message.silent, at_us)
-                return Pong(message.id, self._state.ok, FORMAT, self.leader is not None)
+                leads, known = self.leader is not None, self.campaign.highest_token
+                return Pong(message.id, self._state.ok, FORMAT, leads, known)
             case Ask():
                 answer = await self._answer_peer(message)
                 return Answer(message.id, answer.status, answer.body)
             case Hold():
-                return Held(message.id, await self.campaign.promise(message))
+                return await self.campaign.answer_hold(name, message)
             case Look():
                 return Seen(message.id, (await self.campaign.judging.look(message.name)).value)
             case Resigned():
@@ -248,6 +250,7 @@
             if answer is not None:
                 return Response(200, _encode(answer))
             return refusal(503, "not now", retry_after_s=1)
+        self.campaign.learn_token(report.machine, report.token)
         record = self.campaign.known_leader
         if record is None or record.name not in self._links:
             return Response(421, _encode(Redirect()))
--- /dev/null
+++ b/weldhead/coordination/promises.py
@@ -0,0 +1,72 @@
+"""Asking the other controllers for promises not to lead, while the state service is out.
+
+What a promise counts for is in ``leadership.py``. Times are microseconds of the steady clock.
+"""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from weldhead.clock import now_us, surely_valid_us, to_seconds
+from weldhead.coordination.leadership import Authority, Timing
+from weldhead.protocol.peer import Held, Hold
+from weldhead.transport.peers import PeerLink
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Denied:
+    """A controller that did not promise, and the highest token that it has heard of (or 0)."""
+
+    link: PeerLink
+    known_token: int
+
+
+async def ask_for_promises(
+    links: Sequence[PeerLink], authority: Authority, timing: Timing
+) -> Denied | None:
+    """Ask all for a promise and enter those that count; return who denied one, if anybody."""
+    token, sent_us = authority.token, now_us()
+    asked = [
+        link.ask(Hold(link.next_id(), token, timing.promise_us), Held, timing.renew_us)
+        for link in links
+    ]
+    answers = await asyncio.gather(*asked, return_exceptions=True)
+    if authority.token != token:
+        # Promised to a term that is over: counted for the next one, they would bind
+        # nobody who has said since that it knows of no term.
+        return None
+    for link, answer in zip(links, answers, strict=True):
+        if not isinstance(answer, Held):
+            continue
+        if not answer.promised or answer.known_token > token:
+            return Denied(link, answer.known_token)
+        _enter(link, answer, authority, sent_us)
+    return None
+
+
+def _enter(link: PeerLink, answer: Held, authority: Authority, sent_us: int) -> None:
+    """Enter a promise, unless a former process of its giver may have replaced this node."""
+    at_us = now_us()
+    began_us = began_by_us(link, answer, at_us)
+    late_us = began_us - authority.unreplaced_until_us(link.name)
+    if late_us <= 0:
+        authority.promised(link.name, sent_us, at_us)
+    elif authority.valid(at_us):
+        log.info(
+            "the promise of %s does not count: it may have begun %.2f s after the key was last "
+            "seen, and may have led before that", link.name, to_seconds(late_us),
+        )  # fmt: skip
+
+
+def began_by_us(link: PeerLink, answer: Held, at_us: int) -> int:
+    """Return by when a peer's process had surely begun, by this node's clock.
+
+    It says for how long it has run. Of a version that does not, it is known that its process is
+    as old as the connection that its answer came on.
+    """
+    if not answer.running_us:
+        return link.connected_us or at_us
+    return at_us - surely_valid_us(0, answer.running_us)
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -23,26 +23,29 @@
 
     ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
     service has served the caller of late; ``silent`` names machines that a leader misses
-    and wants relayed.
+    and wants relayed. ``known_token`` is the highest token of any leader that the caller has
+    heard of; a version that does not say so leaves it 0.
     """
 
     id: int
     token: int
     state_ok: bool
     silent: tuple[str, ...] = ()
+    known_token: int = 0
 
 
 class Pong(msgspec.Struct, array_like=True, tag="pong"):
     """The answer to a ping, with the answerer's own view and format (``versions.py``).
 
     ``leads``: it is in a term, whether or not it may command at this moment. A version that
-    does not say so may be.
+    does not say so may be. ``known_token``: the highest token that the answerer has heard of, or 0.
     """
 
     id: int
     state_ok: bool
     format: int = FIRST_FORMAT
     leads: bool = True
+    known_token: int = 0
 
 
 class Ask(msgspec.Struct, array_like=True, tag="ask"):
@@ -77,10 +80,17 @@
 
 
 class Held(msgspec.Struct, array_like=True, tag="held"):
-    """The answer to a hold; false: the state service serves this node, hand over."""
+    """The answer to a hold; false: the state service serves this node, hand over.
+
+    ``known_token``: the highest token that the answerer has heard of, or 0; above the asker's own,
+    it was replaced. ``running_us``: for how long the answerer's process has run by its own clock;
+    0 if it does not say. What it promises says nothing of what a former process of it did.
+    """
 
     id: int
     promised: bool
+    known_token: int = 0
+    running_us: int = 0
 
 
 class Look(msgspec.Struct, array_like=True, tag="look"):
--- a/weldhead/transport/peers.py
+++ b/weldhead/transport/peers.py
@@ -59,6 +59,8 @@
         #: Since when connections are refused, and when one ended last (0: never).
         self.refused_us = 0
         self.lost_us = 0
+        #: When the connection that is up came about (0: none is).
+        self.connected_us = 0
         #: When the peer last spoke on its own connection to us.
         self.word_us = 0
         #: Set while a connection is up.
@@ -113,7 +115,7 @@
             return
         self.refused, self.refused_us = False, 0
         self._writer = writer
-        self.heard_us = now_us()
+        self.heard_us = self.connected_us = now_us()
         try:
             writer.write(encode_frame(Hello(self._own_name)))
             self.up.set()
@@ -134,6 +136,7 @@
             log.info("peer %s: connection ended: %r", self.name, error)
         finally:
             self._writer = None
+            self.connected_us = 0
             self.lost_us = now_us()
             self.up.clear()
             self.state_ok = False
