Renewals beside one another: a slow store ends no term, a silent one is noticed as before

Cause: an extension that was not answered within 500, then 750 ms was given up and the next one sent, so a store that took a second answered nobody in time; the others promised, or were served by luck, and the leader stepped down. Who stood gave its lease up after 800 ms.

Change: an attempt is waited for as long as the lease counts, the next goes beside it, and the first answer counts from its own sending. Where the last answer was late, a follower that was served ends the term only when the lease is nearly over. A lease is waited for 1.3 s.

--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/campaign.py
@@ -35,6 +35,7 @@
 )
 from weldhead.coordination.predecessors import Predecessors, missed_from_us
 from weldhead.coordination.promises import ask_for_promises
+from weldhead.coordination.renewal import Renewal
 from weldhead.coordination.term import Term
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
@@ -49,7 +50,6 @@
     Compacted,
     Conflict,
     LeaseGone,
-    Refused,
     StateClient,
     decode,
 )
@@ -96,6 +96,7 @@
         self.predecessors = Predecessors(settings.name, self._life, len(links), self.timing.ttl_us)
         #: The leader that this node last tried to replace.
         self._tried_token = 0
+        self._renewal: Renewal | None = None
         self.judging = Judging(links, duties, self._judged_dead)
 
     def open(
@@ -313,44 +314,21 @@
 
     async def _renew(self, leader: Leader) -> None:
         """Keep the lease; the term ends with the authority."""
-        pause_us = self.timing.renew_us
-        failing = False
-        while self.leader is leader:
-            await asyncio.sleep(to_seconds(pause_us))
-            if self.leader is not leader:
-                return
-            try:
-                patience_us = self.timing.renew_us if failing else self.timing.renew_us * 2 // 3
-                _, seen = await asyncio.gather(
-                    self._extend(patience_us), self._see_key(leader, patience_us)
-                )
-                pause_us = self.timing.renew_us if seen else self.timing.renew_us // 3
-                failing = False
-                if self.leader is leader and not self.authority.valid(now_us()):
-                    self.step_down("it could not see that its key is its own")
-            except LeaseGone:
-                # A term of its own may have begun since this was asked for the one before.
-                if self.leader is leader:
-                    self.step_down("the lease is gone")
-            except CallFailed as error:
-                # Said once for each trouble, not at each of its many attempts.
-                log.log(logging.DEBUG if failing else logging.INFO, "lease not renewed: %s", error)
-                lost = not failing and not isinstance(error, Refused)
-                failing = True
-                left_us = self.authority.lease_until_us - now_us()
-                if isinstance(error, Busy) and left_us > 2 * self.timing.renew_us:
-                    # The store is well, and the others are served: no reason to hand over.
-                    pause_us = self.timing.renew_us // 3
-                    continue
-                if lost:
-                    # One lost message is no trouble of the store's: asked again at once, while
-                    # the lease lasts. To hand over for it cost a term (found in the emulator).
-                    pause_us = 0
-                    continue
-                pause_us = self.timing.renew_us // 3
-                await self._hold_on()
-                if self.leader is leader and not self.authority.valid(now_us()):
-                    self.step_down("the lease ran out")
+
+        async def attempt(patience_us: int) -> bool:
+            _, seen = await asyncio.gather(
+                self._extend(patience_us), self._see_key(leader, patience_us)
+            )
+            return seen
+
+        def unanswered() -> None:
+            self._state.failed_us = now_us()
+
+        self._renewal = Renewal(
+            self.timing, self.authority, lambda: self.leader is leader, attempt, self._hold_on,
+            self.step_down, unanswered,
+        )  # fmt: skip
+        await self._renewal.run()
 
     async def _extend(self, patience_us: int) -> None:
         sent_us = now_us()
@@ -385,6 +363,10 @@
         if denied is None or self.leader is None or self.authority.token != token:
             return
         self.learn_token(denied.link.name, denied.known_token)
+        left_us = self.authority.lease_until_us - now_us()
+        if self._renewal is not None and self._renewal.slow and left_us > self.timing.renew_us:
+            # Slow rather than silent: this node may be answered yet, as the others were.
+            return
         if self.leader is not None:
             self.step_down(f"the state service serves {denied.link.name} but not this node")
             denied.link.send(Resigned(0, token))
--- a/weldhead/coordination/predecessors.py
+++ b/weldhead/coordination/predecessors.py
@@ -17,7 +17,7 @@
 from weldhead.clock import MILLISECOND_US, now_us, surely_over_us, to_seconds
 from weldhead.protocol.peer import Pong
 from weldhead.transport.http import CallFailed
-from weldhead.transport.state import Compacted, StateClient, decode
+from weldhead.transport.state import STAND_US, Compacted, StateClient, decode
 
 log = logging.getLogger(__name__)
 
@@ -139,7 +139,7 @@
 
     None: the last term was settled (``recovery/answering.py``).
     """
-    entry = await state.get(UNSETTLED_KEY, urgent=True)
+    entry = await state.get(UNSETTLED_KEY, urgent=True, timeout_us=STAND_US)
     if entry is None:
         return None
     try:
--- /dev/null
+++ b/weldhead/coordination/renewal.py
@@ -0,0 +1,154 @@
+"""Keeping the leader's lease while the state service is well, slow, or silent.
+
+An attempt that is not answered in time is not given up: the next one is sent beside it, and
+whichever is answered first counts from its own sending. A service that needs a second for each
+answer is as good as a fast one then; one that is silent is noticed as early as ever. Times are
+microseconds of the steady clock.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from weldhead.clock import now_us, to_seconds
+from weldhead.coordination.leadership import Authority, Timing
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Busy, LeaseGone, Refused
+
+log = logging.getLogger(__name__)
+
+
+class NoAnswerYet(CallFailed):
+    """An attempt is not answered in time, and goes on."""
+
+
+class Renewal:
+    """The renewals of one term.
+
+    ``leads`` says whether the term goes on; ``attempt`` extends the lease and reads the leader's
+    key, within the time given, and says whether the key was seen; ``hold_on`` asks the others for
+    promises; ``step_down`` ends the term; ``unanswered`` is called when an answer is late.
+    """
+
+    def __init__(
+        self,
+        timing: Timing,
+        authority: Authority,
+        leads: Callable[[], bool],
+        attempt: Callable[[int], Awaitable[bool]],
+        hold_on: Callable[[], Awaitable[None]],
+        step_down: Callable[[str], None],
+        unanswered: Callable[[], None],
+    ) -> None:
+        self._timing, self._authority = timing, authority
+        self._leads, self._attempt = leads, attempt
+        self._hold_on, self._step_down, self._unanswered = hold_on, step_down, unanswered
+        #: Attempts without an answer, the newest last.
+        self._attempts: list[asyncio.Future[bool]] = []
+        self._failing = False
+        #: How long the last answer took.
+        self._took_us = 0
+
+    @property
+    def slow(self) -> bool:
+        """Whether an attempt may still be answered, as the last one was that took so long.
+
+        Of a service that answered at once until now, silence is silence: to wait for it used up
+        the lease before another took over.
+        """
+        return bool(self._attempts) and self._took_us > self._patience_us
+
+    @property
+    def _patience_us(self) -> int:
+        """How long an answer may take before it counts as late."""
+        return self._timing.renew_us * 2 // 3
+
+    async def run(self) -> None:
+        """Keep the lease; the term ends with the authority."""
+        pause_us = self._timing.renew_us - self._age_us()
+        try:
+            while self._leads():
+                await asyncio.sleep(to_seconds(max(0, pause_us)))
+                if self._leads():
+                    pause_us = await self._renew()
+        finally:
+            for attempt in self._attempts:
+                attempt.cancel()
+
+    def _age_us(self) -> int:
+        """Return how long ago the lease began to count."""
+        return max(0, self._timing.ttl_us - (self._authority.lease_until_us - now_us()))
+
+    async def _renew(self) -> int:
+        """Make one more attempt; return how long to wait before the next."""
+        renew_us = self._timing.renew_us
+        try:
+            seen = await self._answer(renew_us if self._failing else self._patience_us)
+        except LeaseGone:
+            # A term of its own may have begun since this was asked for the one before.
+            if self._leads():
+                self._step_down("the lease is gone")
+            return 0
+        except CallFailed as error:
+            return await self._failed(error)
+        self._failing = False
+        if self._leads() and not self._authority.valid(now_us()):
+            self._step_down("it could not see that its key is its own")
+        least_us = renew_us // 3
+        # Of a slow service the answer has used up some of the time until the next attempt.
+        return max(least_us, renew_us - self._age_us()) if seen else least_us
+
+    async def _answer(self, patience_us: int) -> bool:
+        """Send an attempt; return the first answer to any, NoAnswerYet if none comes in time."""
+        newest = asyncio.ensure_future(self._timed())
+        self._attempts.append(newest)
+        until_us = now_us() + patience_us
+        lease_until_us = self._authority.lease_until_us
+        while (left_us := until_us - now_us()) > 0:
+            done, _ = await asyncio.wait(
+                self._attempts, timeout=to_seconds(left_us), return_when=asyncio.FIRST_COMPLETED
+            )
+            for attempt in [attempt for attempt in self._attempts if attempt in done]:
+                place = self._attempts.index(attempt)
+                error = attempt.exception()
+                if error is None:
+                    # What was sent before it can show nothing more.
+                    for earlier in self._attempts[:place]:
+                        earlier.cancel()
+                    del self._attempts[: place + 1]
+                    return attempt.result()
+                del self._attempts[place]
+                if attempt is newest or not isinstance(error, CallFailed):
+                    raise error
+        if self._authority.lease_until_us > lease_until_us:
+            # Extended, and the key seen by another request.
+            return False
+        self._unanswered()
+        raise NoAnswerYet("no answer yet")
+
+    async def _timed(self) -> bool:
+        """Make an attempt, and note how long a good answer took."""
+        sent_us = now_us()
+        seen = await self._attempt(self._timing.ttl_us)
+        self._took_us = now_us() - sent_us
+        return seen
+
+    async def _failed(self, error: CallFailed) -> int:
+        """An attempt has failed; return how long to wait before the next."""
+        renew_us = self._timing.renew_us
+        # Said once for each trouble, not at each of its many attempts.
+        log.log(logging.DEBUG if self._failing else logging.INFO, "lease not renewed: %s", error)
+        lost = not self._failing and not isinstance(error, Refused)
+        self._failing = True
+        left_us = self._authority.lease_until_us - now_us()
+        if isinstance(error, Busy) and left_us > 2 * renew_us:
+            # The store is well, and the others are served: no reason to hand over.
+            return renew_us // 3
+        if lost:
+            # One lost message is no trouble of the store's: asked again at once, while
+            # the lease lasts. To hand over for it cost a term (found in the emulator).
+            return 0
+        await self._hold_on()
+        if self._leads() and not self._authority.valid(now_us()):
+            self._step_down("the lease ran out")
+        return renew_us // 3
--- a/weldhead/transport/state.py
+++ b/weldhead/transport/state.py
@@ -33,6 +33,9 @@
 
 #: Before a page that failed is asked for again.
 PAGE_PAUSE_S = 0.2
+#: How long who stands waits for its lease: of the lease's 3 s enough is left to write the key and
+#: to renew it once, by a service that is as slow again.
+STAND_US = 1_300 * MILLISECOND_US
 
 
 class Refused(CallFailed):
@@ -214,7 +217,7 @@
     async def grant(self, ttl_us: int) -> int:
         """Create a lease."""
         body = msgspec.json.encode(GrantRequest(ttl_us // MILLISECOND_US))
-        status, answer = await self._call("POST", "/grants", body, 800 * MILLISECOND_US, True)
+        status, answer = await self._call("POST", "/grants", body, STAND_US, True)
         if status != 200:
             raise CallFailed(f"state service: {status}")
         return decode(answer, Grant).lease
