--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -23,14 +23,16 @@
 
     ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
     service has served the caller of late; ``silent`` names machines that a leader misses
-    and wants relayed. ``known_token`` is the highest token of any leader that the caller has
-    heard of; a version that does not say so leaves it 0.
+    and wants relayed. ``full``: the caller refuses new work for its memory. ``known_token`` is
+    the highest token of any leader that the caller has heard of; a version that does not say so
+    leaves it 0.
     """
 
     id: int
     token: int
     state_ok: bool
     silent: tuple[str, ...] = ()
+    full: bool = False
     known_token: int = 0
 
 
