--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -27,7 +27,7 @@
 SCENARIOS = Path(__file__).parents[1] / "deploy" / "scenarios"
 #: Each planted error is found within so many seeds of the scenario.
 FOUND_IN = dict.fromkeys(ERRORS, "drawn") | {
-    "lease-from-the-answer": "slow-store",
+    "lease-from-the-answer": "slow-then-silent",
     "any-failure-accuses": "broken-jobs",
     "everything-settled": "half-silent",
     "below-a-guarantee": "cards",
--- a/tests/test_old_reports_everywhere.py
+++ b/tests/test_old_reports_everywhere.py
@@ -24,7 +24,7 @@
     return site
 
 
-@pytest.mark.parametrize(("controllers", "seed"), [(3, 3), (5, 0)])
+@pytest.mark.parametrize(("controllers", "seed"), [(3, 0), (5, 0)])
 def test_old_reports_reach_every_controller_as_a_leader_begins(controllers: int, seed: int) -> None:
     result, arrivals = play_watched(scenario("meet-old-reports-everywhere", controllers), seed)
     begins = (Moment.LOADING, Moment.UNANSWERED, Moment.ACTED)
@@ -48,7 +48,7 @@
 
 @pytest.mark.parametrize(("controllers", "seed"), [(3, 0), (5, 1)])
 def test_nobody_goes_on_by_promises_of_those_who_forgot(controllers: int, seed: int) -> None:
-    """Before, the first leader led on for the 22 s of the outage (``outlived_term``)."""
+    """Before, the first leader led on until a machine that knew better reached it."""
     result, _ = play_replaced(controllers, seed)
     met = {met.kind: met for met in result.met}
     assert met.keys() == {"controllers_end", "store_down", "machines_cut"}
