--- a/run.py
+++ b/run.py
@@ -1,7 +1,7 @@
 """Entry point: put the installed dependencies on the path and hand over to the CLI.
 
-The platform starts ``python3 run.py --config FILE``; that is short for
-``weldhead serve --config FILE``.
+The platform starts ``python3 run.py --config FILE``; that does what ``weldhead serve --config
+FILE`` does, without loading what reads people's command lines.
 """
 
 import sys
@@ -15,10 +15,15 @@
 
 # The path must be set first; the clock notes the start before all else is loaded.
 import weldhead.clock  # noqa: E402, F401
-from weldhead.cli import main  # noqa: E402
 
 if __name__ == "__main__":
     arguments = sys.argv[1:]
+    if len(arguments) == 2 and arguments[0] == "--config":
+        from weldhead.serving import run_for_platform
+
+        sys.exit(run_for_platform(arguments[1]))
     if arguments and arguments[0] == "--config":
         arguments.insert(0, "serve")
+    from weldhead.cli import main
+
     main(arguments, prog_name="weldhead")
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from weldhead.cli.serve import no_certificates
+from weldhead.serving import no_certificates
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -21,7 +21,6 @@
     "bookkeeping",
     "boots",
     "calendars",
-    "cli",
     "clock",
     "coordination",
     "documents",
@@ -30,11 +29,12 @@
     "planning",
     "protocol",
     "recovery",
+    "serving",
     "transport",
 }
-LIBRARIES = {"aiohttp", "click", "msgspec", "uvloop"}
+LIBRARIES = {"aiohttp", "msgspec", "uvloop"}
 #: As many modules as it loads without what an environment's own start adds, and not one more.
-MOST_MODULES = 453
+MOST_MODULES = 438
 FOREIGN = {
     "sqlite3",
     "sortedcontainers",
@@ -48,21 +48,21 @@
     "zoneinfo",
     "grpc",
     "argparse",
+    "click",
+    "gettext",
 }
 #: Of aiohttp: what routes and serves applications.
 UNUSED = {"aiohttp.web", "aiohttp.web_app", "aiohttp.web_urldispatcher", "aiohttp.web_ws"}
 
 PROGRAM = """
 import json, sys
-sys.path[:0] = [{root!r}, {deps!r}]
-sys.path.append({extras!r})
-import weldhead.clock
-from weldhead.cli import main
-# The whole of what serve imports happens before it reads its settings.
+# The whole of what a controller imports happens before it reads its settings.
+sys.argv = ["run.py", "--config", "/nonexistent"]
 try:
-    main(["serve", "--config", "/nonexistent"], prog_name="weldhead", standalone_mode=False)
-except Exception:
-    pass
+    names = {{"__name__": "__main__", "__file__": {run!r}}}
+    exec(compile(open({run!r}).read(), {run!r}, "exec"), names)
+except SystemExit as end:
+    assert end.code == 1
 print(json.dumps(sorted(sys.modules)))
 """
 
@@ -82,9 +82,7 @@
 
 
 def test_serve_imports_nothing_of_the_new_parts() -> None:
-    program = PROGRAM.format(
-        root=str(ROOT), deps=str(ROOT / "target/deps"), extras=str(ROOT / "target/extras")
-    )
+    program = PROGRAM.format(run=str(ROOT / "run.py"))
     done = subprocess.run(
         [sys.executable, "-S", "-c", program],
         capture_output=True,
@@ -96,10 +94,6 @@
     assert "weldhead.coordination.node" in modules
     own = {name.split(".")[1] for name in modules if name.startswith("weldhead.")}
     assert own == ALLOWED | {"tunables"}
-    assert [name for name in modules if name.startswith("weldhead.cli.")] == [
-        "weldhead.cli.common",
-        "weldhead.cli.serve",
-    ]
     assert "weldhead.tunables.language" not in modules
     tops = {name.split(".")[0] for name in modules}
     assert not tops & FOREIGN
--- a/tools/measure_memory.py
+++ b/tools/measure_memory.py
@@ -118,11 +118,8 @@
 
 sys.meta_path.insert(0, Finder())
 import weldhead.clock
-from weldhead.cli import main
-try:
-    main(["serve", "--config", "/nonexistent"], prog_name="weldhead", standalone_mode=False)
-except Exception:
-    pass
+from weldhead.serving import run_for_platform
+run_for_platform("/nonexistent")
 sys.meta_path.pop(0)
 print(json.dumps([bare, rss(), len(sys.modules), costs]))
 """
--- a/weldhead/cli/structured.py
+++ b/weldhead/cli/structured.py
@@ -7,7 +7,7 @@
 import logging
 import sys
 
-from weldhead.cli.common import configure_logging
+from weldhead.serving import configure_logging
 
 
 def configure_structured_logging() -> None:
