--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -65,6 +65,15 @@
     assert gate.admits(5 * S)
 
 
+def test_followers_are_told_when_not_even_trials_are_taken() -> None:
+    """Told from the first mark on, four of five controllers refused all for most of a day."""
+    used = [94 * MIB]
+    memory = MemoryWatch(100.0, lambda: used[0])
+    assert not memory.exhausted(S) and memory.admits(2 * S + TRIAL_US)
+    used[0] = 96 * MIB
+    assert memory.exhausted(10 * S) and not memory.admits(20 * S)
+
+
 @pytest.mark.parametrize("used", [None, 10**12])
 def test_without_a_limit_or_a_reading_everything_is_taken(used: int | None) -> None:
     assert MemoryWatch(0.0, lambda: used).admits(S)
--- a/tools/measure_memory.py
+++ b/tools/measure_memory.py
@@ -375,6 +375,22 @@
     return measure
 
 
+def _teams(count: int) -> Kept:
+    """Return what that many teams take: their limits, their use and their share of admission."""
+    from weldhead.admission.shares import Shares
+    from weldhead.bookkeeping.cluster import Cluster
+    from weldhead.protocol.settings import Team
+
+    def build() -> object:
+        into, shares = Cluster([Team(f"team-{n}", 8.0, 100.0) for n in range(count)]), Shares(8.0)
+        for name in into.teams:
+            _ = into.usage[name].units
+            shares.admit(name, 10.0, 1)
+        return into, shares
+
+    return kept_by(build)
+
+
 def _submissions(count: int) -> Kept:
     """Submit that many jobs to a follower; what is kept of them there."""
     import msgspec
@@ -481,6 +497,7 @@
     "job of 100 tasks, waiting": (_jobs(100), [1_000, 2_000, 4_000, 8_000]),
     "attempt": (_attempts(ended=False), [2_000, 4_000, 8_000, 16_000]),
     "attempt that is over": (_attempts(ended=True), [2_000, 4_000, 8_000, 16_000]),
+    "team": (_teams, [50, 100, 200, 400]),
     "submission, follower": (_submissions, [500, 1_000, 2_000, 4_000]),
     "connection, incoming": (_incoming, [50, 100, 200, 400]),
     "connection, both ends": (_both_ends, [50, 100, 200, 400]),
--- a/weldhead/admission/memory.py
+++ b/weldhead/admission/memory.py
@@ -19,7 +19,8 @@
 TRIAL_US = 2 * SECOND_US
 #: Who is refused is asked to come back after so many seconds.
 COME_BACK_S = 5
-#: The leader keeps every job, whoever accepts it. What it said of its own memory counts so long.
+#: The leader keeps every job, whoever accepts it: above that share the others refuse as well.
+#: What it said of its own memory counts so long.
 LEADER_WORD_US = 3 * SECOND_US
 
 
@@ -52,8 +53,13 @@
         self.full = full
         return Change.FULL if full else Change.ROOM
 
+    @property
+    def exhausted(self) -> bool:
+        """Whether not even a trial is taken."""
+        return self.full and self.used >= self.limit * TRIAL_SHARE
+
     def hear_leader(self, at_us: int, *, full: bool) -> None:
-        """The leader says whether it refuses new work for its memory."""
+        """The leader says whether it takes nothing at all for its memory."""
         self._leader_full_us = at_us if full else None
 
     def admits(self, at_us: int) -> bool:
@@ -62,7 +68,7 @@
             return False
         if not self.full:
             return True
-        if self.used >= self.limit * TRIAL_SHARE or at_us - self._trial_us < TRIAL_US:
+        if self.exhausted or at_us - self._trial_us < TRIAL_US:
             return False
         self._trial_us = at_us
         return True
--- a/weldhead/coordination/memory.py
+++ b/weldhead/coordination/memory.py
@@ -22,10 +22,10 @@
         self._read = read
         self._read_us: int | None = None
 
-    def full(self, at_us: int) -> bool:
-        """Whether this process refuses new work for its own memory."""
+    def exhausted(self, at_us: int) -> bool:
+        """Whether this process takes no new work at all for its own memory."""
         self._look(at_us)
-        return self._gate.full
+        return self._gate.exhausted
 
     def admits(self, at_us: int) -> bool:
         """Whether a new job may be taken."""
@@ -33,7 +33,7 @@
         return self._gate.admits(at_us)
 
     def hear_leader(self, at_us: int, *, full: bool) -> None:
-        """The leader says whether it refuses new work."""
+        """The leader says whether it takes no new work at all."""
         self._gate.hear_leader(at_us, full=full)
 
     def _look(self, at_us: int) -> None:
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -165,7 +165,7 @@
             at_us = now_us()
             token = self.campaign.authority.token if self.campaign.authority.valid(at_us) else 0
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
-            full = self.memory.full(at_us)
+            full = self.memory.exhausted(at_us)
             ping = Ping(link.next_id(), token, self._state.ok, silent, full)
             try:
                 pong = await link.ask(ping, Pong, PONG_US)
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -23,7 +23,7 @@
 
     ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
     service has served the caller of late; ``silent`` names machines that a leader misses
-    and wants relayed. ``full``: the caller refuses new work for its memory.
+    and wants relayed. ``full``: the caller takes no new work for its memory.
     """
 
     id: int
