--- a/tests/test_handing_back.py
+++ b/tests/test_handing_back.py
@@ -54,6 +54,10 @@
         #: For how long its transactions are held up before they are carried out.
         self.held_s: dict[str, float] = {}
         self.holds = 0
+        #: Whether a request (caller, method, path) is carried out and never answered; who sent
+        #: those that were.
+        self.loses: Callable[[str, str, str], bool] = lambda *_: False
+        self.unanswered: list[str] = []
 
     async def _serve(self, method: str, path: str, body: bytes) -> Response:
         caller = self._net.caller.get()
@@ -62,7 +66,11 @@
         if path == "/multi" and caller in self.held_s:
             self.holds += 1
             await asyncio.sleep(self.held_s[caller])
-        return await super()._serve(method, path, body)
+        answer = await super()._serve(method, path, body)
+        if self.loses(caller, method, path):
+            self.unanswered.append(caller)
+            await asyncio.sleep(1e6)
+        return answer
 
 
 class Site:
@@ -175,8 +183,11 @@
 # -- generated ----------------------------------------------------------------------------------
 
 #: What befalls the leader, mostly in pairs, one of the others, or all.
-LEADERS = ["end", "freeze", "refuse", "cut store", "cut peers", "drop peers", "no key", "cut off"]
-OTHERS = ["end", "freeze", "refuse", "cut store", "held writes", "held writes"]
+LEADERS = [
+    "end", "freeze", "refuse", "cut store", "cut peers", "drop peers", "no key", "cut off",
+    "no answers",
+]  # fmt: skip
+OTHERS = ["end", "freeze", "refuse", "cut store", "held writes", "held writes", "no answers"]
 ALL = ["start", "thaw", "serve", "heal", "outage", "outage over", "end all", "nothing"]
 EVENTS = st.one_of(
     st.tuples(st.sampled_from(LEADERS), st.just(0)),
@@ -197,6 +208,11 @@
     def __init__(self, site: Site) -> None:
         self.site = site
         self._cuts: list[tuple[str, str, str]] = []
+        #: Whose writes are carried out and not answered.
+        self._unanswered: set[str] = set()
+        site.store.loses = lambda caller, _, path: (
+            caller in self._unanswered and path.startswith(("/multi", "/grants"))
+        )
 
     def _whom(self, number: int) -> Controller:
         leading = [controller for controller, _ in self.site.leading()][-1:]
@@ -228,6 +244,7 @@
                 store.refused.clear()
                 store.lost.clear()
                 store.held_s.clear()
+                self._unanswered.clear()
             case "outage":
                 store.service.outage = True
             case "outage over" if store.service.outage:
@@ -245,6 +262,8 @@
                 self._cuts.clear()
             case "held writes":
                 store.held_s[whom.name] = 2.2
+            case "no answers":
+                self._unanswered.add(whom.name)
             case "no key":
                 store.lost |= {(whom.name, "/store"), (whom.name, "/changes")}
 
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -63,6 +63,9 @@
 #: A job whose polls have failed for so long is asked about elsewhere too, and its reads go
 #: before others' that can wait.
 URGENT_US = 20 * SECOND_US
+TOO_MANY = "too many ask at once"
+#: What a peer is answered that asks for a job whose turn has not come.
+NO_TURN = 429
 #: How many answers that never change are kept.
 KEPT = 4_096
 #: What the store said so long ago is told to nobody: this process may have stood still, and
@@ -113,6 +116,12 @@
     ) -> Response | None:
         """Have a peer answer that the state service serves; None if there is none."""
 
+    async def ask_home(self, job_id: str) -> Response | None:
+        """Have the peer look that counts how long a job waits; None: that is this node.
+
+        CallFailed if it does not answer.
+        """
+
     def peers_know(self, least_format: int) -> bool:
         """Whether no peer is known to run a version of an earlier format."""
 
@@ -285,6 +294,9 @@
         conditions = [Condition(job_key(spec.id), 0), Condition(final_key(spec.id), 0)]
         # What bound it must be so still, or it was bound by an edition that is over.
         conditions += bound_by
+        # A term that begins before the answer comes may have found the job ended by the leader
+        # before it: taken up as new, it ran once more. Its own reading and watch show the rest.
+        leader = self._node.leader
         try:
             version = await self._state.transact(
                 conditions, [Put(job_key(spec.id), record)], timeout_us=1_000_000,
@@ -299,7 +311,6 @@
             if stored is None:
                 raise CallFailed("job is neither new nor known") from None
             return Response(200, _encode(stored))
-        leader = self._node.leader
         if leader is not None:
             leader.job_created(record, version)
         log.debug("%s accepted", spec.id)
@@ -431,8 +442,23 @@
                 return answer
         at_us = now_us()
         waited = self._turns.waited_us(job_id, at_us) > URGENT_US
-        why = "too many ask at once"
-        if self._turns.take(job_id, POLL_REQUESTS, at_us):
+        why = TOO_MANY
+        taken = self._turns.take_spare(POLL_REQUESTS, at_us)
+        lost = False
+        if not taken and elsewhere and not forwarded:
+            # Each node counted waits that had ended when another answered: some jobs were
+            # answered again and again, and others waited for over 120 s.
+            try:
+                answer = await self._node.ask_home(job_id)
+            except CallFailed:
+                answer, lost = None, True
+            if answer is not None and answer.status in (200, 404):
+                self._turns.answered(job_id)
+                return answer
+            if answer is not None and answer.status == NO_TURN:
+                return refusal(503, why + self._known_of(job_id), retry_after_s=1)
+            at_us = now_us()
+        if taken or self._turns.take(job_id, POLL_REQUESTS, at_us, lost=lost):
             try:
                 stored = await self._from_store(job_id, urgent=waited)
             except CallFailed as error:
@@ -452,6 +478,8 @@
                 self._turns.answered(job_id)
                 return answer
         self._turns.failed(job_id, now_us())
+        if not elsewhere and why == TOO_MANY:
+            return refusal(NO_TURN, why)
         return refusal(503, why + self._known_of(job_id), retry_after_s=1)
 
     async def cancel(self, job_id: str, *, forwarded: bool = False) -> Response:
--- a/weldhead/coordination/gates.py
+++ b/weldhead/coordination/gates.py
@@ -23,7 +23,7 @@
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import LOADED_AT_ONCE, Term, parts
-from weldhead.documents.records import HEAD_KEY, state_key
+from weldhead.documents.records import HEAD_KEY, HeadRecord, document_key, state_key
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.book import Book, unbegun
 from weldhead.gates.document import Gate
@@ -44,12 +44,17 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def _documents(shelf: Shelf) -> list[tuple[str, Gate | None]]:
-    """Return the gates in force by name; None where the document cannot be read."""
-    head = shelf.head
-    names = [n for n in head.documents if n.startswith(KIND + "/")] if head is not None else []
-    readable = {kept.value.name: kept.value for kept in shelf.in_force(KIND, Gate)}
-    return [(name, readable.get(name)) for name in (n.partition("/")[2] for n in names)]
+def _documents(shelf: Shelf, head: HeadRecord | None) -> list[tuple[str, Gate | None]]:
+    """Return an edition's gates by name; None where the document cannot be read."""
+    if head is None:
+        return []
+    found: list[tuple[str, Gate | None]] = []
+    for name in head.documents:
+        kind, _, gate = name.partition("/")
+        if kind == KIND:
+            kept = shelf.kept(document_key(head.edition, name), Gate)
+            found.append((gate, kept.value if kept is not None else None))
+    return found
 
 
 def _state(shelf: Shelf, name: str) -> GateState | None:
@@ -74,7 +79,7 @@
         conditions = [Condition(HEAD_KEY, shelf.mark(HEAD_KEY))]
         hold: Hold | None = None
         deed: Deed | None = None
-        for name, gate in _documents(shelf):
+        for name, gate in _documents(shelf, shelf.head):
             if gate is None:
                 raise Unready
             holds = gate.holds_job(spec.job_class, spec.team)
@@ -113,15 +118,16 @@
         #: One state is written at a time.
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
-        #: The documents have changed since they were read.
+        #: The documents have changed since they were read, and since all jobs were judged by them.
         self._outdated = True
+        self._unjudged = False
         publisher.shelf.listeners.append(self._changed)
 
     # -- what is known ---------------------------------------------------------------------
 
     def _changed(self, key: str) -> None:
         if not key.startswith("d/state/"):
-            self._outdated = True
+            self._outdated = self._unjudged = True
             self._wake.set()
 
     def reset(self) -> None:
@@ -130,13 +136,13 @@
         self._acts.clear()
         self._draining.clear()
         self.outlook.fresh.clear()
-        self._outdated = True
+        self._outdated, self._unjudged = True, False
 
     def _read(self) -> None:
-        """Take up the documents in force."""
+        """Take up the documents in force, and gates that are about to be."""
         self._outdated = False
         names = set()
-        for name, gate in _documents(self._publisher.shelf):
+        for name, gate in self._documents():
             names.add(name)
             book = self._book(name)
             book.document, book.gone = gate, False
@@ -144,6 +150,17 @@
             # Without any edition nothing is known, and nothing let through.
             book.gone = book.name not in names and self._publisher.shelf.head is not None
 
+    def _documents(self) -> Iterable[tuple[str, Gate | None]]:
+        """Return the gates in force, and those of the edition that is being written.
+
+        Followers may have read that one and hold jobs by it before this term has its answer: a
+        gate that only it has was taken for one of an edition that is over, and let them pass.
+        """
+        shelf, coming = self._publisher.shelf, self._publisher.coming
+        found = dict(_documents(shelf, coming)) if coming is not None else {}
+        found.update(_documents(shelf, shelf.head))
+        return found.items()
+
     def _book(self, name: str) -> Book:
         book = self.books.get(name)
         if book is None:
@@ -156,7 +173,7 @@
         """Take up a job: hold it if a gate does, or until the act that it performs is entered."""
         if job.cancelled or not self._publisher.loaded:
             return
-        if self._outdated:
+        if self._outdated or self._publisher.coming is not None:
             self._read()
         if record.hold is not None:
             self._hold(self._book(record.hold.gate), job)
@@ -260,7 +277,7 @@
         """Draw what follows from what has changed since the last look."""
         for job in changed:
             self._follow(job)
-        if self._outdated:
+        if self._outdated or self._unjudged:
             await self._read_anew()
         await self._enter_acts()
         self._drain()
@@ -269,7 +286,12 @@
         await self._release()
 
     async def _read_anew(self) -> None:
-        """Take up another edition of the documents: what holds, and who performs acts."""
+        """Take up another edition of the documents: what holds, and who performs acts.
+
+        Also where a job that came before this look has had it read already: those on record were
+        left as the former edition had them, and stayed held by a gate that was gone.
+        """
+        self._unjudged = False
         self._read()
         for some in parts(list(self._term.cluster.jobs.values()), LOADED_AT_ONCE):
             for job in some:
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -21,6 +21,7 @@
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
+from weldhead.emulator.odd_users import OddUsers
 from weldhead.emulator.scenario import Scenario
 from weldhead.emulator.services import (
     CLOUD_ADDRESS,
@@ -28,7 +29,10 @@
     SimulatedCloud,
     SimulatedStore,
 )
+from weldhead.emulator.starts import StartRules
 from weldhead.emulator.users import Users
+from weldhead.emulator.waiting import LOOK_S as WAITING_LOOK_S
+from weldhead.emulator.waiting import Healthy, WaitingRules
 from weldhead.protocol.settings import (
     CloudLimits,
     Facts,
@@ -121,12 +125,19 @@
         self.addresses = {c.name: c.settings.listen for c in self.controllers}
         self.users = Users(loop, self.network, self.checker, scenario, self.jobs, self.addresses,
             random.Random(rng.random()))  # fmt: skip
+        # Luck of their own: what they do not do changes no run.
+        odd_users = OddUsers(
+            loop, random.Random(f"users of {scenario.name}/{seed}"), scenario, self.users,
+            self.checker, self.cloud,
+        )  # fmt: skip
         self.faults = Faults(
             loop, rng, scenario, self.network, self.store, self.cloud, self.controllers,
-            self.users, self.checker,
+            self.users, odd_users, self.checker,
         )  # fmt: skip
         lease_us = round(scenario.lease_s * SECOND_US)
         self.cards = CardRules(self.checker, lease_us, self._holdings)
+        self.waiting = WaitingRules(self.checker, self._healthy)
+        self.starts = StartRules(self.checker, self.network, self.store.service.store)
         self.checker.calendars = calendars = CalendarRules(self.checker)
         lateness.log.handlers = [calendars]
         self.keeper: GateKeeper | None = None
@@ -211,6 +222,9 @@
             duties.append(asyncio.create_task(self.keeper.keep()))
         if self.scenario.card_machines:
             duties.append(asyncio.create_task(self._look_at_cards()))
+        if not self.scenario.documents:
+            # Gates and calendars make jobs wait.
+            duties.append(asyncio.create_task(self._look_at_waiting()))
         self.users.store(self.store.service.store)
         self.users.start()
         await asyncio.sleep(self.scenario.seconds)
@@ -228,6 +242,18 @@
             await asyncio.sleep(1.0)
             self.cards.look()
 
+    def _healthy(self) -> Iterator[Healthy]:
+        for machine in self.cloud.up():
+            if machine.present and not machine.was_sick:
+                tasks = {task: self.jobs[split_task(task)[0]] for task in machine.tasks()}
+                holding = Holding(machine.name, machine.kind, tasks)
+                yield Healthy(holding, machine.zone, machine.spot)
+
+    async def _look_at_waiting(self) -> None:
+        while True:
+            await asyncio.sleep(WAITING_LOOK_S)
+            self.waiting.look()
+
     async def _look(self) -> None:
         """See whether somebody decides, and what cannot wait for an event."""
         while True:
@@ -312,6 +338,8 @@
     checker, led = experiment.checker, experiment.led_s
     checker.counts["writes"] = experiment.store.writes
     checker.counts["late writes"] = experiment.store.late_writes
+    checker.counts["commands held"] = experiment.network.commands_held
+    checker.counts["reports kept"] = experiment.network.kept_delivered
     checker.counts["cloud calls"] = experiment.cloud.calls
     checker.counts["terms"] = len(led)
     checker.counts["bytes"] = experiment.network.bytes
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -12,13 +12,18 @@
 from weldhead.emulator.events import LOOK_S, Events, Happened
 from weldhead.emulator.loop import BEGIN_S, VirtualLoop
 from weldhead.emulator.machines import Machine
+from weldhead.emulator.message_faults import MessageFaults
 from weldhead.emulator.network import Mode, Network, Weather
+from weldhead.emulator.odd_users import OddUsers
 from weldhead.emulator.roles import Roles
 from weldhead.emulator.scenario import Event, Fault, Kind, Scenario
 from weldhead.emulator.services import LateWrites, SimulatedCloud, SimulatedStore
 from weldhead.emulator.users import Users
 from weldhead.transport.state import decode
 
+#: Of how many machines the jobs that users cancel at once let hang at most.
+MOST_HUNG = 8
+
 
 @dataclass(frozen=True)
 class Met:
@@ -46,9 +51,11 @@
         cloud: SimulatedCloud,
         controllers: list[Controller],
         users: Users,
+        odd_users: OddUsers,
         checker: Checker,
     ) -> None:
         self._loop, self._rng, self._scenario = loop, rng, scenario
+        self._odd = odd_users
         self._network, self._store, self._cloud = network, store, cloud
         self._controllers, self._users, self._checker = controllers, users, checker
         self._left = 0
@@ -63,7 +70,10 @@
         self.met: list[Met] = []
         #: Machines that hear no controller at all, and since when.
         self.deaf: dict[str, float] = {}
-        network.weather = self._fair()
+        fair = Weather(delay_s=scenario.delay_s, lost=scenario.lost)
+        self._messages = MessageFaults(
+            loop, network, fair, store, controllers, self._events, self._roles
+        )
 
     def start(self) -> list[asyncio.Task[None]]:
         """Have all faults come at their times."""
@@ -74,9 +84,6 @@
         duties = [asyncio.create_task(self._befall(fault)) for fault in faults]
         return [*duties, asyncio.create_task(self._events.watch())]
 
-    def _fair(self) -> Weather:
-        return Weather(delay_s=self._scenario.delay_s, lost=self._scenario.lost)
-
     def _draw(self) -> Iterator[Fault]:
         drawn, rng = self._scenario.drawn, self._rng
         if drawn is None:
@@ -149,7 +156,7 @@
                 concerned = happened.machine if happened is not None else ""
                 await self._befall_machines(fault, self._some_machines(fault, concerned))
             else:
-                await duties.get(fault.kind.partition("_")[0], self._befall_messages)(fault)
+                await duties.get(fault.kind.partition("_")[0], self._messages.befall)(fault)
         # What lapses is over as well: the rest of the run is judged as calm.
         self._left -= 1
         if not self._left:
@@ -245,12 +252,7 @@
                 for machine in chosen:
                     machine.sick = False
             case "machines_hang":
-                for machine in chosen:
-                    self._loop.freeze(machine.life)
-                await asyncio.sleep(fault.for_s)
-                for machine in chosen:
-                    if machine.life.frozen:
-                        self._loop.thaw(machine.life)
+                await self._hang(chosen, fault.for_s)
             case "machines_deaf":
                 unheard = self._roles.chosen(fault)
                 pairs = [(c.name, machine.name) for machine in chosen for c in unheard]
@@ -259,11 +261,23 @@
                 await self._cut_pairs(pairs, "deaf", fault.for_s)
                 for name in names:
                     self.deaf.pop(name, None)
+            case "machines_mute":
+                unreached = self._roles.chosen(fault)
+                pairs = [(machine.name, c.name) for machine in chosen for c in unreached]
+                await self._cut_pairs(pairs, "mute", fault.for_s)
             case _:
                 await self._cut(
                     {m.name for m in chosen}, {c.name for c in self._controllers}, fault
                 )
 
+    async def _hang(self, chosen: list[Machine], for_s: float) -> None:
+        for machine in chosen:
+            self._loop.freeze(machine.life)
+        await asyncio.sleep(for_s)
+        for machine in chosen:
+            if machine.life.frozen:
+                self._loop.thaw(machine.life)
+
     # -- services, users, the network ------------------------------------------------------
 
     async def _befall_store(self, fault: Fault) -> None:
@@ -285,7 +299,10 @@
             case "store_late":
                 await self._late(LateWrites(fault.chance, 0.0, fault.most_s), {""}, fault.for_s)
             case _:
-                late = LateWrites(fault.chance, fault.least_s, fault.most_s, grants=True)
+                late = LateWrites(
+                    fault.chance, fault.least_s, fault.most_s, grants=True,
+                    at_once=fault.at_once, kinds=frozenset(fault.writes),
+                )  # fmt: skip
                 chosen = {c.name for c in self._roles.chosen(fault)}
                 await self._late(late, chosen, fault.for_s)
                 # The last of them are still to be executed.
@@ -308,24 +325,18 @@
         self._cloud.boot_factor, self._cloud.boots_fail = 1.0, 0.0
 
     async def _befall_users(self, fault: Fault) -> None:
-        self._users.eager = fault.factor
-        await asyncio.sleep(fault.for_s)
-        self._users.eager = 1.0
-
-    async def _befall_messages(self, fault: Fault) -> None:
-        network, fair = self._network, self._fair()
-        if fault.kind == "reports_copied":
-            network.copied, network.copied_s = fault.chance, fault.most_s
-            await asyncio.sleep(fault.for_s)
-            network.copied = 0.0
-            # The last copies are still on their way.
-            await asyncio.sleep(fault.most_s)
-            return
-        if fault.kind == "messages_lost":
-            network.weather = Weather(fair.delay_s, lost=min(fault.chance, 0.1))
-        else:
-            network.weather = Weather(
-                fair.delay_s, lost=fair.lost, late=fault.chance, late_s=fault.most_s
-            )
-        await asyncio.sleep(fault.for_s)
-        network.weather = fair
+        match fault.kind:
+            case "users_poll":
+                self._users.eager = fault.factor
+                await asyncio.sleep(fault.for_s)
+                self._users.eager = 1.0
+            case "users_ask_everywhere":
+                await self._odd.ask_everywhere(fault.for_s)
+            case "users_odd":
+                await self._odd.send_odd_requests(fault.for_s)
+            case "users_cancel_at_end":
+                await self._odd.cancel_at_end(fault.chance, fault.for_s)
+            case _:
+                hung = self._odd.cancel_now(fault.count)
+                if fault.hang_s:
+                    await self._hang(hung[:MOST_HUNG], fault.hang_s)
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -7,21 +7,25 @@
 from contextlib import ExitStack, contextmanager
 from typing import Any
 from unittest.mock import patch
+from weakref import WeakKeyDictionary
 
 from weldhead.account.teams import Account
 from weldhead.blame import record
 from weldhead.blame.verdict import Accusation
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
-from weldhead.bookkeeping.records import LEADER_KEY, Bound
+from weldhead.bookkeeping.machines import Machine
+from weldhead.bookkeeping.records import LEADER_KEY, Bound, FinalRecord, JobRecord
 from weldhead.calendars.binding import state_of
 from weldhead.calendars.dues import Dues
-from weldhead.clock import now_us
-from weldhead.coordination import campaign, gates, leader, listening, reports
+from weldhead.clock import SECOND_US, now_us
+from weldhead.coordination import campaign, frontdesk, gates, leader, listening, reports
+from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.leader import Leader
 from weldhead.coordination.leadership import Authority
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.recovery import Recovery
+from weldhead.coordination.rentals import Rentals
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.state import GateState
 from weldhead.hearing.copies import Word
@@ -29,7 +33,8 @@
 from weldhead.planning import preemptor
 from weldhead.protocol.wire import Condition, Delete, JobStatus, Put, Report
 from weldhead.recovery.readiness import Partial
-from weldhead.transport.state import StateClient
+from weldhead.transport.http import CallFailed
+from weldhead.transport.state import Refused, Rejected, StateClient
 
 
 def _lease_from_the_answer() -> Iterator[Any]:
@@ -226,6 +231,90 @@
     yield patch.object(campaign, "missed_from_us", settled)
 
 
+def _follower_answers_from_an_old_read() -> Iterator[Any]:
+    """A follower remembers the jobs that it has read, as if they could not change."""
+    read = FrontDesk._read
+    remembered: WeakKeyDictionary[FrontDesk, dict[str, JobRecord]] = WeakKeyDictionary()
+
+    async def from_memory(
+        self: FrontDesk, job_id: str, *, urgent: bool = False
+    ) -> JobRecord | FinalRecord | None:
+        records = remembered.setdefault(self, {})
+        if self._node.leader is None and job_id in records:
+            return records[job_id]
+        stored = await read(self, job_id, urgent=urgent)
+        if isinstance(stored, JobRecord):
+            records[job_id] = stored
+        return stored
+
+    yield patch.object(FrontDesk, "_read", from_memory)
+
+
+def _lost_answer_as_a_refusal() -> Iterator[Any]:
+    """A transaction whose answer was lost is taken for one that was not carried out."""
+    transact = StateClient.transact
+
+    async def refused(self: StateClient, *args: Any, **more: Any) -> int:
+        try:
+            return await transact(self, *args, **more)
+        except (Refused, Rejected):
+            raise
+        except CallFailed as lost:
+            raise Refused(str(lost)) from lost
+
+    yield patch.object(StateClient, "transact", refused)
+
+
+def _work_on_an_unrecorded_machine() -> Iterator[Any]:
+    """Tasks are sent to a machine before the store says that something may run there."""
+    mark_up = Rentals.mark_up
+
+    async def at_once(self: Rentals, machine: Machine) -> None:
+        machine.up = True
+        await mark_up(self, machine)
+
+    yield patch.object(Rentals, "mark_up", at_once)
+
+
+def _answer_from_an_old_read() -> Iterator[Any]:
+    """A controller tells for two seconds what the store said once."""
+    from_store = FrontDesk._from_store
+    kept: dict[tuple[FrontDesk, str], tuple[int, JobStatus | None]] = {}
+
+    async def old(self: FrontDesk, job_id: str, *, urgent: bool = False) -> JobStatus | None:
+        at_us, read = kept.get((self, job_id), (0, None))
+        if now_us() - at_us > 2 * SECOND_US:
+            at_us, read = now_us(), await from_store(self, job_id, urgent=urgent)
+            kept[self, job_id] = at_us, read
+        return read
+
+    yield patch.object(FrontDesk, "_from_store", old)
+
+
+def _any_job_accepted() -> Iterator[Any]:
+    """A job is accepted whether or not it can ever run."""
+    yield patch.object(frontdesk, "check_feasible", lambda *_: None)
+
+
+def _cancelled_jobs_started() -> Iterator[Any]:
+    """Tasks of a cancelled job that wait are started as any other's."""
+
+    def waiting(self: Job) -> int:
+        return self.spec.tasks - self.done - len(self.active)
+
+    yield patch.object(Job, "waiting", property(waiting))
+
+
+def _interrupted_jobs_left() -> Iterator[Any]:
+    """A job of which a task ended without completing is not placed again in that term."""
+    waiting = Job.waiting
+
+    def without(self: Job) -> int:
+        return 0 if self.restarts else waiting.__get__(self)
+
+    yield patch.object(Job, "waiting", property(without))
+
+
 ERRORS: dict[str, Callable[[], Iterator[Any]]] = {
     "lease-from-the-answer": _lease_from_the_answer,
     "attempt-used-twice": _attempt_used_twice,
@@ -245,6 +334,13 @@
     "lease-kept-by-an-unloaded-leader": _lease_kept_by_an_unloaded_leader,
     "cancelled-only-when-answered": _cancelled_only_when_answered,
     "cancel-clock-of-the-term": _cancel_clock_of_the_term,
+    "follower-answers-from-an-old-read": _follower_answers_from_an_old_read,
+    "lost-answer-as-a-refusal": _lost_answer_as_a_refusal,
+    "work-on-an-unrecorded-machine": _work_on_an_unrecorded_machine,
+    "answer-from-an-old-read": _answer_from_an_old_read,
+    "any-job-accepted": _any_job_accepted,
+    "cancelled-jobs-started": _cancelled_jobs_started,
+    "interrupted-jobs-left": _interrupted_jobs_left,
 }
 
 
