--- a/weldhead/emulator/controller.py
+++ b/weldhead/emulator/controller.py
@@ -1,13 +1,15 @@
 """A simulated controller: its machine, and the process of the real code that lives there."""
 
+import asyncio
 from collections.abc import Callable
 from functools import partial
 
-from weldhead.clock import now_us
+from weldhead.clock import SECOND_US, now_us
 from weldhead.coordination.node import Node
 from weldhead.documents.records import Offer
 from weldhead.emulator.loop import Life, VirtualLoop
 from weldhead.emulator.network import Network, SimulatedHttp, SimulatedServer
+from weldhead.emulator.processor import START_US
 from weldhead.protocol.settings import Settings
 from weldhead.transport.server import Handler, Response
 from weldhead.tunables.defaults import Tunables
@@ -25,22 +27,30 @@
         clock: tuple[float, int],
         offer: Offer | None,
         answered: Callable[["Controller", str], None],
+        core_share: float = 0.0,
     ) -> None:
         self._loop, self._network, self._tunables = loop, network, tunables
         self.settings = settings
         self.name = settings.name
         self._clock, self._offer, self._answered = clock, offer, answered
+        self._core_share = core_share
         self.life: Life | None = None
+        #: All its processes so far.
+        self.lives: list[Life] = []
         self.node: Node | None = None
 
     def start(self) -> None:
         """Start the process, unless it runs."""
         if self.life is not None:
             return
-        life = self.life = Life(self.name, *self._clock)
+        life = self.life = Life(self.name, *self._clock, self._core_share)
+        self.lives.append(life)
         network = self._network
 
         async def run() -> None:
+            if self._core_share and len(self.lives) > 1:
+                # The first ones were started before the run began.
+                await asyncio.sleep(START_US / SECOND_US / self._core_share)
             node = self.node = Node(
                 self.settings,
                 self._tunables,
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -21,6 +21,7 @@
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
+from weldhead.emulator.processor import metered
 from weldhead.emulator.scenario import Scenario
 from weldhead.emulator.services import (
     CLOUD_ADDRESS,
@@ -81,6 +82,10 @@
     #: The faults tied to an event, or to who leads next, that came about; how many there were.
     met: list[Met] = field(default_factory=list)
     tied: int = 0
+    #: With a share of a core: the longest that anything waited for a controller's processor,
+    #: and by controller the seconds of a whole core that it was charged.
+    latest_s: float = 0.0
+    spent_s: dict[str, float] = field(default_factory=dict)
 
 
 class Experiment:
@@ -173,6 +178,7 @@
                     clock,
                     self.offer,
                     self.check_lease,
+                    scenario.core_share,
                 )
             )
             self.network.known(settings.listen, peer.name)
@@ -335,6 +341,8 @@
         checker.broken_share(),
         experiment.faults.met,
         sum(f.on is not None or f.role == "successor" for f in experiment.scenario.faults),
+        max((life.latest_s for c in experiment.controllers for life in c.lives), default=0.0),
+        {c.name: sum(x.spent_us for x in c.lives) / SECOND_US for c in experiment.controllers},
     )  # fmt: skip
 
 
@@ -346,7 +354,7 @@
 
 def play(scenario: Scenario, seed: int, tunables: Tunables | None = None) -> Result:
     """Play a scenario with a seed's luck; the same seed gives the same run."""
-    with simulated() as loop:
+    with simulated() as loop, metered(loop, scenario.core_share):
         experiment = Experiment(loop, scenario, seed, tunables or Tunables())
         loop.run_until_complete(experiment.run())
         return _result(experiment, seed)
--- a/weldhead/emulator/loop.py
+++ b/weldhead/emulator/loop.py
@@ -5,11 +5,17 @@
 kept until it goes on, while time passes for it as for all; one that has ended has its tasks
 cancelled and can send nothing more. ``weldhead.clock`` shows each process its own clocks, so
 the controllers' code runs as it is. Times are microseconds, loop times seconds.
+
+A process may have a share of a core only. Then each callback takes time: what it is charged
+(``VirtualLoop.spend``), divided by the share. While it lasts the process's clocks go on inside
+the callback, and what becomes due for the process waits in its order. Charges are constants,
+never measured, so a run still repeats from its seed.
 """
 
 import asyncio
 import selectors
 import time
+from collections import deque
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from contextvars import Context, ContextVar, copy_context
@@ -23,26 +29,45 @@
 
 #: When simulated time begins, on every clock: no clock ever shows 0.
 BEGIN_S = 1_000.0
+#: Timers that are due within this are due now.
+RESOLUTION_S = 1e-7
+#: What each callback of a process with a share of a core is charged, in microseconds.
+CALLBACK_US = 10.0
 
 
 class Life:
     """One life of a process: from its start to its end.
 
     ``rate`` is how much faster than true time its steady clock runs, ``off_us`` how far its
-    time of day is off.
+    time of day is off. ``share`` is its share of a core; 0: nothing takes time.
     """
 
-    def __init__(self, machine: str, rate: float = 1.0, off_us: int = 0) -> None:
+    def __init__(
+        self, machine: str, rate: float = 1.0, off_us: int = 0, share: float = 0.0
+    ) -> None:
         self.machine = machine
         self.rate = rate
         self.off_us = off_us
+        self.share = share
         self.ended = False
         self.frozen = False
-        self.kept: list[asyncio.Handle] = []
+        #: What is due and waits, in its order, and since when.
+        self.kept: deque[tuple[float, asyncio.Handle]] = deque()
+        #: Until when what it has begun keeps it busy (true time), and what it was charged.
+        self.busy_s = 0.0
+        self.spent_us = 0.0
+        #: The longest that something due has waited for the processor, in seconds.
+        self.latest_s = 0.0
+        self.in_callback = False
+        self.wakes = False
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.context: Context = copy_context()
         self.context.run(_LIFE.set, self)
 
+    def is_busy(self, at_s: float) -> bool:
+        """Whether something that is due at a time has to wait for the processor."""
+        return bool(self.share) and (bool(self.kept) or self.busy_s - at_s > RESOLUTION_S)
+
 
 _LIFE: ContextVar[Life | None] = ContextVar("life", default=None)
 
@@ -52,28 +77,22 @@
     return _LIFE.get()
 
 
-def _kept(handle: asyncio.Handle) -> bool:
-    life = handle._context.get(_LIFE)  # type: ignore[attr-defined]
-    if life is None or not life.frozen:
-        return False
-    life.kept.append(handle)
-    return True
-
-
 class _Handle(asyncio.Handle):
     __slots__ = ()
 
     def _run(self) -> None:
-        if not _kept(self):
+        if self._loop.may_run(self):  # type: ignore[attr-defined]
             super()._run()
+            self._loop.has_run(self)  # type: ignore[attr-defined]
 
 
 class _Timer(asyncio.TimerHandle):
     __slots__ = ()
 
     def _run(self) -> None:
-        if not _kept(self):
+        if self._loop.may_run(self):  # type: ignore[attr-defined]
             super()._run()
+            self._loop.has_run(self)  # type: ignore[attr-defined]
 
 
 class _Jumping(selectors.SelectSelector):
@@ -99,7 +118,11 @@
         selector.loop = self
         self.true_s = BEGIN_S
         super().__init__(selector)
-        self._clock_resolution = 1e-7
+        self._clock_resolution = RESOLUTION_S
+        #: Nobody's.
+        self._context = copy_context()
+        #: The processes that ever had to wait for the processor.
+        self._waited: dict[Life, None] = {}
         self.set_task_factory(_make_task)
         self.set_exception_handler(_unless_ended)
         #: Where streams lead; set by the network.
@@ -107,7 +130,10 @@
         self.answer: Callable[..., Any] | None = None
 
     def time(self) -> float:
-        """Return true time in seconds."""
+        """Return in seconds how far the process has come whose code runs now."""
+        life = _LIFE.get()
+        if life is not None and life.in_callback:
+            return max(self.true_s, life.busy_s)
         return self.true_s
 
     @property
@@ -130,7 +156,7 @@
         life = _LIFE.get()
         if life is not None:
             delay /= life.rate
-        return self.call_at(self.true_s + delay, callback, *args, context=context)
+        return self.call_at(self.time() + delay, callback, *args, context=context)
 
     def call_at(  # type: ignore[override]
         self, when: float, callback: Callable[..., Any], *args: Any, context: Context | None = None
@@ -168,16 +194,71 @@
     def thaw(self, life: Life) -> None:
         """Let a process go on with all that was due meanwhile, in that order."""
         life.frozen = False
-        self._ready.extend(life.kept)
-        life.kept = []
+        self._ready.extend(handle for _, handle in life.kept)
+        life.kept.clear()
 
     def end(self, life: Life) -> None:
         """End a process without a signal: what it would still do reaches nobody."""
         life.ended = True
-        if life.frozen:
+        life.share = 0.0
+        if life.frozen or life.kept:
             self.thaw(life)
         self._cancel(life)
 
+    # -- the processor ---------------------------------------------------------------------
+
+    def spend(self, cost_us: float) -> None:
+        """Charge the process whose code runs now for work that takes so long on a whole core."""
+        life = _LIFE.get()
+        if life is not None and life.share:
+            life.spent_us += cost_us
+            life.busy_s = max(self.true_s, life.busy_s) + cost_us / SECOND_US / life.share
+
+    def may_run(self, handle: asyncio.Handle) -> bool:
+        """Whether a callback's process goes on and has the processor; else the callback waits."""
+        life = handle._context.get(_LIFE)  # type: ignore[attr-defined]
+        if life is None:
+            return True
+        if not life.frozen and not life.is_busy(self.true_s):
+            life.in_callback = bool(life.share)
+            return True
+        life.kept.append((self.true_s, handle))
+        self._wake_later(life)
+        return False
+
+    def has_run(self, handle: asyncio.Handle) -> None:
+        """A callback is over; its process is charged for it."""
+        life = handle._context.get(_LIFE)  # type: ignore[attr-defined]
+        if life is not None and life.in_callback:
+            handle._context.run(self.spend, CALLBACK_US)  # type: ignore[attr-defined]
+            life.in_callback = False
+
+    def _wake_later(self, life: Life) -> None:
+        """Have a busy process go on as soon as it has the processor."""
+        if life.share and not life.frozen and not life.wakes:
+            life.wakes = True
+            self._waited[life] = None
+            self.call_at(life.busy_s, self._wake, life, context=self._context)
+
+    def _wake(self, life: Life) -> None:
+        """Run what waits, until the process is busy again."""
+        life.wakes = False
+        while life.kept and not life.frozen and life.busy_s - self.true_s <= RESOLUTION_S:
+            due_s, handle = life.kept.popleft()
+            if not handle._cancelled:
+                life.latest_s = max(life.latest_s, self.true_s - due_s)
+                life.in_callback = True
+                asyncio.Handle._run(handle)
+                self.has_run(handle)
+        if life.kept:
+            self._wake_later(life)
+
+    def forgive(self) -> None:
+        """Let everybody catch up at once: the run is over."""
+        for life in self._waited:
+            life.share = 0.0
+            self.thaw(life)
+
     def _cancel(self, life: Life) -> None:
         """Cancel what is left; a task that was just being answered can miss its first one."""
         for task in list(life.tasks):
@@ -209,12 +290,13 @@
 
     def monotonic_ns(self) -> int:
         life = _LIFE.get()
-        true_us = self._loop.true_us
-        return (round(true_us * life.rate) if life is not None else true_us) * 1_000
+        at_us = round(self._loop.time() * SECOND_US)
+        return (round(at_us * life.rate) if life is not None else at_us) * 1_000
 
     def time_ns(self) -> int:
         life = _LIFE.get()
-        return (self._loop.true_us + (life.off_us if life is not None else 0)) * 1_000
+        at_us = round(self._loop.time() * SECOND_US)
+        return (at_us + (life.off_us if life is not None else 0)) * 1_000
 
 
 @contextmanager
@@ -225,6 +307,7 @@
     try:
         yield loop
     finally:
+        loop.forgive()
         while left := asyncio.all_tasks(loop):
             for task in left:
                 task.cancel()
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -16,6 +16,7 @@
 
 from weldhead.clock import SECOND_US
 from weldhead.emulator.loop import Life, VirtualLoop, current_life
+from weldhead.emulator.processor import packet_us, request_us
 from weldhead.transport.http import CallFailed, HttpClient, NotConnected
 from weldhead.transport.server import Handler, Response
 
@@ -153,7 +154,7 @@
         """Have something arrive, unless it is held back or lost; a stream keeps its order."""
         mode = self._mode(source, target.machine)
         if mode is None:
-            arrival_s = self._loop.true_s + self._delay_s()
+            arrival_s = self._loop.time() + self._delay_s()
             if stream is not None:
                 arrival_s = stream.last_s = max(stream.last_s + 1e-6, arrival_s)
             self._loop.call_at(arrival_s, deliver, context=target.context)
@@ -184,6 +185,7 @@
                 listener = await self._connected(life, machine, address, connect_us)
                 self.calls[life.machine, machine] += 1
                 self.bytes += len(body or b"")
+                self._loop.spend(request_us(body))
                 if self.copied and path == "v1/report" and self._rng.random() < self.copied:
                     self._copy(life.machine, address, body or b"")
                 for look in self.on_sent:
@@ -263,6 +265,7 @@
 
         async def respond() -> None:
             self.caller.set(life.machine)
+            loop.spend(request_us(body))
             try:
                 answer = await serve(method, path, body)
             except asyncio.CancelledError:
@@ -352,9 +355,12 @@
             return
         other, chunk = self.other, bytes(data)
         self._network.bytes += len(chunk)
+        loop = self._network._loop
+        loop.spend(packet_us(chunk))
 
         def arrive() -> None:
             if not other._closed and other.protocol is not None:
+                loop.spend(packet_us(chunk))
                 other.protocol.data_received(chunk)
 
         self._network._carry(self.life.machine, other.life, arrive, self)
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -210,6 +210,9 @@
     drift: float = 0.0005
     #: Jobs of the first class, of one task each, that are on record from the beginning.
     stored_jobs: int = 0
+    #: The share of a core that each controller's process has (``processor.py``); 0: their work
+    #: takes no time.
+    core_share: float = 0.0
     #: Whether there is room for all, so that whoever is not served is a broken rule.
     serves: bool = False
     faults: list[Fault] = []
@@ -249,6 +252,8 @@
         "fetch_gb_per_s"):  # fmt: skip
         if getattr(scenario, field) <= 0:
             yield [field.replace("_", "-")], "must be above 0"
+    if not 0 <= scenario.core_share <= 1:
+        yield ["core-share"], "must be from 0 (work takes no time) to 1"
     for number, fault in enumerate(scenario.faults):
         for field, reason in _wrong_tie(fault, scenario):
             yield ["faults", number, field], reason
