--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -61,6 +61,9 @@
 #: A job whose polls have failed for so long is asked about elsewhere too, and its reads go
 #: before others' that can wait.
 URGENT_US = 20 * SECOND_US
+#: How many polls a follower has the leader answer at once. A leader that is short of processor
+#: time answers later, so it is then passed fewer a second; at 10 ms an answer it is 1,600.
+POLLS_AT_LEADER = 16
 #: How many answers that never change are kept.
 KEPT = 4_096
 #: What the store said so long ago is told to nobody: this process may have stood still, and
@@ -140,6 +143,8 @@
         self._finals: dict[str, FinalRecord] = {}
         self._services: dict[str, bool] = {}
         self._shares = Shares(state.limits.write_rps * 0.4)
+        #: How many polls the leader is being asked just now.
+        self._at_leader = 0
 
     async def submit(self, body: bytes, *, forwarded: bool = False) -> Response:
         """Accept a job: 201 only when it is in the store."""
@@ -413,7 +418,7 @@
         if self._node.alone:
             return _alone(self._known_of(job_id))
         if not forwarded and self._node.leader is None:
-            answer = await self._node.ask_leader("poll", job_id, b"")
+            answer = await self._poll_leader(job_id)
             if answer is not None and answer.status in (200, 404):
                 self._turns.answered(job_id)
                 return answer
@@ -442,6 +447,20 @@
         self._turns.failed(job_id, now_us())
         return refusal(503, why + self._known_of(job_id), retry_after_s=1)
 
+    async def _poll_leader(self, job_id: str) -> Response | None:
+        """Have the leader answer a poll; None if it does not, or has enough to answer already.
+
+        Followers passed on whatever they were asked, and a storm of polls kept a small leader
+        from renewing its lease and from answering workers (docs/design/pressure.md).
+        """
+        if self._at_leader >= POLLS_AT_LEADER:
+            return None
+        self._at_leader += 1
+        try:
+            return await self._node.ask_leader("poll", job_id, b"")
+        finally:
+            self._at_leader -= 1
+
     async def cancel(self, job_id: str, *, forwarded: bool = False) -> Response:
         """Cancel a job; only the leader does, as it knows what runs."""
         if not is_job_id(job_id):
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -88,6 +88,8 @@
     on_started: list[Callable[[str, str], None]] = field(default_factory=list)
     on_told_to_stop: list[Callable[[str, str], None]] = field(default_factory=list)
     calendars: "CalendarRules | None" = None
+    #: The longest that a task went on after a user was told that its job is withdrawn.
+    longest_cancelled_us: int = 0
     #: Seconds of work that tasks have saved.
     saved_s: Counter[str] = field(default_factory=Counter)
     _since: dict[tuple[str, str], int] = field(default_factory=dict)
@@ -163,6 +165,9 @@
         if why == "done":
             self.done[job_id].add(index)
         told = self.jobs.get(job_id)
+        if told is not None and told.cancelled_us:
+            went_on_us = self.now_us() - told.cancelled_us
+            self.longest_cancelled_us = max(self.longest_cancelled_us, went_on_us)
         if told is not None and self._overdue(told):
             # Of a machine that hung beyond its lease, too: it was killed only now.
             self._breaks_cancelled(task, f"was on {machine} until now")
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -82,6 +82,8 @@
     #: The faults tied to an event, or to who leads next, that came about; how many there were.
     met: list[Met] = field(default_factory=list)
     tied: int = 0
+    #: The longest that a task went on after a user was told that its job is withdrawn.
+    cancelled_s: float = 0.0
     #: With a share of a core: the longest that anything waited for a controller's processor,
     #: and by controller the seconds of a whole core that it was charged.
     latest_s: float = 0.0
@@ -341,6 +343,7 @@
         checker.broken_share(),
         experiment.faults.met,
         sum(f.on is not None or f.role == "successor" for f in experiment.scenario.faults),
+        checker.longest_cancelled_us / SECOND_US,
         max((life.latest_s for c in experiment.controllers for life in c.lives), default=0.0),
         {c.name: sum(x.spent_us for x in c.lives) / SECOND_US for c in experiment.controllers},
     )  # fmt: skip
--- a/weldhead/emulator/loop.py
+++ b/weldhead/emulator/loop.py
@@ -56,7 +56,8 @@
         #: Until when what it has begun keeps it busy (true time), and what it was charged.
         self.busy_s = 0.0
         self.spent_us = 0.0
-        #: The longest that something due has waited for the processor, in seconds.
+        #: The longest that something due has waited for the processor, in seconds; what becomes
+        #: due within a callback counts from the beginning of that.
         self.latest_s = 0.0
         self.in_callback = False
         self.wakes = False
