--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/frontdesk.py
@@ -63,15 +63,12 @@
 #: A job whose polls have failed for so long is asked about elsewhere too, and its reads go
 #: before others' that can wait.
 URGENT_US = 20 * SECOND_US
-<<<<<<< HEAD
 TOO_MANY = "too many ask at once"
 #: What a peer is answered that asks for a job whose turn has not come.
 NO_TURN = 429
-=======
 #: How many polls a follower has the leader answer at once. A leader that is short of processor
 #: time answers later, so it is then passed fewer a second; at 10 ms an answer it is 1,600.
 POLLS_AT_LEADER = 16
->>>>>>> 16e321d7a63c91b3fca27d8e16b89c0445f3edc8
 #: How many answers that never change are kept.
 KEPT = 4_096
 #: What the store said so long ago is told to nobody: this process may have stood still, and
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -164,13 +164,8 @@
             at_us = now_us()
             token = self.campaign.authority.token if self.campaign.authority.valid(at_us) else 0
             silent = self.leader.silent_machines(at_us) if self.leader is not None else ()
-<<<<<<< HEAD
-            full, known = self.memory.full(at_us), self.campaign.highest_token
+            full, known = self.memory.exhausted(at_us), self.campaign.highest_token
             ping = Ping(link.next_id(), token, self._state.ok, silent, full, known)
-=======
-            full = self.memory.exhausted(at_us)
-            ping = Ping(link.next_id(), token, self._state.ok, silent, full)
->>>>>>> 6f52e8b4505a9d0a3aef0a640c28c4938efe23e5
             try:
                 pong = await link.ask(ping, Pong, PONG_US)
                 self.campaign.heard_pong(link.name, pong, at_us)
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -167,15 +167,12 @@
         if why == "done":
             self.done[job_id].add(index)
         told = self.jobs.get(job_id)
-<<<<<<< HEAD
         if why == "done" and told is not None and len(self.done[job_id]) == told.spec.tasks:
             for look in self.on_complete:
                 look(job_id)
-=======
         if told is not None and told.cancelled_us:
             went_on_us = self.now_us() - told.cancelled_us
             self.longest_cancelled_us = max(self.longest_cancelled_us, went_on_us)
->>>>>>> 16e321d7a63c91b3fca27d8e16b89c0445f3edc8
         if told is not None and self._overdue(told):
             # Of a machine that hung beyond its lease, too: it was killed only now.
             self._breaks_cancelled(task, f"was on {machine} until now")
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -21,11 +21,8 @@
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.network import Network
-<<<<<<< HEAD
 from weldhead.emulator.odd_users import OddUsers
-=======
 from weldhead.emulator.processor import metered
->>>>>>> 16e321d7a63c91b3fca27d8e16b89c0445f3edc8
 from weldhead.emulator.scenario import Scenario
 from weldhead.emulator.services import (
     CLOUD_ADDRESS,
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -21,15 +21,11 @@
 class Ping(msgspec.Struct, array_like=True, tag="ping"):
     """A sign of life.
 
-        ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
-        service has served the caller of late; ``silent`` names machines that a leader misses
-    <<<<<<< HEAD
-        and wants relayed. ``full``: the caller refuses new work for its memory. ``known_token`` is
-        the highest token of any leader that the caller has heard of; a version that does not say so
-        leaves it 0.
-    =======
-        and wants relayed. ``full``: the caller takes no new work for its memory.
-    >>>>>>> 6f52e8b4505a9d0a3aef0a640c28c4938efe23e5
+    ``token`` is that of the caller's leadership, or 0. ``state_ok`` says whether the state
+    service has served the caller of late; ``silent`` names machines that a leader misses
+    and wants relayed. ``full``: the caller takes no new work for its memory. ``known_token`` is
+    the highest token of any leader that the caller has heard of; a version that does not say so
+    leaves it 0.
     """
 
     id: int
