Jobs bound to a zone have machines rented there while others stand free

Cause: the fleet's forecast takes CPUs from one pool of all zones. Free ones elsewhere counted as room for jobs bound to a zone that had lost its machines, so nothing was rented there. Change: tasks bound to a zone are forecast in a queue of that zone besides, and the later answer counts; what is being rented says its zone.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -38,6 +38,7 @@
     "lease-kept-by-an-unloaded-leader": "meet-confirmed-elsewhere",
     "cancelled-only-when-answered": "meet-unanswered-cancellation",
     "cancel-clock-of-the-term": "meet-row-of-terms",
+    "room-given-away-at-a-hung-machine": "meet-teams-at-limit",
 }
 MOST_SEEDS = 8
 #: What is found on machines while nothing is wrong with the controllers.
--- a/weldhead/coordination/rentals.py
+++ b/weldhead/coordination/rentals.py
@@ -132,7 +132,7 @@
             record = self._records[name]
             known = self._term.types.get(record.type)
             if known is not None:
-                found.append(Coming(known, record.count))
+                found.append(Coming(known, record.count, record.zone))
         return found
 
     def _add_machine(self, name: str, hire: str, at_us: int, wall: int) -> Machine:
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+import math
 from collections import defaultdict, deque
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
@@ -65,6 +66,8 @@
 
     type: MachineType
     count: int
+    #: Empty: not known, and so no zone's.
+    zone: str = ""
 
 
 @dataclass(frozen=True)
@@ -172,15 +175,19 @@
         silent: Collection[str] = (),
         *,
         cards: bool = False,
+        zone: str | None = None,
     ) -> None:
-        """Look at CPUs, or at cards for work that takes any."""
+        """Look at CPUs, or at cards for work that takes any; of one zone alone, if it is given."""
         pools: dict[int, float] = defaultdict(float)
         for item in coming:
+            if zone is not None and item.zone != zone:
+                continue
             amount = item.type.gpus if cards else item.type.cpus
             pools[at_us + seconds_us(item.type.boot_s)] += amount * item.count
         away = set(silent)
         for machine in cluster.machines.values():
-            if machine.deleting or machine.draining or machine.name in away:
+            elsewhere = zone is not None and machine.zone != zone
+            if machine.deleting or machine.draining or elsewhere or machine.name in away:
                 away.add(machine.name)
             elif machine.booting:
                 if not boots.is_late(machine, at_us):
@@ -260,12 +267,14 @@
     backlog: int = 0,
     cards: Callable[[], _Queue] | None = None,
     ahead: Ahead | None = None,
+    in_zone: Callable[[str], _Queue] | None = None,
 ) -> Missing:
     """Forecast what waits too long if nothing more is rented.
 
     ``backlog`` is how many jobs wait; of very many only the foremost are looked at. ``cards``
     makes the queue for cards, in which work that takes any has its place besides: free CPUs
     elsewhere are no room for it, and nothing was rented for it while there were some.
+    ``in_zone`` makes the queue of one zone, for the same reason.
     """
     of_cards: _Queue | None = None
     missing = Missing()
@@ -304,7 +313,11 @@
             of_cards = of_cards or cards()
             deque(taken, maxlen=0)
             taken = of_cards.take(job.spec.gpus, task_us, ready_us, count)
-        for start_us, together in taken:
+        starts = list(taken)
+        if job.spec.zone is not None and in_zone is not None:
+            there = in_zone(job.spec.zone).take(job.spec.cpus, task_us, ready_us, count)
+            starts = max(starts, list(there), key=_last_start_us)
+        for start_us, together in starts:
             never = start_us is None
             start_us = 0 if start_us is None else ready_us + round((start_us - ready_us) * stretch)
             # A machine rented now is up only after its boot: it helps only what would
@@ -330,6 +343,11 @@
     return missing
 
 
+def _last_start_us(starts: list[tuple[int | None, int]]) -> float:
+    """Return when the last of these tasks starts; infinite if one never can."""
+    return max((math.inf if at_us is None else at_us for at_us, _ in starts), default=0.0)
+
+
 def plan_hires(
     cluster: Cluster,
     plan: Plan,
@@ -371,6 +389,11 @@
     boot_us = seconds_us(min(offer.type.boot_s for offer in offers))
     boots = boots or usual_boots(settings)
     queue = _Queue(cluster, coming, estimates, at_us, boots, silent)
+
+    @cache
+    def in_zone(zone: str) -> _Queue:
+        return _Queue(cluster, coming, estimates, at_us, boots, silent, zone=zone)
+
     missing = forecast_missing(
         cluster,
         plan,
@@ -385,6 +408,7 @@
         backlog,
         lambda: _Queue(cluster, coming, estimates, at_us, boots, silent, cards=True),
         ahead(at_us + boot_us) if ahead is not None else None,
+        in_zone,
     )
     hires: dict[Offer, int] = defaultdict(int)
     cheap = [offer for offer in offers if offer.spot]
