A job ends only once what must go of it has gone

Cause (read): a second attempt, or one of a completed task, counted in its team's usage through its job's record, and the job was ended while it ran. The next term found no such job and counted it for nobody. Change: the end waits for it. Test: test_a_job_ends_only_once_what_must_go_has_gone. tests/test_{unheard_machines,recovery,old_reports,cancellation, held_commands,uneven_ends}.py pass.

--- a/tests/test_meet_limits.py
+++ b/tests/test_meet_limits.py
@@ -7,6 +7,9 @@
 
 from tests.builders import add_job, add_machine, cluster, job_spec, machine_type
 from tests.meeting_witness import STEPS, watched
+from tests.stand_ins import StandInState, StandInTask
+from tests.test_old_reports import meet
+from tests.test_recovery import Clock, clock, new_leader, put_job, put_machine
 from tests.zone_cuts import ZONE_CUTS, ZONE_CUTS_FROM_OTHERS, ZoneCut
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.planning.estimates import Estimates
@@ -16,6 +19,8 @@
 from weldhead.protocol.settings import Team
 from weldhead.tunables.defaults import Tunables
 
+__all__ = ["clock"]
+
 S = 1_000_000
 LEASE_S = 12.0
 
@@ -81,3 +86,23 @@
     kind = machine_type(zones=("a", "b"))
     assert _hired(into, [Coming(kind, 4, "a")])
     assert not _hired(into, [Coming(kind, 4, "b")])
+
+
+def test_a_job_ends_only_once_what_must_go_has_gone(clock: Clock) -> None:
+    """Its machine is cut off: the next leader knows no such job, and counted it for nobody."""
+    state = StandInState()
+    put_job(state, job_spec(1, tasks=1))
+    worker = put_machine(state, "vm-000001")
+    leader = new_leader(state, clock())
+    leader.term.ready = True
+    job = leader.cluster.jobs["run-000001"]
+    meet(leader, worker, clock())
+    meet(leader, worker, clock())
+    job.complete_waiting(0)
+    worker.tasks["run-000001/0"] = StandInTask(77, "running")
+    meet(leader, worker, clock(), heard=False)
+    assert job.over and leader.cluster.usage["red"].cpus == job.spec.cpus
+    assert not leader.completions.may_end(job)
+    meet(leader, worker, clock())
+    meet(leader, worker, clock())
+    assert leader.completions.may_end(job)
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -131,6 +131,10 @@
         """Whether an attempt of a task may run that no job counts."""
         return self._haunted[task] > 0 if self.ghosts else False
 
+    def has_ghosts(self, job: Job) -> bool:
+        """Whether attempts of a job may run that it does not count."""
+        return any(ghost.job is job for ghost in self.ghosts.values())
+
     def remove_machine(self, machine: Machine) -> list[Attempt]:
         """Record that a machine is gone, and everything on it."""
         gone = self.release_all(machine)
--- a/weldhead/coordination/completions.py
+++ b/weldhead/coordination/completions.py
@@ -17,7 +17,7 @@
     job_key,
     progress_key,
 )
-from weldhead.clock import now_us, to_seconds, wall_us
+from weldhead.clock import MILLISECOND_US, now_us, to_seconds, wall_us
 from weldhead.coordination.term import Term
 from weldhead.protocol.wire import split_task
 from weldhead.transport.state import Rejected
@@ -26,6 +26,9 @@
 
 WithGate = Callable[[Job, FinalRecord, dict[str, Any]], Awaitable[bool]]
 
+#: How often it is looked whether what runs of a job that is over has gone.
+GHOST_LOOK_US = 200 * MILLISECOND_US
+
 #: How many final states are kept in memory; older ones are read from the store.
 FINALS_KEPT = 20_000
 
@@ -127,11 +130,10 @@
                     # Its end waits for that write, so that it leaves nothing behind.
                     self._hasten(job)
             over = [job for job in over if not job.saving]
-            if not term.ready:
-                # Its tasks may be on machines that have not shown them. Ended now, it would be on
-                # record no more, and what it still uses would count for nobody: its team could
-                # start as much again. The end of recovery sets ``flush``.
-                over = [job for job in over if not job.cancelled]
+            if any(term.cluster.has_ghosts(job) for job in over):
+                # Nobody else would tell that they have gone.
+                asyncio.get_running_loop().call_later(to_seconds(GHOST_LOOK_US), term.flush.set)
+            over = [job for job in over if self.may_end(job)]
             if not over:
                 continue
             wait_us = term.predecessor_over_us - now_us()
@@ -151,6 +153,16 @@
             if len(turn) < len(over):
                 term.flush.set()
 
+    def may_end(self, job: Job) -> bool:
+        """Whether nothing can run any more of a job that is over.
+
+        Ended before, it would be on record no more, and what it still uses would count for
+        nobody, in this term or the next: its team could start as much again. The end of recovery
+        sets ``flush``.
+        """
+        unknown = job.cancelled and not self._term.ready
+        return not unknown and not self._term.cluster.has_ghosts(job)
+
     def _hasten(self, job: Job) -> None:
         for chunk in range(-(-job.spec.tasks // CHUNK_TASKS)):
             self._term.ledger.hasten(progress_key(job.id, chunk))
