--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -45,6 +45,7 @@
     "work-on-an-unrecorded-machine": "meet-new-machines",
     "old-report-taken-before-the-load": "meet-old-reports-everywhere",
     "promise-to-the-replaced": "meet-replaced-leader",
+    "room-given-away-at-a-hung-machine": "meet-teams-at-limit",
     "answer-from-an-old-read": "odd-users",
     "any-job-accepted": "odd-users",
     "cancelled-jobs-started": "odd-users",
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -30,6 +30,7 @@
 from weldhead.coordination.linking import Linking
 from weldhead.coordination.recovery import Recovery
 from weldhead.coordination.rentals import Rentals
+from weldhead.coordination.watching import MachineWatch
 from weldhead.documents.shelf import Shelf
 from weldhead.gates.state import GateState
 from weldhead.hearing.copies import Word
@@ -308,6 +309,21 @@
     yield patch.object(Authority, "unreplaced_until_us", lambda *_: now_us())
 
 
+def _room_given_away_at_a_hung_machine() -> Iterator[Any]:
+    """What was told to go, on a machine that has been silent since, is taken for gone."""
+    in_trouble = MachineWatch.in_trouble
+
+    def given(self: MachineWatch, at_us: int) -> list[Machine]:
+        cluster, silence_us = self._term.cluster, self._term.silence_us
+        for attempt in list(cluster.stopping.values()):
+            machine = cluster.machines[attempt.machine]
+            if attempt.job.unwanted and at_us - machine.heard_us > silence_us:
+                cluster.release(attempt)
+        return in_trouble(self, at_us)
+
+    yield patch.object(MachineWatch, "in_trouble", given)
+
+
 def _answer_from_an_old_read() -> Iterator[Any]:
     """A controller tells for two seconds what the store said once."""
     from_store = FrontDesk._from_store
@@ -371,6 +387,7 @@
     "work-on-an-unrecorded-machine": _work_on_an_unrecorded_machine,
     "old-report-taken-before-the-load": _old_report_taken_before_the_load,
     "promise-to-the-replaced": _promise_to_the_replaced,
+    "room-given-away-at-a-hung-machine": _room_given_away_at_a_hung_machine,
     "answer-from-an-old-read": _answer_from_an_old_read,
     "any-job-accepted": _any_job_accepted,
     "cancelled-jobs-started": _cancelled_jobs_started,
