--- a/tests/held_network.py
+++ b/tests/held_network.py
@@ -17,7 +17,7 @@
 from weldhead.bookkeeping.jobs import Stop, TaskState
 from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.records import decode_progress, progress_key
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import Command, DirectCommands, Report, split_task
 from weldhead.site.worker import Action, Fetch, Phase, Place, Signal, Start, Work, Worker
--- a/tests/meeting_witness.py
+++ b/tests/meeting_witness.py
@@ -16,7 +16,7 @@
 
 from tests.zone_cuts import CutOff, ZoneCut, bind_zones, cut_zone
 from weldhead.clock import now_us
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.emulator.events import kinds
 from weldhead.emulator.experiment import Experiment
 from weldhead.emulator.loop import BEGIN_S, Life, simulated
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -23,7 +23,7 @@
     shard_of,
     take_up,
 )
-from weldhead.coordination.reports import apply_report, request_stop
+from weldhead.coordination.workers.reports import apply_report, request_stop
 from weldhead.planning.cards import fetch_us
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.fleet import Market, plan_hires, plan_returns
--- a/tests/test_blame.py
+++ b/tests/test_attribution.py
@@ -9,27 +9,27 @@
 from tests.builders import add_job, add_machine, cluster, job_spec
 from tests.test_decisions import run_on
 from tests.test_decisions import starts as starts_of
-from weldhead.blame.record import MOST_PAUSE_US, RENT_PAUSE_US, REVIEW_US, Failures
-from weldhead.blame.verdict import Accusation, Standing, is_faulty, standing_of
+from weldhead.attribution.failures import MOST_PAUSE_US, RENT_PAUSE_US, REVIEW_US, Failures
+from weldhead.attribution.verdict import FailureEvidence, Standing, is_faulty, standing_of
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import SECOND_US as S
 from weldhead.planning.placement import Plan
 
-ACCUSATIONS = st.lists(st.builds(Accusation, st.integers(1, 9), st.booleans(), st.booleans()))
+EVIDENCE = st.lists(st.builds(FailureEvidence, st.integers(1, 9), st.booleans(), st.booleans()))
 
 
-@given(ACCUSATIONS, st.booleans())
+@given(EVIDENCE, st.booleans())
 def test_jobs_that_fail_elsewhere_as_well_accuse_nobody(
-    accusations: list[Accusation], alone: bool
+    evidence: list[FailureEvidence], alone: bool
 ) -> None:
-    broken = [replace(a, succeeds=False, elsewhere=True) for a in accusations]
+    broken = [replace(a, succeeds=False, elsewhere=True) for a in evidence]
     assert not is_faulty(broken, alone=alone)
-    judged = is_faulty(accusations, alone=alone)
-    assert is_faulty([*accusations, *broken], alone=alone) == judged
+    judged = is_faulty(evidence, alone=alone)
+    assert is_faulty([*evidence, *broken], alone=alone) == judged
     # One more failure of whatever kind exonerates nobody.
-    assert judged <= is_faulty([*accusations, Accusation(1, True, False)], alone=alone)
+    assert judged <= is_faulty([*evidence, FailureEvidence(1, True, False)], alone=alone)
 
 
 @given(st.booleans(), st.integers(0, 5), st.integers(0, 5))
--- a/tests/test_calendars.py
+++ b/tests/test_calendars.py
@@ -28,13 +28,13 @@
 from weldhead.calendars.recurrence import Unusable, check, compute, hour_us, instants
 from weldhead.calendars.state import CalendarState, Move, digest_of, fitting, replaced
 from weldhead.calendars.table import DueTable
-from weldhead.coordination.calendars import CalendarBinder, Calendars
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.history import KEY, History
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.documents.calendars import CalendarBinder, Calendars
+from weldhead.coordination.documents.history import KEY, History
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.documents.cache import DocumentCache
 from weldhead.documents.editions import steps
 from weldhead.documents.records import HEAD_KEY, Offer, state_key
-from weldhead.documents.shelf import Shelf
 from weldhead.documents.source import parse_source
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.goals import Goals
@@ -215,37 +215,37 @@
 # -- binding ---------------------------------------------------------------------------------
 
 
-def shelf_with(found: Calendar, *stamps: int, edition: int = 3, **of: Any) -> Shelf:
-    shelf = Shelf()
+def cache_with(found: Calendar, *stamps: int, edition: int = 3, **of: Any) -> DocumentCache:
+    cache = DocumentCache()
     body = msgspec.json.encode(found)
     offer = Offer(edition, {f"{KIND}/{found.name}": msgspec.Raw(body)})
     mark = 4
     for step in steps(offer, [], 9):
         for key, value in step.items():
             mark += 1
-            shelf.put(key, msgspec.json.encode(value), mark)
+            cache.put(key, msgspec.json.encode(value), mark)
     state = CalendarState(digest_of(body), edition, stamps, **of)
-    shelf.put(state_key(KIND, found.name), msgspec.json.encode(state), mark + 1)
-    shelf.as_of_us = 1
-    return shelf
+    cache.put(state_key(KIND, found.name), msgspec.json.encode(state), mark + 1)
+    cache.as_of_us = 1
+    return cache
 
 
 def test_an_instant_binds_only_while_it_is_to_come_by_every_clock() -> None:
-    shelf = shelf_with(calendar(), 100 * S, 200 * S)
+    cache = cache_with(calendar(), 100 * S, 200 * S)
     spec = job_spec(1, job_class="balance")
-    bound = bind(shelf, spec, 98 * S, S).bound
+    bound = bind(cache, spec, 98 * S, S).bound
     assert bound == Bound("morning", 3, 100 * S)
     # A moment before the hour, by some clock past it.
     for at_us in (99 * S, 100 * S, 150 * S):
-        found = bind(shelf, spec, at_us, S)
+        found = bind(cache, spec, at_us, S)
         assert found.bound == Bound("morning", 3, 200 * S)
     assert {c.key for c in found.conditions} == {HEAD_KEY, state_key(KIND, "morning")}
     # None is left, and no more can come; or more will be known.
-    assert bind(shelf, spec, 200 * S, S).bound is None
+    assert bind(cache, spec, 200 * S, S).bound is None
     with pytest.raises(NotComputed):
-        bind(shelf_with(calendar(), 100 * S, until_us=100 * S), spec, 100 * S, S)
+        bind(cache_with(calendar(), 100 * S, until_us=100 * S), spec, 100 * S, S)
     # That nothing binds it rests on the edition.
-    other = bind(shelf, job_spec(1), 98 * S, S)
+    other = bind(cache, job_spec(1), 98 * S, S)
     assert other.bound is None and [c.key for c in other.conditions] == [HEAD_KEY]
 
 
@@ -314,14 +314,14 @@
 
 
 def test_the_table_follows_records_and_says_what_is_due_soon() -> None:
-    table, shelf = DueTable(), shelf_with(calendar(), 9 * H, moves=(Move(4, 9 * H, H // 2),))
+    table, cache = DueTable(), cache_with(calendar(), 9 * H, moves=(Move(4, 9 * H, H // 2),))
     record = JobRecord(job_spec(1), 0, bound=Bound("morning", 3, 9 * H))
     for number in range(3):
         table.read(f"run-{number}", msgspec.json.encode(record))
     table.read("run-9", msgspec.json.encode(JobRecord(job_spec(1), 0)))
     assert len(table) == 3 and len({id(bound) for bound in table._jobs.values()}) == 1
     table.as_of_us = 5 * S
-    line = table.line(shelf, S, 9 * S)
+    line = table.line(cache, S, 9 * S)
     assert line.startswith(
         "3 jobs are bound; due within the hour: 3, past: 0; first run-0, by 1970"
     )
@@ -390,7 +390,7 @@
     first = terms.lead()
     terms.renew(first)
     due_us = us("2026-03-02 05:30")
-    kept = moved(first.publisher.shelf, Bound("morning", 1, due_us)) if first.publisher else None
+    kept = moved(first.publisher.cache, Bound("morning", 1, due_us)) if first.publisher else None
     assert kept == Bound("morning", 1, due_us)
     name = bound_job(terms, 1, due_us)
     late = bound_job(terms, 2, us("2026-03-01 05:30"))
@@ -550,7 +550,7 @@
 def test_whoever_leads_and_ends_whenever_each_is_told_once(events: list[str]) -> None:
     """``found only``: the leader ends before its note is committed; ``overlap``: it is replaced."""
     lines = Lines()
-    logging.getLogger("weldhead.coordination.lateness").addHandler(lines)
+    logging.getLogger("weldhead.coordination.documents.lateness").addHandler(lines)
     with fixed_clock() as at:
         at.us = us("2026-03-02 01:00")
         terms = Terms(at)
@@ -577,7 +577,7 @@
                 case "time":
                     at.us += 10 * S
             assert len(lines.told) == len(set(lines.told))
-    logging.getLogger("weldhead.coordination.lateness").removeHandler(lines)
+    logging.getLogger("weldhead.coordination.documents.lateness").removeHandler(lines)
     assert len(lines.told) == count
 
 
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -20,8 +20,8 @@
 from weldhead.bookkeeping.jobs import Job, Stop
 from weldhead.bookkeeping.records import LEADER_KEY, UNSETTLED_KEY, JobRecord, final_key, job_key
 from weldhead.clock import now_us
-from weldhead.coordination.leader import Leader, NotReady
-from weldhead.coordination.leadership import Candidacy
+from weldhead.coordination.leadership.authority import Candidacy
+from weldhead.coordination.leadership.leader import Leader, NotReady
 from weldhead.coordination.node import Node
 from weldhead.protocol.settings import parse_settings
 from weldhead.recovery.answering import answers_until_us, earliest_missed, shortfall, span_us
@@ -210,7 +210,7 @@
     clock: Clock, monkeypatch: pytest.MonkeyPatch, applied: bool
 ) -> None:
     """Applied and unanswered, the store said withdrawn while the tasks ran on for the outage."""
-    monkeypatch.setattr("weldhead.coordination.leader.CANCEL_WAIT_US", 0)
+    monkeypatch.setattr("weldhead.coordination.leadership.leader.CANCEL_WAIT_US", 0)
     state = StandInState()
     put_job(state, job_spec(1))
     put_machine(state, "vm-000001")
@@ -260,7 +260,7 @@
         met.append(asyncio.get_running_loop().create_task(leader.completions._commit_cancel(job)))
         return in_turns(jobs, part)
 
-    monkeypatch.setattr("weldhead.coordination.completions.in_turns", meet)
+    monkeypatch.setattr("weldhead.coordination.requests.completions.in_turns", meet)
 
     async def scenario() -> None:
         ledger = asyncio.create_task(leader.ledger.run())
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -33,7 +33,7 @@
     job_key,
     progress_key,
 )
-from weldhead.coordination.leader import NotReady
+from weldhead.coordination.leadership.leader import NotReady
 from weldhead.planning import urgency
 from weldhead.planning.backlog import entry_of
 from weldhead.planning.estimates import Estimates
@@ -389,7 +389,7 @@
 def test_nothing_is_withdrawn_before_the_users_own_cancellation_is_committed(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("weldhead.coordination.leader.CANCEL_WAIT_US", 0)
+    monkeypatch.setattr("weldhead.coordination.leadership.leader.CANCEL_WAIT_US", 0)
     world.submit(job_spec(1))
     world.submit(job_spec(2, needs=(name(1),)))
     world.state.fates = ["lost"] * 50
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -3,7 +3,7 @@
 from tests.builders import add_job, add_machine, cluster, job_spec, report
 from weldhead.bookkeeping.jobs import Phase, Stop
 from weldhead.bookkeeping.machines import Machine
-from weldhead.coordination.reports import apply_report, pending_commands, request_stop
+from weldhead.coordination.workers.reports import apply_report, pending_commands, request_stop
 from weldhead.protocol.wire import Command, TaskReport
 
 
@@ -43,7 +43,7 @@
     assert len(runs(machine, None)) == 1
     assert attempt.posted
     assert runs(machine, 2) == runs(machine, None) == []
-    attempt.posted, attempt.limbo_us = False, 5
+    attempt.posted, attempt.unconfirmed_us = False, 5
     assert runs(machine, 2) == runs(machine, None) == []
     # It stays counted, whatever reports fail to show, until it is surely resolved.
     apply_report(into, machine, report(machine, 9, []), 0, direct=False)
@@ -53,7 +53,7 @@
     assert job.active[0] is attempt
     listed = [TaskReport(attempt.task, attempt.number, "running")]
     apply_report(into, machine, report(machine, 11, listed), 0, direct=False)
-    assert (attempt.limbo_us, attempt.phase) == (0, Phase.RUNNING)
+    assert (attempt.unconfirmed_us, attempt.phase) == (0, Phase.RUNNING)
 
 
 def test_a_new_session_ends_everything_that_was_unanswered() -> None:
@@ -61,7 +61,7 @@
     machine = add_machine(into)
     job = add_job(into, job_spec())
     attempt = into.start(job, 0, machine, 0)
-    attempt.limbo_us = 5
+    attempt.unconfirmed_us = 5
     apply_report(into, machine, report(machine, 1, [], session=2), 0, direct=False)
     assert job.active == {} and machine.attempts == {}
 
@@ -91,9 +91,9 @@
     job = add_job(into, job_spec())
     first, second = into.start(job, 0, machine, 0), into.start(job, 1, machine, 0)
     into.lose(first, 5)
-    assert list(into.limbo.values()) == [first]
+    assert list(into.unconfirmed.values()) == [first]
     into.remove_machine(machine)
     into.lose(second, 6)
     into.stop(second, Stop.HARD, 6, "test")
-    assert not into.limbo and not into.stopping
+    assert not into.unconfirmed and not into.stopping
     into.check()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -14,7 +14,7 @@
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import Reclaim, ReclaimLists
-from weldhead.coordination.reports import apply_report
+from weldhead.coordination.workers.reports import apply_report
 from weldhead.planning.backlog import Unplaced
 from weldhead.planning.demand import Demand
 from weldhead.planning.estimates import Estimates
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -13,10 +13,10 @@
 from tests.test_recovery import START, put_job
 from weldhead.bookkeeping.ledger import Ledger
 from weldhead.bookkeeping.records import Binding, Bound, JobRecord, job_key
-from weldhead.coordination.documents import Documents, Publisher
+from weldhead.coordination.documents.publisher import Documents, Publisher
+from weldhead.documents.cache import DocumentCache
 from weldhead.documents.editions import Verdict, judge, leftovers, steps
 from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key, edition_of
-from weldhead.documents.shelf import Shelf
 from weldhead.documents.source import parse_source
 from weldhead.protocol.wire import Condition
 from weldhead.tomlfiles import FileProblem
@@ -48,12 +48,12 @@
     return st.dictionaries(names, bodies, max_size=5).map(lambda found: Offer(number, found))
 
 
-def seen(shelf: Shelf) -> dict[str, bytes] | None:
+def seen(cache: DocumentCache) -> dict[str, bytes] | None:
     """What a reader takes to be in force; None: a document of it is missing."""
-    head = shelf.head
+    head = cache.head
     found = {}
     for name in head.documents if head is not None else ():
-        kept = shelf.kept(document_key(head.edition if head else 0, name), msgspec.Raw)
+        kept = cache.kept(document_key(head.edition if head else 0, name), msgspec.Raw)
         if kept is None:
             return None
         found[name] = bytes(kept.value)
@@ -63,30 +63,30 @@
 @given(st.data())
 def test_an_edition_is_in_force_whole_or_not_at_all(data: Any) -> None:
     # Leaders end after any step; the next one brings the same or another edition into force.
-    shelf, revision = Shelf(), 0
+    cache, revision = DocumentCache(), 0
     numbers = st.integers(1, 4)
     last: dict[str, bytes] = {}
     for _ in range(data.draw(st.integers(1, 5))):
         offer = data.draw(numbers.flatmap(offers))
-        verdict = judge(shelf.head, offer, 1_000)
+        verdict = judge(cache.head, offer, 1_000)
         if verdict is not Verdict.TAKEN:
-            assert shelf.head is not None and shelf.head.edition >= offer.edition
+            assert cache.head is not None and cache.head.edition >= offer.edition
             continue
-        changes = steps(offer, shelf.documents(), data.draw(st.integers(1, 3)))
-        changes += [{key: None} for key in leftovers(shelf.head, shelf.documents())]
+        changes = steps(offer, cache.documents(), data.draw(st.integers(1, 3)))
+        changes += [{key: None} for key in leftovers(cache.head, cache.documents())]
         for step in changes[: data.draw(st.integers(0, len(changes)))]:
             revision += 1
             for key, value in step.items():
                 if value is None:
-                    shelf.drop(key, revision)
+                    cache.drop(key, revision)
                 else:
-                    shelf.put(key, msgspec.json.encode(value), revision)
+                    cache.put(key, msgspec.json.encode(value), revision)
             if HEAD_KEY in step:
                 last = {name: bytes(body) for name, body in offer.documents.items()}
-            assert seen(shelf) == last
+            assert seen(cache) == last
     # What the end has left behind is of no edition that is in force.
-    head = shelf.head
-    strays = leftovers(head, shelf.documents())
+    head = cache.head
+    strays = leftovers(head, cache.documents())
     assert all(edition_of(key) != (head.edition if head else 0) for key in strays)
 
 
@@ -101,17 +101,17 @@
 
 @given(st.permutations([("put", b"1", 3), ("put", b"2", 5), ("drop", b"", 7), ("put", b"3", 9)]))
 def test_a_copy_never_goes_back(order: list[tuple[str, bytes, int]]) -> None:
-    shelf = Shelf()
+    cache = DocumentCache()
     newest = 0
     for what, body, mark in order:
-        before = shelf.mark("d/x")
+        before = cache.mark("d/x")
         if what == "put":
-            shelf.put("d/x", body, mark)
+            cache.put("d/x", body, mark)
         else:
-            shelf.drop("d/x", mark)
+            cache.drop("d/x", mark)
         newest = max(newest, mark)
-        assert shelf.mark("d/x") in (0, before, mark) and shelf.mark("d/x") <= newest
-        assert not shelf.mark("d/x") or shelf.mark("d/x") >= before or what == "drop"
+        assert cache.mark("d/x") in (0, before, mark) and cache.mark("d/x") <= newest
+        assert not cache.mark("d/x") or cache.mark("d/x") >= before or what == "drop"
 
 
 @pytest.mark.parametrize(
@@ -161,19 +161,19 @@
         assert HEAD_KEY not in state.keys
         second, ledger = publisher(state, offer)
         await second.load()
-        assert len(second.shelf.documents()) == 1 and second.shelf.head is None
+        assert len(second.cache.documents()) == 1 and second.cache.head is None
         tasks = [asyncio.create_task(ledger.run()), asyncio.create_task(second.publish())]
         for _ in range(200):
             await asyncio.sleep(0)
         for task in tasks:
             task.cancel()
-        head = second.shelf.kept(HEAD_KEY, HeadRecord)
+        head = second.cache.kept(HEAD_KEY, HeadRecord)
         assert head is not None and head.value.edition == 3
-        assert seen(second.shelf) == {n: bytes(b) for n, b in offer.documents.items()}
+        assert seen(second.cache) == {n: bytes(b) for n, b in offer.documents.items()}
         # Another one reads the same, and takes no older edition.
         third, _ = publisher(state, None)
         await third.load()
-        assert seen(third.shelf) == seen(second.shelf)
+        assert seen(third.cache) == seen(second.cache)
         older = msgspec.json.encode(Offer(2, {}))
         assert third.take(older).body == b'"older"'
 
--- a/tests/test_equivalence.py
+++ b/tests/test_equivalence.py
@@ -12,7 +12,7 @@
 from weldhead.bookkeeping.jobs import Attempt, Phase, Stop
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import ReclaimLists
-from weldhead.coordination.reports import request_stop
+from weldhead.coordination.workers.reports import request_stop
 from weldhead.planning.backlog import Unplaced
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.fleet import Coming, _Queue, forecast_missing, usual_boots
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -30,8 +30,8 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.records import HireRecord
+from weldhead.coordination.leadership.recovery import Recovery
 from weldhead.coordination.pacing import MOST_PUT_OFF_US, SHARES, Pacer, Rank
-from weldhead.coordination.recovery import Recovery
 from weldhead.coordination.term import LOADED_AT_ONCE
 from weldhead.planning import backlog, outlook, placement
 from weldhead.planning.estimates import Estimates
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -26,9 +26,9 @@
     final_key,
     job_key,
 )
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.gates import GateBinder, Gates
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.documents.gates import GateBinder, Gates
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key, state_key
 from weldhead.documents.source import parse_source
 from weldhead.gates.document import Act, Gate
@@ -262,7 +262,7 @@
             return None
 
         documents = Documents(cast(StateClient, self.state), None, nobody)
-        documents.binders.append(GateBinder(documents.shelf))
+        documents.binders.append(GateBinder(documents.cache))
         self.run(documents._read())
         return documents
 
@@ -459,7 +459,7 @@
     world.submit(10, "quotes", cpus=0.5)
     running(world, 10, [Phase.ASSIGNED, Phase.PULLING, Phase.RUNNING])
     unanswered = world.job(10).active[0]
-    unanswered.limbo_us = clock()
+    unanswered.unconfirmed_us = clock()
     world.submit(11, "recall")
     job = world.job(10)
     stops = [job.active[n].stop for n in range(3)]
--- a/tests/test_handing_back.py
+++ b/tests/test_handing_back.py
@@ -16,7 +16,7 @@
 
 from tests.builders import machine_type
 from weldhead.clock import now_us
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.emulator.controller import Controller
 from weldhead.emulator.loop import VirtualLoop, simulated
 from weldhead.emulator.network import Network
--- a/tests/test_held_commands.py
+++ b/tests/test_held_commands.py
@@ -167,7 +167,7 @@
             for machine in network.leader.cluster.machines.values():
                 if not machine.deleting and not machine.deaf:
                     held = {(machine.name, a.task, a.number) for a in machine.attempts.values()
-                            if not a.limbo_us}  # fmt: skip
+                            if not a.unconfirmed_us}  # fmt: skip
                     assert held <= live, "counted for ever"
         finally:
             await network.close()
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -31,7 +31,7 @@
     job_key,
 )
 from weldhead.clock import now_us
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.planning.fleet import Offer
 from weldhead.protocol.settings import StateLimits
 from weldhead.site.store.server import StateService
@@ -217,7 +217,7 @@
     What had been refused was rented then, though nobody wanted it; of what had been had and
     returned the successor was told the names of machines that were gone.
     """
-    monkeypatch.setattr("weldhead.coordination.rentals.DELETE_GATHER_S", 0)
+    monkeypatch.setattr("weldhead.coordination.rentals.rentals.DELETE_GATHER_S", 0)
     state, cloud = StandInState(), StandInCloud()
     cloud.capacity = capacity
     first = term(state, cloud)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -16,15 +16,15 @@
 from tests.test_wire import SETTINGS
 from weldhead.bookkeeping.records import LEADER_KEY, UNSETTLED_KEY, LeaderRecord
 from weldhead.clock import now_us
-from weldhead.coordination import campaign as campaigning
-from weldhead.coordination.campaign import Campaign
-from weldhead.coordination.leadership import (
+from weldhead.coordination.leadership import campaign as campaigning
+from weldhead.coordination.leadership.authority import (
     Authority,
     Candidacy,
     default_timing,
     handicap_us,
     predecessor_over_us,
 )
+from weldhead.coordination.leadership.campaign import Campaign
 from weldhead.coordination.node import Node
 from weldhead.protocol.peer import Pong
 from weldhead.protocol.settings import Node as PeerNode
@@ -376,7 +376,7 @@
         assert record is not None
         await node.take_over(record, node.known_token)
 
-    monkeypatch.setattr("weldhead.coordination.campaign.asyncio.sleep", no_pause)
+    monkeypatch.setattr("weldhead.coordination.leadership.campaign.asyncio.sleep", no_pause)
     # Its only peer is the leader that looks dead: there is nobody to wait for.
     taken = False
     asyncio.run(take_over())
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -17,7 +17,7 @@
 ALLOWED = {
     "account",
     "admission",
-    "blame",
+    "attribution",
     "bookkeeping",
     "boots",
     "bytecode",
@@ -25,7 +25,7 @@
     "clock",
     "coordination",
     "documents",
-    "hearing",
+    "reachability",
     "membership",
     "planning",
     "protocol",
@@ -35,7 +35,7 @@
 }
 LIBRARIES = {"aiohttp", "msgspec", "uvloop"}
 #: As many modules as it loads without what an environment's own start adds, and not one more.
-MOST_MODULES = 439
+MOST_MODULES = 447
 FOREIGN = {
     "sqlite3",
     "sortedcontainers",
@@ -73,7 +73,8 @@
     program = """
 import sys
 sys.path[:0] = [{root!r}, {deps!r}]
-import weldhead.coordination.calendars, weldhead.coordination.gates, weldhead.documents.source
+import weldhead.coordination.documents.calendars, weldhead.coordination.documents.gates
+import weldhead.documents.source
 print(sorted({{"dateutil", "zoneinfo"}} & set(sys.modules)))
 """.format(root=str(ROOT), deps=str(ROOT / "target/deps"))
     ran = subprocess.run(
--- a/tests/test_life_cycle.py
+++ b/tests/test_life_cycle.py
@@ -16,7 +16,7 @@
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Phase, Stop, TaskState
 from weldhead.bookkeeping.machines import Machine
-from weldhead.coordination.reports import (
+from weldhead.coordination.workers.reports import (
     apply_report,
     is_newer,
     pending_commands,
@@ -62,7 +62,7 @@
             attempt = machine.attempts.get(task.task)
             if attempt is not None and attempt.number == task.attempt:
                 assert attempt.phase.value == task.state
-                assert not attempt.posted and not attempt.limbo_us
+                assert not attempt.posted and not attempt.unconfirmed_us
         for job in outcome.completed:
             flags, fresh = job.snapshot_chunk(0)
             states = list(map(TaskState, job.states))
--- a/tests/test_lone_leader.py
+++ b/tests/test_lone_leader.py
@@ -17,8 +17,8 @@
 from tests.test_users import StandInNode, desk
 from weldhead.bookkeeping.records import LEADER_KEY, FinalRecord, final_key, job_key
 from weldhead.clock import now_us
-from weldhead.coordination.frontdesk import FrontDesk
-from weldhead.coordination.linking import DOUBT_US
+from weldhead.coordination.requests.chains import DOUBT_US
+from weldhead.coordination.requests.frontdesk import FrontDesk
 from weldhead.protocol.wire import Entry
 from weldhead.transport.http import CallFailed
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -39,10 +39,10 @@
     UnsettledRecord,
     job_key,
 )
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.gates import GateBinder
-from weldhead.coordination.leader import Leader
-from weldhead.coordination.predecessors import missed_from_us
+from weldhead.coordination.documents.gates import GateBinder
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.coordination.leadership.predecessors import missed_from_us
 from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key
 from weldhead.emulator.controller import Controller
 from weldhead.emulator.events import kinds
@@ -448,7 +448,7 @@
             return None
 
         documents = Documents(cast(StateClient, self.state), None, nobody)
-        documents.binders.append(GateBinder(documents.shelf))
+        documents.binders.append(GateBinder(documents.cache))
         return documents
 
     async def accepted(self, number: int, job_class: str) -> JobRecord:
@@ -501,8 +501,8 @@
         assert successor.cluster.jobs["run-000009"].held is None
 
     async def answered(self) -> None:
-        assert self.leader.publisher is not None and self.leader.publisher.shelf.head is not None
-        assert self.leader.publisher.shelf.head.edition == 2
+        assert self.leader.publisher is not None and self.leader.publisher.cache.head is not None
+        assert self.leader.publisher.cache.head.edition == 2
 
 
 class Act(Edition):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,8 +15,8 @@
 from weldhead.emulator.experiment import Result, play
 from weldhead.emulator.network import Weather
 from weldhead.emulator.scenario import Fault, read_scenario
-from weldhead.membership.solitude import Contact, Solitude
-from weldhead.membership.verdict import Observed, Sight, State, Verdict, View, judge
+from weldhead.membership.isolation import Contact, IsolationDetector
+from weldhead.membership.verdict import Observation, Observed, State, Verdict, View, judge
 
 S = 1_000_000
 ROOT = Path(__file__).parents[1]
@@ -30,13 +30,13 @@
 
 
 @pytest.mark.parametrize(
-    ("suspect", "others", "sights", "state"),
+    ("suspect", "others", "observations", "state"),
     [
         (SUSPECT, [], [], State.DEAD),
-        (SUSPECT, [UP], [("p", Sight.REFUSED)], State.DEAD),
-        (SUSPECT, [UP], [("p", Sight.LOST)], State.DEAD),
-        (SUSPECT, [UP], [("p", Sight.HEARD)], State.SUSPECTED),
-        (SUSPECT, [UP, LOST], [("p", Sight.CONNECTED)], State.SUSPECTED),
+        (SUSPECT, [UP], [("p", Observation.REFUSED)], State.DEAD),
+        (SUSPECT, [UP], [("p", Observation.LOST)], State.DEAD),
+        (SUSPECT, [UP], [("p", Observation.HEARD)], State.SUSPECTED),
+        (SUSPECT, [UP, LOST], [("p", Observation.CONNECTED)], State.SUSPECTED),
         # An older version cannot be asked: as it was before.
         (SUSPECT, [UP], [], State.DEAD),
         # All links at once: rather this node, or a packet filter.
@@ -44,34 +44,37 @@
         (SUSPECT, [LOST, GONE], [], State.SUSPECTED),
         # The others have been down for long: nothing speaks against its death.
         (SUSPECT, [GONE], [], State.DEAD),
-        (replace(SUSPECT, refused_us=0), [UP], [("p", Sight.REFUSED)], State.SUSPECTED),
+        (replace(SUSPECT, refused_us=0), [UP], [("p", Observation.REFUSED)], State.SUSPECTED),
         (replace(SUSPECT, heard_us=NOW), [GONE], [], State.ALIVE),
         (replace(SUSPECT, connected=True), [LOST], [], State.ALIVE),
     ],
 )
 def test_verdicts(
-    suspect: Observed, others: list[Observed], sights: list[tuple[str, Sight]], state: State
+    suspect: Observed,
+    others: list[Observed],
+    observations: list[tuple[str, Observation]],
+    state: State,
 ) -> None:
-    assert judge(suspect, others, sights, NOW).state is state
+    assert judge(suspect, others, observations, NOW).state is state
 
 
 @given(
-    sights=st.lists(st.sampled_from(Sight), max_size=4),
+    observations=st.lists(st.sampled_from(Observation), max_size=4),
     refused=st.booleans(), connected=st.booleans(), heard_us=st.integers(0, NOW),
 )  # fmt: skip
 def test_nobody_is_judged_dead_whom_somebody_reaches_or_nobody_refuses(
-    sights: list[Sight], refused: bool, connected: bool, heard_us: int
+    observations: list[Observation], refused: bool, connected: bool, heard_us: int
 ) -> None:
     suspect = Observed("x", connected, NOW if refused else 0, NOW - S, heard_us)
-    named = [(f"p{n}", sight) for n, sight in enumerate(sights)]
+    named = [(f"p{n}", observation) for n, observation in enumerate(observations)]
     verdict = judge(suspect, [UP], named, NOW)
-    if connected or not refused or {Sight.HEARD, Sight.CONNECTED} & set(sights):
+    if connected or not refused or {Observation.HEARD, Observation.CONNECTED} & set(observations):
         assert verdict.state is not State.DEAD
     else:
         assert verdict.state is State.DEAD
-    for name, sight in named:
+    for name, observation in named:
         if verdict.state is State.DEAD:
-            assert f"{name}: {sight.value}" in verdict.evidence
+            assert f"{name}: {observation.value}" in verdict.evidence
 
 
 def test_words_of_a_former_life_that_are_read_late_refute_nothing_for_long() -> None:
@@ -85,47 +88,47 @@
     """A controller that had been alone took over as soon as the service was back."""
     assert judge(SUSPECT, [GONE], [], NOW, NOW - 100_000).state is State.SUSPECTED
     assert judge(SUSPECT, [GONE], [], NOW, NOW - 1 * S).state is State.DEAD
-    assert judge(SUSPECT, [UP], [("p", Sight.REFUSED)], NOW, NOW).state is State.DEAD
+    assert judge(SUSPECT, [UP], [("p", Observation.REFUSED)], NOW, NOW).state is State.DEAD
 
 
 def test_a_new_life_judges_nobody_whom_it_never_reached() -> None:
     """Started behind a packet filter, it took over from a leader that served everybody."""
     suspect, other = replace(SUSPECT, lost_us=0), replace(LOST, lost_us=0)
     assert judge(suspect, [other], [], NOW).state is State.SUSPECTED
-    assert judge(suspect, [UP], [("p", Sight.REFUSED)], NOW).state is State.DEAD
+    assert judge(suspect, [UP], [("p", Observation.REFUSED)], NOW).state is State.DEAD
 
 
-def looks(solitude: Solitude, contact: Contact, from_us: int, to_us: int) -> list[bool]:
+def looks(detector: IsolationDetector, contact: Contact, from_us: int, to_us: int) -> list[bool]:
     """Look every 0.2 s; whether it was alone each time."""
     seen = []
     for at_us in range(from_us, to_us, 200_000):
-        solitude.look(contact, at_us)
-        seen.append(solitude.alone)
+        detector.look(contact, at_us)
+        seen.append(detector.alone)
     return seen
 
 
 def test_alone_is_who_reaches_neither_the_state_service_nor_anybody_else() -> None:
-    solitude = Solitude(NOW)
+    detector = IsolationDetector(NOW)
     # All answer; the service fails: an outage, and all stay.
-    assert not any(looks(solitude, Contact(NOW + 9 * S, NOW, NOW + S), NOW, NOW + 9 * S))
+    assert not any(looks(detector, Contact(NOW + 9 * S, NOW, NOW + S), NOW, NOW + 9 * S))
     # The others have ended; the service serves. It is asked only as long as they are silent.
     served = Contact(NOW + 9 * S, NOW + 9 * S, NOW + S)
-    assert not any(looks(solitude, served, NOW + 9 * S, NOW + 12 * S))
-    assert solitude.ask
+    assert not any(looks(detector, served, NOW + 9 * S, NOW + 12 * S))
+    assert detector.ask
     # Both: known within two seconds, and over at the first answer of either.
     failed = replace(served, failed_us=NOW + 12 * S)
-    assert looks(solitude, failed, NOW + 12 * S, NOW + 13 * S)[0]
+    assert looks(detector, failed, NOW + 12 * S, NOW + 13 * S)[0]
     answered = replace(failed, answered_us=NOW + 13 * S)
-    assert looks(solitude, answered, NOW + 13 * S, NOW + 14 * S) == [False] * 5
+    assert looks(detector, answered, NOW + 13 * S, NOW + 14 * S) == [False] * 5
 
 
 def test_who_stood_still_or_has_just_started_does_not_call_itself_alone() -> None:
-    solitude = Solitude(NOW)
+    detector = IsolationDetector(NOW)
     nothing = Contact(0, 0, NOW + 1)
-    assert looks(solitude, nothing, NOW, NOW + S) == [False] * 5
-    solitude = Solitude(NOW)
-    seen = looks(solitude, Contact(NOW, NOW, NOW + 1), NOW, NOW + S)
-    assert not any(seen + looks(solitude, Contact(NOW, NOW, NOW + 1), NOW + 9 * S, NOW + 10 * S))
+    assert looks(detector, nothing, NOW, NOW + S) == [False] * 5
+    detector = IsolationDetector(NOW)
+    seen = looks(detector, Contact(NOW, NOW, NOW + 1), NOW, NOW + S)
+    assert not any(seen + looks(detector, Contact(NOW, NOW, NOW + 1), NOW + 9 * S, NOW + 10 * S))
 
 
 def test_a_change_is_told_once() -> None:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -24,10 +24,10 @@
     MemoryGate,
 )
 from weldhead.clock import now_us
-from weldhead.coordination import frontdesk
-from weldhead.coordination.frontdesk import FrontDesk
 from weldhead.coordination.memory import MIB, READING_US, MemoryWatch
 from weldhead.coordination.node import Node
+from weldhead.coordination.requests import frontdesk
+from weldhead.coordination.requests.frontdesk import FrontDesk
 from weldhead.protocol import peer
 from weldhead.protocol.settings import SettingsError, Team, parse_settings
 from weldhead.transport.memory import own_bytes
--- a/tests/test_company.py
+++ b/tests/test_peer_directory.py
@@ -9,9 +9,9 @@
 from tests.builders import machine_type
 from weldhead.bookkeeping.records import LeaderRecord
 from weldhead.clock import now_us
-from weldhead.coordination import company
-from weldhead.coordination.campaign import Campaign
-from weldhead.coordination.company import Company
+from weldhead.coordination.leadership import peer_directory
+from weldhead.coordination.leadership.campaign import Campaign
+from weldhead.coordination.leadership.peer_directory import PeerDirectory
 from weldhead.protocol.peer import Answer, Ask
 from weldhead.transport.peers import PeerLink
 from weldhead.transport.state import StateClient
@@ -44,13 +44,13 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, served: bool) -> None:
         self.at_us = 100 * S
-        monkeypatch.setattr(company, "now_us", lambda: self.at_us)
+        monkeypatch.setattr(peer_directory, "now_us", lambda: self.at_us)
         self.links = {name: Link(name, served) for name in ("n-1", "n-2", "n-3")}
         self.campaign = SimpleNamespace(
             leader=None, catalog=[machine_type()], known_leader=LeaderRecord("n-1", "x", 3 * S)
         )
         links = cast(dict[str, PeerLink], self.links)
-        self.here = Company("n-0", links, cast(Campaign, self.campaign), self.at_us)
+        self.here = PeerDirectory("n-0", links, cast(Campaign, self.campaign), self.at_us)
         self.state = SimpleNamespace(ok=True, served_us=self.at_us, failed_us=0)
         self.here.open(cast(StateClient, self.state))
 
@@ -111,7 +111,7 @@
         links = {name: Link(name, name != "n-2") for name in names if name != own}
         for link in links.values():
             link.heard_us = now_us()
-        here = Company(own, cast(Any, links), cast(Any, None), 1)
+        here = PeerDirectory(own, cast(Any, links), cast(Any, None), 1)
         here.open(cast(Any, SimpleNamespace(ok=own != "n-2")))
         for number in range(40):
             job_id = f"run-{number:06}"
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -14,8 +14,8 @@
 from tests.test_handing_back import Site, play
 from tests.test_slow_store import SlowStore
 from tests.test_wire import SETTINGS
+from weldhead.coordination.leadership.promises import began_by_us
 from weldhead.coordination.node import Node
-from weldhead.coordination.promises import began_by_us
 from weldhead.emulator.controller import Controller
 from weldhead.protocol.peer import Held, Hold, Pong, decode_message, encode_frame
 from weldhead.protocol.settings import Node as Peer
--- a/tests/test_hearing.py
+++ b/tests/test_reachability.py
@@ -14,12 +14,12 @@
 from weldhead.bookkeeping.jobs import Phase
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import surely_valid_us
-from weldhead.coordination.leader import Leader
-from weldhead.hearing.copies import MOST_UNSHOWN, RELAYED_MORE
-from weldhead.hearing.evidence import Ear, Sign, Told, sign_of
-from weldhead.hearing.price import to_return
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.planning.placement import usable
 from weldhead.protocol.wire import Report, ReportAnswer, TaskReport
+from weldhead.reachability.evidence import DeliveryEvidence, Sign, Told, sign_of
+from weldhead.reachability.freshness import MOST_UNSHOWN, RELAYED_MORE
+from weldhead.reachability.replacement import to_return
 
 S = 1_000_000
 LEASE = 12 * S
@@ -61,20 +61,20 @@
 
 
 def test_one_lost_answer_or_a_closed_port_make_no_suspect() -> None:
-    ear = Ear(LEASE, answer_of(3), START)
-    assert not ear.note(Sign.UNSHOWN, START)
+    evidence = DeliveryEvidence(LEASE, answer_of(3), START)
+    assert not evidence.note(Sign.UNSHOWN, START)
     # Much later once more: answers are lost now and then.
-    assert not ear.note(Sign.UNSHOWN, START + 30 * S)
-    ear.note(Sign.HEARD, START + 31 * S)
+    assert not evidence.note(Sign.UNSHOWN, START + 30 * S)
+    evidence.note(Sign.HEARD, START + 31 * S)
     for number in range(5):
         # Its reports come and are answered; only its port is closed to this controller.
-        ear.listen(say(1, 4 + number, 9), 3 + number, START + (31 + number) * S, relayed=False)
-        assert not ear.note(Sign.UNANSWERED, START + (31 + number) * S)
-    assert ear.note(Sign.MOVED, START + 40 * S) and ear.deaf_us
+        evidence.listen(say(1, 4 + number, 9), 3 + number, START + (31 + number) * S, relayed=False)
+        assert not evidence.note(Sign.UNANSWERED, START + (31 + number) * S)
+    assert evidence.note(Sign.MOVED, START + 40 * S) and evidence.deaf_us
     # Its session has outlived a lease since: some answer must have arrived.
     late = replace(answer_of(9), at_us=START + 50 * S)
-    ear.last = late
-    assert ear.listen(say(1, 10, 9), 9, START + 55 * S, relayed=False) is Sign.HEARD
+    evidence.last = late
+    assert evidence.listen(say(1, 10, 9), 9, START + 55 * S, relayed=False) is Sign.HEARD
 
 
 def test_many_that_hear_nothing_are_the_network_and_few_are_replaced_at_their_price() -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -27,9 +27,9 @@
     progress_key,
 )
 from weldhead.bookkeeping.taken import LEAST_HOLD_US
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.leader import Leader, NotReady
-from weldhead.coordination.leadership import Authority, default_timing
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.authority import Authority, default_timing
+from weldhead.coordination.leadership.leader import Leader, NotReady
 from weldhead.coordination.term import Term
 from weldhead.protocol.settings import parse_settings
 from weldhead.protocol.wire import JobSpec
@@ -43,9 +43,23 @@
 
 #: The modules of a term that read the clock.
 CLOCKED = (
-    "calendars", "completions", "deciding", "dispatch", "frontdesk", "gates", "leader", "lending",
-    "linking", "listening", "lookahead", "recovery", "rentals", "sizing", "term", "watching",
-)  # fmt: skip
+    "documents.calendars",
+    "requests.completions",
+    "placement.deciding",
+    "workers.dispatch",
+    "requests.frontdesk",
+    "documents.gates",
+    "leadership.leader",
+    "placement.lending",
+    "requests.chains",
+    "placement.lookahead",
+    "workers.reachability",
+    "leadership.recovery",
+    "rentals.rentals",
+    "rentals.sizing",
+    "term",
+    "workers.watching",
+)
 
 
 class Clock:
@@ -332,7 +346,7 @@
     clock: Clock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """In an outage the user was kept waiting until the store was back."""
-    monkeypatch.setattr("weldhead.coordination.leader.CANCEL_WAIT_US", 0)
+    monkeypatch.setattr("weldhead.coordination.leadership.leader.CANCEL_WAIT_US", 0)
     state = StandInState()
     put_job(state, job_spec(1))
     leader = new_leader(state, clock())
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -219,7 +219,7 @@
     state, cloud = StandInState(), StandInCloud()
     leader = new_leader(state, now_us())
     leader.term.cloud = cast(Any, cloud)
-    monkeypatch.setattr("weldhead.coordination.rentals.DELETE_GATHER_S", 0)
+    monkeypatch.setattr("weldhead.coordination.rentals.rentals.DELETE_GATHER_S", 0)
     rentals = leader.rentals
 
     async def scenario() -> None:
@@ -292,7 +292,7 @@
     leader = new_leader(state, now_us())
     leader.term.cloud = cast(Any, cloud)
     cloud.capacity = 50
-    monkeypatch.setattr("weldhead.coordination.rentals.DELETE_GATHER_S", 0)
+    monkeypatch.setattr("weldhead.coordination.rentals.rentals.DELETE_GATHER_S", 0)
     rentals, market = leader.rentals, leader.term.market
 
     async def scenario() -> None:
--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -18,11 +18,11 @@
 from tests.test_wire import SETTINGS
 from weldhead.clock import SECOND_US as S
 from weldhead.clock import now_us
-from weldhead.coordination import frontdesk
-from weldhead.coordination.campaign import Campaign
-from weldhead.coordination.frontdesk import FrontDesk
-from weldhead.coordination.leadership import Candidacy, default_timing
+from weldhead.coordination.leadership.authority import Candidacy, default_timing
+from weldhead.coordination.leadership.campaign import Campaign
 from weldhead.coordination.node import Node
+from weldhead.coordination.requests import frontdesk
+from weldhead.coordination.requests.frontdesk import FrontDesk
 from weldhead.protocol.peer import Hold
 from weldhead.protocol.settings import StateLimits, Team, parse_settings
 from weldhead.protocol.wire import Entry
--- a/tests/test_small_controller.py
+++ b/tests/test_small_controller.py
@@ -13,7 +13,7 @@
 from tests.stand_ins import StandInState
 from tests.test_users import JOB, StandInNode, desk
 from weldhead.clock import SECOND_US, now_us
-from weldhead.coordination import frontdesk
+from weldhead.coordination.requests import frontdesk
 from weldhead.emulator.experiment import Result, play
 from weldhead.emulator.loop import BEGIN_S, CALLBACK_US, Life, simulated
 from weldhead.emulator.scenario import parse_scenario, read_scenario
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -16,10 +16,12 @@
 from weldhead.bookkeeping.records import LeaderRecord
 from weldhead.clock import SECOND_US as S
 from weldhead.clock import now_us
-from weldhead.coordination import company, frontdesk, node
-from weldhead.coordination.company import FORWARD_US
-from weldhead.coordination.leadership import default_timing
+from weldhead.coordination import node
+from weldhead.coordination.leadership import peer_directory
+from weldhead.coordination.leadership.authority import default_timing
+from weldhead.coordination.leadership.peer_directory import FORWARD_US
 from weldhead.coordination.node import PONG_US, Node
+from weldhead.coordination.requests import frontdesk
 from weldhead.planning.fleet import Offer
 from weldhead.protocol.peer import Answer
 from weldhead.protocol.settings import parse_settings
@@ -37,7 +39,7 @@
     state, cloud = StandInState(), StandInCloud()
     leader = new_leader(state, now_us())
     leader.term.cloud = cast(Any, cloud)
-    monkeypatch.setattr("weldhead.coordination.rentals.DELETE_GATHER_S", 0)
+    monkeypatch.setattr("weldhead.coordination.rentals.rentals.DELETE_GATHER_S", 0)
     rentals, authority = leader.rentals, leader.term._authority
 
     async def scenario() -> None:
@@ -154,11 +156,11 @@
     monkeypatch: pytest.MonkeyPatch, late_us: int, told: bool
 ) -> None:
     clock = Clock()
-    monkeypatch.setattr(company, "now_us", clock)
+    monkeypatch.setattr(peer_directory, "now_us", clock)
     link = SilentLink(clock, late_us, Answer(1, 200, b"{}"))
 
     async def scenario() -> bool:
-        answer = await controller().company.forward(cast(PeerLink, link), "poll", JOB, b"")
+        answer = await controller().peers.forward(cast(PeerLink, link), "poll", JOB, b"")
         return answer is not None
 
     assert asyncio.run(scenario()) == told
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -17,7 +17,7 @@
 from tests.test_recovery import Clock, clock, leader_of, put_job, put_machine
 from weldhead.bookkeeping.jobs import Stop
 from weldhead.bookkeeping.machines import Machine
-from weldhead.coordination.reports import apply_report, pending_commands
+from weldhead.coordination.workers.reports import apply_report, pending_commands
 from weldhead.emulator.experiment import play
 from weldhead.emulator.scenario import Fault, Scenario, read_scenario
 from weldhead.planning.estimates import Estimates
@@ -42,7 +42,7 @@
     ("package", "least"),
     [
         ("recovery", 6),
-        ("blame", 2),
+        ("attribution", 2),
         ("boots", 1),
         ("admission", 2),
         ("membership", 2),
@@ -54,7 +54,7 @@
         ("documents", 4),
         ("calendars", 8),
         ("gates", 3),
-        ("hearing", 3),
+        ("reachability", 3),
     ],
 )
 def test_decisions_can_import_nothing_that_waits_or_sends(package: str, least: int) -> None:
--- a/tests/test_uneven_ends.py
+++ b/tests/test_uneven_ends.py
@@ -16,7 +16,7 @@
 from tests.stand_ins import StandInState, StandInWorker
 from tests.test_recovery import S, fixed_clock, leader_of, put_job, put_machine
 from weldhead.bookkeeping.records import FINAL, decode_progress, final_key, job_key, progress_key
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership.leader import Leader
 
 TASKS = 3
 JOB, FOLLOWER = "run-000001", "run-000002"
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -13,9 +13,9 @@
 from tests.stand_ins import StandInState
 from tests.test_validation import GOOD
 from weldhead.bookkeeping.records import FinalRecord, final_key, job_key
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.frontdesk import FrontDesk
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.coordination.requests.frontdesk import FrontDesk
 from weldhead.protocol.settings import Team
 from weldhead.protocol.wire import MachineType
 from weldhead.transport.http import CallFailed
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -238,22 +238,22 @@
     async def forward(_: Any, kind: str, *__: Any) -> None:
         sent.append(kind)
 
-    monkeypatch.setattr(node.company, "forward", forward)
+    monkeypatch.setattr(node.peers, "forward", forward)
 
     def ask(*, chained: bool) -> list[str]:
         sent.clear()
-        asyncio.run(node.company.ask_served_peer("submit", "run-1", b"", chained=chained))
+        asyncio.run(node.peers.ask_served_peer("submit", "run-1", b"", chained=chained))
         return list(sent)
 
-    assert (link.format, node.company.peers_know(CHAINS_FORMAT)) == (0, True)
+    assert (link.format, node.peers.peers_know(CHAINS_FORMAT)) == (0, True)
     assert (ask(chained=True), ask(chained=False)) == ([], ["submit"])
     link.format = 1
-    assert not node.company.peers_know(CHAINS_FORMAT)
+    assert not node.peers.peers_know(CHAINS_FORMAT)
     assert (ask(chained=True), ask(chained=False)) == ([], ["submit"])
     link.format = 2
-    assert node.company.peers_know(CHAINS_FORMAT)
+    assert node.peers.peers_know(CHAINS_FORMAT)
     link.format = FORMAT
-    assert node.company.peers_know(CHAINS_FORMAT)
+    assert node.peers.peers_know(CHAINS_FORMAT)
     assert (ask(chained=True), ask(chained=False)) == (["submit"], ["submit"])
 
 
--- a/tools/measure_size.py
+++ b/tools/measure_size.py
@@ -30,7 +30,7 @@
 from weldhead.bookkeeping.machines import Machine  # noqa: E402
 from weldhead.bookkeeping.records import HireRecord  # noqa: E402
 from weldhead.clock import now_us  # noqa: E402
-from weldhead.coordination.leader import Leader  # noqa: E402
+from weldhead.coordination.leadership.leader import Leader  # noqa: E402
 from weldhead.planning.backlog import Unplaced  # noqa: E402
 from weldhead.planning.estimates import Estimates  # noqa: E402
 from weldhead.planning.fleet import (  # noqa: E402
@@ -206,7 +206,7 @@
     doomed = [m for m in live if at_us - max(m.heard_us, 0) > term.silence_us]
     for machine in live:
         for attempt in machine.attempts.values():
-            if attempt.limbo_us and at_us - attempt.limbo_us > term.cancel_us // 4:
+            if attempt.unconfirmed_us and at_us - attempt.unconfirmed_us > term.cancel_us // 4:
                 doomed.append(machine)
             if attempt.stop is Stop.HARD and at_us - attempt.stop_us > term.cancel_us // 2:
                 doomed.append(machine)
--- a/weldhead/blame/record.py
+++ b/weldhead/attribution/failures.py
@@ -6,7 +6,13 @@
 
 from dataclasses import dataclass, field
 
-from weldhead.blame.verdict import Accusation, Standing, is_faulty, standing_of, survived_us
+from weldhead.attribution.verdict import (
+    FailureEvidence,
+    Standing,
+    is_faulty,
+    standing_of,
+    survived_us,
+)
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase
 from weldhead.bookkeeping.machines import Machine
@@ -24,7 +30,7 @@
 
 
 @dataclass
-class _Against:
+class _FailureCount:
     """Failures of one job on one machine."""
 
     count: int = 0
@@ -33,7 +39,7 @@
 
 
 @dataclass
-class _Suspect:
+class _FailingJob:
     """A job of which tasks have failed."""
 
     job: Job
@@ -59,8 +65,8 @@
     """Who has failed where."""
 
     def __init__(self) -> None:
-        self._machines: dict[str, dict[str, _Against]] = {}
-        self._suspects: dict[str, _Suspect] = {}
+        self._machines: dict[str, dict[str, _FailureCount]] = {}
+        self._suspects: dict[str, _FailingJob] = {}
         self._faulty: set[str] = set()
 
     @property
@@ -77,8 +83,8 @@
         ran_us = at_us - attempt.running_us if attempt.running_us else 0
         job.failures += 1
         job.failed_on |= {attempt.machine}
-        against = self._machines.setdefault(attempt.machine, {}).setdefault(job.id, _Against())
-        suspect = self._suspects.setdefault(job.id, _Suspect(job))
+        against = self._machines.setdefault(attempt.machine, {}).setdefault(job.id, _FailureCount())
+        suspect = self._suspects.setdefault(job.id, _FailingJob(job))
         against.count += 1
         against.last_us = suspect.last_us = at_us
         against.longest_us = max(against.longest_us, ran_us)
@@ -167,25 +173,25 @@
         for name, against in self._machines.items():
             if name in self._faulty:
                 continue
-            accusations = []
+            evidence = []
             for job_id, failures in against.items():
                 suspect = self._suspects.get(job_id)
                 if suspect is None or cluster.jobs.get(job_id) is not suspect.job:
                     continue
                 others = suspect.job.failed_on - self._faulty - {name}
-                accusations.append(
-                    Accusation(
+                evidence.append(
+                    FailureEvidence(
                         failures.count,
                         _succeeds(cluster, suspect, but_on=name),
                         bool(others) or suspect.standing is Standing.BROKEN,
                     )
                 )
-            if is_faulty(accusations, alone=alone):
+            if is_faulty(evidence, alone=alone):
                 self._faulty.add(name)
                 found.faulty.append(cluster.machines[name])
 
 
-def _succeeds(cluster: Cluster, suspect: _Suspect, but_on: str = "") -> bool:
+def _succeeds(cluster: Cluster, suspect: _FailingJob, but_on: str = "") -> bool:
     """Whether a task of a job has completed, or has run elsewhere for long without failing."""
     if suspect.job.done:
         return True
--- a/weldhead/blame/verdict.py
+++ b/weldhead/attribution/verdict.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True)
-class Accusation:
+class FailureEvidence:
     """Failures of one job on a machine that has shown no success since."""
 
     count: int
@@ -45,7 +45,7 @@
     elsewhere: bool
 
 
-def is_faulty(accusations: Collection[Accusation], *, alone: bool) -> bool:
+def is_faulty(evidence: Collection[FailureEvidence], *, alone: bool) -> bool:
     """Whether a machine is at fault, by the failures there since its last success.
 
     Jobs that fail elsewhere as well say nothing of it, however many they are. Nor do those
@@ -53,9 +53,9 @@
     such jobs, of one task each, had healthy machines set aside: found in the emulator.) Only
     where there is no other machine (``alone``) many of them have to do.
     """
-    if sum(a.count for a in accusations if a.succeeds) >= SURE_FAILURES:
+    if sum(a.count for a in evidence if a.succeeds) >= SURE_FAILURES:
         return True
-    return alone and sum(not a.succeeds and not a.elsewhere for a in accusations) >= OPEN_JOBS
+    return alone and sum(not a.succeeds and not a.elsewhere for a in evidence) >= OPEN_JOBS
 
 
 def standing_of(*, succeeds: bool, failed_on: int, on_proven: int) -> Standing:
--- a/weldhead/bookkeeping/cluster.py
+++ b/weldhead/bookkeeping/cluster.py
@@ -48,7 +48,7 @@
         #: Attempts that were asked to stop, and those whose direct request may be lost, by
         #: what tells them apart: an attempt's number is unique within its task.
         self.stopping: dict[tuple[str, int], Attempt] = {}
-        self.limbo: dict[tuple[str, int], Attempt] = {}
+        self.unconfirmed: dict[tuple[str, int], Attempt] = {}
         #: Attempts that must go and that no job counts, by machine, task and number; and how
         #: many there are of a task.
         self.ghosts: dict[tuple[str, str, int], Ghost] = {}
@@ -100,8 +100,8 @@
             self.holders.pop(attempt.job.id, None)
         if attempt.stop is not Stop.NO:
             self.stopping.pop((attempt.task, attempt.number), None)
-        if self.limbo:
-            self.limbo.pop((attempt.task, attempt.number), None)
+        if self.unconfirmed:
+            self.unconfirmed.pop((attempt.task, attempt.number), None)
         self.usage[attempt.job.team].add(attempt.job.spec, -1)
 
     def release_all(self, machine: Machine) -> list[Attempt]:
@@ -166,11 +166,11 @@
 
     def lose(self, attempt: Attempt, at_us: int) -> None:
         """A direct request with the attempt's ``run`` may be lost, and may be executed late."""
-        attempt.limbo_us = at_us
+        attempt.unconfirmed_us = at_us
         # A request can fail long after its machine is gone, and the attempt with it: entered
         # then, it would never leave, and the machine watch failed over it (found on the bench).
         if attempt.job.active.get(attempt.index) is attempt:
-            self.limbo[attempt.task, attempt.number] = attempt
+            self.unconfirmed[attempt.task, attempt.number] = attempt
 
     def within_limit(self, job: Job, reserved: Amount = NOTHING) -> int:
         """How many more tasks of the job its team's limit allows beside what is reserved."""
@@ -193,7 +193,7 @@
             for attempt in machine.attempts.values():
                 key = (attempt.task, attempt.number)
                 assert (attempt.stop is not Stop.NO) == (key in self.stopping), attempt.task
-                assert not attempt.limbo_us or key in self.limbo, attempt.task
+                assert not attempt.unconfirmed_us or key in self.unconfirmed, attempt.task
             assert abs(machine.cpus + used - machine.type.cpus) < EPSILON * 100, machine.name
             for attempt in machine.attempts.values():
                 assert attempt.job.active[attempt.index] is attempt, attempt.task
@@ -202,7 +202,7 @@
         for ghost in self.ghosts.values():
             if ghost.job is not None:
                 recounted[ghost.job.team].add(ghost.job.spec)
-        for kept in (*self.stopping.values(), *self.limbo.values()):
+        for kept in (*self.stopping.values(), *self.unconfirmed.values()):
             assert kept.job.active.get(kept.index) is kept, kept.task
         assert set(self.holders) == {job.id for job in self.jobs.values() if job.active}
         for team, usage in self.usage.items():
--- a/weldhead/bookkeeping/jobs.py
+++ b/weldhead/bookkeeping/jobs.py
@@ -52,7 +52,6 @@
         "adopted",
         "index",
         "job",
-        "limbo_us",
         "machine",
         "number",
         "phase",
@@ -64,6 +63,7 @@
         "stop",
         "stop_us",
         "task",
+        "unconfirmed_us",
     )  # fmt: skip
 
     def __init__(self, job: "Job", index: int, number: int, machine: str, at_us: int) -> None:
@@ -84,7 +84,7 @@
         #: A direct request with the ``run`` has been sent and not been answered.
         self.posted = False
         #: Since when that request may be lost, and may be executed late (0: it is not).
-        self.limbo_us = 0
+        self.unconfirmed_us = 0
         #: Progress that earlier attempts saved.
         self.prior_us = job.saved_us.get(index, 0)
         self.reason = ""
--- a/weldhead/calendars/binding.py
+++ b/weldhead/calendars/binding.py
@@ -11,8 +11,8 @@
 from weldhead.calendars.document import Calendar
 from weldhead.calendars.state import CalendarState, digest_of
 from weldhead.clock import SECOND_US
+from weldhead.documents.cache import DocumentCache, Kept
 from weldhead.documents.records import HEAD_KEY, document_key, state_key
-from weldhead.documents.shelf import Kept, Shelf
 from weldhead.protocol.wire import Condition, JobSpec
 
 KIND = "calendar"
@@ -24,40 +24,42 @@
     """A calendar's instants are not in the store yet."""
 
 
-def state_of(shelf: Shelf, name: str) -> Kept[CalendarState] | None:
+def state_of(cache: DocumentCache, name: str) -> Kept[CalendarState] | None:
     """Return what is kept of a calendar."""
-    return shelf.kept(state_key(KIND, name), CalendarState)
+    return cache.kept(state_key(KIND, name), CalendarState)
 
 
-def current_state(shelf: Shelf, edition: int, calendar: Calendar) -> Kept[CalendarState] | None:
+def current_state(
+    cache: DocumentCache, edition: int, calendar: Calendar
+) -> Kept[CalendarState] | None:
     """Return what is kept of a calendar as it stands in an edition; None: not computed yet."""
-    kept = state_of(shelf, calendar.name)
-    body = shelf.kept(document_key(edition, f"{KIND}/{calendar.name}"), msgspec.Raw)
+    kept = state_of(cache, calendar.name)
+    body = cache.kept(document_key(edition, f"{KIND}/{calendar.name}"), msgspec.Raw)
     if kept is None or body is None or kept.value.digest != digest_of(bytes(body.value)):
         return None
     return kept
 
 
-def moved(shelf: Shelf | None, bound: Bound) -> Bound:
+def moved(cache: DocumentCache | None, bound: Bound) -> Bound:
     """Return to what a job is bound now whose record says ``bound``."""
-    kept = state_of(shelf, bound.calendar) if shelf is not None else None
+    kept = state_of(cache, bound.calendar) if cache is not None else None
     return kept.value.moved(bound) if kept is not None else bound
 
 
-def bind(shelf: Shelf, spec: JobSpec, wall_us: int, error_us: int) -> Binding:
+def bind(cache: DocumentCache, spec: JobSpec, wall_us: int, error_us: int) -> Binding:
     """Return to what calendars bind a job accepted at ``wall_us``, on which conditions.
 
     ``error_us`` is how far any time of day may be off. NotComputed: ask again later.
     """
     # That nothing binds it rests on the edition as well.
-    conditions = [Condition(HEAD_KEY, shelf.mark(HEAD_KEY))]
+    conditions = [Condition(HEAD_KEY, cache.mark(HEAD_KEY))]
     first: Bound | None = None
-    head = shelf.head
-    for calendar in shelf.in_force(KIND, Calendar):
+    head = cache.head
+    for calendar in cache.in_force(KIND, Calendar):
         if head is None or not calendar.value.binds(spec.job_class, spec.team):
             continue
         name = calendar.value.name
-        state = current_state(shelf, head.edition, calendar.value)
+        state = current_state(cache, head.edition, calendar.value)
         if state is None:
             raise NotComputed(name)
         conditions.append(Condition(state_key(KIND, name), state.mark))
@@ -70,8 +72,8 @@
     return Binding(first, conditions=tuple(conditions))
 
 
-def passed_us(shelf: Shelf, bound: Bound, wall_us: int, error_us: int) -> int | None:
+def passed_us(cache: DocumentCache, bound: Bound, wall_us: int, error_us: int) -> int | None:
     """Return the instant that was just past when a job was bound to the next one."""
-    kept = state_of(shelf, bound.calendar)
+    kept = state_of(cache, bound.calendar)
     past_us = kept.value.before(wall_us + error_us) if kept is not None else None
     return past_us if past_us is not None and wall_us - past_us < JUST_PAST_US else None
--- a/weldhead/calendars/dues.py
+++ b/weldhead/calendars/dues.py
@@ -10,7 +10,7 @@
 from weldhead.bookkeeping.jobs import Job
 from weldhead.calendars.binding import moved
 from weldhead.clock import MILLISECOND_US
-from weldhead.documents.shelf import Shelf
+from weldhead.documents.cache import DocumentCache
 
 #: Clocks wander: by less nothing is converted anew.
 STEP_US = 250 * MILLISECOND_US
@@ -22,7 +22,7 @@
     def __init__(self, error_us: int) -> None:
         self._error_us = error_us
         #: The term's own reading of the documents; None: this node is given none.
-        self.shelf: Shelf | None = None
+        self.cache: DocumentCache | None = None
         #: The time of day less the steady clock, by which jobs are converted.
         self._offset_us: int | None = None
 
@@ -35,7 +35,7 @@
         """Enter the instant of a job that its record binds."""
         if job.bound is None:
             return
-        job.bound = moved(self.shelf, job.bound)
+        job.bound = moved(self.cache, job.bound)
         if self._offset_us is None:
             self._offset_us = wall_us - at_us
         self._convert(job)
@@ -61,7 +61,7 @@
         for job in jobs:
             if job.bound is None or job.bound.calendar != calendar:
                 continue
-            bound = moved(self.shelf, job.bound)
+            bound = moved(self.cache, job.bound)
             if bound != job.bound:
                 changed.append((job, job.bound.due_us))
                 job.bound = bound
--- a/weldhead/calendars/table.py
+++ b/weldhead/calendars/table.py
@@ -12,7 +12,7 @@
 from weldhead.calendars.binding import moved
 from weldhead.calendars.lateness import SOON_US
 from weldhead.calendars.words import due, span, utc
-from weldhead.documents.shelf import Shelf
+from weldhead.documents.cache import DocumentCache
 
 
 class _Part(msgspec.Struct):
@@ -60,27 +60,27 @@
         for job_id in self._jobs.keys() - job_ids:
             self.drop(job_id)
 
-    def bound(self, job_id: str, shelf: Shelf) -> Bound | None:
+    def bound(self, job_id: str, cache: DocumentCache) -> Bound | None:
         """Return what binds a job now, as far as is known here."""
         found = self._jobs.get(job_id)
-        return moved(shelf, found) if found is not None else None
+        return moved(cache, found) if found is not None else None
 
-    def soon(self, shelf: Shelf, wall_us: int) -> Iterator[tuple[str, Bound]]:
+    def soon(self, cache: DocumentCache, wall_us: int) -> Iterator[tuple[str, Bound]]:
         """Iterate over the jobs due within the hour, or past it."""
-        now = {one: moved(shelf, one) for one in self._shared}
+        now = {one: moved(cache, one) for one in self._shared}
         for job_id, one in self._jobs.items():
             bound = now[one]
             if bound.due_us <= wall_us + SOON_US:
                 yield job_id, bound
 
-    def words(self, job_id: str, shelf: Shelf) -> str:
+    def words(self, job_id: str, cache: DocumentCache) -> str:
         """Say by when a job has to be finished; empty: nothing is known."""
-        bound = self.bound(job_id, shelf)
+        bound = self.bound(job_id, cache)
         return f"; {due(bound)}" if bound is not None else ""
 
-    def line(self, shelf: Shelf, wall_us: int, at_us: int) -> str:
+    def line(self, cache: DocumentCache, wall_us: int, at_us: int) -> str:
         """Say what has to be finished soon, for when nobody can be asked."""
-        soon = sorted(self.soon(shelf, wall_us), key=lambda found: (found[1].due_us, found[0]))
+        soon = sorted(self.soon(cache, wall_us), key=lambda found: (found[1].due_us, found[0]))
         past = sum(1 for _, bound in soon if bound.due_us < wall_us)
         text = f"{len(self)} jobs are bound; due within the hour: {len(soon) - past}, past: {past}"
         if soon:
--- /dev/null
+++ b/weldhead/coordination/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' documents: editions in force, calendars and gates."""
--- a/weldhead/coordination/calendars.py
+++ b/weldhead/coordination/documents/calendars.py
@@ -28,9 +28,9 @@
 )
 from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
-from weldhead.coordination.documents import Documents, Publisher, Unready
-from weldhead.coordination.history import History
-from weldhead.coordination.lateness import LateNotes
+from weldhead.coordination.documents.history import History
+from weldhead.coordination.documents.lateness import LateNotes
+from weldhead.coordination.documents.publisher import Documents, Publisher, Unready
 from weldhead.coordination.term import Term, parts
 from weldhead.documents.records import HEAD_KEY, Offer, document_key, state_key
 from weldhead.protocol.wire import JobSpec
@@ -62,7 +62,7 @@
     def __call__(self, spec: JobSpec, wall_us: int) -> Binding:
         """Return the instant that binds a job; Unready if it is not known yet."""
         try:
-            return bind(self._documents.shelf, spec, wall_us, self._error_us)
+            return bind(self._documents.cache, spec, wall_us, self._error_us)
         except NotComputed as error:
             log.info("%s cannot be bound yet: no instants of calendar %s", spec.id, error)
             raise Unready from error
@@ -73,7 +73,7 @@
         if bound is None:
             return
         self._documents.table.put(record.spec.id, bound)
-        past_us = passed_us(self._documents.shelf, bound, record.submitted_us, self._error_us)
+        past_us = passed_us(self._documents.cache, bound, record.submitted_us, self._error_us)
         if past_us is not None:
             log.info(
                 "%s came too late for %s of calendar %s; the next instant binds it: %s",
@@ -91,8 +91,8 @@
 
     async def follow(self) -> None:
         """Keep the table; a duty."""
-        table, shelf = self._documents.table, self._documents.shelf
-        while not any(True for _ in shelf.in_force(KIND, Calendar)):  # noqa: ASYNC110
+        table, cache = self._documents.table, self._documents.cache
+        while not any(True for _ in cache.in_force(KIND, Calendar)):  # noqa: ASYNC110
             await asyncio.sleep(TABLE_PAUSE_S)
         revision = await self._read()
         while True:
@@ -135,7 +135,7 @@
         if not len(table) or (self._said_us and at_us - self._said_us < SAID_US):
             return
         self._said_us = at_us
-        line = table.line(self._documents.shelf, wall_us(), at_us)
+        line = table.line(self._documents.cache, wall_us(), at_us)
         log.warning("the state service is out of reach; %s", line)
 
 
@@ -152,9 +152,9 @@
         self._publisher = publisher
         self._refresh = refresh
         self._changed = asyncio.Event()
-        publisher.shelf.listeners.append(self._heard)
+        publisher.cache.listeners.append(self._heard)
         publisher.vets.append(self.vet)
-        term.dues.shelf = publisher.shelf
+        term.dues.cache = publisher.cache
         self.notes = LateNotes(term, publisher)
         self.history = History(term, publisher)
 
@@ -197,16 +197,16 @@
 
     async def _renew(self) -> bool:
         """Bring all calendars' records up to date; false if one could not be committed."""
-        shelf = self._publisher.shelf
-        head = shelf.head
+        cache = self._publisher.cache
+        head = cache.head
         if head is None:
             return True
-        for kept in list(shelf.in_force(KIND, Calendar)):
+        for kept in list(cache.in_force(KIND, Calendar)):
             calendar = kept.value
-            body = shelf.kept(document_key(head.edition, f"{KIND}/{calendar.name}"), msgspec.Raw)
+            body = cache.kept(document_key(head.edition, f"{KIND}/{calendar.name}"), msgspec.Raw)
             if body is None:
                 continue
-            former = state_of(shelf, calendar.name)
+            former = state_of(cache, calendar.name)
             fresh = self._state(
                 former.value if former else None, head.edition, calendar, bytes(body.value)
             )
--- a/weldhead/coordination/gateoutlook.py
+++ b/weldhead/coordination/documents/gate_outlook.py
@@ -5,7 +5,7 @@
 
 from weldhead.bookkeeping.jobs import Job
 from weldhead.clock import SECOND_US
-from weldhead.coordination.linking import Linking
+from weldhead.coordination.requests.chains import Linking
 from weldhead.coordination.term import Term
 from weldhead.gates.book import Book, lent, opens_us, urgency
 from weldhead.planning.fleet import Upcoming
--- a/weldhead/coordination/gates.py
+++ b/weldhead/coordination/documents/gates.py
@@ -17,14 +17,14 @@
 from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.records import Binding, Deed, FinalRecord, Hold, JobRecord, final_key
 from weldhead.clock import SECOND_US, now_us, wall_us
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.documents import Publisher, Unready
-from weldhead.coordination.gateoutlook import GateOutlook
-from weldhead.coordination.linking import Linking
-from weldhead.coordination.reports import request_stop
+from weldhead.coordination.documents.gate_outlook import GateOutlook
+from weldhead.coordination.documents.publisher import Publisher, Unready
+from weldhead.coordination.requests.chains import Linking
 from weldhead.coordination.term import LOADED_AT_ONCE, Term, parts
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.reports import request_stop
+from weldhead.documents.cache import DocumentCache
 from weldhead.documents.records import HEAD_KEY, HeadRecord, document_key, state_key
-from weldhead.documents.shelf import Shelf
 from weldhead.gates.book import Book, unbegun
 from weldhead.gates.document import Gate
 from weldhead.gates.state import Entered, GateState, deed_of, ended, enter, needed_now
@@ -44,7 +44,7 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def _documents(shelf: Shelf, head: HeadRecord | None) -> list[tuple[str, Gate | None]]:
+def _documents(cache: DocumentCache, head: HeadRecord | None) -> list[tuple[str, Gate | None]]:
     """Return an edition's gates by name; None where the document cannot be read."""
     if head is None:
         return []
@@ -52,45 +52,45 @@
     for name in head.documents:
         kind, _, gate = name.partition("/")
         if kind == KIND:
-            kept = shelf.kept(document_key(head.edition, name), Gate)
+            kept = cache.kept(document_key(head.edition, name), Gate)
             found.append((gate, kept.value if kept is not None else None))
     return found
 
 
-def _state(shelf: Shelf, name: str) -> GateState | None:
+def _state(cache: DocumentCache, name: str) -> GateState | None:
     """Return what is kept of a gate; None: it cannot be read."""
     key = state_key(KIND, name)
-    if not shelf.mark(key):
+    if not cache.mark(key):
         return GateState()
-    kept = shelf.kept(key, GateState)
+    kept = cache.kept(key, GateState)
     return kept.value if kept is not None else None
 
 
 class GateBinder:
     """Binds jobs to gates at acceptance, by a controller's copy of the documents."""
 
-    def __init__(self, shelf: Shelf) -> None:
-        self._shelf = shelf
+    def __init__(self, cache: DocumentCache) -> None:
+        self._cache = cache
 
     def __call__(self, spec: JobSpec, wall_us: int) -> Binding:
         """Return what a gate says of a job; Unready if its document cannot be read."""
-        shelf = self._shelf
+        cache = self._cache
         # Whoever finds no gate for a job does so by this edition of the documents.
-        conditions = [Condition(HEAD_KEY, shelf.mark(HEAD_KEY))]
+        conditions = [Condition(HEAD_KEY, cache.mark(HEAD_KEY))]
         hold: Hold | None = None
         deed: Deed | None = None
-        for name, gate in _documents(shelf, shelf.head):
+        for name, gate in _documents(cache, cache.head):
             if gate is None:
                 raise Unready
             holds = gate.holds_job(spec.job_class, spec.team)
             act = gate.act_of(spec.job_class, spec.team)
             if not holds and not act:
                 continue
-            state = _state(shelf, name)
+            state = _state(cache, name)
             if state is None:
                 raise Unready
             key = state_key(KIND, name)
-            conditions.append(Condition(key, shelf.mark(key)))
+            conditions.append(Condition(key, cache.mark(key)))
             if holds:
                 hold = Hold(name, needed_now(state))
             else:
@@ -121,7 +121,7 @@
         #: The documents have changed since they were read, and since all jobs were judged by them.
         self._outdated = True
         self._unjudged = False
-        publisher.shelf.listeners.append(self._changed)
+        publisher.cache.listeners.append(self._changed)
 
     # -- what is known ---------------------------------------------------------------------
 
@@ -148,7 +148,7 @@
             book.document, book.gone = gate, False
         for book in self.books.values():
             # Without any edition nothing is known, and nothing let through.
-            book.gone = book.name not in names and self._publisher.shelf.head is not None
+            book.gone = book.name not in names and self._publisher.cache.head is not None
 
     def _documents(self) -> Iterable[tuple[str, Gate | None]]:
         """Return the gates in force, and those of the edition that is being written.
@@ -156,17 +156,17 @@
         Followers may have read that one and hold jobs by it before this term has its answer: a
         gate that only it has was taken for one of an edition that is over, and let them pass.
         """
-        shelf, coming = self._publisher.shelf, self._publisher.coming
-        found = dict(_documents(shelf, coming)) if coming is not None else {}
-        found.update(_documents(shelf, shelf.head))
+        cache, coming = self._publisher.cache, self._publisher.coming
+        found = dict(_documents(cache, coming)) if coming is not None else {}
+        found.update(_documents(cache, cache.head))
         return found.items()
 
     def _book(self, name: str) -> Book:
         book = self.books.get(name)
         if book is None:
             book = self.books[name] = Book(name)
-            book.state = _state(self._publisher.shelf, name)
-            book.gone = not self._outdated and self._publisher.shelf.head is not None
+            book.state = _state(self._publisher.cache, name)
+            book.gone = not self._outdated and self._publisher.cache.head is not None
         return book
 
     def enter(self, job: Job, record: JobRecord) -> None:
@@ -397,7 +397,7 @@
         self._keep_back(book)
         key = state_key(KIND, book.name)
         revision = await self._term.ledger.write({**(also or {}), key: state}, urgent=True)
-        self._publisher.shelf.put(key, _encode(state), revision)
+        self._publisher.cache.put(key, _encode(state), revision)
         book.state, book.coming, book.changed = state, None, True
         book.foreseen_us = self.outlook.looked_us = 0
         self._wake.set()
--- a/weldhead/coordination/history.py
+++ b/weldhead/coordination/documents/history.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from weldhead.bookkeeping.ledger import Deposed
-from weldhead.coordination.documents import Publisher
+from weldhead.coordination.documents.publisher import Publisher
 from weldhead.coordination.term import Term
 from weldhead.documents.records import state_key
 from weldhead.transport.http import CallFailed
@@ -33,7 +33,7 @@
 
     def load(self) -> None:
         """Take up what was seen in earlier terms."""
-        kept = self._publisher.shelf.kept(KEY, Record)
+        kept = self._publisher.cache.kept(KEY, Record)
         if kept is not None:
             for name, (total, weight) in kept.value.items():
                 self._term.estimates.recall(name, total, weight)
@@ -60,7 +60,7 @@
         if not fresh:
             return None
         self._written = dict(estimates.editions)
-        kept = self._publisher.shelf.kept(KEY, Record)
+        kept = self._publisher.cache.kept(KEY, Record)
         record = dict(kept.value) if kept is not None else {}
         record |= {name: seen for name in fresh if (seen := estimates.seen(name)) is not None}
         while len(msgspec.json.encode(record)) > self._publisher.value_bytes:
--- a/weldhead/coordination/lateness.py
+++ b/weldhead/coordination/documents/lateness.py
@@ -12,7 +12,7 @@
 
 from weldhead.bookkeeping.jobs import Job
 from weldhead.bookkeeping.ledger import Deposed
-from weldhead.coordination.documents import Publisher
+from weldhead.coordination.documents.publisher import Publisher
 from weldhead.coordination.term import Term
 from weldhead.documents.records import STATES, state_key
 from weldhead.transport.http import CallFailed
@@ -42,10 +42,10 @@
     def _load(self) -> dict[str, Chunk]:
         if self._chunks is None:
             self._chunks = {}
-            keys = self._publisher.shelf.keys()
+            keys = self._publisher.cache.keys()
             for key in keys:
                 if key.startswith(f"{STATES}{KIND}/"):
-                    kept = self._publisher.shelf.kept(key, Chunk)
+                    kept = self._publisher.cache.kept(key, Chunk)
                     self._chunks[key] = dict(kept.value) if kept is not None else {}
             for chunk in self._chunks.values():
                 self._told.update(chunk)
--- a/weldhead/coordination/documents.py
+++ b/weldhead/coordination/documents/publisher.py
@@ -11,9 +11,9 @@
 from weldhead.bookkeeping.records import Binding, JobRecord
 from weldhead.calendars.table import DueTable
 from weldhead.clock import SECOND_US, now_us
+from weldhead.documents.cache import DocumentCache
 from weldhead.documents.editions import Verdict, judge, leftovers, steps
 from weldhead.documents.records import HEAD_KEY, PREFIX, HeadRecord, Offer
-from weldhead.documents.shelf import Shelf
 from weldhead.protocol.wire import JobSpec
 from weldhead.transport.http import CallFailed
 from weldhead.transport.server import Response, refusal
@@ -55,7 +55,7 @@
         self._ask_leader = ask_leader
         self._said: tuple[Verdict, int] | None = None
         self.offer = offer
-        self.shelf = Shelf()
+        self.cache = DocumentCache()
         #: What binds jobs at acceptance: the packages that use documents add theirs.
         self.binders: list[Binder] = []
         #: Called with the record of each bound or held job that this controller accepted.
@@ -65,7 +65,7 @@
 
     def bind(self, spec: JobSpec, wall_us: int) -> Binding:
         """Return all that a job is bound to by what is in memory; Unready if nothing is."""
-        if not self.shelf.loaded:
+        if not self.cache.loaded:
             raise Unready
         bound = Binding()
         for binder in self.binders:
@@ -84,10 +84,10 @@
                 continue
             for event in changes.events:
                 if event.put is not None:
-                    self.shelf.put(event.put, bytes(event.value), event.version)
+                    self.cache.put(event.put, bytes(event.value), event.version)
                 elif event.delete is not None:
-                    self.shelf.drop(event.delete, event.version)
-            self.shelf.as_of_us = max(self.shelf.as_of_us, sent_us)
+                    self.cache.drop(event.delete, event.version)
+            self.cache.as_of_us = max(self.cache.as_of_us, sent_us)
             revision = max(revision, changes.revision)
 
     async def _read(self) -> int:
@@ -95,24 +95,24 @@
         entries: dict[str, tuple[bytes, int]] = {}
         async for page, revision in self._state.pages(PREFIX):  # noqa: B007
             entries.update((e.key, (bytes(e.value), e.version)) for e in page)
-        self.shelf.replace(entries, revision)
-        self.shelf.as_of_us = max(self.shelf.as_of_us, sent_us)
+        self.cache.replace(entries, revision)
+        self.cache.as_of_us = max(self.cache.as_of_us, sent_us)
         return revision
 
     async def bring(self) -> None:
         """Have the leader take up the edition that this controller brings; a duty."""
         while True:
             await asyncio.sleep(OFFER_PAUSE_S)
-            if self.offer is None or not self.shelf.loaded:
+            if self.offer is None or not self.cache.loaded:
                 continue
-            verdict = judge(self.shelf.head, self.offer, self._state.limits.value_bytes)
+            verdict = judge(self.cache.head, self.offer, self._state.limits.value_bytes)
             self._say(verdict, self.offer)
             if verdict is Verdict.TAKEN:
                 await self._ask_leader("documents", "", _encode(self.offer))
 
     def _say(self, verdict: Verdict, offer: Offer) -> None:
         """Log what becomes of this controller's edition, when that changes."""
-        head = self.shelf.head
+        head = self.cache.head
         said = verdict, head.edition if head is not None else 0
         if self._said == said:
             return
@@ -152,7 +152,7 @@
         self._ledger = ledger
         self._valid = valid
         self._offers: asyncio.Queue[Offer] = asyncio.Queue()
-        self.shelf = Shelf()
+        self.cache = DocumentCache()
         #: The head that is being written: until that is answered it may be in force for whoever
         #: reads the store, and bind what they accept.
         self.coming: HeadRecord | None = None
@@ -169,8 +169,8 @@
             entries.update((e.key, (bytes(e.value), e.version)) for e in page)
         for key, (_, version) in entries.items():
             self._ledger().learn(key, version)
-        self.shelf.replace(entries, revision)
-        self.shelf.as_of_us = now_us()
+        self.cache.replace(entries, revision)
+        self.cache.as_of_us = now_us()
         self.loaded = True
 
     @property
@@ -192,10 +192,10 @@
         revision = await self._ledger().write(encoded, urgent=urgent)
         for key, body in encoded.items():
             if body is None:
-                self.shelf.drop(key, revision)
+                self.cache.drop(key, revision)
             else:
-                self.shelf.put(key, bytes(body), revision)
-        self.shelf.as_of_us = now_us()
+                self.cache.put(key, bytes(body), revision)
+        self.cache.as_of_us = now_us()
 
     def take(self, body: bytes) -> Response:
         """Answer another controller that brings an edition."""
@@ -205,7 +205,7 @@
             return refusal(400, str(error))
         if not self.loaded or not self._valid():
             return refusal(503, "not now", retry_after_s=1)
-        verdict = judge(self.shelf.head, offer, self._state.limits.value_bytes)
+        verdict = judge(self.cache.head, offer, self._state.limits.value_bytes)
         if verdict is Verdict.TAKEN:
             self._offers.put_nowait(offer)
         return Response(200, _encode(verdict.value))
@@ -216,7 +216,7 @@
             self._offers.put_nowait(self._documents.offer)
         while True:
             offer = await self._offers.get()
-            head = self.shelf.head
+            head = self.cache.head
             if judge(head, offer, self._state.limits.value_bytes) is not Verdict.TAKEN:
                 continue
             if offer.digest in self._unusable:
@@ -240,10 +240,10 @@
 
     async def _publish(self, offer: Offer) -> None:
         most = self._state.max_writes
-        for changes in steps(offer, self.shelf.documents(), most):
+        for changes in steps(offer, self.cache.documents(), most):
             self.coming = changes.get(HEAD_KEY)
             await self.write(changes, urgent=HEAD_KEY in changes)
         self.coming = None
-        old = leftovers(self.shelf.head, self.shelf.documents())
+        old = leftovers(self.cache.head, self.cache.documents())
         for start in range(0, len(old), most):
             await self.write(dict.fromkeys(old[start : start + most]))
--- a/weldhead/coordination/campaign.py
+++ b/weldhead/coordination/leadership/campaign.py
@@ -24,19 +24,19 @@
     to_seconds,
     wall_us,
 )
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.judging import Judging
-from weldhead.coordination.leader import Leader
-from weldhead.coordination.leadership import (
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.authority import (
     Authority,
     Candidacy,
     default_timing,
     handicap_us,
     predecessor_over_us,
 )
-from weldhead.coordination.predecessors import Predecessors, missed_from_us
-from weldhead.coordination.promises import ask_for_promises
-from weldhead.coordination.renewal import Renewal
+from weldhead.coordination.leadership.judging import Judging
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.coordination.leadership.predecessors import Predecessors, missed_from_us
+from weldhead.coordination.leadership.promises import ask_for_promises
+from weldhead.coordination.leadership.renewal import Renewal
 from weldhead.coordination.term import Term
 from weldhead.protocol.peer import Held, Hold, Pong, Resigned
 from weldhead.protocol.settings import Settings
--- a/weldhead/coordination/judging.py
+++ b/weldhead/coordination/leadership/judging.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds
-from weldhead.membership.verdict import Sight, State, Verdict, View, judge
+from weldhead.membership.verdict import Observation, State, Verdict, View, judge
 from weldhead.protocol.peer import Look, Ping, Pong, Seen
 from weldhead.protocol.versions import LOOK_FORMAT
 from weldhead.transport.duties import Duties
@@ -76,22 +76,22 @@
             self._under_way.discard(name)
 
     async def _verdict(self, link: PeerLink) -> Verdict:
-        sights = await self._sights(link.name)
-        verdict = self._judge(link, sights)
-        if verdict.state is State.DEAD and not sights:
+        observations = await self._observations(link.name)
+        verdict = self._judge(link, observations)
+        if verdict.state is State.DEAD and not observations:
             # By this node's word alone: then it has to be served itself.
             try:
                 await self._read_leader()
             except CallFailed as error:
                 log.debug("judging %s: %s", link.name, error)
-            verdict = self._judge(link, sights)
+            verdict = self._judge(link, observations)
         return verdict
 
-    def _judge(self, link: PeerLink, sights: list[tuple[str, Sight]]) -> Verdict:
+    def _judge(self, link: PeerLink, observations: list[tuple[str, Observation]]) -> Verdict:
         others = [other.observed() for other in self._links.values() if other is not link]
-        return judge(link.observed(), others, sights, now_us(), self._state.failed_us)
+        return judge(link.observed(), others, observations, now_us(), self._state.failed_us)
 
-    async def _sights(self, name: str) -> list[tuple[str, Sight]]:
+    async def _observations(self, name: str) -> list[tuple[str, Observation]]:
         """Ask the others what they see of a controller."""
         at_us = now_us()
         asked = [
@@ -100,24 +100,24 @@
         ]  # fmt: skip
         looks = [link.ask(Look(link.next_id(), name), Seen, LOOK_US) for link in asked]
         answers = await asyncio.gather(*looks, return_exceptions=True)
-        known = {sight.value: sight for sight in Sight}
+        known = {observation.value: observation for observation in Observation}
         return [
-            (link.name, known[answer.sight])
+            (link.name, known[answer.observation])
             for link, answer in zip(asked, answers, strict=True)
-            if isinstance(answer, Seen) and answer.sight in known
+            if isinstance(answer, Seen) and answer.observation in known
         ]
 
-    async def look(self, name: str) -> Sight:
+    async def look(self, name: str) -> Observation:
         """Say for another controller whether this one reaches a third, asking it first."""
         link = self._links.get(name)
         if link is None:
-            return Sight.LOST
+            return Observation.LOST
         if link.connected:
             try:
                 ping = Ping(link.next_id(), 0, self._state.ok)
                 await link.ask(ping, Pong, LOOK_US // 2)
-                return Sight.HEARD
+                return Observation.HEARD
             except CallFailed:
                 if link.connected:
-                    return Sight.CONNECTED
-        return Sight.REFUSED if link.refused_us else Sight.LOST
+                    return Observation.CONNECTED
+        return Observation.REFUSED if link.refused_us else Observation.LOST
--- a/weldhead/coordination/leader.py
+++ b/weldhead/coordination/leadership/leader.py
@@ -18,17 +18,19 @@
 from weldhead.calendars.lateness import Standing
 from weldhead.calendars.words import utc
 from weldhead.clock import SECOND_US, now_us, to_seconds, wall_us
-from weldhead.coordination.completions import Completions
-from weldhead.coordination.deciding import Deciding
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.documents import Documents, Publisher
-from weldhead.coordination.linking import Linking
-from weldhead.coordination.listening import Listening
-from weldhead.coordination.lookahead import LookAhead
+from weldhead.coordination.documents.publisher import Documents, Publisher
+from weldhead.coordination.leadership.recovery import Recovery
 from weldhead.coordination.pacing import Pacer
-from weldhead.coordination.recovery import Recovery
-from weldhead.coordination.rentals import Rentals
-from weldhead.coordination.reports import (
+from weldhead.coordination.placement.deciding import Deciding
+from weldhead.coordination.placement.lookahead import LookAhead
+from weldhead.coordination.rentals.rentals import Rentals
+from weldhead.coordination.rentals.sizing import Sizing
+from weldhead.coordination.requests.chains import Linking
+from weldhead.coordination.requests.completions import Completions
+from weldhead.coordination.term import Term, parts
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.reachability import ReachabilityMonitor
+from weldhead.coordination.workers.reports import (
     Outcome,
     apply_report,
     is_newer,
@@ -36,18 +38,16 @@
     pending_commands,
     pending_kills,
 )
-from weldhead.coordination.sizing import Sizing
-from weldhead.coordination.term import Term, parts
-from weldhead.coordination.watching import MachineWatch
-from weldhead.hearing.copies import Word
+from weldhead.coordination.workers.watching import MachineWatch
 from weldhead.planning.forecast import due_us
 from weldhead.protocol.wire import JobStatus, MachineType, Report, ReportAnswer
+from weldhead.reachability.freshness import Freshness
 from weldhead.recovery.early import Early
 from weldhead.transport.state import Compacted, decode
 
 if TYPE_CHECKING:
-    from weldhead.coordination.calendars import Calendars
-    from weldhead.coordination.gates import Gates
+    from weldhead.coordination.documents.calendars import Calendars
+    from weldhead.coordination.documents.gates import Gates
 
 log = logging.getLogger(__name__)
 
@@ -89,7 +89,7 @@
         if self.publisher is not None:
             self.gates = self._open_gates(self.publisher)
             self.completions.with_gate = self.gates.commit_end
-        self.listening = Listening(
+        self.reachability = ReachabilityMonitor(
             term, self._dispatcher, self._answered, self.rentals.delete, self.watch.silent_live
         )
         self.recovery = Recovery(
@@ -110,13 +110,13 @@
 
     def _open_gates(self, publisher: Publisher) -> "Gates":
         # Loaded by controllers that are given documents only.
-        from weldhead.coordination.gates import Gates
+        from weldhead.coordination.documents.gates import Gates
 
         return Gates(self.term, publisher, self.linking, self._dispatcher)
 
     def _open_calendars(self, publisher: Publisher) -> "Calendars":
         # Loaded by controllers that are given documents only.
-        from weldhead.coordination.calendars import Calendars
+        from weldhead.coordination.documents.calendars import Calendars
 
         return Calendars(self.term, publisher, self.linking.refresh)
 
@@ -176,7 +176,7 @@
         duties.once("settling", self.recovery.settle())
         duties.start("job watch", self._watch_jobs)
         duties.start("machine watch", self.watch.watch)
-        duties.start("hearing", self.listening.attend)
+        duties.start("reachability", self.reachability.attend)
         duties.start("needed jobs", self.linking.learn_needs, 0.2)
         duties.start("forecasts", self.look_ahead.forecast)
         duties.start("loop watch", self.pacer.watch)
@@ -210,7 +210,7 @@
 
     def _gone(self, machine: Machine) -> None:
         self.watch.gone(machine)
-        self.listening.gone(machine)
+        self.reachability.gone(machine)
 
     # -- users ------------------------------------------------------------------------
 
@@ -299,22 +299,22 @@
             self._stranger(report)
             # The answer renews a lease, and what runs there counts for nobody: it has to go.
             return ReportAnswer(self.token, kill_all(report))
-        word = self.listening.word(machine, report)
-        if machine.deleting or word is Word.COPY:
+        freshness = self.reachability.freshness(machine, report)
+        if machine.deleting or freshness is Freshness.COPY:
             return None
-        if word is Word.OVERTAKEN:
-            if not self.listening.answerable(machine):
+        if freshness is Freshness.OVERTAKEN:
+            if not self.reachability.answerable(machine):
                 return None
             machine.lease_from_us = max(machine.lease_from_us, machine.seen_us)
             # No answer renews a lease without the kills: a run may not be repeated, they may.
             return ReportAnswer(self.token, pending_kills(machine))
-        self.listening.listen(machine, report, at_us, relayed=relayed)
+        self.reachability.listen(machine, report, at_us, relayed=relayed)
         machine.relayed = relayed
         self._apply(machine, report, direct=False)
         if machine.deaf:
             # The report may have shown that what it was sent last was dropped.
-            self.listening.withdraw(machine)
-        if not self._count_answer(machine, word, at_us):
+            self.reachability.withdraw(machine)
+        if not self._count_answer(machine, freshness, at_us):
             return None
         if machine.synced and not machine.up and not machine.up_pending:
             machine.up_pending = True
@@ -325,15 +325,15 @@
             may_start=machine.synced and machine.up and not machine.deaf,
             sequence=report.sequence,
         )
-        self.listening.told(machine, report, commands, at_us, relayed=relayed)
+        self.reachability.told(machine, report, commands, at_us, relayed=relayed)
         return ReportAnswer(self.token, commands)
 
-    def _count_answer(self, machine: Machine, word: Word, at_us: int) -> bool:
+    def _count_answer(self, machine: Machine, freshness: Freshness, at_us: int) -> bool:
         """Enter that a report is about to be answered; false: it must not be."""
-        if word is Word.FRESH:
+        if freshness is Freshness.FRESH:
             self.watch.hear(machine, at_us)
             return True
-        if not self.listening.answerable(machine):
+        if not self.reachability.answerable(machine):
             return False
         # The answer may renew a lease; that its machine lives is not shown by it.
         machine.unshown += 1
@@ -343,16 +343,16 @@
     def _stranger(self, report: Report) -> None:
         """A report of a machine that no record names."""
         if self.rentals.is_unexpected(report):
-            self.listening.meet(report, self.rentals.unexpected)
+            self.reachability.meet(report, self.rentals.unexpected)
 
     def _answered(self, machine: Machine, report: Report) -> None:
         """Take a worker's answer to direct commands."""
         self._apply(machine, report, direct=True)
-        self.listening.answered(machine)
+        self.reachability.answered(machine)
 
     def _unanswered(self, machine: Machine) -> None:
         """A worker did not answer direct commands."""
-        self.listening.unanswered(machine)
+        self.reachability.unanswered(machine)
 
     def _apply_early(self, early: Early) -> None:
         """Take what a machine said before its records were loaded."""
@@ -360,18 +360,18 @@
         if machine is None:
             self._stranger(early.report)
             return
-        word = self.listening.word(machine, early.report)
+        freshness = self.reachability.freshness(machine, early.report)
         self._apply(machine, early.report, direct=early.direct)
         if early.answered_us:
             from_us = machine.lease_from_us
-            self._count_answer(machine, word, early.answered_us)
+            self._count_answer(machine, freshness, early.answered_us)
             if early.direct:
                 # It showed the token after that answer, which may have been lost: the leader
                 # before may have renewed its lease in between.
                 machine.lease_from_us = max(machine.lease_from_us, from_us)
             machine.relayed = early.relayed
             if early.answered:
-                self.listening.told(
+                self.reachability.told(
                     machine, early.report, [], early.answered_us, relayed=early.relayed
                 )
 
--- a/weldhead/coordination/company.py
+++ b/weldhead/coordination/leadership/peer_directory.py
@@ -7,10 +7,10 @@
 
 from weldhead.bookkeeping.records import LEADER_KEY
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds
-from weldhead.coordination.campaign import Campaign
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.leader import Leader
-from weldhead.membership.solitude import Contact, Solitude
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.campaign import Campaign
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.membership.isolation import Contact, IsolationDetector
 from weldhead.protocol.peer import Answer, Ask
 from weldhead.protocol.versions import CHAINS_FORMAT, DOCUMENTS_FORMAT
 from weldhead.protocol.wire import MachineType
@@ -29,7 +29,7 @@
 PROOF_US = 400 * MILLISECOND_US
 
 
-class Company:
+class PeerDirectory:
     """What this node knows of the others, and what it has them answer."""
 
     def __init__(
@@ -38,7 +38,7 @@
         self._name = name
         self._links = links
         self._campaign = campaign
-        self._solitude = Solitude(started_us)
+        self._isolation = IsolationDetector(started_us)
         self._turn = 0
         #: Calendars and gates; None: this node is given none.
         self.documents: Documents | None = None
@@ -62,14 +62,14 @@
     @property
     def alone(self) -> bool:
         """Whether neither the state service nor another controller answers this one."""
-        return self._solitude.alone
+        return self._isolation.alone
 
     async def watch(self) -> None:
         """Look again and again whether this node is alone; a duty."""
         while self._links:
             await asyncio.sleep(to_seconds(LOOK_US))
             self._look()
-            if self._solitude.ask:
+            if self._isolation.ask:
                 # Nobody may have called the service for seconds: then nothing has failed.
                 try:
                     await self._state.get(LEADER_KEY, urgent=True, timeout_us=PROOF_US)
@@ -81,7 +81,7 @@
     def _look(self) -> None:
         answered_us = max(link.heard_us for link in self._links.values())
         contact = Contact(answered_us, self._state.served_us, self._state.failed_us)
-        if self._solitude.look(contact, now_us()):
+        if self._isolation.look(contact, now_us()):
             if self.alone:
                 log.info(
                     "%s is alone: neither the state service nor another controller answers; "
--- a/weldhead/coordination/promises.py
+++ b/weldhead/coordination/leadership/promises.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from weldhead.clock import now_us, surely_valid_us, to_seconds
-from weldhead.coordination.leadership import Authority, Timing
+from weldhead.coordination.leadership.authority import Authority, Timing
 from weldhead.protocol.peer import Held, Hold
 from weldhead.transport.peers import PeerLink
 
--- a/weldhead/coordination/recovery.py
+++ b/weldhead/coordination/leadership/recovery.py
@@ -27,15 +27,15 @@
     without_gate,
 )
 from weldhead.clock import MILLISECOND_US, now_us, surely_over_us, to_seconds, wall_us
-from weldhead.coordination.completions import Completions
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.documents import Publisher
-from weldhead.coordination.lending import read_taken
-from weldhead.coordination.linking import Linking
+from weldhead.coordination.documents.publisher import Publisher
 from weldhead.coordination.pacing import Pacer
-from weldhead.coordination.rentals import Rentals
+from weldhead.coordination.placement.lending import read_taken
+from weldhead.coordination.rentals.rentals import Rentals
+from weldhead.coordination.requests.chains import Linking
+from weldhead.coordination.requests.completions import Completions
 from weldhead.coordination.term import Term, parts
-from weldhead.coordination.watching import MachineWatch
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.watching import MachineWatch
 from weldhead.planning.demand import Demand
 from weldhead.planning.silence import look_gone
 from weldhead.protocol.wire import Entry, Report, split_task
@@ -46,7 +46,7 @@
 from weldhead.transport.state import Rejected, decode
 
 if TYPE_CHECKING:
-    from weldhead.coordination.gates import Gates
+    from weldhead.coordination.documents.gates import Gates
 
 log = logging.getLogger(__name__)
 
--- a/weldhead/coordination/renewal.py
+++ b/weldhead/coordination/leadership/renewal.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from weldhead.clock import now_us, to_seconds
-from weldhead.coordination.leadership import Authority, Timing
+from weldhead.coordination.leadership.authority import Authority, Timing
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import Busy, LeaseGone, Refused
 
--- a/weldhead/coordination/node.py
+++ b/weldhead/coordination/node.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from weldhead.clock import MILLISECOND_US, PROCESS_STARTED_US, SECOND_US, now_us, seconds_us
-from weldhead.coordination.campaign import Campaign
-from weldhead.coordination.company import Company
-from weldhead.coordination.documents import Documents
-from weldhead.coordination.frontdesk import FrontDesk
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.documents.publisher import Documents
+from weldhead.coordination.leadership.campaign import Campaign
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.coordination.leadership.peer_directory import PeerDirectory
 from weldhead.coordination.memory import MemoryWatch
-from weldhead.coordination.relays import Relays
+from weldhead.coordination.requests.frontdesk import FrontDesk
+from weldhead.coordination.workers.relays import Relays
 from weldhead.documents.records import Offer
 from weldhead.protocol.peer import (
     Answer,
@@ -75,7 +75,7 @@
         self._offer = offer
         self.memory = MemoryWatch(settings.facts.limits.memory_mb)
         self.campaign = Campaign(settings, tunables, self._links, self._duties, started_us)
-        self.company = Company(settings.name, self._links, self.campaign, started_us)
+        self.peers = PeerDirectory(settings.name, self._links, self.campaign, started_us)
 
     def _say_shortfall(self) -> None:
         """Tell the operator once what the site's times do not allow to guarantee."""
@@ -108,11 +108,11 @@
             self._http, self.settings.services.cloud, self.settings.facts.cloud
         )
         if self._offer is not None:
-            self.company.documents = self._follow_documents(self._offer)
-        self.campaign.open(self._state, self._cloud, self._worker_http, self.company.documents)
-        self.company.open(self._state)
+            self.peers.documents = self._follow_documents(self._offer)
+        self.campaign.open(self._state, self._cloud, self._worker_http, self.peers.documents)
+        self.peers.open(self._state)
         teams = self.settings.facts.teams
-        self._desk = FrontDesk(self.company, self._state, teams, 1 + len(self._links), self.memory)
+        self._desk = FrontDesk(self.peers, self._state, teams, 1 + len(self._links), self.memory)
         server = self._serve(self._handle)
         peer_server = PeerServer(self._peer_request, self._duties, set(self._links))
         try:
@@ -122,7 +122,7 @@
                 self._duties.start(f"link to {link.name}", link.run, 0.05)
                 self._duties.start(f"pings to {link.name}", partial(self._ping, link))
             self._duties.start("catalog", self._watch_catalog)
-            self._duties.start("company", self.company.watch)
+            self._duties.start("peers", self.peers.watch)
             self.campaign.start()
             self._say_shortfall()
             log.info("%s serves %s", self.settings.name, self.settings.listen)
@@ -138,13 +138,13 @@
     def _follow_documents(self, offer: Offer) -> Documents:
         """Begin what a node does that is given documents."""
         # Loaded by controllers that are given documents only.
-        from weldhead.coordination.calendars import CalendarBinder, TableKeeper
-        from weldhead.coordination.gates import GateBinder
+        from weldhead.coordination.documents.calendars import CalendarBinder, TableKeeper
+        from weldhead.coordination.documents.gates import GateBinder
 
-        documents = Documents(self._state, offer, self.company.ask_leader)
+        documents = Documents(self._state, offer, self.peers.ask_leader)
         self._duties.start("documents", documents.follow)
         self._duties.start("edition", documents.bring)
-        documents.binders.append(GateBinder(documents.shelf))
+        documents.binders.append(GateBinder(documents.cache))
         CalendarBinder(documents, round(self.settings.facts.clock_error_ms * MILLISECOND_US))
         self._duties.start("due table", TableKeeper(documents, self._state).follow)
         return documents
@@ -231,7 +231,7 @@
         if path == "/v1/report" and method == "POST":
             return await self._report(body, relayed=False)
         if path == "/ready" and method == "GET":
-            return self.company.ready()
+            return self.peers.ready()
         if path == "/submissions" and method == "POST":
             return await self._desk.submit(body)
         if path.startswith("/submissions/"):
@@ -268,7 +268,7 @@
         link = self._links[leader]
         if link.alive(at_us):
             if relayed or self._relays.wanted(machine, at_us):
-                answer = await self.company.forward(link, "report", "", body)
+                answer = await self.peers.forward(link, "report", "", body)
                 if answer is not None and answer.status == 200:
                     return answer
             if relayed:
@@ -280,7 +280,7 @@
             # of its lease: another node may reach that leader.
             for other in self._links.values():
                 if other.name != leader and other.alive(at_us):
-                    answer = await self.company.forward(other, "report", "", body)
+                    answer = await self.peers.forward(other, "report", "", body)
                     if answer is not None and answer.status == 200:
                         return answer
         return Response(421, _encode(Redirect()))
--- a/weldhead/coordination/deciding.py
+++ b/weldhead/coordination/placement/deciding.py
@@ -8,11 +8,11 @@
 from weldhead.bookkeeping.machines import Machine
 from weldhead.bookkeeping.reclaim import ReclaimLists
 from weldhead.clock import MILLISECOND_US, now_us
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.lending import Lending
 from weldhead.coordination.pacing import Pacer, Rank
-from weldhead.coordination.reports import request_stop
+from weldhead.coordination.placement.lending import Lending
 from weldhead.coordination.term import LOADED_AT_ONCE, Term
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.reports import request_stop
 from weldhead.planning.holding import Ahead, Holding, Holds
 from weldhead.planning.placement import Plan, Scene, plan_pass, usable
 from weldhead.planning.preemptor import overdue, plan_reclaims, stop_for
--- a/weldhead/coordination/lookahead.py
+++ b/weldhead/coordination/placement/lookahead.py
@@ -74,7 +74,7 @@
             for job in outlook.look(at_us):
                 self._say_if_late(job, at_us)
         except Exception:
-            # It may have lost a job out of its sight: made anew at the next look.
+            # It may have lost a job out of its observation: made anew at the next look.
             outlook.close()
             self._outlook = None
             raise
@@ -138,7 +138,7 @@
             return
         job.late = job.late or notes is None
         forecast_us = job.forecast_us
-        expected = "no end in sight"
+        expected = "no end in observation"
         if forecast_us is not None and not job.broken:
             expected = f"expected {span(max(0, forecast_us - due_us))} after that"
         boots = self._kept_outlook().boots()
--- /dev/null
+++ b/weldhead/coordination/rentals/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: renting, entering and returning them, and how many there should be."""
--- a/weldhead/coordination/sizing.py
+++ b/weldhead/coordination/rentals/sizing.py
@@ -5,11 +5,11 @@
 
 from weldhead.bookkeeping.jobs import Stop
 from weldhead.clock import SECOND_US, now_us, to_seconds
-from weldhead.coordination.deciding import Deciding
 from weldhead.coordination.pacing import Rank
-from weldhead.coordination.rentals import Rentals
+from weldhead.coordination.placement.deciding import Deciding
+from weldhead.coordination.rentals.rentals import Rentals
 from weldhead.coordination.term import Term
-from weldhead.coordination.watching import MachineWatch
+from weldhead.coordination.workers.watching import MachineWatch
 from weldhead.planning.fleet import (
     Move,
     Upcoming,
@@ -24,7 +24,7 @@
 from weldhead.planning.placement import plan_nothing
 
 if TYPE_CHECKING:
-    from weldhead.coordination.gates import Gates
+    from weldhead.coordination.documents.gates import Gates
 
 log = logging.getLogger(__name__)
 
@@ -104,7 +104,7 @@
             self._rentals.hire(offer, count)
 
     def audit(self, at_us: int) -> None:
-        """See that no waiting job was lost sight of, and say what the loop suffered from."""
+        """See that no waiting job was lost observation of, and say what the loop suffered from."""
         scene = self._deciding.kept_scene()
         scene.refresh(at_us)
         strays = scene.backlog.strays()
--- /dev/null
+++ b/weldhead/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""What users ask for: submissions, polls, cancellations, completions and job chains."""
--- a/weldhead/coordination/linking.py
+++ b/weldhead/coordination/requests/chains.py
@@ -7,10 +7,10 @@
 from weldhead.bookkeeping.jobs import Job, Stop
 from weldhead.bookkeeping.records import FINAL, JOBS, FinalRecord, JobRecord, final_key, job_key
 from weldhead.clock import SECOND_US, now_us, wall_us
-from weldhead.coordination.completions import Completions
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.reports import request_stop
+from weldhead.coordination.requests.completions import Completions
 from weldhead.coordination.term import Term
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.reports import request_stop
 from weldhead.planning.urgency import fetch_rate, refresh, stage_us
 from weldhead.transport.http import CallFailed
 from weldhead.transport.state import decode
--- a/weldhead/coordination/frontdesk.py
+++ b/weldhead/coordination/requests/frontdesk.py
@@ -28,8 +28,8 @@
 from weldhead.calendars.binding import moved
 from weldhead.calendars.words import utc
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds, wall_us
-from weldhead.coordination.documents import Documents, Unready
-from weldhead.coordination.leader import Leader, NotReady
+from weldhead.coordination.documents.publisher import Documents, Unready
+from weldhead.coordination.leadership.leader import Leader, NotReady
 from weldhead.coordination.memory import MemoryWatch
 from weldhead.protocol.settings import Team
 from weldhead.protocol.validation import (
@@ -329,12 +329,12 @@
         documents = self._node.documents
         if documents is None or record.bound is None or record.cancelled:
             return None
-        return utc(moved(documents.shelf, record.bound).due_us)
+        return utc(moved(documents.cache, record.bound).due_us)
 
     def _known_of(self, job_id: str) -> str:
         """Say in a refusal by when a job is due, as far as this node knows."""
         documents = self._node.documents
-        return documents.table.words(job_id, documents.shelf) if documents is not None else ""
+        return documents.table.words(job_id, documents.cache) if documents is not None else ""
 
     def _in_memory(self, job_id: str) -> JobStatus | None:
         final = self._finals.get(job_id)
--- a/weldhead/coordination/term.py
+++ b/weldhead/coordination/term.py
@@ -11,7 +11,7 @@
 from weldhead.boots.expect import Boots
 from weldhead.calendars.dues import Dues
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, seconds_us
-from weldhead.coordination.leadership import Authority
+from weldhead.coordination.leadership.authority import Authority
 from weldhead.planning.demand import Demand
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.fleet import Market
--- a/weldhead/coordination/dispatch.py
+++ b/weldhead/coordination/workers/dispatch.py
@@ -6,8 +6,8 @@
 
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import MILLISECOND_US, now_us, to_seconds
-from weldhead.coordination.reports import pending_commands
 from weldhead.coordination.term import Term
+from weldhead.coordination.workers.reports import pending_commands
 from weldhead.protocol.wire import Command, Report
 from weldhead.recovery.outbox import Outbox, rank
 from weldhead.transport import workers
--- a/weldhead/coordination/listening.py
+++ b/weldhead/coordination/workers/reachability.py
@@ -6,13 +6,13 @@
 
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.reports import withdraw_unbegun
 from weldhead.coordination.term import Term
-from weldhead.hearing.copies import Word, answerable, word_of
-from weldhead.hearing.evidence import Ear, Sign, told
-from weldhead.hearing.price import to_return
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.reports import withdraw_unbegun
 from weldhead.protocol.wire import Command, Report
+from weldhead.reachability.evidence import DeliveryEvidence, Sign, told
+from weldhead.reachability.freshness import Freshness, answerable, freshness_of
+from weldhead.reachability.replacement import to_return
 
 log = logging.getLogger(__name__)
 
@@ -24,7 +24,7 @@
 ASKED_AT_ONCE = 50
 
 
-class Listening:
+class ReachabilityMonitor:
     """Weighs what machines say against what they were told; one for each term.
 
     ``apply`` takes what they answer to direct questions, ``silent`` names those that are silent.
@@ -43,7 +43,7 @@
         self._apply = apply
         self._return = give_back
         self._silent = silent
-        self._ears: dict[str, Ear] = {}
+        self._evidence: dict[str, DeliveryEvidence] = {}
         #: Those of which there is evidence.
         self._doubted: dict[str, Machine] = {}
         self._asked = 0
@@ -52,18 +52,18 @@
 
     # -- reports -----------------------------------------------------------------------------
 
-    def word(self, machine: Machine, report: Report) -> Word:
+    def freshness(self, machine: Machine, report: Report) -> Freshness:
         """Say what a report is worth, before it is applied."""
-        return word_of(machine, report, self._term.token)
+        return freshness_of(machine, report, self._term.token)
 
     def listen(self, machine: Machine, report: Report, at_us: int, *, relayed: bool) -> None:
         """Hold a report that is newer than all seen against what its machine was told."""
-        ear = self._ears.get(machine.name)
-        if ear is None:
+        evidence = self._evidence.get(machine.name)
+        if evidence is None:
             return
-        sign = ear.listen(report, machine.order[1], at_us, relayed=relayed)
+        sign = evidence.listen(report, machine.order[1], at_us, relayed=relayed)
         if sign is not Sign.NOTHING:
-            self._note(machine, ear, sign, at_us)
+            self._note(machine, evidence, sign, at_us)
 
     def told(
         self,
@@ -76,11 +76,11 @@
     ) -> None:
         """Its report is answered so."""
         said = told(report, self._term.token, commands, at_us, relayed=relayed)
-        ear = self._ears.get(machine.name)
-        if ear is None:
-            self._ears[machine.name] = Ear(self._term.lease_us, said, at_us)
+        evidence = self._evidence.get(machine.name)
+        if evidence is None:
+            self._evidence[machine.name] = DeliveryEvidence(self._term.lease_us, said, at_us)
         else:
-            ear.last = said
+            evidence.last = said
 
     def answerable(self, machine: Machine) -> bool:
         """Whether a machine that does not show this term's token is answered."""
@@ -88,41 +88,41 @@
 
     def answered(self, machine: Machine) -> None:
         """It answered a direct request: it hears."""
-        ear = self._ears.get(machine.name)
-        if ear is not None and ear.doubted:
-            self._note(machine, ear, Sign.HEARD, now_us())
+        evidence = self._evidence.get(machine.name)
+        if evidence is not None and evidence.doubted:
+            self._note(machine, evidence, Sign.HEARD, now_us())
 
     def unanswered(self, machine: Machine) -> None:
         """It did not answer a direct request.
 
         One whose reports come over another controller may only be out of our reach.
         """
-        ear = self._ears.get(machine.name)
-        if ear is None or machine.relayed or machine.name not in self._term.cluster.machines:
+        evidence = self._evidence.get(machine.name)
+        if evidence is None or machine.relayed or machine.name not in self._term.cluster.machines:
             return
         at_us = now_us()
         if at_us - machine.seen_us <= self._term.silence_us:
-            self._note(machine, ear, Sign.UNANSWERED, at_us)
+            self._note(machine, evidence, Sign.UNANSWERED, at_us)
 
     def gone(self, machine: Machine) -> None:
         """A machine is gone for good."""
-        self._ears.pop(machine.name, None)
+        self._evidence.pop(machine.name, None)
         self._doubted.pop(machine.name, None)
 
-    def _note(self, machine: Machine, ear: Ear, sign: Sign, at_us: int) -> None:
-        since_us = ear.deaf_us
-        changed = ear.note(sign, at_us)
-        if ear.doubted:
+    def _note(self, machine: Machine, evidence: DeliveryEvidence, sign: Sign, at_us: int) -> None:
+        since_us = evidence.deaf_us
+        changed = evidence.note(sign, at_us)
+        if evidence.doubted:
             self._doubted[machine.name] = machine
         else:
             self._doubted.pop(machine.name, None)
         if not changed:
             return
-        machine.deaf = ear.deaf_us > 0
+        machine.deaf = evidence.deaf_us > 0
         machine.touch()
         if machine.deaf:
-            log.info("machine %s hears nothing: %s", machine.name, ear.why())
-            ear.ask_us = 0
+            log.info("machine %s hears nothing: %s", machine.name, evidence.why())
+            evidence.ask_us = 0
             self.withdraw(machine)
         else:
             log.info(
@@ -152,18 +152,23 @@
 
     def _look(self, at_us: int) -> None:
         for name, machine in list(self._doubted.items()):
-            ear = self._ears[name]
-            if not ear.deaf_us and at_us - ear.evidence_us > 2 * self._term.lease_us:
-                ear.note(Sign.HEARD, at_us)
+            evidence = self._evidence[name]
+            if not evidence.deaf_us and at_us - evidence.evidence_us > 2 * self._term.lease_us:
+                evidence.note(Sign.HEARD, at_us)
                 del self._doubted[name]
                 continue
             if machine.deaf:
                 self.withdraw(machine)
             speaks = at_us - machine.seen_us <= self._term.silence_us
-            if speaks and at_us >= ear.ask_us and self._asked < ASKED_AT_ONCE and machine.address:
-                ear.ask_us = at_us + ASK_PAUSE_US
+            if (
+                speaks
+                and at_us >= evidence.ask_us
+                and self._asked < ASKED_AT_ONCE
+                and machine.address
+            ):
+                evidence.ask_us = at_us + ASK_PAUSE_US
                 self._asked += 1
-                self._term.duties.once("hearing", self._ask(machine))
+                self._term.duties.once("reachability", self._ask(machine))
 
     async def _ask(self, machine: Machine) -> None:
         try:
@@ -181,7 +186,7 @@
 
     def _return_some(self, at_us: int) -> None:
         deaf = {
-            name: self._ears[name].deaf_us
+            name: self._evidence[name].deaf_us
             for name, machine in self._doubted.items()
             if machine.deaf and not machine.deleting
         }
--- a/weldhead/coordination/reports.py
+++ b/weldhead/coordination/workers/reports.py
@@ -109,7 +109,7 @@
             # Listed, so its ``run`` has been executed, answered or not; each ``run`` is sent in
             # one direct request at most, so it cannot be executed a second time.
             known.posted = False
-            known.limbo_us = 0
+            known.unconfirmed_us = 0
             if known.phase is not _PHASES.get(task.state):
                 _moved_on(cluster, machine, known, task, at_us, outcome)
         else:
@@ -127,7 +127,7 @@
             machine.met_us = at_us
     unseen = [] if machine.attempts.keys() <= seen else list(machine.attempts.values())
     for attempt in unseen:
-        if attempt.task in seen or attempt.posted or attempt.limbo_us:
+        if attempt.task in seen or attempt.posted or attempt.unconfirmed_us:
             continue
         if attempt.phase is Phase.ASSIGNED:
             if attempt.sent_sequence is None:
@@ -288,7 +288,7 @@
         attempt.phase is Phase.ASSIGNED
         and attempt.sent_sequence is None
         and not attempt.posted
-        and not attempt.limbo_us
+        and not attempt.unconfirmed_us
     ):
         cluster.release(attempt)
         return True
@@ -308,7 +308,7 @@
         if attempt.phase is Phase.ASSIGNED
         and attempt.sent_sequence is None
         and not attempt.posted
-        and not attempt.limbo_us
+        and not attempt.unconfirmed_us
     ]
     for attempt in gone:
         cluster.release(attempt)
@@ -330,7 +330,7 @@
     for attempt in machine.attempts.values():
         if attempt.stop is Stop.NO:
             continue
-        if attempt.phase is not Phase.ASSIGNED or attempt.limbo_us or attempt.posted:
+        if attempt.phase is not Phase.ASSIGNED or attempt.unconfirmed_us or attempt.posted:
             grace_s = 0.0
             if attempt.stop is Stop.SOFT:
                 if attempt.phase is Phase.SAVING:
@@ -359,7 +359,7 @@
     unbegun = machine.attempts.values() if may_start and machine.listing is None else ()
     for attempt in unbegun:
         if attempt.stop is Stop.NO and attempt.phase is Phase.ASSIGNED:
-            if attempt.posted or attempt.limbo_us:
+            if attempt.posted or attempt.unconfirmed_us:
                 continue
             if sequence is None:
                 if attempt.sent_sequence is not None:
--- a/weldhead/coordination/watching.py
+++ b/weldhead/coordination/workers/watching.py
@@ -4,16 +4,16 @@
 import logging
 from collections.abc import Callable
 
-from weldhead.blame.record import Failures
-from weldhead.blame.verdict import Standing
+from weldhead.attribution.failures import Failures
+from weldhead.attribution.verdict import Standing
 from weldhead.bookkeeping.feeds import Feed
 from weldhead.bookkeeping.jobs import Attempt, Job, Phase, Stop
 from weldhead.bookkeeping.ledger import Deposed
 from weldhead.bookkeeping.machines import Machine
 from weldhead.clock import SECOND_US, now_us
-from weldhead.coordination.dispatch import Dispatcher
-from weldhead.coordination.reports import request_stop
 from weldhead.coordination.term import Term
+from weldhead.coordination.workers.dispatch import Dispatcher
+from weldhead.coordination.workers.reports import request_stop
 from weldhead.planning.goals import FOR_EVER_US
 from weldhead.planning.silence import look_gone
 from weldhead.recovery.answering import span_us
@@ -95,7 +95,7 @@
         return found
 
     async def watch(self) -> None:
-        """See leases run out, limbo resolved, and machines go that must go."""
+        """See leases run out, unconfirmed resolved, and machines go that must go."""
         while True:
             await asyncio.sleep(0.2)
             if not self._term.valid:
@@ -202,9 +202,13 @@
         # One that is being returned is not answered: its lease has to end within ``cancel_s``
         # even if the cloud does not take it back.
         left_us = max(0, span_us(self._term.cancel_us, self._term.lease_us))
-        limbo_us = min(self._term.cancel_us // 4, left_us)
+        unconfirmed_us = min(self._term.cancel_us // 4, left_us)
         stop_us = min(self._term.cancel_us // 2, left_us)
-        found = [a for a in cluster.limbo.values() if a.limbo_us and at_us - a.limbo_us > limbo_us]
+        found = [
+            a
+            for a in cluster.unconfirmed.values()
+            if a.unconfirmed_us and at_us - a.unconfirmed_us > unconfirmed_us
+        ]
         found += [
             attempt
             for attempt in cluster.stopping.values()
--- a/weldhead/documents/shelf.py
+++ b/weldhead/documents/cache.py
@@ -25,7 +25,7 @@
     as_of_us: int
 
 
-class Shelf:
+class DocumentCache:
     """The keys under ``d/``, decoded once a change."""
 
     def __init__(self) -> None:
--- a/weldhead/emulator/arrivals.py
+++ b/weldhead/emulator/arrivals.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from weldhead.bookkeeping.records import LEADER_KEY, LeaderRecord
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.coordination.node import Node
 from weldhead.emulator.experiment import Experiment
 from weldhead.emulator.machines import Machine
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 from weldhead.clock import SECOND_US, now_us
-from weldhead.coordination import lateness
-from weldhead.coordination.leader import Leader
+from weldhead.coordination.documents import lateness
+from weldhead.coordination.leadership.leader import Leader
 from weldhead.documents.records import Offer
 from weldhead.documents.source import parse_source
 from weldhead.emulator.calendars import CalendarRules
--- a/weldhead/emulator/planted.py
+++ b/weldhead/emulator/planted.py
@@ -13,8 +13,8 @@
 from msgspec import structs
 
 from weldhead.account.teams import Account
-from weldhead.blame import record
-from weldhead.blame.verdict import Accusation
+from weldhead.attribution import failures
+from weldhead.attribution.verdict import FailureEvidence
 from weldhead.bookkeeping.cluster import Cluster
 from weldhead.bookkeeping.jobs import Attempt, Job
 from weldhead.bookkeeping.machines import Machine
@@ -22,22 +22,25 @@
 from weldhead.calendars.binding import state_of
 from weldhead.calendars.dues import Dues
 from weldhead.clock import SECOND_US, now_us
-from weldhead.coordination import campaign, frontdesk, gates, leader, listening, reports
-from weldhead.coordination.campaign import Campaign
-from weldhead.coordination.frontdesk import FrontDesk
-from weldhead.coordination.leader import Leader
-from weldhead.coordination.leadership import Authority
-from weldhead.coordination.linking import Linking
-from weldhead.coordination.recovery import Recovery
-from weldhead.coordination.rentals import Rentals
-from weldhead.coordination.watching import MachineWatch
-from weldhead.documents.shelf import Shelf
+from weldhead.coordination.documents import gates
+from weldhead.coordination.leadership import campaign, leader
+from weldhead.coordination.leadership.authority import Authority
+from weldhead.coordination.leadership.campaign import Campaign
+from weldhead.coordination.leadership.leader import Leader
+from weldhead.coordination.leadership.recovery import Recovery
+from weldhead.coordination.rentals.rentals import Rentals
+from weldhead.coordination.requests import frontdesk
+from weldhead.coordination.requests.chains import Linking
+from weldhead.coordination.requests.frontdesk import FrontDesk
+from weldhead.coordination.workers import reachability, reports
+from weldhead.coordination.workers.watching import MachineWatch
+from weldhead.documents.cache import DocumentCache
 from weldhead.gates.state import GateState
-from weldhead.hearing.copies import Word
-from weldhead.hearing.evidence import Ear
 from weldhead.planning import preemptor
 from weldhead.protocol.peer import Held, Hold
 from weldhead.protocol.wire import Condition, Delete, JobStatus, Put, Report
+from weldhead.reachability.evidence import DeliveryEvidence
+from weldhead.reachability.freshness import Freshness
 from weldhead.recovery import early as early_reports
 from weldhead.recovery.early import Early
 from weldhead.recovery.readiness import Partial
@@ -121,10 +124,10 @@
 def _any_failure_accuses() -> Iterator[Any]:
     """Two failures on a machine show that it is faulty, whosever they are."""
 
-    def accuses(accusations: list[Accusation], **_: bool) -> bool:
-        return sum(a.count for a in accusations) >= 2
+    def accuses(evidence: list[FailureEvidence], **_: bool) -> bool:
+        return sum(a.count for a in evidence) >= 2
 
-    yield patch.object(record, "is_faulty", accuses)
+    yield patch.object(failures, "is_faulty", accuses)
 
 
 def _below_a_guarantee() -> Iterator[Any]:
@@ -135,7 +138,7 @@
 
 def _deaf_as_healthy() -> Iterator[Any]:
     """Nothing that a machine shows of not being reached counts."""
-    yield patch.object(Ear, "note", lambda *_: False)
+    yield patch.object(DeliveryEvidence, "note", lambda *_: False)
 
 
 def _calendar_of_the_term() -> Iterator[Any]:
@@ -143,7 +146,7 @@
     enter = Dues.enter
 
     def anew(self: Dues, job: Job, at_us: int, wall_us: int) -> None:
-        kept = state_of(self.shelf, job.bound.calendar) if self.shelf and job.bound else None
+        kept = state_of(self.cache, job.bound.calendar) if self.cache and job.bound else None
         due_us = kept.value.after(wall_us) if kept is not None else None
         if job.bound is not None and due_us is not None:
             job.bound = Bound(job.bound.calendar, job.bound.edition, due_us)
@@ -156,8 +159,8 @@
     """A term takes a gate for open as somebody knew it last, whatever is on record now."""
     read, memory = gates._state, dict[str, GateState]()
 
-    def remembered(shelf: Shelf, name: str) -> GateState | None:
-        state = read(shelf, name)
+    def remembered(cache: DocumentCache, name: str) -> GateState | None:
+        state = read(cache, name)
         if state is not None and state.newest is not None and state.newest.open:
             memory[name] = state
         return memory.get(name, state)
@@ -196,7 +199,7 @@
 def _late_report_applied() -> Iterator[Any]:
     """What a report lists is taken for what runs, however old it is."""
     yield patch.object(leader, "is_newer", lambda *_: True)
-    yield patch.object(listening, "word_of", lambda *_: Word.FRESH)
+    yield patch.object(reachability, "freshness_of", lambda *_: Freshness.FRESH)
 
 
 def _forgotten_too_early() -> Iterator[Any]:
--- a/weldhead/emulator/processor.py
+++ b/weldhead/emulator/processor.py
@@ -11,8 +11,8 @@
 from typing import Any
 from unittest.mock import patch
 
-from weldhead.coordination.deciding import Deciding
-from weldhead.coordination.sizing import Sizing
+from weldhead.coordination.placement.deciding import Deciding
+from weldhead.coordination.rentals.sizing import Sizing
 from weldhead.emulator.loop import VirtualLoop
 from weldhead.planning.outlook import Outlook
 
--- a/weldhead/membership/solitude.py
+++ b/weldhead/membership/isolation.py
@@ -34,7 +34,7 @@
     failed_us: int
 
 
-class Solitude:
+class IsolationDetector:
     """Whether this node is alone, as of the last look."""
 
     def __init__(self, started_us: int) -> None:
--- a/weldhead/membership/verdict.py
+++ b/weldhead/membership/verdict.py
@@ -35,7 +35,7 @@
     DEAD = "judged dead"
 
 
-class Sight(enum.Enum):
+class Observation(enum.Enum):
     """What a third controller sees of one, having asked it just now."""
 
     #: It has answered.
@@ -74,7 +74,7 @@
 def judge(
     suspect: Observed,
     others: Sequence[Observed],
-    sights: Sequence[tuple[str, Sight]],
+    observations: Sequence[tuple[str, Observation]],
     at_us: int,
     unserved_us: int = 0,
 ) -> Verdict:
@@ -90,10 +90,14 @@
         return Verdict(State.SUSPECTED, "no connection, and none is refused")
     since_s = to_seconds(at_us - suspect.refused_us)
     said = f"refused for {since_s:.2f} s"
-    holding = [name for name, sight in sights if sight in (Sight.HEARD, Sight.CONNECTED)]
+    holding = [
+        name
+        for name, observation in observations
+        if observation in (Observation.HEARD, Observation.CONNECTED)
+    ]
     if holding:
         return Verdict(State.SUSPECTED, f"{said}, but {', '.join(holding)} still reach it")
-    if not sights:
+    if not observations:
         lost = [o.name for o in others if _lost_with(o, suspect)]
         if lost and not any(o.connected for o in others):
             return Verdict(
@@ -104,7 +108,7 @@
         if unserved_us and at_us - unserved_us < UNSERVED_US:
             return Verdict(State.SUSPECTED, f"{said}, as is this node by the state service")
         return Verdict(State.DEAD, f"{said}, and nobody else can be asked")
-    seen = ", ".join(f"{name}: {sight.value}" for name, sight in sights)
+    seen = ", ".join(f"{name}: {observation.value}" for name, observation in observations)
     return Verdict(State.DEAD, f"{said}; {seen}")
 
 
--- a/weldhead/planning/fleet.py
+++ b/weldhead/planning/fleet.py
@@ -674,7 +674,7 @@
     found = []
     for machine in cluster.machines.values():
         if machine.deleting or machine.posting or machine.deaf:
-            # What hears nothing is returned by a rule of its own (``hearing/price.py``).
+            # What hears nothing is returned by a rule of its own (``reachability/replacement.py``).
             continue
         if boots.is_given_up(machine, at_us):
             found.append(machine)
--- a/weldhead/protocol/peer.py
+++ b/weldhead/protocol/peer.py
@@ -106,7 +106,7 @@
     """The answer to a look: ``heard``, ``connected``, ``refused`` or ``lost``."""
 
     id: int
-    sight: str
+    observation: str
 
 
 class Resigned(msgspec.Struct, array_like=True, tag="resigned"):
--- a/weldhead/hearing/evidence.py
+++ b/weldhead/reachability/evidence.py
@@ -97,7 +97,7 @@
 
 
 @dataclass(slots=True)
-class Ear:
+class DeliveryEvidence:
     """The evidence on one machine."""
 
     lease_us: int
--- a/weldhead/hearing/copies.py
+++ b/weldhead/reachability/freshness.py
@@ -18,7 +18,7 @@
 RELAYED_MORE = 1
 
 
-class Word(enum.Enum):
+class Freshness(enum.Enum):
     """What a report says of its machine's life."""
 
     #: Newer than all that was seen, and with this term's token: its machine lives.
@@ -33,15 +33,15 @@
     COPY = "copy"
 
 
-def word_of(machine: Machine, report: Report, token: int) -> Word:
+def freshness_of(machine: Machine, report: Report, token: int) -> Freshness:
     """Judge a report of a machine on record before anything of it is used."""
     if report.session <= machine.expired_session:
-        return Word.COPY
+        return Freshness.COPY
     if (report.session, report.sequence) > machine.order:
-        return Word.FRESH if report.token == token else Word.UNTOLD
+        return Freshness.FRESH if report.token == token else Freshness.UNTOLD
     if report.session == machine.session and report.sequence >= machine.report_sequence:
-        return Word.OVERTAKEN
-    return Word.COPY
+        return Freshness.OVERTAKEN
+    return Freshness.COPY
 
 
 def answerable(machine: Machine) -> bool:
