--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -394,3 +394,17 @@
     asyncio.run(watch._prove())
     watch.expired_or_silent(clock(), term.proven_us)
     assert bool(deposed) == bool(machine.attempts) == replaced
+
+
+def test_a_term_whose_ledger_fails_is_over(clock: Clock, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It led on, renewed its lease and wrote nothing: found by reading."""
+    leader = new_leader(StandInState(), clock())
+    reasons: list[str] = []
+    monkeypatch.setattr(leader.term, "on_deposed", reasons.append)
+
+    async def fail() -> None:
+        raise ValueError("a fault of its own")
+
+    monkeypatch.setattr(leader.ledger, "run", fail)
+    asyncio.run(leader._run_ledger())
+    assert reasons == ["its writes have failed"]
--- a/weldhead/coordination/leadership/leader.py
+++ b/weldhead/coordination/leadership/leader.py
@@ -166,6 +166,10 @@
             await self.ledger.run()
         except Deposed:
             self.term.on_deposed("the leader's key is not ours any more")
+        except Exception:
+            # It kept its lease without writing anything more, and nobody else could lead.
+            log.exception("the ledger failed")
+            self.term.on_deposed("its writes have failed")
 
     async def _recover(self) -> None:
         """Read everything, learn what runs where, then start the other duties."""
