Emulator: a process that has ended cannot be frozen

Cause: a machine that hung in the spell in which it was restarted had its former life frozen; the cancellations of its tasks waited for ever and the run did not end. The test does not end before.

--- a/tests/test_small_controller.py
+++ b/tests/test_small_controller.py
@@ -117,3 +117,19 @@
 
     answers = asyncio.Event()
     asyncio.run(scene())
+
+
+def test_a_process_that_has_ended_cannot_be_frozen() -> None:
+    """A machine that hung as it was restarted kept the run from ever ending."""
+    with simulated() as loop:
+        life = Life("m")
+
+        async def story() -> None:
+            task = loop.spawn(life, lambda: asyncio.sleep(1_000))
+            await asyncio.sleep(1)
+            loop.end(life)
+            loop.freeze(life)
+            await asyncio.wait([task], timeout=5)
+            assert task.cancelled()
+
+        loop.run_until_complete(story())
--- a/weldhead/emulator/loop.py
+++ b/weldhead/emulator/loop.py
@@ -189,8 +189,11 @@
         return life.context.run(lambda: self.create_task(duty()))
 
     def freeze(self, life: Life) -> None:
-        """Let a process stand still while its clocks run on."""
-        life.frozen = True
+        """Let a process stand still while its clocks run on; one that has ended does not.
+
+        Frozen, what it was still to be told by its end never came, and the run never ended.
+        """
+        life.frozen = not life.ended
 
     def thaw(self, life: Life) -> None:
         """Let a process go on with all that was due meanwhile, in that order."""
