Emulator: observer of hand-overs, zones of jobs and cuts of zones in scenarios

Change: tests/meeting_witness.py is weldhead/emulator/hand_overs.py (Witness: HandOverObserver, Standing: SiteState, Cancelling: CancelRequest); tests/zone_cuts.py is weldhead/emulator/zones.py. Scenarios have zone on a class of jobs, and the fault zone_cut with zone, leader and services; errors by line and field.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -162,6 +162,7 @@
         ("seconds = 90.0", "seconds = 0.0", "seconds: must be above 0"),
         ('team = "red"', 'team = "green"', "there is no team 'green'"),
         ("tasks = 4", "taks = 4", "unknown field `taks`"),
+        ("tasks = 4", 'zone = "q"', r"jobs\[0\].zone: there is no zone 'q'"),
         ("from-s = 15.0", "from-s = 75.0", "from-s: must be before to-s"),
     ],
 )
@@ -219,6 +220,11 @@
         ("machines_hang", "hang-s = 5", "hang-s: is of users_cancel_now"),
         ("users_cancel_now", "hang-s = 5", "count: of running jobs must be given"),
         ("users_odd", 'role = "leader"', "users_odd is of no controller"),
+        ("machines_cut", 'zone = "a"', "zone: is of zone_cut"),
+        ("controllers_cut", "services = true", "services: is of zone_cut"),
+        ("zone_cut", 'zone = "q"', "zone: there is no zone 'q'"),
+        ("zone_cut", 'zone = "a"\nleader = true', "zone: is given, and leader too"),
+        ("zone_cut", 'role = "leader"', "zone_cut is of no controller"),
     ],
 )
 def test_a_fault_has_to_fit_its_tie(kind: str, lines: str, what: str) -> None:
--- a/tests/test_meet_limits.py
+++ b/tests/test_meet_limits.py
@@ -3,15 +3,17 @@
 Which seeds show what depends on the order of sets of names too: `make test` fixes the hash.
 """
 
+from pathlib import Path
+
 import pytest
 
 from tests.builders import add_job, add_machine, cluster, job_spec, machine_type
-from tests.meeting_witness import STEPS, watched
 from tests.stand_ins import StandInState, StandInTask
 from tests.test_old_reports import meet
 from tests.test_recovery import Clock, clock, new_leader, put_job, put_machine
-from tests.zone_cuts import ZONE_CUTS, ZONE_CUTS_FROM_OTHERS, ZoneCut
 from weldhead.bookkeeping.cluster import Cluster
+from weldhead.emulator.hand_overs import STEPS, HandOverObserver, observe_hand_overs
+from weldhead.emulator.scenario import Scenario, read_scenario
 from weldhead.planning.estimates import Estimates
 from weldhead.planning.fleet import Coming, Market, Offer, plan_hires
 from weldhead.planning.goals import Goals
@@ -23,51 +25,64 @@
 
 S = 1_000_000
 LEASE_S = 12.0
+SCENARIOS = Path(__file__).parents[1] / "deploy" / "scenarios"
+
+
+def meeting(name: str, controllers: int) -> Scenario:
+    scenario = read_scenario(SCENARIOS / f"{name}.toml")
+    scenario.controllers = controllers
+    return scenario
+
+
+def observed(name: str, controllers: int) -> HandOverObserver:
+    return observe_hand_overs(meeting(name, controllers), 1)
 
 
 @pytest.mark.parametrize("controllers", [3, 5])
 def test_teams_at_their_limits_when_machines_are_out_of_reach(controllers: int) -> None:
-    witness = watched("meet-teams-at-limit", controllers, 1)
-    teams = len(witness.experiment.scenario.teams)
+    observer = observed("meet-teams-at-limit", controllers)
+    teams = len(observer.experiment.scenario.teams)
     # The leader changed while every team was full, and cancelled tasks hung or were cut off.
-    assert any(won.at_limit == teams and won.out_of_reach for won in witness.won)
+    assert any(won.at_limit == teams and won.out_of_reach for won in observer.won)
     # Some machines could not be asked yet, and a cancellation was confirmed.
-    spell = [told for told in witness.confirmed if told.loaded and not told.ready]
+    spell = [told for told in observer.confirmed if told.loaded and not told.ready]
     assert any(told.at_limit == teams and told.out_of_reach for told in spell)
-    assert not witness.experiment.checker.broken, witness.experiment.checker.details
+    assert not observer.experiment.checker.broken, observer.experiment.checker.details
 
 
 @pytest.mark.parametrize("controllers", [3, 5])
 def test_cancellations_on_both_sides_of_each_step_of_a_hand_over(controllers: int) -> None:
-    witness = watched("meet-cancel-in-hand-over", controllers, 1)
+    observer = observed("meet-cancel-in-hand-over", controllers)
     for step in STEPS:
-        before, after = witness.around(step)
+        before, after = observer.around(step)
         assert before.total() and after.total(), step
         # Some of them reach a follower, which passes them on.
         assert before["follower"] + after["follower"], step
-    assert not witness.experiment.checker.broken, witness.experiment.checker.details
+    assert not observer.experiment.checker.broken, observer.experiment.checker.details
 
 
 @pytest.mark.parametrize("controllers", [3, 5])
 def test_jobs_bound_to_a_zone_lose_machines(controllers: int) -> None:
-    witness = watched("meet-zone-bound", controllers, 1)
-    assert all(witness.lost[name] for name in ("in-a", "in-b", "in-c", "together"))
+    observer = observed("meet-zone-bound", controllers)
+    assert all(observer.lost[name] for name in ("in-a", "in-b", "in-c", "together"))
     # Of arrays, while others of their tasks went on.
-    assert all(witness.lost_of_arrays[name] for name in ("in-a", "together"))
-    assert not witness.experiment.checker.broken, witness.experiment.checker.details
-
-
-@pytest.mark.parametrize(
-    ("controllers", "cuts"), [(3, ZONE_CUTS), (5, ZONE_CUTS), (3, ZONE_CUTS_FROM_OTHERS)]
-)
-def test_a_zone_is_cut_off_for_longer_than_a_lease(
-    controllers: int, cuts: tuple[ZoneCut, ...]
-) -> None:
-    witness = watched("meet-zone-cut", controllers, 1, cuts)
-    assert all(cut.for_s > LEASE_S for cut in cuts)
-    assert [cut.leader_inside for cut in witness.cut_off] == [cut.of_leader for cut in cuts]
-    assert all(cut.machines and cut.ran for cut in witness.cut_off)
-    assert not witness.experiment.checker.broken, witness.experiment.checker.details
+    assert all(observer.lost_of_arrays[name] for name in ("in-a", "together"))
+    assert not observer.experiment.checker.broken, observer.experiment.checker.details
+
+
+@pytest.mark.parametrize(("controllers", "services"), [(3, True), (5, True), (3, False)])
+def test_a_zone_is_cut_off_for_longer_than_a_lease(controllers: int, services: bool) -> None:
+    scenario = meeting("meet-zone-cut", controllers)
+    cuts = [fault for fault in scenario.faults if fault.kind == "zone_cut"]
+    for cut in cuts:
+        # With the services in reach, the zones are cut off in the other order.
+        cut.leader, cut.services = cut.leader == services, services
+    observer = observe_hand_overs(scenario, 1)
+    found = observer.experiment.faults.zone_cuts.over
+    assert len(cuts) == 2 and all(cut.for_s > LEASE_S for cut in cuts)
+    assert [cut.leader_inside for cut in found] == [cut.leader for cut in cuts]
+    assert all(cut.machines and cut.ran for cut in found)
+    assert not observer.experiment.checker.broken, observer.experiment.checker.details
 
 
 def _hired(into: Cluster, coming: list[Coming]) -> dict[Offer, int]:
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -1,7 +1,6 @@
 """What befalls a simulated site, and when all of it is over."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
@@ -13,12 +12,13 @@
 from weldhead.emulator.loop import BEGIN_S, VirtualLoop
 from weldhead.emulator.machines import Machine
 from weldhead.emulator.message_faults import MessageFaults
-from weldhead.emulator.network import Mode, Network, Weather
+from weldhead.emulator.network import Network, Weather, cut_for
 from weldhead.emulator.odd_users import OddUsers
 from weldhead.emulator.roles import Roles
 from weldhead.emulator.scenario import Event, Fault, Kind, Scenario
 from weldhead.emulator.services import LateWrites, SimulatedCloud, SimulatedStore
 from weldhead.emulator.users import Users
+from weldhead.emulator.zones import ZoneCuts
 from weldhead.transport.state import decode
 
 #: Of how many machines the jobs that users cancel at once let hang at most.
@@ -74,6 +74,7 @@
         self._messages = MessageFaults(
             loop, network, fair, store, controllers, self._events, self._roles
         )
+        self.zone_cuts = ZoneCuts(network, cloud, controllers, self._events, checker)
 
     def start(self) -> list[asyncio.Task[None]]:
         """Have all faults come at their times."""
@@ -147,6 +148,7 @@
             "store": self._befall_store,
             "boots": self._befall_boots,
             "users": self._befall_users,
+            "zone": self.zone_cuts.befall,
         }
         await asyncio.sleep(fault.at_s)
         comes, happened = await self._tie(fault)
@@ -223,14 +225,7 @@
         pairs = sorted((a, b) for a in names for b in others - {a})
         if not fault.one_way:
             pairs += [(b, a) for a, b in pairs if b not in names]
-        await self._cut_pairs(pairs, fault.mode, fault.for_s)
-
-    async def _cut_pairs(self, pairs: list[tuple[str, str]], mode: Mode, for_s: float) -> None:
-        with contextlib.ExitStack() as cuts:
-            for source, target in pairs:
-                self._network.cut(source, target, mode)
-                cuts.callback(self._network.heal, source, target, mode)
-            await asyncio.sleep(for_s)
+        await cut_for(self._network, pairs, fault.mode, fault.for_s)
 
     # -- machines --------------------------------------------------------------------------
 
@@ -258,13 +253,13 @@
                 pairs = [(c.name, machine.name) for machine in chosen for c in unheard]
                 names = [m.name for m in chosen if len(unheard) == len(self._controllers)]
                 self.deaf.update(dict.fromkeys(names, self._loop.true_s))
-                await self._cut_pairs(pairs, "deaf", fault.for_s)
+                await cut_for(self._network, pairs, "deaf", fault.for_s)
                 for name in names:
                     self.deaf.pop(name, None)
             case "machines_mute":
                 unreached = self._roles.chosen(fault)
                 pairs = [(machine.name, c.name) for machine in chosen for c in unreached]
-                await self._cut_pairs(pairs, "mute", fault.for_s)
+                await cut_for(self._network, pairs, "mute", fault.for_s)
             case _:
                 await self._cut(
                     {m.name for m in chosen}, {c.name for c in self._controllers}, fault
--- a/tests/meeting_witness.py
+++ b/weldhead/emulator/hand_overs.py
@@ -1,4 +1,4 @@
-"""Plays a scenario and sees what its meeting consists of: teams at their limits, terms, users.
+"""Observes the hand-overs of a run: teams at their limits, tasks out of reach, cancellations.
 
 A run's result says which faults came about; this says how the site stood when they did.
 Times are seconds of true time.
@@ -9,23 +9,20 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Literal
 
 import msgspec
 
-from tests.zone_cuts import CutOff, ZoneCut, bind_zones, cut_zone
 from weldhead.clock import now_us
 from weldhead.coordination.leadership.leader import Leader
 from weldhead.emulator.events import kinds
 from weldhead.emulator.experiment import Experiment
 from weldhead.emulator.loop import BEGIN_S, Life, simulated
-from weldhead.emulator.scenario import Scenario, read_scenario
+from weldhead.emulator.scenario import Scenario
 from weldhead.protocol.wire import split_task
 from weldhead.site.store.model import Batch
 from weldhead.tunables.defaults import Tunables
 
-SCENARIOS = Path(__file__).parents[1] / "deploy" / "scenarios"
 #: How often it is looked how far a term is.
 LOOK_S = 0.005
 #: How often the leader's books are looked at.
@@ -38,7 +35,7 @@
 
 
 @dataclass(frozen=True)
-class Cancelling:
+class CancelRequest:
     """A user's request to cancel a job left for a controller, which led by then or did not."""
 
     at_s: float
@@ -46,7 +43,7 @@
 
 
 @dataclass(frozen=True)
-class Standing:
+class SiteState:
     """How the site stood when something happened."""
 
     at_s: float
@@ -60,17 +57,16 @@
 
 
 @dataclass
-class Witness:
-    """What was seen in one run."""
+class HandOverObserver:
+    """What was seen in one run; it follows the run's events from its creation on."""
 
     experiment: Experiment
     #: When the leader's key had a new owner, and when a user learned that a job is withdrawn.
-    won: list[Standing] = field(default_factory=list)
-    confirmed: list[Standing] = field(default_factory=list)
-    cancelling: list[Cancelling] = field(default_factory=list)
+    won: list[SiteState] = field(default_factory=list)
+    confirmed: list[SiteState] = field(default_factory=list)
+    cancel_requests: list[CancelRequest] = field(default_factory=list)
     #: The steps of all hand-overs, in their order.
     steps: list[tuple[float, Step]] = field(default_factory=list)
-    cut_off: list[CutOff] = field(default_factory=list)
     #: Tasks that were lost with their machine, by class; and of arrays of which others ran on.
     lost: Counter[str] = field(default_factory=Counter)
     lost_of_arrays: Counter[str] = field(default_factory=Counter)
@@ -89,7 +85,7 @@
             self._see_key()
 
         def on_confirmed(controller: str) -> None:
-            self.confirmed.append(self._standing())
+            self.confirmed.append(self._site_state())
             told(controller)
 
         experiment.store.on_written = on_written
@@ -106,9 +102,9 @@
 
     # -- the site -----------------------------------------------------------------------------
 
-    def _standing(self) -> Standing:
+    def _site_state(self) -> SiteState:
         leader = self._leader()
-        return Standing(
+        return SiteState(
             self.experiment.loop.true_s - BEGIN_S,
             len(self._full),
             sum(1 for _ in self._out_of_reach()),
@@ -167,7 +163,7 @@
             self._step("winning")
             name = self.experiment.faults._events.leader
             self._winner = next(c.life for c in self.experiment.controllers if c.name == name)
-            self.won.append(self._standing())
+            self.won.append(self._site_state())
 
     def _step(self, step: Step) -> None:
         self.steps.append((self.experiment.loop.true_s, step))
@@ -178,7 +174,7 @@
         elif source == "users" and path.endswith("/cancel"):
             node = next(c.node for c in self.experiment.controllers if c.name == target)
             leads = node is not None and node.leader is not None
-            self.cancelling.append(Cancelling(self.experiment.loop.true_s, leads))
+            self.cancel_requests.append(CancelRequest(self.experiment.loop.true_s, leads))
 
     async def watch(self) -> None:
         """See when a leader leaves, and how far each term is."""
@@ -212,7 +208,7 @@
         """
         before, after = Counter[str](), Counter[str]()
         steps = list(self._kept_steps())
-        for asked in self.cancelling:
+        for asked in self.cancel_requests:
             whom = "leader" if asked.by_leader else "follower"
             passed = bisect(steps, (asked.at_s, "~"))
             if passed and steps[passed - 1][1] == step:
@@ -234,29 +230,18 @@
     return leader.term._authority.valid(now_us())
 
 
-def watched(name: str, controllers: int, seed: int, cuts: tuple[ZoneCut, ...] = ()) -> Witness:
-    """Play a scenario from ``deploy/scenarios`` under a witness."""
-    scenario = read_scenario(SCENARIOS / f"{name}.toml")
-    scenario.controllers = controllers
-    return play_watched(scenario, seed, cuts)
-
-
-def play_watched(scenario: Scenario, seed: int, cuts: tuple[ZoneCut, ...] = ()) -> Witness:
-    """Play a scenario under a witness, who cuts zones off as well."""
+def observe_hand_overs(scenario: Scenario, seed: int) -> HandOverObserver:
+    """Play a scenario, and return what was seen of its hand-overs."""
     with simulated() as loop:
         experiment = Experiment(loop, scenario, seed, Tunables())
-        witness = Witness(experiment)
-        bind_zones(experiment)
+        observer = HandOverObserver(experiment)
 
         async def run() -> None:
             playing = asyncio.create_task(experiment.run())
             await asyncio.sleep(0)
-            duties = [cut_zone(experiment, cut, witness.cut_off) for cut in cuts]
-            duties.append(witness.watch())
-            watching = [asyncio.create_task(duty) for duty in duties]
+            watching = asyncio.create_task(observer.watch())
             await playing
-            for duty in watching:
-                duty.cancel()
+            watching.cancel()
 
         loop.run_until_complete(run())
-        return witness
+        return observer
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
@@ -371,6 +372,15 @@
             self._streams.remove(stream)
 
 
+async def cut_for(network: Network, pairs: list[tuple[str, str]], mode: Mode, for_s: float) -> None:
+    """Cut these ways, from the first of each pair to the second, for so many seconds."""
+    with contextlib.ExitStack() as cuts:
+        for source, target in pairs:
+            network.cut(source, target, mode)
+            cuts.callback(network.heal, source, target, mode)
+        await asyncio.sleep(for_s)
+
+
 class _Server:
     """What ``create_server`` returns: it goes with its process."""
 
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -39,6 +39,7 @@
     "reports_copied",
     "commands_late",
     "machines_sick",
+    "zone_cut",
     "boots_late",
     "boots_fail",
     "users_poll",
@@ -96,6 +97,8 @@
     "writes": "store_late_writes",
     "for_next": "reports_copied",
     "hang_s": "users_cancel_now",
+    "zone": "zone_cut",
+    "services": "zone_cut",
 }
 _OF_MACHINES = ("run_sent", "kill_sent", "forget_sent", "first_run_sent", "first_run_started")
 
@@ -133,6 +136,10 @@
     cancel the ``count`` running jobs with most to go within 0.2 s; with ``hang_s``, up to eight
     of their machines hang so long. ``users_cancel_at_end``: they cancel the share ``chance`` of
     the jobs that end as the last task completes.
+
+    ``zone_cut``: the machines and controllers of ``zone`` are cut off from those of the other
+    zones, with ``services`` from the store, the cloud and the users too. With no ``zone`` it is
+    the leader's (``leader``), or the first of a controller where the leader is not.
     """
 
     kind: Kind
@@ -161,6 +168,8 @@
     writes: list[WriteKind] = []
     for_next: bool = False
     hang_s: float = 0.0
+    zone: str = ""
+    services: bool = False
 
 
 class Drawn(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
@@ -180,6 +189,7 @@
 
     ``broken`` is the share of those that fail on every machine until they are cancelled.
     They arrive from ``from_s`` to ``to_s`` (0: until the last ones just have time to end).
+    ``zone`` is the one that they are bound to (empty: none).
     """
 
     name: str
@@ -204,6 +214,7 @@
     cancelled: float = 0.05
     spread: bool = False
     one_zone: bool = False
+    zone: str = ""
     initial: int = 1
     broken: float = 0.0
     from_s: float = 0.0
@@ -273,6 +284,8 @@
     for number, job in enumerate(scenario.jobs):
         if job.team not in teams:
             yield ["jobs", number, "team"], f"there is no team {job.team!r}"
+        if job.zone and job.zone not in scenario.zones:
+            yield ["jobs", number, "zone"], f"there is no zone {job.zone!r}"
         if not 0 < job.cpus <= scenario.machine_cpus:
             yield ["jobs", number, "cpus"], "fit no machine"
         if job.cards and (not scenario.card_machines or job.cards > scenario.machine_cards):
@@ -293,7 +306,7 @@
     if not 0 <= scenario.core_share <= 1:
         yield ["core-share"], "must be from 0 (work takes no time) to 1"
     for number, fault in enumerate(scenario.faults):
-        for field, reason in _wrong_tie(fault, scenario):
+        for field, reason in (*_wrong_tie(fault, scenario), *_wrong_zone(fault, scenario)):
             yield ["faults", number, field], reason
         if min(fault.at_s, fault.for_s) < 0:
             yield ["faults", number, "at-s"], "times must not be below 0"
@@ -358,6 +371,17 @@
             yield "concerned", f"{fault.on} is of no machine"
 
 
+def _wrong_zone(fault: Fault, scenario: Scenario) -> Iterator[tuple[str, str]]:
+    """Yield what cannot be of the zone that a fault cuts off."""
+    if fault.zone and fault.zone not in scenario.zones:
+        yield "zone", f"there is no zone {fault.zone!r}"
+    if fault.zone and fault.leader:
+        yield "zone", "is given, and leader too"
+    if fault.kind == "zone_cut" and not fault.zone and not fault.leader:
+        if min(scenario.controllers, len(set(scenario.zones))) < 2:
+            yield "kind", "there is no controller in another zone than the leader"
+
+
 def read_scenario(path: Path) -> Scenario:
     """Read a scenario's file."""
     return parse_scenario(str(path), read_text(path))
