--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -4,8 +4,9 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from weldhead.clock import SECOND_US, now_us
 from weldhead.coordination.documents import lateness
@@ -50,6 +51,8 @@
 from weldhead.site.pool import Machine as PoolMachine
 from weldhead.tunables.defaults import Tunables
 
+Observer = TypeVar("Observer")
+
 #: How often it is looked whether somebody decides, and whether cancelled tasks are gone in time.
 LOOK_S = 0.02
 #: How much longer than a lease it may take to know that a machine hears nothing.
@@ -389,3 +392,14 @@
         experiment = Experiment(loop, scenario, seed, tunables or Tunables())
         loop.run_until_complete(experiment.run())
         return _result(experiment, seed)
+
+
+def play_observed(
+    scenario: Scenario, seed: int, observe: Callable[[Experiment], Observer]
+) -> Observer:
+    """Play a scenario under an observer, and return that with what it has seen."""
+    with simulated() as loop:
+        experiment = Experiment(loop, scenario, seed, Tunables())
+        observer = observe(experiment)
+        loop.run_until_complete(experiment.run())
+    return observer
