--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -197,3 +197,31 @@
 
     async def get(self, key: str, **_: Any) -> Entry | None:
         return self.store.get(key)
+
+
+class SharedState(StandInState):
+    """A store that carries out one write, lets others look, and loses its answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        #: The next transaction that writes a key that begins so; after how many others of them.
+        self.loses, self.after = "", 0
+        self.meanwhile: Callable[[], Awaitable[None]]
+        #: What the lost ones wrote: keys with their versions then (0: deleted).
+        self.lost: dict[str, int] = {}
+
+    def version(self, key: str) -> int:
+        return self.keys[key][1] if key in self.keys else 0
+
+    async def transact(
+        self, conditions: list[Condition], writes: list[Put | Delete], **_: Any
+    ) -> int:
+        revision = self.apply(conditions, writes)
+        if self.loses and any(write.key.startswith(self.loses) for write in writes):
+            self.after -= 1
+            if self.after < 0:
+                self.loses = ""
+                self.lost = {write.key: self.version(write.key) for write in writes}
+                await self.meanwhile()
+                raise CallFailed("the answer was lost")
+        return revision
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import itertools
-from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, ClassVar, cast
 
@@ -17,7 +16,7 @@
 
 from tests.builders import job_spec, machine_type
 from tests.loopback import eventually
-from tests.stand_ins import StandInState, StandInWorker
+from tests.stand_ins import SharedState, StandInWorker
 from tests.test_calendars import calendar, documents_of, put_edition, us
 from tests.test_gates import CLASSES, KEY, gate
 from tests.test_handing_back import Site
@@ -45,48 +44,17 @@
 from weldhead.coordination.leadership.predecessors import missed_from_us
 from weldhead.documents.records import HEAD_KEY, HeadRecord, Offer, document_key
 from weldhead.emulator.controller import Controller
-from weldhead.emulator.events import kinds
-from weldhead.emulator.experiment import Experiment
-from weldhead.emulator.loop import simulated
+from weldhead.emulator.experiment import play_observed
+from weldhead.emulator.lost_answers import LostAnswerObserver
 from weldhead.emulator.scenario import read_scenario
 from weldhead.gates.state import GateState, ended, enter
 from weldhead.planning.fleet import Offer as MachineOffer
-from weldhead.protocol.wire import Command, Delete, Put
-from weldhead.site.store.model import Batch
-from weldhead.transport.http import CallFailed
-from weldhead.transport.server import Response
+from weldhead.protocol.wire import Command
 from weldhead.transport.state import StateClient
-from weldhead.tunables.defaults import Tunables
 
 ONE, TWO = "run-000001", "run-000002"
 
 
-class SharedState(StandInState):
-    """A store that carries out one write, lets others look, and loses its answer."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        #: The next transaction that writes a key that begins so; after how many others of them.
-        self.loses, self.after = "", 0
-        self.meanwhile: Callable[[], Awaitable[None]]
-        #: What the lost ones wrote: keys with their versions then (0: deleted).
-        self.lost: dict[str, int] = {}
-
-    def version(self, key: str) -> int:
-        return self.keys[key][1] if key in self.keys else 0
-
-    async def transact(self, conditions: list[Any], writes: list[Put | Delete], **_: Any) -> int:
-        revision = self.apply(conditions, writes)
-        if self.loses and any(write.key.startswith(self.loses) for write in writes):
-            self.after -= 1
-            if self.after < 0:
-                self.loses = ""
-                self.lost = {write.key: self.version(write.key) for write in writes}
-                await self.meanwhile()
-                raise CallFailed("the answer was lost")
-        return revision
-
-
 class Story:
     """One kind of write."""
 
@@ -132,6 +100,22 @@
         self.duty.cancel()
         await asyncio.gather(self.duty, return_exceptions=True)
 
+    def job(self, number: int = 1) -> Any:
+        """Return what the first leader has of a job."""
+        return self.leader.cluster.jobs[f"run-{number:06}"]
+
+    @property
+    def machine(self) -> Any:
+        return self.leader.cluster.machines[self.worker.name]
+
+    def start(self, index: int = 0) -> Any:
+        """Have the first leader start a task of the first job on the machine."""
+        return self.leader.cluster.start(self.job(), index, self.machine, self.clock())
+
+    async def told_by_both(self, job_id: str = ONE) -> list[str]:
+        """What the follower and the leader answer about a job."""
+        return [await self.told(front, job_id) for front in (self.far, self.near)]
+
     async def told(self, front: Any, job_id: str = ONE) -> str:
         response = await front.poll(job_id)
         return str(msgspec.json.decode(response.body).get("status"))
@@ -143,6 +127,13 @@
         self.worker.answered(answer)
         return answer.commands
 
+    async def end_job(self, number: int) -> None:
+        """Have the first leader write that a job of which no task has run is done."""
+        job = self.job(number)
+        for index in range(job.spec.tasks):
+            job.complete_waiting(index)
+        await self.leader.completions._end(job)
+
     async def write(self) -> None:
         """Have the write made, and let whoever asked for it wait as it does."""
         raise NotImplementedError
@@ -186,23 +177,17 @@
     async def write(self) -> None:
         self.reported()
         self.reported()
-        machine = self.leader.cluster.machines["vm-000001"]
-        self.attempt = self.leader.cluster.start(self.job(), 0, machine, self.clock())
+        self.attempt = self.start()
         self.reported()
         self.reported()
         asked = await self.leader.completions.cancel(self.job(), 10_000_000)
         assert asked == self.job().cancelled
 
-    def job(self) -> Any:
-        return self.leader.cluster.jobs[ONE]
-
     async def meanwhile(self) -> None:
         assert not self.job().cancelled
         # Nobody denies it, and what runs is stopped: also of who needs it.
         for job_id in (ONE, TWO):
-            assert [await self.told(front, job_id) for front in (self.far, self.near)] == [
-                "withdrawn"
-            ] * 2
+            assert await self.told_by_both(job_id) == ["withdrawn"] * 2
         assert self.attempt.stop is Stop.HARD
         assert [command.op for command in self.reported()] == ["kill"]
 
@@ -218,15 +203,12 @@
     key = "f/"
 
     async def write(self) -> None:
-        job = self.leader.cluster.jobs[ONE]
-        for index in range(2):
-            job.complete_waiting(index)
-        await self.leader.completions._end(job)
+        await self.end_job(1)
 
     async def meanwhile(self) -> None:
-        assert [await self.told(front) for front in (self.far, self.near)] == ["done"] * 2
+        assert await self.told_by_both() == ["done"] * 2
         # Who waits for it goes on once it is known, and nothing of it is forgotten before.
-        assert self.leader.cluster.jobs[TWO].blockers
+        assert self.job(2).blockers
         assert not self.leader.completions.is_committed(f"{ONE}/0")
         assert (await self.far.cancel(ONE)).status != 200
 
@@ -235,7 +217,7 @@
 
     async def answered(self) -> None:
         assert ONE not in self.leader.cluster.jobs
-        assert not self.leader.cluster.jobs[TWO].blockers
+        assert not self.job(2).blockers
         assert await self.told(self.near) == "done"
 
 
@@ -243,7 +225,7 @@
     key = "p/"
 
     async def write(self) -> None:
-        job = self.leader.cluster.jobs[ONE]
+        job = self.job()
         job.complete_waiting(1)
         await self.leader.completions._save(job)
 
@@ -293,13 +275,11 @@
         await eventually(lambda: not self.leader.ledger.doubted or self.duty.done())
 
     async def meanwhile(self) -> None:
-        machines = self.leader.cluster.machines
-        self.worker = StandInWorker(next(iter(machines)), 4.0)
+        self.worker = StandInWorker(next(iter(self.leader.cluster.machines)), 4.0)
         for _ in range(2):
             assert self.reported() == []
-        machine = machines[self.worker.name]
-        assert machine.synced and not machine.up
-        self.leader.cluster.start(self.leader.cluster.jobs[ONE], 0, machine, self.clock())
+        assert self.machine.synced and not self.machine.up
+        self.start()
         assert self.reported() == []
 
     def succeeded(self, successor: Leader) -> None:
@@ -308,8 +288,7 @@
         assert successor.recovery.known.is_set()
 
     async def answered(self) -> None:
-        machine = self.leader.cluster.machines[self.worker.name]
-        await eventually(lambda: machine.up)
+        await eventually(lambda: self.machine.up)
         assert self.reported()[0].op == "run"
 
 
@@ -322,12 +301,11 @@
     async def write(self) -> None:
         self.reported()
         self.reported()
-        machine = self.leader.cluster.machines["vm-000001"]
-        self.leader.cluster.start(self.leader.cluster.jobs[ONE], 0, machine, self.clock())
-        await eventually(lambda: machine.up or self.duty.done())
+        self.start()
+        await eventually(lambda: self.machine.up or self.duty.done())
 
     async def meanwhile(self) -> None:
-        assert not self.leader.cluster.machines["vm-000001"].up
+        assert not self.machine.up
         assert self.reported() == []
 
     def succeeded(self, successor: Leader) -> None:
@@ -358,7 +336,7 @@
     key = HIRES
 
     async def write(self) -> None:
-        self.leader.rentals._deleted([self.leader.cluster.machines["vm-000001"]])
+        self.leader.rentals._deleted([self.machine])
         records = self.leader.rentals._records
         await eventually(lambda: not records or self.duty.done())
 
@@ -380,11 +358,14 @@
         self.state.put(HIRES + "x", record)
         self.state.value_bytes = 2048
 
+    def kept(self) -> list[Any]:
+        return [value["machines"] for key, (value, _) in self.state.keys.items() if HIRES in key]
+
     async def write(self) -> None:
         await self.leader.rentals._enter("x")
 
     async def meanwhile(self) -> None:
-        kept = [value["machines"] for key, (value, _) in self.state.keys.items() if HIRES in key]
+        kept = self.kept()
         assert len(kept) == 2 and set(kept[0]) | set(kept[1]) == set(self.names)
         assert kept[0].keys() & kept[1].keys()
 
@@ -392,7 +373,7 @@
         assert all(successor.cluster.machines[name].up for name in self.names)
 
     async def answered(self) -> None:
-        kept = [value["machines"] for key, (value, _) in self.state.keys.items() if HIRES in key]
+        kept = self.kept()
         assert sorted(name for machines in kept for name in machines) == self.names
 
 
@@ -400,8 +381,7 @@
     key = "t/"
 
     async def write(self) -> None:
-        machine = self.leader.cluster.machines["vm-000001"]
-        attempt = self.leader.cluster.start(self.leader.cluster.jobs[ONE], 1, machine, self.clock())
+        attempt = self.start(index=1)
         self.leader.deciding.lending.took(attempt, self.clock())
         await eventually(lambda: self.state.lost)
         await eventually(lambda: not self.leader.ledger.doubted or self.duty.done())
@@ -473,10 +453,10 @@
     async def meanwhile(self) -> None:
         record = await self.accepted(9, "quotes")
         assert record.hold == Hold("book", 1)
-        assert self.leader.cluster.jobs["run-000009"].held is not None
+        assert self.job(9).held is not None
         # Who performs an act waits until it is entered.
         assert (await self.accepted(8, CLASSES["rebuild"])).deed is not None
-        assert self.leader.cluster.jobs["run-000008"].held is not None
+        assert self.job(8).held is not None
 
     def succeeded(self, successor: Leader) -> None:
         assert successor.cluster.jobs["run-000009"].held is not None
@@ -484,7 +464,7 @@
     async def answered(self) -> None:
         assert self.leader.gates is not None
         await self.leader.gates._look(list(self.leader.cluster.jobs.values()))
-        assert self.leader.cluster.jobs["run-000009"].held is not None
+        assert self.job(9).held is not None
         state = self.leader.gates.books["book"].state
         assert state is not None and state.pending[0].job == "run-000008"
 
@@ -534,7 +514,7 @@
         self.gates = self.leader.gates
         await self.gates._look([])
         assert (await self.accepted(7, "quotes")).hold == Hold("book", 1)
-        assert self.leader.cluster.jobs["run-000007"].held is None
+        assert self.job(7).held is None
 
     async def write(self) -> None:
         await self.accepted(8, CLASSES["rebuild"])
@@ -542,9 +522,9 @@
 
     async def meanwhile(self) -> None:
         assert (await self.accepted(9, "quotes")).hold == Hold("book", 2)
-        assert self.leader.cluster.jobs["run-000009"].held is not None
+        assert self.job(9).held is not None
         # What it closes is held, and does not begin, before the act does.
-        assert self.leader.cluster.jobs["run-000008"].held is not None
+        assert self.job(8).held is not None
 
     def succeeded(self, successor: Leader) -> None:
         assert successor.gates is not None
@@ -557,8 +537,8 @@
     async def answered(self) -> None:
         assert self.gates.books["book"].state == self.kept()
         await self.gates._look([])
-        assert self.leader.cluster.jobs["run-000008"].held is None
-        assert self.leader.cluster.jobs["run-000009"].held is not None
+        assert self.job(8).held is None
+        assert self.job(9).held is not None
 
 
 class ActsEnd(Act):
@@ -580,24 +560,20 @@
         assert not self.kept().editions[0].open
 
     async def write(self) -> None:
-        job = self.leader.cluster.jobs["run-000008"]
-        for index in range(job.spec.tasks):
-            job.complete_waiting(index)
-        await self.leader.completions._end(job)
+        await self.end_job(8)
 
     async def meanwhile(self) -> None:
         assert KEY in self.state.lost and self.kept().editions[0].open
-        assert await self.told(self.far, "run-000008") == "done"
-        assert await self.told(self.near, "run-000008") == "done"
+        assert await self.told_by_both("run-000008") == ["done"] * 2
         await self.gates._look([])
-        assert self.leader.cluster.jobs["run-000007"].held is not None
+        assert self.job(7).held is not None
 
     def succeeded(self, successor: Leader) -> None:
         assert successor.cluster.jobs["run-000007"].held is None
 
     async def answered(self) -> None:
         await self.gates._look([])
-        assert self.leader.cluster.jobs["run-000007"].held is None
+        assert self.job(7).held is None
 
 
 class Instants(Edition):
@@ -623,13 +599,13 @@
     async def meanwhile(self) -> None:
         self.bound = (await self.accepted(9, "balance")).bound
         assert self.bound is not None and self.bound.due_us == us("2026-03-02 05:30")
-        assert self.leader.cluster.jobs["run-000009"].bound == self.bound
+        assert self.job(9).bound == self.bound
 
     def succeeded(self, successor: Leader) -> None:
         assert successor.cluster.jobs["run-000009"].bound == self.bound
 
     async def answered(self) -> None:
-        assert self.leader.cluster.jobs["run-000009"].bound == self.bound
+        assert self.job(9).bound == self.bound
 
 
 STORIES = [
@@ -797,49 +773,6 @@
 SCENARIO = Path(__file__).parents[1] / "deploy" / "scenarios" / "meet-lost-answers.toml"
 
 
-class LostWrites:
-    """Sees which writes were carried out and not answered, and which of them others read."""
-
-    def __init__(self, experiment: Experiment) -> None:
-        self._loop, self._store = experiment.loop, experiment.store.service.store
-        network = experiment.network
-        network.on_sent.append(self._sent)
-        network.on_given_up.append(self._given_up)
-        network.on_answered.append(self._answered)
-        #: When each transaction that is under way was sent.
-        self._sent_s: dict[tuple[str, bytes], float] = {}
-        #: What controllers have read lately: when, who, path and answer.
-        self._reads: deque[tuple[float, str, str, bytes]] = deque(maxlen=3_000)
-        self.carried_out: set[str] = set()
-        self.read: set[str] = set()
-
-    def _sent(self, source: str, target: str, path: str, body: bytes) -> None:
-        if path == "multi":
-            self._sent_s[source, body] = self._loop.true_s
-
-    def _answered(self, called: str, caller: str, path: str, answer: Response) -> None:
-        if called == "state" and path.startswith(("store", "changes")):
-            self._reads.append((self._loop.true_s, caller, path, answer.body))
-
-    def _given_up(self, source: str, target: str, path: str, body: bytes) -> None:
-        if path != "multi":
-            return
-        batch = msgspec.json.decode(body, type=Batch)
-        sent_s = self._sent_s.pop((source, body))
-        others = [read[2:] for read in self._reads if read[0] >= sent_s and read[1] != source]
-        for write in batch.writes:
-            entry = self._store.get(write.set) if write.set is not None else None
-            if entry is not None and bytes(entry.value) == bytes(write.value):
-                known = set(kinds(Batch([], [write])))
-                self.carried_out |= known
-                if any(self._shows(entry.key, *read) for read in others):
-                    self.read |= known
-
-    @staticmethod
-    def _shows(key: str, path: str, answer: bytes) -> bool:
-        return path == f"store/{key}" or f'"{key}"'.encode() in answer
-
-
 #: Kinds whose answers have to be lost within so many runs, and what others read meanwhile: the rest
 #: is for successors.
 MOST_SEEDS = 3
@@ -853,11 +786,9 @@
     for seed, controllers in itertools.product(range(MOST_SEEDS), (3, 5)):
         site = read_scenario(SCENARIO)
         site.controllers = controllers
-        with simulated() as loop:
-            experiment = Experiment(loop, site, seed, Tunables())
-            lost = LostWrites(experiment)
-            loop.run_until_complete(experiment.run())
-        assert not experiment.checker.broken, experiment.checker.details
+        lost = play_observed(site, seed, LostAnswerObserver)
+        checker = lost.experiment.checker
+        assert not checker.broken, checker.details
         carried_out |= lost.carried_out
         read |= lost.read
         # With 3 and with 5 at least.
