--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -162,6 +162,11 @@
         ("seconds = 90.0", "seconds = 0.0", "seconds: must be above 0"),
         ('team = "red"', 'team = "green"', "there is no team 'green'"),
         ("tasks = 4", "taks = 4", "unknown field `taks`"),
+        (
+            "controllers = 3",
+            'controllers = 1\nfaults = [{ kind = "zone_cut", at-s = 5 }]',
+            "kind: there is no controller in another zone than the leader",
+        ),
         ("tasks = 4", 'zone = "q"', r"jobs\[0\].zone: there is no zone 'q'"),
         ("from-s = 15.0", "from-s = 75.0", "from-s: must be before to-s"),
     ],
