A machine's lease counts from a new session on when that is first shown

test_memory: the leader's stand-in no longer reads what the tests' own process holds, which failed in a whole run of the suite; what is asserted is as before.

--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -97,3 +97,14 @@
     into.stop(second, Stop.HARD, 6, "test")
     assert not into.unconfirmed and not into.stopping
     into.check()
+
+
+def test_a_lease_begins_anew_with_a_session_that_a_direct_answer_shows() -> None:
+    """Counted from the session before, it was over while what was started directly still ran."""
+    into = cluster()
+    machine = add_machine(into)
+    machine.lease_from_us = 1
+    shown = report(machine, 3, [])
+    shown.session += 1
+    apply_report(into, machine, shown, 9_000_000, direct=True)
+    assert machine.lease_over_us(14_000_000, 0) > 23_000_000
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -119,6 +119,8 @@
     """Whoever accepts a job, the leader keeps it: its memory filled up by others' acceptances."""
     node = Node(parse_settings(msgspec.json.encode(SETTINGS)), Tunables())
     node._state = cast(Any, SimpleNamespace(ok=True))
+    # What the tests' own process holds is no matter here.
+    node.memory = MemoryWatch(100.0, lambda: 0)
     assert node.memory.admits(now_us())
     asyncio.run(node._peer_request("n-1", peer.Ping(7, 41, True, (), full=True)))
     assert not node.memory.admits(now_us())
--- a/weldhead/coordination/workers/reports.py
+++ b/weldhead/coordination/workers/reports.py
@@ -67,6 +67,9 @@
     if report.session > machine.session and machine.session:
         machine.listing = None
         machine.report_sequence = 0
+        # Its lease begins anew with the session, which began before this was sent. Counted from
+        # the session before, it was judged over while what was started directly since still ran.
+        machine.lease_from_us = max(machine.lease_from_us, at_us)
         for attempt in cluster.release_all(machine):
             outcome.lost.append((attempt, "new session"))
     if machine.booting:
