--- a/review/deployment.py
+++ b/review/deployment.py
@@ -23,7 +23,7 @@
 from machines import Cloud, Ground, Times
 from record import Record
 from state import State
-from web import ROOT, Answer, Client, free_port
+from web import HOST, ROOT, Answer, Client, free_port
 
 ZONE = "lima-centro"
 TIMES = Times(report_s=3.0, lease_s=14.0, cancel_s=44.0)
@@ -61,8 +61,8 @@
 
     async def __aenter__(self) -> "Deployment":
         cloud = await self.cloud.start()
-        peers = {name: f"127.0.0.1:{free_port()}" for name in self.names}
-        self.nodes.update({name: f"127.0.0.1:{free_port()}" for name in self.names})
+        peers = {name: f"{HOST}:{free_port()}" for name in self.names}
+        self.nodes.update({name: f"{HOST}:{free_port()}" for name in self.names})
         self.cloud.nodes.update(self.nodes)
         for name in self.names:
             for other in self.names:
--- a/review/links.py
+++ b/review/links.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from web import free_port
+from web import HOST, free_port
 
 
 class PeerLink:
@@ -15,11 +15,11 @@
         self._port = free_port()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self.address = f"127.0.0.1:{self._port}"
+        self.address = f"{HOST}:{self._port}"
 
     async def allow(self) -> None:
         if self._server is None:
-            self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+            self._server = await asyncio.start_server(self._serve, HOST, self._port)
 
     def refuse(self) -> None:
         """Refuse new connections and reset the open ones."""
--- a/review/web.py
+++ b/review/web.py
@@ -23,6 +23,9 @@
 Handler = Callable[[str, str, dict[str, str], Any], Awaitable[Answer | None]]
 
 
+#: A loopback address of this run alone, so that runs at the same time don't share ports.
+HOST = ".".join(["127", *(str(random.randrange(1, 255)) for _ in range(3))])
+
 _given_ports: set[int] = set()
 
 
@@ -34,7 +37,7 @@
             continue
         _given_ports.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
+            probe.bind((HOST, port))
             return port
 
 
@@ -50,7 +53,7 @@
 
     async def start(self, port: int = 0) -> str:
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", port or free_port(), reuse_address=True)
+        site = web.TCPSite(self._runner, HOST, port or free_port(), reuse_address=True)
         await site.start()
         self.address = site.name.removeprefix("http://")
         return self.address
