--- a/review/deployment.py
+++ b/review/deployment.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import shlex
 import signal
@@ -202,6 +203,11 @@
                 return status
             await asyncio.sleep(1.0)
 
+    async def accepted(self, node: str, job: dict[str, Any], run_s: float) -> None:
+        """Submit a job that has to be accepted for the case to run."""
+        if await self.submit(node, job, run_s) not in (200, 201):
+            raise CannotRunError(f"{job['uid']} was not accepted")
+
     async def poll(self, node: str, uid: str) -> Answer:
         return await self.user(node, "GET", f"/submissions/{uid}", None, 2.0)
 
@@ -246,7 +252,12 @@
 
 def run_case(folder: Path, case: Case) -> None:
     """Run a case and exit with 1 if a rule was broken, 0 if all held, 2 if it could not run."""
-    sys.exit(asyncio.run(_run(folder, case)))
+    code = 2
+    try:
+        code = asyncio.run(_run(folder, case))
+    except Exception:
+        logging.exception("the case itself failed")
+    sys.exit(code)
 
 
 async def _run(folder: Path, case: Case) -> int:
