--- a/review/support_2/site_2.py
+++ b/review/support_2/site_2.py
@@ -17,7 +17,6 @@
 from typing import Any
 
 from support_2.cloud_2 import Cloud
-from support_2.links_2 import Link
 from support_2.machines_2 import World
 from support_2.record_2 import Record
 from support_2.store_2 import Store
@@ -80,30 +79,19 @@
         self._peers = {name: f"{HOST}:{ports.pop()}" for name in self.names}
         deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text(encoding="utf-8"))
         self._command = shlex.split(deploy["run"])
-        #: The way from each controller to each other one.
-        self.links = {
-            (name, other): Link(self._peers[other])
-            for name in self.names
-            for other in self.names
-            if other != name
-        }
-        self._seeds: dict[tuple[str, str], str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def _zone(self, number: int) -> str:
         zones: list[str] = self._facts["zones"]
         return zones[number % len(zones)]
 
-    async def open_links(self) -> None:
-        self._seeds = {pair: await link.open() for pair, link in self.links.items()}
-
     def start(self, name: str, state: str, cloud: str) -> None:
         settings = {
             "label": name, "domain": self._zone(self.names.index(name)),
             "serve_on": self.nodes[name], "internal_addr": self._peers[name],
             "seeds": [
                 {"label": other, "domain": self._zone(number),
-                 "endpoint": self._seeds[name, other]}
+                 "endpoint": self._peers[other]}
                 for number, other in enumerate(self.names)
                 if other != name
             ],
@@ -165,7 +153,6 @@
         for duty in duties:
             duty.add_done_callback(note_fault)
         try:
-            await site.controllers.open_links()
             for name in site.controllers.names:
                 site.controllers.start(name, state, cloud)
             if not await site.users.wait_until_ready(20.0):
@@ -175,8 +162,6 @@
             yield site
         finally:
             site.controllers.end()
-            for link in site.controllers.links.values():
-                link.refuse()
             for duty in duties:
                 duty.cancel()
             site.cloud.close()
@@ -190,6 +175,8 @@
 
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[int]]) -> None:
     """Run a case and exit with its code; ``TROUBLE=0`` runs it without the disruption."""
+    # So that the processes are ended as well if somebody ends the case.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=trouble)
