Renting looks at single machines: free CPUs that no waiting task can use are no room

Cause: placement asks each machine whether a task fits; the forecast by which machines are rented added up free CPUs over the fleet. CPUs beside memory that a service holds, on machines of another type, zone or price class, on interrupted machines or in fragments counted as room, and a sum that suffices at once never becomes too small. Evidence: the leader's log of the case says "waiting 2, allowed 2" beside "free 6" to the end, so the plan listed the job and the forecast refused.

Change: MachineAvailability answers for single machines by placement's rules and bounds the coarse forecast from below; rentals in flight carry their price class. Emulated jobs may need memory.

--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -127,6 +127,8 @@
         ("at-once", 5),
         ("cards", 3),
         ("calendar", 3),
+        ("full-memory", 3),
+        ("full-memory", 5),
         ("gate", 3),
         ("late-records", 3),
         ("left-waiting", 5),
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -13,7 +13,7 @@
 from weldhead.cluster_state.reclaim import ReclaimLists
 from weldhead.cluster_state.states import AttemptPhase
 from weldhead.protocol.settings import Team
-from weldhead.scheduling.autoscaling.rental_offers import RentalOffers
+from weldhead.scheduling.autoscaling.rental_offers import PendingRental, RentalOffers
 from weldhead.scheduling.autoscaling.scale_out import plan_scale_out
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
 from weldhead.scheduling.placement.eligibility import is_schedulable
@@ -269,6 +269,7 @@
         pending_type = offers.types[0]
         rentals = plan_scale_out(
             fragmented_cluster, plan, offers, RunTimeEstimates(), GOALS, 100 * S, FLEET,
+            [PendingRental(pending_type, pending_count)],
             wide_task_forecast=lambda up_us: WideTaskForecast(
                 fragmented_cluster.machines.values(), [(pending_type, pending_count)],
                 Reservations(), 0.5, up_us,
--- a/weldhead/controller/fleet/rental_manager.py
+++ b/weldhead/controller/fleet/rental_manager.py
@@ -135,7 +135,7 @@
             record = self._records[name]
             machine_type = self._term.types.get(record.type)
             if machine_type is not None:
-                pending.append(PendingRental(machine_type, record.count, record.zone))
+                pending.append(PendingRental(machine_type, record.count, record.zone, record.spot))
         return pending
 
     def _add_machine(self, name: str, rental_name: str, at_us: int, wall_time_us: int) -> Machine:
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -202,6 +202,7 @@
     large_cpus: float = 0.0
     large_each: int = 10
     cards: float = 0.0
+    memory_gb: float = 1.0
     image_gb: float = 1.0
     #: Replicas that run until they are cancelled after ``run_s``, or when a burst is over.
     standing: bool = False
--- a/weldhead/emulator/users.py
+++ b/weldhead/emulator/users.py
@@ -144,8 +144,8 @@
         spec = JobSpec(
             f"run-{self._count:06}", job.name, job.team,
             "standing" if job.standing else "batch", job.priority, tasks, cpus,
-            job.cards, 1.0, f"img-{job.name}", job.image_gb, job.one_zone, job.spread, True,
-            0.0 if job.standing else self._rng.uniform(0.2, 2.0) * job.run_s,
+            job.cards, job.memory_gb, f"img-{job.name}", job.image_gb, job.one_zone,
+            job.spread, True, 0.0 if job.standing else self._rng.uniform(0.2, 2.0) * job.run_s,
             job.saves_every_s, job.save_s, zone=job.zone or None, needs=needs or None,
         )  # fmt: skip
         self._jobs[spec.id] = spec
--- a/weldhead/scheduling/autoscaling/rental_offers.py
+++ b/weldhead/scheduling/autoscaling/rental_offers.py
@@ -29,6 +29,7 @@
     count: int
     #: The zone; empty if it is not known, which matches no zone.
     zone: str = ""
+    spot: bool = False
 
 
 @dataclass
--- a/weldhead/scheduling/autoscaling/scale_out.py
+++ b/weldhead/scheduling/autoscaling/scale_out.py
@@ -17,6 +17,7 @@
 from weldhead.scheduling.autoscaling.capacity_forecast import CapacityForecast
 from weldhead.scheduling.autoscaling.expected_demand import ExpectedDemand
 from weldhead.scheduling.autoscaling.fleet_settings import FleetSettings
+from weldhead.scheduling.autoscaling.machine_availability import MachineAvailability
 from weldhead.scheduling.autoscaling.rental_offers import (
     PendingRental,
     RentalOffer,
@@ -117,6 +118,16 @@
         ),
         zone_forecast,
         wide_task_forecast(at_us + boot_us) if wide_task_forecast is not None else None,
+        MachineAvailability(
+            cluster,
+            pending,
+            estimates,
+            at_us,
+            boots,
+            silent_machines,
+            at_us + boot_us,
+            plan.gpu_reservation,
+        ),
     )
     unmet = forecast_unmet_demand(forecast_input, cpu_forecast)
     rentals: dict[RentalOffer, int] = defaultdict(int)
--- a/weldhead/scheduling/autoscaling/unmet_demand.py
+++ b/weldhead/scheduling/autoscaling/unmet_demand.py
@@ -13,6 +13,11 @@
 from weldhead.scheduling.autoscaling.capacity_forecast import CapacityForecast
 from weldhead.scheduling.autoscaling.expected_demand import ExpectedDemand
 from weldhead.scheduling.autoscaling.fleet_settings import FleetSettings
+from weldhead.scheduling.autoscaling.machine_availability import (
+    MachineAvailability,
+    TaskStarts,
+    latest_starts,
+)
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
 from weldhead.scheduling.objectives import ServiceLevelObjectives
 from weldhead.scheduling.placement.placement_plan import PlacementPlan
@@ -54,6 +59,8 @@
     #: Returns the forecast of free CPUs in one zone, for jobs that are restricted to the zone.
     zone_forecast: Callable[[str], CapacityForecast] | None = None
     wide_task_forecast: WideTaskForecast | None = None
+    #: The forecast of when single machines have capacity; bounds the other forecasts from below.
+    machine_availability: MachineAvailability | None = None
 
 
 def forecast_unmet_demand(
@@ -183,10 +190,8 @@
         self._used_cpus[job.team] += job.spec.cpus * count
         return is_guaranteed
 
-    def _schedule(
-        self, job: Job, count: int, ready_us: int, task_us: int
-    ) -> list[tuple[int | None, int]]:
-        """Return start times with the number of tasks that start then; None: never."""
+    def _schedule(self, job: Job, count: int, ready_us: int, task_us: int) -> TaskStarts:
+        """Return start times with the number of tasks that start then."""
         spec = job.spec
         starts_iterator = self._cpu_forecast.schedule(spec.cpus, task_us, ready_us, count)
         if spec.gpus > 0 and self._input.create_gpu_forecast is not None:
@@ -199,9 +204,13 @@
             zone_forecast = self._input.zone_forecast(spec.zone)
             zone_starts = zone_forecast.schedule(spec.cpus, task_us, ready_us, count)
             starts = max(starts, list(zone_starts), key=_last_start_us)
+        machine_availability = self._input.machine_availability
+        if machine_availability is not None:
+            machine_starts = machine_availability.starts(job, count, ready_us, task_us)
+            starts = latest_starts(starts, machine_starts)
         return starts
 
 
-def _last_start_us(starts: list[tuple[int | None, int]]) -> float:
+def _last_start_us(starts: TaskStarts) -> float:
     """Return when the last task starts; infinity if a task can never start."""
     return max((math.inf if at_us is None else at_us for at_us, _ in starts), default=0.0)
--- a/weldhead/scheduling/placement/backlog_entry.py
+++ b/weldhead/scheduling/placement/backlog_entry.py
@@ -29,6 +29,12 @@
         return cls(spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
 
 
+def exclusive_id(job: Job) -> str:
+    """Return the job's ID if its own tasks restrict where its other tasks may run, or else ""."""
+    spec = job.spec
+    return job.id if spec.one_zone or spec.spread or job.failed_machines else ""
+
+
 class JobKind(NamedTuple):
     """The properties by which placement treats jobs alike; the key of a backlog queue."""
 
@@ -45,14 +51,13 @@
     def of(cls, job: Job) -> "JobKind":
         """Return a job's kind."""
         spec = job.spec
-        exclusive_job_id = job.id if spec.one_zone or spec.spread or job.failed_machines else ""
         return cls(
             job.team,
             job.effective_level,
             spec.job_class,
             spec.is_service,
             TaskShape.of(job),
-            exclusive_job_id,
+            exclusive_id(job),
         )
 
 
--- a/weldhead/scheduling/reservations/availability.py
+++ b/weldhead/scheduling/reservations/availability.py
@@ -8,12 +8,17 @@
 
 
 def estimate_available_us(
-    machine: Machine, job: Job, estimates: RunTimeEstimates, at_us: int
+    machine: Machine,
+    job: Job,
+    estimates: RunTimeEstimates,
+    at_us: int,
+    *,
+    preempts_services: bool = True,
 ) -> int | None:
     """Estimate when a machine has capacity for one task of a job; None if never.
 
     The estimate assumes that no other task starts on the machine, and that tasks of a lower
-    priority are preempted at once.
+    priority are preempted at once; replicas of services only with ``preempts_services``.
     """
     spec = job.spec
     cpus, gpus, memory_gb = machine.cpus, machine.gpus, machine.memory_gb
@@ -22,7 +27,12 @@
     ends = [
         (end_us, number, attempt)
         for number, attempt in enumerate(machine.attempts.values())
-        if (end_us := _estimate_end_us(attempt, job, estimates, at_us)) is not None
+        if (
+            end_us := _estimate_end_us(
+                attempt, job, estimates, at_us, preempts_services=preempts_services
+            )
+        )
+        is not None
     ]
     ends.sort(key=lambda end: end[:2])
     for end_us, _, attempt in ends:
@@ -35,14 +45,19 @@
 
 
 def _estimate_end_us(
-    attempt: Attempt, job: Job, estimates: RunTimeEstimates, at_us: int
+    attempt: Attempt,
+    job: Job,
+    estimates: RunTimeEstimates,
+    at_us: int,
+    *,
+    preempts_services: bool,
 ) -> int | None:
     """Estimate when an attempt ends or is preempted by the job; None if it runs indefinitely."""
     spec = attempt.job.spec
-    if (
-        attempt.stop_request is not StopRequest.NO
-        or attempt.job.effective_level < job.effective_level
-    ):
+    is_preempted = attempt.job.effective_level < job.effective_level and (
+        preempts_services or not spec.is_service
+    )
+    if attempt.stop_request is not StopRequest.NO or is_preempted:
         return at_us + seconds_us(spec.save_s)
     if spec.is_service:
         return None
--- a/weldhead/scheduling/reservations/capacity_reserver.py
+++ b/weldhead/scheduling/reservations/capacity_reserver.py
@@ -22,7 +22,7 @@
 from weldhead.quota.amounts import required_units
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
 from weldhead.scheduling.placement.backlog import Backlog
-from weldhead.scheduling.placement.backlog_entry import TaskShape
+from weldhead.scheduling.placement.backlog_entry import TaskShape, exclusive_id
 from weldhead.scheduling.reservations.availability import estimate_available_us
 from weldhead.scheduling.reservations.reservations import Reservations, ReservationSettings
 from weldhead.scheduling.reservations.unstarted_jobs import UnstartedJobs
@@ -382,9 +382,7 @@
 
     def _find_soonest_machine(self, job: Job, tasks_by_zone: dict[str, int]) -> Machine | None:
         """Return the machine that has capacity for a task of the job soonest."""
-        spec = job.spec
-        exclusive_job_id = job.id if spec.one_zone or spec.spread or job.failed_machines else ""
-        key = TaskShape.of(job), job.effective_level, exclusive_job_id
+        key = TaskShape.of(job), job.effective_level, exclusive_id(job)
         ranked = self._ranked.get(key)
         if ranked is None:
             if len(self._ranked) >= MAX_RANKED_TASK_KINDS:
