A failing job is tried on other machines, and one is rented if there is none with room

Cause: placement went back to machines on which an undetermined job had failed if no other had room, so the job never counted as unplaced; is_stranded took any existing machine as one to try it on, full or not.

Change: Job.avoids and Machine.could_run answer on which machines a failing job may be tried, for placement, the fleet's forecast and is_stranded. It returns to a machine that failed it only after a pause. Preemption stops nothing for a job on probation.

Related faults, mended with it as they share the question: a job that failed on two faulty machines was tried on no third one (suspect machines say nothing of a job now), and the pause before a machine is rented for a broken job was restarted by each of its retries, so that it never ended.

--- a/tests/scheduling/test_capacity_that_does_not_fit.py
+++ b/tests/scheduling/test_capacity_that_does_not_fit.py
@@ -55,7 +55,7 @@
 def fill(state: Cluster, obstacle: Obstacle, machines: int) -> list[Machine]:
     """Add machines that each run a task of a service."""
     service = add_job(
-        state, job_spec(1, team="blue", kind="service", tasks=machines, **obstacle.service)
+        state, job_spec(1, team="blue", kind="standing", tasks=machines, **obstacle.service)
     )
     added = []
     for number in range(machines):
@@ -79,7 +79,7 @@
 @given(
     machines=st.integers(1, 30),
     tasks=st.integers(1, 6),
-    kind=st.sampled_from(["batch", "service"]),
+    kind=st.sampled_from(["batch", "standing"]),
     estimate_s=st.sampled_from([1.0, 10.0, 600.0]),
 )
 @settings(max_examples=15)
@@ -114,7 +114,8 @@
     state = cluster(*GUARANTEED)
     added = [add_machine(state, f"vm-{n:06}", zone="a", **PLAIN) for n in range(machines)]
     job = add_job(
-        state, job_spec(1, kind="service", spread=True, tasks=2 * replicas, cpus=0.5, memory_gb=0.5)
+        state,
+        job_spec(1, kind="standing", spread=True, tasks=2 * replicas, cpus=0.5, memory_gb=0.5),
     )
     for index in range(replicas):
         run_on(state, job, index, added[index % machines])
@@ -136,7 +137,7 @@
     state = cluster(*GUARANTEED)
     add_machine(state, "vm-000001", cpus=8.0, gpus=4.0)
     full = add_machine(state, "vm-000002", cpus=2.0)
-    service = add_job(state, job_spec(1, kind="service", tasks=1, cpus=2.0))
+    service = add_job(state, job_spec(1, kind="standing", tasks=1, cpus=2.0))
     run_on(state, service, 0, full)
     add_job(state, job_spec(2, tasks=1, gpus=8.0, cpus=1.0), AT_US)
     waiting = add_job(state, job_spec(3, tasks=1, cpus=2.0), AT_US)
--- a/tests/support/reference_decisions.py
+++ b/tests/support/reference_decisions.py
@@ -119,8 +119,9 @@
             if allowed <= 0:
                 continue
             placed = _place_tasks(
-                plan, job, allowed, rooms, planned[job.id], planned_zones[job.id], fetch_weight
-            )
+                plan, job, allowed, rooms, planned[job.id], planned_zones[job.id], fetch_weight,
+                at_us,
+            )  # fmt: skip
             planned[job.id] += placed
             held[0] += job.spec.cpus * placed
             held[1] += job.spec.gpus * placed
--- a/weldhead/cluster_state/jobs.py
+++ b/weldhead/cluster_state/jobs.py
@@ -114,6 +114,7 @@
         "last_machine",
         "reported_late",
         "restart_queue",
+        "retry_failed_us",
         "saving",
         "serial",
         "spec",
@@ -194,6 +195,9 @@
         self.fails_everywhere = False
         #: Whether the job is on probation without a machine to try it on; one may be rented then.
         self._stranded = False
+        #: The time from which it may be tried again on a machine where it failed, if it has room
+        #: on no other and it is not known yet whose fault the failures are.
+        self.retry_failed_us = 0
         self._not_before_us = 0
         self.reported_late = False
         #: The time at which the jobs that it needs are expected to be done; None: unknown.
@@ -231,6 +235,11 @@
         waiting = self.spec.tasks - self.done - len(self.active)
         return min(waiting, 1) if self._on_probation else waiting
 
+    def avoids(self, machine: str) -> bool:
+        """Whether the job failed on a machine and is to be tried elsewhere to learn why."""
+        is_to_be_tried = self._on_probation and (self._stranded or not self.fails_everywhere)
+        return is_to_be_tried and machine in self.failed_machines
+
     @property
     def must_stop(self) -> bool:
         """Whether its tasks have to stop: the job is cancelled, or a cancellation was requested."""
--- a/weldhead/cluster_state/machines.py
+++ b/weldhead/cluster_state/machines.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from weldhead.clock import latest_lease_end_us
 from weldhead.cluster_state.change_feed import ChangeFeeds
@@ -29,6 +30,21 @@
     return count if count > 0 else 0
 
 
+@dataclass
+class HeldAmounts:
+    """Amounts of a machine that tasks hold which do not end by themselves."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+
+    def add(self, spec: JobSpec) -> None:
+        """Add the amounts of one task of a job."""
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+
+
 class Machine:
     """A rented machine, with its capacity, its attempts and the state of its worker."""
 
@@ -174,6 +190,11 @@
         """Whether no message of the machine's worker has been received yet."""
         return self.newest_message[0] == 0
 
+    @property
+    def accepts_new_tasks(self) -> bool:
+        """Whether new tasks may be placed on the machine, now or once it has booted or reported."""
+        return not (self.draining or self.deleting or self.not_receiving or self.interruption_us)
+
     def add(self, attempt: Attempt) -> None:
         """Add an attempt and subtract its amounts from the free capacity."""
         if attempt.task in self.attempts:
@@ -210,6 +231,24 @@
             and (spec.spot or not self.spot)
         )
 
+    def could_run(self, job: Job, held: HeldAmounts | None) -> bool:
+        """Whether a task of a job may run here once all tasks but those of services have ended.
+
+        ``held`` is what the services hold on this machine; None: nothing.
+        """
+        if not self.accepts_new_tasks or not self.type.fits(job.spec) or not self.allows(job):
+            return False
+        if held is None:
+            return True
+        return bool(
+            tasks_that_fit(
+                job.spec,
+                self.type.cpus - held.cpus,
+                self.type.gpus - held.gpus,
+                self.type.memory_gb - held.memory_gb,
+            )
+        )
+
     def record_image(self, image: str, size_gb: float) -> None:
         """Record the use of an image; drop the least recently used images beyond the cache size."""
         self.images[image] = size_gb
--- a/weldhead/controller/workers/machine_monitor.py
+++ b/weldhead/controller/workers/machine_monitor.py
@@ -337,7 +337,11 @@
                 job.failures, len(job.failed_machines))  # fmt: skip
             self._on_probation[job.id] = job
         for job_id, job in list(self._on_probation.items()):
-            job.stranded = job.on_probation and self.failures.is_stranded(job, cluster, at_us)
+            stranded = job.on_probation and self.failures.is_stranded(job, cluster, at_us)
+            if stranded and not job.stranded:
+                self.failures.await_other_machine(job, at_us)
+                log.info("job %s needs a machine on which it has not failed", job.id)
+            job.stranded = stranded
             if not job.on_probation or cluster.jobs.get(job_id) is not job:
                 del self._on_probation[job_id]
 
--- a/weldhead/failure_attribution/failure_tracker.py
+++ b/weldhead/failure_attribution/failure_tracker.py
@@ -15,7 +15,9 @@
     FailureEvidence,
     JobHealth,
     assess_job,
+    count_telling_machines,
     is_machine_faulty,
+    is_machine_suspect,
     required_survival_us,
 )
 
@@ -26,6 +28,14 @@
 REVIEW_DELAY_US = 300 * MILLISECOND_US
 #: Retry delays of a faulty job grow from one second, doubled each time, to this maximum.
 MAX_RETRY_DELAY_US = 60 * SECOND_US
+#: An undetermined job without room elsewhere is tried again on a machine where it failed after
+#: this time, doubled with each failure up to ``MAX_RETRY_DELAY_US``.
+MIN_SAME_MACHINE_DELAY_US = 10 * SECOND_US
+#: A failing job that has waited this long for room on the machines left to try it on is stranded.
+MAX_WAIT_FOR_ROOM_US = 30 * SECOND_US
+#: A faulty job that failed on every machine it can be tried on may get another one so long after
+#: its first failure on the last of them.
+RETRIAL_DELAY_US = 600 * SECOND_US
 #: The time after a faulty job's last failure after which a machine may be rented for it if it can
 #: be tried on none.
 MIN_RENTAL_DELAY_US = 300 * SECOND_US
@@ -36,6 +46,7 @@
     """Failures of one job on one machine."""
 
     count: int = 0
+    first_us: int = 0
     last_us: int = 0
     longest_us: int = 0
 
@@ -49,6 +60,8 @@
     #: Number of failures since the job was found faulty.
     retries: int = 0
     last_us: int = 0
+    #: When it last failed on a machine on which it had not failed before.
+    new_machine_us: int = 0
     longest_us: int = 0
     #: Machines on which a task has succeeded after this job failed there.
     proven_machines: set[str] = field(default_factory=set)
@@ -71,6 +84,7 @@
         self._failures_by_machine: dict[str, dict[str, _FailureCount]] = {}
         self._failing_jobs: dict[str, _FailingJob] = {}
         self._faulty_machines: set[str] = set()
+        self._last_failure_us = 0
 
     @property
     def faulty_machines(self) -> frozenset[str]:
@@ -85,12 +99,19 @@
         job = attempt.job
         ran_us = at_us - attempt.running_since_us if attempt.running_since_us else 0
         job.failures += 1
+        is_new_machine = attempt.machine not in job.failed_machines
         job.failed_machines |= {attempt.machine}
+        same_machine_delay_us = MIN_SAME_MACHINE_DELAY_US << min(6, job.failures - 1)
+        job.retry_failed_us = at_us + min(MAX_RETRY_DELAY_US, same_machine_delay_us)
         failures = self._failures_by_machine.setdefault(attempt.machine, {}).setdefault(
             job.id, _FailureCount()
         )
         failing_job = self._failing_jobs.setdefault(job.id, _FailingJob(job))
         failures.count += 1
+        failures.first_us = failures.first_us or at_us
+        self._last_failure_us = at_us
+        if is_new_machine:
+            failing_job.new_machine_us = at_us
         failures.last_us = failing_job.last_us = at_us
         failures.longest_us = max(failures.longest_us, ran_us)
         failing_job.longest_us = max(failing_job.longest_us, ran_us)
@@ -128,13 +149,16 @@
             else:
                 self._record_long_running(machine)
         self._review_machines(cluster, review)
+        suspects = self._find_suspect_machines()
         for job_id, failing_job in list(self._failing_jobs.items()):
             if cluster.jobs.get(job_id) is not failing_job.job:
                 del self._failing_jobs[job_id]
                 continue
             health = assess_job(
                 succeeds=_succeeds(cluster, failing_job),
-                failed_machines=len(failing_job.job.failed_machines - self._faulty_machines),
+                failed_machines=count_telling_machines(
+                    failing_job.job.failed_machines - self._faulty_machines, suspects
+                ),
                 proven_machines=len(failing_job.proven_machines - self._faulty_machines),
             )
             if health is not failing_job.health:
@@ -146,30 +170,47 @@
         """Return whether no machine is left to try a failing job on, and one may be rented.
 
         For an undetermined job a machine may be rented at once; for a faulty job only
-        ``MIN_RENTAL_DELAY_US`` after its last failure.
+        ``MIN_RENTAL_DELAY_US`` after its last failure, or ``RETRIAL_DELAY_US`` after it was last
+        tried on a machine that was new to it. A machine that services fill for good is
+        none to try the job on, nor are machines that had no room for ``MAX_WAIT_FOR_ROOM_US``.
         """
         failing_job = self._failing_jobs.get(job.id)
-        if failing_job is None or failing_job.health is JobHealth.HEALTHY:
+        if failing_job is None or failing_job.health is JobHealth.HEALTHY or job.active:
             return False
-        if (
-            failing_job.health is JobHealth.FAULTY
-            and at_us < failing_job.last_us + MIN_RENTAL_DELAY_US
-        ):
+        is_faulty = failing_job.health is JobHealth.FAULTY
+        # Retries on the same machines move the time of the last failure, but not this one.
+        retrial_us = failing_job.new_machine_us + (RETRIAL_DELAY_US if is_faulty else 0)
+        if at_us >= retrial_us:
+            from_us, tried_machines = retrial_us, job.failed_machines
+        else:
+            from_us, tried_machines = failing_job.last_us + MIN_RENTAL_DELAY_US, frozenset[str]()
+        if at_us < from_us:
             return False
-        tried_machines = (
-            job.failed_machines
-            if failing_job.health is JobHealth.UNDETERMINED
-            else frozenset[str]()
-        )
+        if at_us >= from_us + MAX_WAIT_FOR_ROOM_US:
+            return True
+        held = cluster.amounts_held_by_services()
         return not any(
-            machine.name not in tried_machines
-            and not machine.draining
-            and not machine.deleting
-            and machine.allows(job)
-            and machine.type.fits(job.spec)
+            machine.name not in tried_machines and machine.could_run(job, held.get(machine.name))
             for machine in cluster.machines.values()
         )
 
+    @staticmethod
+    def await_other_machine(job: Job, at_us: int) -> None:
+        """Give a stranded job's new machine time to boot before old ones are tried again."""
+        job.retry_failed_us = max(job.retry_failed_us, at_us + MAX_RETRY_DELAY_US)
+
+    def _find_suspect_machines(self) -> set[str]:
+        """Return the machines on which several jobs failed for a while and no task succeeded."""
+        return {
+            name
+            for name, failures_by_job in self._failures_by_machine.items()
+            if is_machine_suspect(
+                len(failures_by_job),
+                self._last_failure_us
+                - min(failures.first_us for failures in failures_by_job.values()),
+            )
+        }
+
     def _record_long_running(self, machine: Machine) -> None:
         """Record a success for each task that has run longer than those that failed there."""
         longest_us = max(
--- a/weldhead/failure_attribution/judgement.py
+++ b/weldhead/failure_attribution/judgement.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections.abc import Collection
+from collections.abc import Collection, Set
 from dataclasses import dataclass
 
 from weldhead.clock import SECOND_US
@@ -19,6 +19,12 @@
 MIN_UNDETERMINED_JOBS = 3
 #: A job is faulty after it has failed on this many machines that are not faulty.
 MIN_FAILED_MACHINES = 2
+#: A machine is suspect if so many jobs failed on it over so long a time, and no task succeeded.
+MIN_SUSPECT_JOBS = 3
+MIN_SUSPECT_SPAN_US = 10 * SECOND_US
+#: A job that failed on so many machines is faulty even if all of them are suspect. This bounds how
+#: many machines are rented for several faulty jobs that make each other's machines suspect.
+MAX_SUSPECT_MACHINES = 4
 #: A task differs from the failed tasks once it has run for this long, and three times as long as
 #: they did.
 MIN_SURVIVAL_US = 5 * SECOND_US
@@ -63,6 +69,26 @@
     )
 
 
+def is_machine_suspect(failed_jobs: int, span_us: int) -> bool:
+    """Return whether a machine may well be faulty, though none of the jobs succeeds elsewhere.
+
+    ``failed_jobs`` is how many jobs failed on it since its last success, and ``span_us`` the time
+    between the first of these failures and the latest failure anywhere.
+    """
+    return failed_jobs >= MIN_SUSPECT_JOBS and span_us >= MIN_SUSPECT_SPAN_US
+
+
+def count_telling_machines(failed_machines: Set[str], suspects: Set[str]) -> int:
+    """Return on how many machines a job failed of which the failures say something of the job.
+
+    A sound job fails on each of several faulty machines. Counted against it, these failures made
+    it a faulty job that was tried on no other machine.
+    """
+    if len(failed_machines) >= MAX_SUSPECT_MACHINES:
+        return len(failed_machines)
+    return len(failed_machines - suspects)
+
+
 def assess_job(*, succeeds: bool, failed_machines: int, proven_machines: int) -> JobHealth:
     """Assess a job whose tasks have failed.
 
--- a/weldhead/scheduling/autoscaling/machine_availability.py
+++ b/weldhead/scheduling/autoscaling/machine_availability.py
@@ -14,7 +14,7 @@
 from weldhead.clock import seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import Machine, tasks_that_fit
+from weldhead.cluster_state.machines import HeldAmounts, Machine
 from weldhead.provisioning.boot_times import BootExpectations
 from weldhead.scheduling.autoscaling.rental_offers import (
     PendingRental,
@@ -24,7 +24,6 @@
 )
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
 from weldhead.scheduling.placement.backlog_entry import TaskShape, exclusive_id
-from weldhead.scheduling.placement.eligibility import accepts_new_tasks
 from weldhead.scheduling.placement.free_capacity import FreeCapacity
 from weldhead.scheduling.placement.gpu_reservation import GpuReservation
 from weldhead.scheduling.reservations.availability import estimate_available_us
@@ -55,7 +54,7 @@
 
     def allows(self, job: Job) -> bool:
         """Whether a task of the job may run on the machine."""
-        if self.machine is not None and not accepts_new_tasks(self.machine):
+        if self.machine is not None and not self.machine.accepts_new_tasks:
             return False
         return can_run_on_offer(self.offer, job)
 
@@ -90,8 +89,8 @@
         self._remaining_examinations = MAX_EXAMINED_MACHINES
         self._earliest_by_kind: dict[tuple[TaskShape, int, str], int | None] = {}
         self._new_machines: list[_NewMachine] | None = None
-        #: By machine: CPUs, GPUs and memory that services hold.
-        self._held_by_services: dict[str, list[float]] | None = None
+        #: What services hold, by machine; None until first needed.
+        self._held_by_services: dict[str, HeldAmounts] | None = None
 
     def starts(self, job: Job, count: int, ready_us: int, task_us: int) -> TaskStarts:
         """Return when ``count`` tasks that are ready at ``ready_us`` can start at the earliest.
@@ -169,26 +168,13 @@
 
     def _may_run_on(self, machine: Machine, job: Job) -> bool:
         """Whether a task may run on a machine once all tasks but services have ended there."""
-        if not machine.type.fits(job.spec) or not machine.allows(job):
+        if machine.name in self._silent_machines or job.avoids(machine.name):
             return False
-        if machine.name in self._silent_machines or not accepts_new_tasks(machine):
+        if job.capacity_in_zone(machine.zone) <= 0 or self._is_reserved_for_gpus(machine, job):
             return False
-        if job.capacity_in_zone(machine.zone) <= 0:
-            return False
-        if self._is_reserved_for_gpus(machine, job):
-            return False
-        held = self._find_held_by_services().get(machine.name)
-        if held is None:
-            return True
-        machine_type = machine.type
-        return bool(
-            tasks_that_fit(
-                job.spec,
-                machine_type.cpus - held[0],
-                machine_type.gpus - held[1],
-                machine_type.memory_gb - held[2],
-            )
-        )
+        if self._held_by_services is None:
+            self._held_by_services = self._cluster.amounts_held_by_services()
+        return machine.could_run(job, self._held_by_services.get(machine.name))
 
     def _is_reserved_for_gpus(self, machine: Machine, job: Job) -> bool:
         """Whether the capacity beside free GPUs is kept from a job that waits for it."""
@@ -197,19 +183,6 @@
             return False
         return FreeCapacity(machine, reservation).capacity_for(job) <= 0
 
-    def _find_held_by_services(self) -> dict[str, list[float]]:
-        if self._held_by_services is None:
-            self._held_by_services = {}
-            for job in self._cluster.active_jobs.values():
-                if not job.spec.is_service or job.must_stop:
-                    continue
-                for attempt in job.active.values():
-                    held = self._held_by_services.setdefault(attempt.machine, [0.0, 0.0, 0.0])
-                    held[0] += job.spec.cpus
-                    held[1] += job.spec.gpus
-                    held[2] += job.spec.memory_gb
-        return self._held_by_services
-
     def _find_new_machines(self) -> list[_NewMachine]:
         """Return the machines that boot in time or are being rented, the earliest first."""
         if self._new_machines is None:
--- a/weldhead/scheduling/placement/eligibility.py
+++ b/weldhead/scheduling/placement/eligibility.py
@@ -1,18 +1,8 @@
-"""The rules for which machines may receive new tasks."""
+"""The rule for which machines may receive new tasks."""
 
 from weldhead.cluster_state.machines import Machine
 
 
-def accepts_new_tasks(machine: Machine) -> bool:
-    """Whether a machine may receive new tasks at all, now or once it has booted or reported."""
-    return (
-        not machine.draining
-        and not machine.deleting
-        and not machine.not_receiving
-        and not machine.interruption_us
-    )
-
-
 def is_schedulable(machine: Machine, at_us: int, silence_us: int) -> bool:
     """Whether new tasks may be placed on a machine.
 
@@ -21,7 +11,7 @@
     """
     return (
         machine.reconciled
-        and accepts_new_tasks(machine)
+        and machine.accepts_new_tasks
         and not machine.orphans
         and at_us - max(machine.last_heartbeat_us, machine.first_probe_us) < silence_us
     )
--- a/weldhead/scheduling/placement/placement_pass.py
+++ b/weldhead/scheduling/placement/placement_pass.py
@@ -89,7 +89,9 @@
         placement_input.reservations,
         placement_input.estimates,
     )
-    placement_pass = _PlacementPass(placement_input, plan, pass_capacity, fetch_weight, may_start)
+    placement_pass = _PlacementPass(
+        placement_input, plan, pass_capacity, fetch_weight, at_us, may_start
+    )
     if placement_input.reservations.machines or placement_input.reservations.quota_by_team:
         placement_pass.place_reserved(placement_input, at_us, silence_us, may_start)
     # The first round places tasks within guarantees, the second what teams borrow beyond them.
@@ -107,6 +109,7 @@
         plan: PlacementPlan,
         pass_capacity: PassCapacity,
         fetch_weight: float,
+        at_us: int,
         may_start: Callable[[Job], bool] | None,
     ) -> None:
         self._cluster = placement_input.cluster
@@ -120,6 +123,7 @@
         self._plan = plan
         self._pass_capacity = pass_capacity
         self._fetch_weight = fetch_weight
+        self._at_us = at_us
         unverified_usage = placement_input.cluster.unverified_usage
         self._allowances = {
             team: TeamAllowance(
@@ -234,7 +238,7 @@
     ) -> int:
         placed = _place_tasks(
             self._plan, job, allowed, capacity_source or self._pass_capacity,
-            self._planned[job.id], self._planned_by_zone[job.id], self._fetch_weight,
+            self._planned[job.id], self._planned_by_zone[job.id], self._fetch_weight, self._at_us,
         )  # fmt: skip
         if placed:
             self._planned[job.id] += placed
@@ -253,6 +257,19 @@
     return count
 
 
+def _prefer_untried(candidates: list[FreeCapacity], job: Job, at_us: int) -> list[FreeCapacity]:
+    """Return the machines on which no task of the job has failed; all of them if there is none.
+
+    While it is not known whose fault the failures are, only another machine shows it: the other
+    ones are used again after a pause. Without it, a job was started on one faulty machine over
+    and over, counted as placed, and no machine was rented for it.
+    """
+    untried = [c for c in candidates if c.machine.name not in job.failed_machines]
+    if untried or at_us >= job.retry_failed_us:
+        return untried or candidates
+    return [c for c in candidates if not job.avoids(c.machine.name)]
+
+
 def _place_tasks(
     plan: PlacementPlan,
     job: Job,
@@ -261,6 +278,7 @@
     already_planned: int,
     planned_by_zone: dict[str, int],
     fetch_weight: float,
+    at_us: int,
 ) -> int:
     """Add starts of up to ``max_tasks`` tasks of a job to the plan; return their number.
 
@@ -268,10 +286,7 @@
     """
     candidates = capacity_source.candidates_for(job)
     if job.failed_machines:
-        # Machines on which a task of the job failed are used only if there are no others.
-        candidates = [
-            c for c in candidates if c.machine.name not in job.failed_machines
-        ] or candidates
+        candidates = _prefer_untried(candidates, job, at_us)
     if not candidates:
         return 0
     # Searching for more waiting tasks than can be placed would be wasted work.
--- a/weldhead/scheduling/preemption/preemption_plan.py
+++ b/weldhead/scheduling/preemption/preemption_plan.py
@@ -67,6 +67,9 @@
     )
     while (found := scan.next()) is not None:
         job, unplaced = found
+        if job.on_probation:
+            # It may fail wherever it runs: it waits for free capacity and stops no other task.
+            continue
         urgency = preemption_pass.urgency_of(job, objectives)
         if urgency is Urgency.DEFERRABLE and not preemption_pass.is_within_guarantee(job):
             # A queue is ordered by laxity, so the deferrable jobs behind this one have even more
