A machine has task slots: no more tasks than its worker can list in one report

Cause: placement divided amounts, while a worker lists all its tasks in a body of at most 64 KiB. Evidence: the case's trace shows tasks started, an answer of 144 KB, and then reports of 157 KB that every controller refuses with 400 until the lease is over.

Change: Machine.free_task_slots counts what the worker lists (attempts, orphans, ended attempts that are not forgotten) against MAX_TASKS_PER_MACHINE, reckoned from the longest entry. Slots stand beside CPUs, GPUs and memory wherever room is asked for: placement, preemption, GPU claims, reservations, renting, consolidation. Commands are bounded likewise, kills first; what is not sent is not marked as sent. Stand-ins and emulated machines refuse what is too long.

--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -129,6 +129,7 @@
         ("calendar", 3),
         ("full-memory", 3),
         ("full-memory", 5),
+        ("crowded-machines", 3),
         ("sick-where-room-is", 3),
         ("sick-where-room-is", 5),
         ("gate", 3),
--- a/tests/support/reference_decisions.py
+++ b/tests/support/reference_decisions.py
@@ -147,7 +147,7 @@
         self.freed: dict[str, float] = defaultdict(float)
         self.claimed: dict[str, float] = defaultdict(float)
         for machine in cluster.machines.values():
-            room = [machine.cpus, machine.gpus, machine.memory_gb]
+            room = machine.free_amounts()
             for attempt in machine.attempts.values():
                 if attempt.stop_request is not StopRequest.NO:
                     self._add_task_resources(room, attempt.job, 1)
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -13,9 +13,11 @@
 
 from weldhead.protocol.settings import StateLimits
 from weldhead.protocol.wire import (
+    MAX_BODY_BYTES,
     Command,
     Condition,
     DeleteKey,
+    DirectCommands,
     Heartbeat,
     HeartbeatAnswer,
     KeyChanges,
@@ -33,6 +35,12 @@
 from weldhead.transport.token_bucket import TokenBucket
 
 
+def refuse_if_too_long(message: Heartbeat | HeartbeatAnswer | DirectCommands) -> None:
+    """No body, and no line of an answer, may be longer than the protocol allows."""
+    size = len(msgspec.json.encode(message))
+    assert size <= MAX_BODY_BYTES, f"{type(message).__name__} of {size} bytes"
+
+
 @dataclass
 class StandInTask:
     attempt: int
@@ -59,18 +67,22 @@
             ReportedTask(name, task.attempt, task.state, task.why, task.saved)  # type: ignore[arg-type]
             for name, task in self.tasks.items()
         ]
-        return Heartbeat(
+        heartbeat = Heartbeat(
             self.name, "10.0.0.9:1", "m4", "a", False, self.session, self.sequence, self.token,
             tasks,
         )  # fmt: skip
+        refuse_if_too_long(heartbeat)
+        return heartbeat
 
     def answered(self, answer: HeartbeatAnswer) -> None:
+        refuse_if_too_long(answer)
         if answer.token < self.token:
             return
         self.token = answer.token
         self.execute(answer.commands)
 
     def direct(self, token: int, session: int, commands: list[Command]) -> tuple[bool, Heartbeat]:
+        refuse_if_too_long(DirectCommands(token, session, commands))
         accepted = token >= self.token and session == self.session
         self.token = max(self.token, token)
         if accepted:
--- a/weldhead/cluster_state/machines.py
+++ b/weldhead/cluster_state/machines.py
@@ -8,15 +8,23 @@
 from weldhead.cluster_state.change_feed import ChangeFeeds
 from weldhead.cluster_state.jobs import Attempt, Job
 from weldhead.cluster_state.states import AttemptPhase
-from weldhead.protocol.wire import JobSpec, MachineType, ReportedTask
+from weldhead.protocol.wire import MAX_TASKS_PER_MACHINE, JobSpec, MachineType, ReportedTask
 
 #: Tolerance for comparing sums of amounts, which are decimals on the wire.
 EPSILON = 1e-6
 
 
-def tasks_that_fit(spec: JobSpec, cpus: float, gpus: float, memory_gb: float = math.inf) -> int:
-    """Return how many of a job's tasks fit into these amounts."""
+def tasks_that_fit(
+    spec: JobSpec,
+    cpus: float,
+    gpus: float,
+    memory_gb: float = math.inf,
+    task_slots: float = math.inf,
+) -> int:
+    """Return how many of a job's tasks fit into these amounts and this number of tasks."""
     count = spec.tasks
+    if task_slots < count:
+        count = int(task_slots)
     # Unrolled: this runs for each machine and job of a pass, and a loop takes twice as long.
     need = spec.cpus
     if need > 0 and cpus < need * count:
@@ -30,6 +38,30 @@
     return count if count > 0 else 0
 
 
+def empty_amounts(machine_type: MachineType) -> list[float]:
+    """Return the CPUs, GPUs, memory and task slots of an empty machine."""
+    return [machine_type.cpus, machine_type.gpus, machine_type.memory_gb, MAX_TASKS_PER_MACHINE]
+
+
+def allocate_tasks(remaining: list[float], job: Job, task_count: int) -> int:
+    """Allocate capacity for up to ``task_count`` tasks of a job; return for how many it suffices.
+
+    ``remaining`` holds a machine's remaining CPUs, GPUs, memory and task slots, and is reduced
+    accordingly.
+    """
+    task_count = min(task_count, tasks_that_fit(job.spec, *remaining))
+    add_tasks(remaining, job.spec, -task_count)
+    return task_count
+
+
+def add_tasks(amounts: list[float], spec: JobSpec, task_count: int) -> None:
+    """Add what some tasks of a job take to CPUs, GPUs, memory and task slots."""
+    amounts[0] += spec.cpus * task_count
+    amounts[1] += spec.gpus * task_count
+    amounts[2] += spec.memory_gb * task_count
+    amounts[3] += task_count
+
+
 @dataclass
 class HeldAmounts:
     """Amounts of a machine that tasks hold which do not end by themselves."""
@@ -37,9 +69,11 @@
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
+    tasks: int = 0
 
     def add(self, spec: JobSpec) -> None:
         """Add the amounts of one task of a job."""
+        self.tasks += 1
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory_gb += spec.memory_gb
@@ -218,9 +252,26 @@
         self.last_listing = None
         self.notify_changed()
 
+    @property
+    def free_task_slots(self) -> int:
+        """How many more tasks the worker can list in its heartbeats; below 0 if it has too many.
+
+        Ended attempts are listed until the worker is told to forget them.
+        """
+        listed = len(self.attempts) + len(self.unacknowledged) + len(self.orphans)
+        return MAX_TASKS_PER_MACHINE - listed
+
+    def free_amounts(self) -> list[float]:
+        """Return the free CPUs, GPUs, memory and task slots."""
+        return [self.cpus, self.gpus, self.memory_gb, self.free_task_slots]
+
     def capacity_for(self, job: Job) -> int:
-        """Return how many more tasks of a job fit into the free capacity."""
-        return tasks_that_fit(job.spec, self.cpus, self.gpus, self.memory_gb)
+        """Return how many more tasks of a job may be placed here."""
+        return tasks_that_fit(job.spec, self.cpus, self.gpus, self.memory_gb, self.free_task_slots)
+
+    def has_amounts_for(self, job: Job) -> bool:
+        """Whether one more task of a job, which runs here already, fits into the free amounts."""
+        return tasks_that_fit(job.spec, self.cpus, self.gpus, self.memory_gb) > 0
 
     def allows(self, job: Job) -> bool:
         """Whether the type, zone and spot rules of a job permit this machine."""
@@ -246,6 +297,7 @@
                 self.type.cpus - held.cpus,
                 self.type.gpus - held.gpus,
                 self.type.memory_gb - held.memory_gb,
+                MAX_TASKS_PER_MACHINE - held.tasks,
             )
         )
 
--- a/weldhead/controller/workers/heartbeat_reconciler.py
+++ b/weldhead/controller/workers/heartbeat_reconciler.py
@@ -172,6 +172,7 @@
         """Run the protocol's steps in order."""
         machine = self._machine
         free_cpus_before, had_orphans = machine.cpus, bool(machine.orphans)
+        had_free_slots = machine.free_task_slots > 0
         first_token = self._has_current_token and not self._was_reconciled
         needs_listing = first_token or bool(machine.unacknowledged) or had_orphans
         if needs_listing:
@@ -194,6 +195,8 @@
             # orphan of this machine has ended.
             (had_orphans and not machine.orphans)
             or machine.cpus > free_cpus_before
+            # Ended attempts that the worker has forgotten leave room for others in its heartbeats.
+            or (not had_free_slots and machine.free_task_slots > 0)
             or (machine.reconciled and not self._was_reconciled)
         )
         if self._effect.capacity_freed:
--- a/weldhead/controller/workers/pending_commands.py
+++ b/weldhead/controller/workers/pending_commands.py
@@ -1,23 +1,25 @@
 """Builds the list of commands that a machine still has to carry out. No I/O.
 
-Commands are level-triggered: every answer to a heartbeat carries all pending commands, so a lost
-answer costs one heartbeat interval and nothing else.
+Commands are level-triggered: every answer to a heartbeat carries the pending commands, so a lost
+answer costs one heartbeat interval and nothing else. Those that would make the answer too large
+follow in the next one; kills come first.
 """
 
 from collections.abc import Callable
 
 from weldhead.cluster_state.machines import Machine
 from weldhead.cluster_state.states import AttemptPhase, StopRequest
-from weldhead.protocol.wire import Command, Heartbeat
+from weldhead.protocol.wire import MAX_COMMANDS, Command, Heartbeat
 
 
 def kill_all(heartbeat: Heartbeat) -> list[Command]:
-    """Return the kills of all attempts that a worker lists as not ended."""
-    return [
+    """Return the kills of all attempts that a worker lists as not ended, as many as fit."""
+    kills = [
         Command("kill", task.task, task.attempt, 0.0)
         for task in heartbeat.tasks
         if task.state != "ended"
     ]
+    return kills[:MAX_COMMANDS]
 
 
 def pending_kills(machine: Machine) -> list[Command]:
@@ -37,7 +39,7 @@
                     continue
                 grace_s = attempt.job.spec.save_s + 1.0
             kills.append(Command("kill", attempt.task, attempt.number, grace_s))
-    return kills
+    return kills[:MAX_COMMANDS]
 
 
 def pending_commands(
@@ -47,33 +49,53 @@
     may_start: bool,
     sequence: int | None,
 ) -> list[Command]:
-    """Return all commands that a machine still has to carry out.
+    """Return the commands that a machine still has to carry out, as many as fit.
 
     ``is_committed`` says whether a task's completion needs no more writing to the store, so that
     its attempt may be forgotten. ``sequence`` is that of the heartbeat being answered; None means
     a direct request, and the attempts of its ``run`` commands are marked as sent directly.
     """
-    runs: list[Command] = []
-    forgets: list[Command] = []
+    commands = pending_kills(machine)
+    commands += _pending_forgets(machine, is_committed, MAX_COMMANDS - len(commands))
     # A remembered listing covers all attempts on the machine, so none of them waits to start.
-    startable = machine.attempts.values() if may_start and machine.last_listing is None else ()
-    for attempt in startable:
-        if attempt.stop_request is StopRequest.NO and attempt.phase is AttemptPhase.ASSIGNED:
-            if attempt.sent_directly or attempt.unconfirmed_since_us:
-                continue
-            if sequence is None:
-                if attempt.sent_sequence is not None:
-                    # The ``run`` is already in flight in the answer to a heartbeat. Sent twice, it
-                    # could be executed again after the first execution has ended and was forgotten.
-                    continue
-                attempt.sent_directly = True
-            else:
-                attempt.sent_sequence = sequence
-            runs.append(Command("run", attempt.task, attempt.number))
+    if may_start and machine.last_listing is None:
+        commands += _take_runs(machine, sequence, MAX_COMMANDS - len(commands))
+    return commands
+
+
+def _pending_forgets(
+    machine: Machine, is_committed: Callable[[str], bool], limit: int
+) -> list[Command]:
+    """Return the commands to forget ended attempts."""
+    forgets: list[Command] = []
     for task, number in machine.unacknowledged:
+        if len(forgets) >= limit:
+            break
         current = machine.attempts.get(task)
         if current is not None and current.number == number:
             continue
         if is_committed(task):
             forgets.append(Command("forget", task, number))
-    return pending_kills(machine) + forgets + runs
+    return forgets
+
+
+def _take_runs(machine: Machine, sequence: int | None, limit: int) -> list[Command]:
+    """Return the commands to run assigned attempts, and mark these attempts as sent."""
+    runs: list[Command] = []
+    for attempt in machine.attempts.values():
+        if len(runs) >= limit:
+            break
+        if attempt.stop_request is not StopRequest.NO or attempt.phase is not AttemptPhase.ASSIGNED:
+            continue
+        if attempt.sent_directly or attempt.unconfirmed_since_us:
+            continue
+        if sequence is None:
+            if attempt.sent_sequence is not None:
+                # The ``run`` is already in flight in the answer to a heartbeat. Sent twice, it
+                # could be executed again after the first execution has ended and was forgotten.
+                continue
+            attempt.sent_directly = True
+        else:
+            attempt.sent_sequence = sequence
+        runs.append(Command("run", attempt.task, attempt.number))
+    return runs
--- a/weldhead/emulator/machines.py
+++ b/weldhead/emulator/machines.py
@@ -14,6 +14,7 @@
 from weldhead.emulator.loop import ProcessInstance, VirtualLoop
 from weldhead.emulator.network import Network
 from weldhead.protocol.wire import (
+    MAX_BODY_BYTES,
     DirectCommands,
     HeartbeatAnswer,
     JobSpec,
@@ -165,6 +166,8 @@
         session = self.worker.session
         name, address = self._nodes[self._at]
         body = _encode(self.worker.build_report(sent_us))
+        if self._is_too_long("report", body):
+            return self._next()
         try:
             answer = await self._network.request(
                 "POST", f"http://{address}/v1/report", body, ANSWER_US
@@ -172,6 +175,8 @@
         except CallError:
             self._checker.counts["reports unanswered"] += 1
             return self._next()
+        if answer.status == 200 and self._is_too_long("answer", answer.body):
+            return self._next()
         if answer.status == 200:
             told = msgspec.json.decode(answer.body, type=HeartbeatAnswer)
             self._do(
@@ -187,12 +192,21 @@
                 return self._rng.uniform(0, 0.5)
         return self._next()
 
+    def _is_too_long(self, what: str, body: bytes) -> bool:
+        """Whether a body is longer than the protocol allows, which breaks a rule."""
+        is_too_long = len(body) > MAX_BODY_BYTES
+        if is_too_long:
+            self._checker.breaks("too_long", f"{what} of {len(body)} bytes, {self.name}")
+        return is_too_long
+
     def _next(self) -> float:
         self._at = (self._at + 1) % len(self._nodes)
         return 1.0
 
     async def _serve(self, method: str, path: str, body: bytes) -> Response:
         status = 200
+        if self._is_too_long("request", body):
+            return Response(400, b"{}")
         if path == "/commands":
             asked = msgspec.json.decode(body, type=DirectCommands)
             self._checker.counts["direct requests"] += 1
--- a/weldhead/protocol/wire.py
+++ b/weldhead/protocol/wire.py
@@ -21,6 +21,20 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_TASKS = 100_000
 
+#: The longest entry of a task in a heartbeat: a name of 34 characters, an attempt number of 20
+#: digits, every optional field, and a space behind each separator.
+MAX_LISTED_TASK_BYTES = 136
+#: Room in a heartbeat for all fields but the tasks.
+HEARTBEAT_HEAD_BYTES = 1536
+#: A worker lists all tasks on its machine, ended ones until they are forgotten, in one heartbeat.
+#: With more of them, every heartbeat would be refused as too large.
+MAX_TASKS_PER_MACHINE = (MAX_BODY_BYTES - HEARTBEAT_HEAD_BYTES) // MAX_LISTED_TASK_BYTES
+#: The longest command, and room for all fields of an answer but the commands.
+MAX_COMMAND_BYTES = 128
+ANSWER_HEAD_BYTES = 128
+#: How many commands fit into one answer to a heartbeat, or into one direct request.
+MAX_COMMANDS = (MAX_BODY_BYTES - ANSWER_HEAD_BYTES) // MAX_COMMAND_BYTES
+
 _ENCODED_JOB_FIELDS = {
     "id": "uid",
     "job_class": "jobclass",
--- a/weldhead/reconciliation/attempt_verdicts.py
+++ b/weldhead/reconciliation/attempt_verdicts.py
@@ -89,7 +89,7 @@
     if state == TaskState.ACTIVE or task.task in machine.attempts:
         return AttemptVerdict.DUPLICATE
     # A machine type that left the catalog has no amounts. Its running attempts fit by definition.
-    if machine.capacity_for(job) < 1 and not machine.has_unknown_capacity:
+    if not machine.has_amounts_for(job) and not machine.has_unknown_capacity:
         return AttemptVerdict.NO_CAPACITY
     if job.must_stop:
         return AttemptVerdict.CANCELLED
--- a/weldhead/scheduling/autoscaling/consolidation.py
+++ b/weldhead/scheduling/autoscaling/consolidation.py
@@ -5,10 +5,15 @@
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import EPSILON, Machine, tasks_that_fit
+from weldhead.cluster_state.machines import (
+    EPSILON,
+    Machine,
+    add_tasks,
+    allocate_tasks,
+    tasks_that_fit,
+)
 from weldhead.cluster_state.states import AttemptPhase, StopRequest
 from weldhead.scheduling.autoscaling.fleet_settings import FleetSettings
-from weldhead.scheduling.autoscaling.rental_offers import allocate_tasks
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
 from weldhead.scheduling.objectives import ServiceLevelObjectives, lateness_tolerance_us
 from weldhead.scheduling.placement.eligibility import is_schedulable
@@ -60,7 +65,7 @@
             continue
         if not machine.scale_in_candidate:
             if machine.cpus > EPSILON:
-                targets.append((machine, [machine.cpus, machine.gpus, machine.memory_gb]))
+                targets.append((machine, machine.free_amounts()))
         elif machine.attempts:
             drain = _plan_drain(machine, estimates, objectives, at_us, settings.max_lost_work_share)
             if drain is not None and drain.time_saved_us >= settings.min_drain_saving_us:
@@ -172,9 +177,7 @@
                 best = (fetch_us, number)
         if best is None:
             for remaining, other in allocated:
-                remaining[0] += other.spec.cpus
-                remaining[1] += other.spec.gpus
-                remaining[2] += other.spec.memory_gb
+                add_tasks(remaining, other.spec, 1)
             return False
         remaining = targets[best[1]][1]
         allocate_tasks(remaining, job, 1)
--- a/weldhead/scheduling/autoscaling/machine_availability.py
+++ b/weldhead/scheduling/autoscaling/machine_availability.py
@@ -14,12 +14,11 @@
 from weldhead.clock import seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import HeldAmounts, Machine
+from weldhead.cluster_state.machines import HeldAmounts, Machine, allocate_tasks, empty_amounts
 from weldhead.provisioning.boot_times import BootExpectations
 from weldhead.scheduling.autoscaling.rental_offers import (
     PendingRental,
     RentalOffer,
-    allocate_tasks,
     can_run_on_offer,
 )
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
@@ -44,7 +43,7 @@
 
 @dataclass
 class _NewMachine:
-    """A machine that boots or is being rented, with its remaining CPUs, GPUs and memory."""
+    """A machine that boots or is being rented, with its remaining amounts."""
 
     offer: RentalOffer
     ready_us: int
@@ -190,7 +189,7 @@
                 _NewMachine(
                     RentalOffer(machine.type, machine.zone, machine.spot),
                     self._boots.ready_us(machine, self._at_us),
-                    [machine.cpus, machine.gpus, machine.memory_gb],
+                    machine.free_amounts(),
                     machine,
                 )
                 for machine in self._cluster.machines.values()
@@ -202,9 +201,7 @@
                 ready_us = self._at_us + seconds_us(item.type.boot_s)
                 offer = RentalOffer(item.type, item.zone, item.spot)
                 self._new_machines += [
-                    _NewMachine(
-                        offer, ready_us, [item.type.cpus, item.type.gpus, item.type.memory_gb]
-                    )
+                    _NewMachine(offer, ready_us, empty_amounts(item.type))
                     for _ in range(item.count)
                 ]
             self._new_machines.sort(key=lambda new_machine: new_machine.ready_us)
--- a/weldhead/scheduling/autoscaling/rental_offers.py
+++ b/weldhead/scheduling/autoscaling/rental_offers.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import tasks_that_fit
 from weldhead.protocol.wire import MachineType
 
 
@@ -61,16 +60,3 @@
         # Tasks that are about to be lost still count toward the limit of their zone.
         and (not (job.spec.one_zone or job.spec.spread) or job.capacity_in_zone(offer.zone) > 0)
     )
-
-
-def allocate_tasks(remaining: list[float], job: Job, task_count: int) -> int:
-    """Allocate capacity for up to ``task_count`` tasks of a job; return for how many it suffices.
-
-    ``remaining`` holds a machine's remaining CPUs, GPUs and memory, and is reduced accordingly.
-    """
-    spec = job.spec
-    task_count = min(task_count, tasks_that_fit(spec, *remaining))
-    remaining[0] -= spec.cpus * task_count
-    remaining[1] -= spec.gpus * task_count
-    remaining[2] -= spec.memory_gb * task_count
-    return task_count
--- a/weldhead/scheduling/autoscaling/scale_out.py
+++ b/weldhead/scheduling/autoscaling/scale_out.py
@@ -11,7 +11,7 @@
 from weldhead.clock import seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import EPSILON
+from weldhead.cluster_state.machines import EPSILON, allocate_tasks, empty_amounts, tasks_that_fit
 from weldhead.provisioning.boot_times import BootExpectations
 from weldhead.scheduling.autoscaling.arrival_rates import ArrivalRates
 from weldhead.scheduling.autoscaling.capacity_forecast import CapacityForecast
@@ -22,7 +22,6 @@
     PendingRental,
     RentalOffer,
     RentalOffers,
-    allocate_tasks,
     can_run_on_offer,
 )
 from weldhead.scheduling.autoscaling.unmet_demand import DemandForecastInput, forecast_unmet_demand
@@ -152,11 +151,9 @@
     """Add machines for the demand to ``rentals``; return the machines rented in this run.
 
     ``rented`` are the machines that an earlier call for this run returned. They are used first,
-    as empty machines. Each returned machine is its offer and its remaining CPUs, GPUs and memory.
+    as empty machines. Each returned machine is its offer and its remaining amounts.
     """
-    rented = [
-        (offer, [offer.type.cpus, offer.type.gpus, offer.type.memory_gb]) for offer, _ in rented
-    ]
+    rented = [(offer, empty_amounts(offer.type)) for offer, _ in rented]
     on_demand_cpus = 0.0
     for job, count in demand:
         for offer, remaining in rented:
@@ -172,7 +169,7 @@
                 if on_demand_cpus and on_demand_cpus + best.type.cpus > max_on_demand_cpus:
                     return rented
                 on_demand_cpus += best.type.cpus
-            remaining = [best.type.cpus, best.type.gpus, best.type.memory_gb]
+            remaining = empty_amounts(best.type)
             count -= allocate_tasks(remaining, job, count)
             rented.append((best, remaining))
             rentals[best] += 1
@@ -188,8 +185,7 @@
     for offer in offers:
         if not can_run_on_offer(offer, job):
             continue
-        remaining = [offer.type.cpus, offer.type.gpus, offer.type.memory_gb]
-        fitting = allocate_tasks(remaining, job, job.spec.tasks)
+        fitting = tasks_that_fit(job.spec, *empty_amounts(offer.type))
         job_cpus = min(fitting, count) * job.spec.cpus
         used_cpus = max(job_cpus, min(offer.type.cpus, demand_cpus, fitting * job.spec.cpus))
         fetch_s = job.spec.image_gb / (offer.type.fetch_gb_per_s or 1.0)
--- a/weldhead/scheduling/placement/free_capacity.py
+++ b/weldhead/scheduling/placement/free_capacity.py
@@ -17,6 +17,7 @@
         "images",
         "machine",
         "memory_gb",
+        "task_slots",
         "used",
     )  # fmt: skip
 
@@ -27,6 +28,7 @@
         self.cpus = machine.cpus
         self.gpus = machine.gpus
         self.memory_gb = machine.memory_gb
+        self.task_slots = machine.free_task_slots
         self.used = bool(machine.attempts)
         #: Images that tasks on the machine use or wait for; None until first requested.
         self.images: set[str] | None = None
@@ -42,14 +44,17 @@
             free_gpu_fraction = self.gpus / self.machine.type.gpus
             cpus = self.cpus - self.machine.type.cpus * free_gpu_fraction
             memory_gb = self.memory_gb - self.machine.type.memory_gb * free_gpu_fraction
-            return tasks_that_fit(job.spec, max(0.0, cpus), self.gpus, max(0.0, memory_gb))
-        return tasks_that_fit(job.spec, self.cpus, self.gpus, self.memory_gb)
+            return tasks_that_fit(
+                job.spec, max(0.0, cpus), self.gpus, max(0.0, memory_gb), self.task_slots
+            )
+        return tasks_that_fit(job.spec, self.cpus, self.gpus, self.memory_gb, self.task_slots)
 
     def allocate(self, job: Job, task_count: int) -> None:
         """Subtract the resources of some tasks of the job from the free resources."""
         self.cpus -= job.spec.cpus * task_count
         self.gpus -= job.spec.gpus * task_count
         self.memory_gb -= job.spec.memory_gb * task_count
+        self.task_slots -= task_count
         self.used = True
         images = self.find_images_in_use()
         if self.machine.type.gpus > 0 and job.spec.image not in images | self.machine.images.keys():
--- a/weldhead/scheduling/preemption/gpu_claims.py
+++ b/weldhead/scheduling/preemption/gpu_claims.py
@@ -20,7 +20,7 @@
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import EPSILON, Machine
+from weldhead.cluster_state.machines import EPSILON, Machine, add_tasks
 from weldhead.protocol.wire import JobSpec
 from weldhead.quota.amounts import required_units
 from weldhead.quota.teams import QuotaAccount
@@ -146,7 +146,8 @@
         capacity = rules.available_capacity(machine.name)
         if capacity is None:
             return None
-        shortage = [spec.cpus - capacity[0], spec.gpus - capacity[1], spec.memory_gb - capacity[2]]
+        shortage = [-amount for amount in capacity]
+        add_tasks(shortage, spec, 1)
         candidates: list[tuple[tuple[int, ...], Attempt]] = []
         for attempt in machine.attempts.values():
             if rules.can_preempt(claimant, attempt, within_guarantee):
@@ -223,14 +224,12 @@
 
 def _is_short(shortage: Iterable[float], *, gpus_only: bool = False) -> bool:
     """Return whether any resource is still missing, or any GPU if only GPUs count."""
-    cpus, gpus, memory_gb = shortage
+    cpus, gpus, memory_gb, task_slots = shortage
     if gpus_only:
         return gpus > EPSILON
-    return cpus > EPSILON or gpus > EPSILON or memory_gb > EPSILON
+    return max(cpus, gpus, memory_gb, task_slots) > EPSILON
 
 
 def _adjust_shortage(shortage: list[float], job: Job, sign: int) -> None:
     """Add the resources of one task to the shortage, or subtract them if ``sign`` is -1."""
-    shortage[0] += sign * job.spec.cpus
-    shortage[1] += sign * job.spec.gpus
-    shortage[2] += sign * job.spec.memory_gb
+    add_tasks(shortage, job.spec, sign)
--- a/weldhead/scheduling/preemption/preemption_pass.py
+++ b/weldhead/scheduling/preemption/preemption_pass.py
@@ -22,7 +22,7 @@
 from weldhead.cluster_state.capacity_index import CapacityIndex
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import EPSILON, Machine
+from weldhead.cluster_state.machines import EPSILON, Machine, add_tasks
 from weldhead.cluster_state.reclaim import Reclaim, ReclaimLists
 from weldhead.cluster_state.states import StopRequest
 from weldhead.quota.amounts import Resource, claimed_resource, required_units
@@ -116,7 +116,7 @@
 
     def _add_capacity_delta(self, machine_name: str, job: Job, sign: int) -> None:
         self._add_task_resources(
-            self._capacity_delta.setdefault(machine_name, [0.0, 0.0, 0.0]), job, sign
+            self._capacity_delta.setdefault(machine_name, [0.0, 0.0, 0.0, 0.0]), job, sign
         )
 
     def available_capacity(self, machine_name: str) -> list[float] | None:
@@ -126,7 +126,7 @@
         machine = self.cluster.machines.get(machine_name)
         capacity: list[float] | None = None
         if machine is not None and is_schedulable(machine, self.at_us, self._settings.silence_us):
-            capacity = [machine.cpus, machine.gpus, machine.memory_gb]
+            capacity = machine.free_amounts()
             for number, amount in enumerate(self._capacity_delta.get(machine_name, ())):
                 capacity[number] += amount
         self._capacity[machine_name] = capacity
@@ -165,9 +165,7 @@
     @staticmethod
     def _add_task_resources(capacity: list[float], job: Job, sign: int) -> None:
         """Add the resources of one task to a capacity, or subtract them if ``sign`` is -1."""
-        capacity[0] += sign * job.spec.cpus
-        capacity[1] += sign * job.spec.gpus
-        capacity[2] += sign * job.spec.memory_gb
+        add_tasks(capacity, job.spec, sign)
 
     @staticmethod
     def _fits(capacity: list[float], job: Job) -> bool:
@@ -176,6 +174,7 @@
             capacity[0] + EPSILON >= job.spec.cpus
             and capacity[1] + EPSILON >= job.spec.gpus
             and capacity[2] + EPSILON >= job.spec.memory_gb
+            and capacity[3] >= 1
         )
 
     def victim_tasks_of(self, job: Job) -> list[Attempt]:
--- a/weldhead/scheduling/reservations/availability.py
+++ b/weldhead/scheduling/reservations/availability.py
@@ -2,7 +2,7 @@
 
 from weldhead.clock import seconds_us
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import Machine, tasks_that_fit
+from weldhead.cluster_state.machines import Machine, add_tasks, tasks_that_fit
 from weldhead.cluster_state.states import StopRequest
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
 
@@ -21,8 +21,8 @@
     priority are preempted at once; replicas of services only with ``preempts_services``.
     """
     spec = job.spec
-    cpus, gpus, memory_gb = machine.cpus, machine.gpus, machine.memory_gb
-    if tasks_that_fit(spec, cpus, gpus, memory_gb):
+    free = machine.free_amounts()
+    if tasks_that_fit(spec, *free):
         return at_us
     ends = [
         (end_us, number, attempt)
@@ -36,10 +36,8 @@
     ]
     ends.sort(key=lambda end: end[:2])
     for end_us, _, attempt in ends:
-        cpus += attempt.job.spec.cpus
-        gpus += attempt.job.spec.gpus
-        memory_gb += attempt.job.spec.memory_gb
-        if tasks_that_fit(spec, cpus, gpus, memory_gb):
+        add_tasks(free, attempt.job.spec, 1)
+        if tasks_that_fit(spec, *free):
             return end_us
     return None
 
--- a/weldhead/scheduling/reservations/capacity_reserver.py
+++ b/weldhead/scheduling/reservations/capacity_reserver.py
@@ -17,7 +17,7 @@
 from weldhead.clock import SECOND_US, seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import EPSILON, Machine, tasks_that_fit
+from weldhead.cluster_state.machines import EPSILON, Machine, empty_amounts, tasks_that_fit
 from weldhead.protocol.wire import MachineType
 from weldhead.quota.amounts import required_units
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
@@ -352,10 +352,9 @@
 
     def _tasks_per_machine(self, machine: Machine, job: Job) -> int:
         """How many tasks of a job fit on the empty machine, at least one."""
-        machine_type = machine.type
         return max(
             1,
-            tasks_that_fit(job.spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb),
+            tasks_that_fit(job.spec, *empty_amounts(machine.type)),
         )
 
     def _must_be_vacated(self, machine: Machine, job: Job) -> bool:
--- a/weldhead/scheduling/reservations/wide_tasks.py
+++ b/weldhead/scheduling/reservations/wide_tasks.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import EPSILON, Machine, tasks_that_fit
+from weldhead.cluster_state.machines import EPSILON, Machine, allocate_tasks, empty_amounts
 from weldhead.protocol.wire import JobSpec, MachineType
 from weldhead.scheduling.reservations.reservations import Reservations
 
@@ -47,7 +47,7 @@
         self._wide_task_fraction = wide_task_fraction
         self._types: dict[str, MachineType] = {}
         #: Machines that are empty by ``up_us``, because they boot, are being rented, or are
-        #: reserved: the machine if it exists, its type, the remaining CPUs, GPUs and memory, and
+        #: reserved: the machine if it exists, its type, the remaining amounts, and
         #: the job that it is reserved for.
         self._empty_machines: list[tuple[Machine | None, MachineType, list[float], str | None]] = []
         for machine in machines:
@@ -58,12 +58,12 @@
             available_us, _ = reservations.fill_deadlines.get(machine.name, (0, 0))
             if machine.is_booting or (reserving_job_id is not None and available_us <= up_us):
                 self._empty_machines.append(
-                    (machine, machine.type, _resources_of(machine.type), reserving_job_id)
+                    (machine, machine.type, empty_amounts(machine.type), reserving_job_id)
                 )
         for machine_type, count in pending:
             self._types[machine_type.name] = machine_type
             self._empty_machines += [
-                (None, machine_type, _resources_of(machine_type), None) for _ in range(count)
+                (None, machine_type, empty_amounts(machine_type), None) for _ in range(count)
             ]
 
     def shortfall(self, job: Job, count: int) -> int:
@@ -83,13 +83,5 @@
                 continue
             if machine is not None and not machine.allows(job):
                 continue
-            fitting = min(count, tasks_that_fit(spec, *remaining))
-            remaining[0] -= spec.cpus * fitting
-            remaining[1] -= spec.gpus * fitting
-            remaining[2] -= spec.memory_gb * fitting
-            count -= fitting
+            count -= allocate_tasks(remaining, job, count)
         return max(0, count)
-
-
-def _resources_of(machine_type: MachineType) -> list[float]:
-    return [machine_type.cpus, machine_type.gpus, machine_type.memory_gb]
