Publication of documents: a transaction takes as many as fit into its body

What operators would see: an edition of many large documents never comes into force. Cause: the transactions that write it were divided by the number of changes alone; twelve values of 8 KiB exceed the 64 KiB that a request body may have. Change: divided by bytes too, by the bound that the leader's batched writes have. test_publication_fits_into_bodies fails without it.

--- a/tests/controller/configuration/test_documents.py
+++ b/tests/controller/configuration/test_documents.py
@@ -30,7 +30,7 @@
     document_key,
     parse_edition,
 )
-from weldhead.protocol.wire import Condition
+from weldhead.protocol.wire import MAX_BODY_BYTES, Condition, PutKey, Transaction
 from weldhead.tomlfiles import FileProblemError
 from weldhead.transport.state_client import StateClient
 
@@ -107,6 +107,30 @@
     assert all(parse_edition(key) != (head.edition if head else 0) for key in outdated)
 
 
+# A transaction of as many large documents as its number of changes allows was refused as too
+# large, and the edition never came into force.
+@given(
+    st.lists(st.sampled_from([2, 500, 7_000, 8_192]), min_size=1, max_size=30),
+    st.sampled_from([1, 3, 9, 12]),
+)
+def test_publication_fits_into_bodies(sizes: list[int], max_changes: int) -> None:
+    documents = {
+        f"gate/{number:03}": msgspec.Raw(b'"' + b"x" * (size - 2) + b'"')
+        for number, size in enumerate(sizes)
+    }
+    *writes, head = plan_publication(DocumentSet(1, documents), [], max_changes)
+    assert list(head) == [HEAD_KEY]
+    for changes in writes:
+        assert 1 <= len(changes) <= max_changes
+        transaction = Transaction(
+            [Condition("leader", 2**64 - 1)], [PutKey(key, body) for key, body in changes.items()]
+        )
+        assert len(msgspec.json.encode(transaction)) <= MAX_BODY_BYTES
+    assert sorted(key for changes in writes for key in changes) == [
+        document_key(1, name) for name in sorted(documents)
+    ]
+
+
 def test_edition_with_same_number_but_other_content_conflicts() -> None:
     offer = DocumentSet(4, {"gate/a": msgspec.Raw(b"1")})
     head = HeadRecord(4, DocumentSet(4, {"gate/a": msgspec.Raw(b"2")}).digest, ("gate/a",))
--- a/weldhead/cluster_state/state_writer.py
+++ b/weldhead/cluster_state/state_writer.py
@@ -21,7 +21,13 @@
 
 from weldhead.clock import now_us
 from weldhead.cluster_state.records import LEADER_KEY
-from weldhead.protocol.wire import Condition, DeleteKey, KeyValue, PutKey
+from weldhead.protocol.wire import (
+    MAX_TRANSACTION_VALUE_BYTES,
+    Condition,
+    DeleteKey,
+    KeyValue,
+    PutKey,
+)
 from weldhead.transport.http_client import CallError
 from weldhead.transport.state_client import (
     ConflictError,
@@ -194,7 +200,7 @@
                     return batch
                 values = write.values()
                 added_bytes = len(msgspec.json.encode(values))
-                if batch and batch_bytes + added_bytes > 48 * 1024:
+                if batch and batch_bytes + added_bytes > MAX_TRANSACTION_VALUE_BYTES:
                     return batch
                 keys |= write.changes.keys()
                 batch_bytes += added_bytes
--- a/weldhead/documents/editions.py
+++ b/weldhead/documents/editions.py
@@ -9,6 +9,8 @@
 from collections.abc import Collection
 from typing import Any
 
+import msgspec
+
 from weldhead.documents.records import (
     HEAD_KEY,
     DocumentSet,
@@ -16,6 +18,7 @@
     document_key,
     parse_edition,
 )
+from weldhead.protocol.wire import MAX_TRANSACTION_VALUE_BYTES
 
 
 class EditionVerdict(enum.Enum):
@@ -51,15 +54,13 @@
 ) -> list[dict[str, Any]]:
     """Return the transactions that bring an edition into force; the last one writes the head.
 
-    Each transaction changes at most ``max_changes`` keys. ``stored_keys`` are the document keys in
-    the store. An earlier leader may have written part of an edition with the same number and other
-    content before its term ended: those documents are overwritten, and surplus ones are deleted.
+    Each transaction changes at most ``max_changes`` keys and fits into a body. ``stored_keys`` are
+    the document keys in the store. An earlier leader may have written part of an edition with the
+    same number and other content before its term ended: those documents are overwritten, and
+    surplus ones are deleted.
     """
     bodies = {document_key(offer.edition, n): body for n, body in offer.documents.items()}
-    keys = sorted(bodies)
-    transactions: list[dict[str, Any]] = [
-        {k: bodies[k] for k in keys[i : i + max_changes]} for i in range(0, len(keys), max_changes)
-    ]
+    transactions: list[dict[str, Any]] = _divide_bodies(bodies, max_changes)
     head = HeadRecord(offer.edition, offer.digest, tuple(sorted(offer.documents)))
     surplus = [
         key for key in stored_keys if parse_edition(key) == offer.edition and key not in bodies
@@ -70,6 +71,23 @@
     return [*transactions, {HEAD_KEY: head}]
 
 
+def _divide_bodies(bodies: dict[str, msgspec.Raw], max_changes: int) -> list[dict[str, Any]]:
+    """Divide documents into writes of so many keys, and of so many bytes as a body takes."""
+    parts: list[dict[str, Any]] = []
+    part_bytes = 0
+    for key in sorted(bodies):
+        size = len(bytes(bodies[key]))
+        is_full = parts and (
+            len(parts[-1]) >= max_changes or part_bytes + size > MAX_TRANSACTION_VALUE_BYTES
+        )
+        if not parts or is_full:
+            parts.append({})
+            part_bytes = 0
+        parts[-1][key] = bodies[key]
+        part_bytes += size
+    return parts
+
+
 def find_outdated_documents(head: HeadRecord | None, stored_keys: Collection[str]) -> list[str]:
     """Return the keys of documents of editions older than the one in force."""
     if head is None:
--- a/weldhead/protocol/wire.py
+++ b/weldhead/protocol/wire.py
@@ -21,6 +21,9 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_TASKS = 100_000
 
+#: The values written by one transaction may take so much of its body, beside keys and conditions.
+MAX_TRANSACTION_VALUE_BYTES = 48 * 1024
+
 #: The longest entry of a task in a heartbeat: a name of 34 characters, an attempt number of 20
 #: digits, every optional field, and a space behind each separator.
 MAX_LISTED_TASK_BYTES = 136
