Renting does not wait without end for a task that exceeds its estimate

What callers would see: a job waits beside a machine whose memory a task holds that runs for much longer than its owner estimated, however long that is, and nothing is rented. Cause: an overrunning task has no remaining time, so the forecast took it as ending now, at each look anew. Change: for renting, a task that has exceeded its estimate is expected to exceed it by as much again. test_overrunning_task_is_not_waited_for_without_end fails without it.

--- a/tests/scheduling/test_capacity_that_does_not_fit.py
+++ b/tests/scheduling/test_capacity_that_does_not_fit.py
@@ -159,6 +159,21 @@
     assert bool(plan_rentals(state)) == (end_s > 30)
 
 
+# A task that ran for much longer than estimated counted as ending at once, for as long as it ran.
+@given(estimate_s=st.integers(0, 60), overrun_s=st.integers(0, 600))
+def test_overrunning_task_is_not_waited_for_without_end(estimate_s: int, overrun_s: int) -> None:
+    assume(abs(overrun_s - 30) > 1)
+    state = cluster(*GUARANTEED)
+    machine = add_machine(state, **PLAIN)
+    needs: dict[str, Any] = {"tasks": 1, "cpus": 0.5, "memory_gb": 60.0}
+    running = add_job(state, job_spec(1, estimate_s=float(estimate_s), **needs))
+    run_on(state, running, 0, machine, AT_US - (estimate_s + overrun_s) * S).running_since_us = (
+        AT_US - (estimate_s + overrun_s) * S
+    )
+    add_job(state, job_spec(2, **needs), AT_US)
+    assert bool(plan_rentals(state)) == (overrun_s > 30)
+
+
 def _add_waiting(state: Cluster, count: int) -> Job:
     return add_job(state, job_spec(2, tasks=count, cpus=0.5, memory_gb=20.0), AT_US)
 
--- a/weldhead/scheduling/autoscaling/machine_availability.py
+++ b/weldhead/scheduling/autoscaling/machine_availability.py
@@ -156,7 +156,7 @@
                 return self._in_time_us
             self._remaining_examinations -= 1
             available_us = estimate_available_us(
-                machine, job, self._estimates, self._at_us, preempts_services=False
+                machine, job, self._estimates, self._at_us, cautious=True
             )
             if available_us is None:
                 continue
--- a/weldhead/scheduling/reservations/availability.py
+++ b/weldhead/scheduling/reservations/availability.py
@@ -13,12 +13,13 @@
     estimates: RunTimeEstimates,
     at_us: int,
     *,
-    preempts_services: bool = True,
+    cautious: bool = False,
 ) -> int | None:
     """Estimate when a machine has capacity for one task of a job; None if never.
 
     The estimate assumes that no other task starts on the machine, and that tasks of a lower
-    priority are preempted at once; replicas of services only with ``preempts_services``.
+    priority are preempted at once. With ``cautious``, replicas of services are not, and a task that
+    has exceeded its estimated run time is expected to exceed it by as much again.
     """
     spec = job.spec
     free = machine.free_amounts()
@@ -27,11 +28,7 @@
     ends = [
         (end_us, number, attempt)
         for number, attempt in enumerate(machine.attempts.values())
-        if (
-            end_us := _estimate_end_us(
-                attempt, job, estimates, at_us, preempts_services=preempts_services
-            )
-        )
+        if (end_us := _estimate_end_us(attempt, job, estimates, at_us, cautious=cautious))
         is not None
     ]
     ends.sort(key=lambda end: end[:2])
@@ -48,15 +45,19 @@
     estimates: RunTimeEstimates,
     at_us: int,
     *,
-    preempts_services: bool,
+    cautious: bool,
 ) -> int | None:
     """Estimate when an attempt ends or is preempted by the job; None if it runs indefinitely."""
     spec = attempt.job.spec
-    is_preempted = attempt.job.effective_level < job.effective_level and (
-        preempts_services or not spec.is_service
+    is_preempted = attempt.job.effective_level < job.effective_level and not (
+        cautious and spec.is_service
     )
     if attempt.stop_request is not StopRequest.NO or is_preempted:
         return at_us + seconds_us(spec.save_s)
     if spec.is_service:
         return None
-    return at_us + estimates.remaining_us(attempt, at_us)
+    remaining_us = estimates.remaining_us(attempt, at_us)
+    if cautious and not remaining_us and attempt.running_since_us:
+        # Taken to end at once, tasks that ran for much longer kept others waiting without end.
+        remaining_us = max(0, attempt.elapsed_us(at_us) - estimates.task_us(attempt.job))
+    return at_us + remaining_us
