A new session of a worker makes room in its list for other tasks

What callers would see: a job waits although a machine is empty. Cause: ended attempts that were not forgotten take task slots; a new session clears them, and nothing told the capacity index, which does not search a full machine again until it changes. Change: releasing all that is on a machine reports it as changed. test_new_session_makes_room_for_others fails without it.

--- a/tests/controller/workers/test_tasks_per_machine.py
+++ b/tests/controller/workers/test_tasks_per_machine.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from tests.support.builders import TOKEN, add_job, add_machine, cluster, job_spec, machine_type
-from tests.support.decisions import GOALS, SILENCE, TUNABLES, S, run_on, starts
+from tests.support.decisions import GOALS, PATIENCE, SILENCE, TUNABLES, S, run_on, starts
 from tests.support.stand_ins import StandInTask, StandInWorker, refuse_if_too_long
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.machines import Machine
@@ -34,6 +34,8 @@
 from weldhead.scheduling.autoscaling.rental_offers import RentalOffers
 from weldhead.scheduling.autoscaling.scale_out import plan_scale_out
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
+from weldhead.scheduling.placement.placement_pass import plan_pass
+from weldhead.scheduling.placement.placement_plan import PlacementInput
 from weldhead.scheduling.preemption.preemption_plan import plan_preemptions
 
 LONGEST_TASK = f"run-{'9' * 24}/99999"
@@ -151,6 +153,25 @@
     assert effect.capacity_freed and machine.free_task_slots == MAX_TASKS_PER_MACHINE
 
 
+# A new session starts with an empty list, whatever was not forgotten in the one before.
+def test_new_session_makes_room_for_others() -> None:
+    crowd = Crowd(1)
+    (machine,) = crowd.cluster.machines.values()
+    add_job(crowd.cluster, job_spec(1, tasks=MAX_TASKS_PER_MACHINE, cpus=0.0, memory_gb=0.0))
+    crowd.step(committed=False, direct=False)
+    crowd.end_tasks("done")
+    crowd.step(committed=False, direct=False)
+    assert machine.free_task_slots == 0 and not machine.attempts
+    waiting = add_job(crowd.cluster, job_spec(2, tasks=1, cpus=0.0, memory_gb=0.0))
+    placement_input = PlacementInput(crowd.cluster, RunTimeEstimates(), GOALS, PATIENCE)
+    assert not plan_pass(placement_input, crowd.at_us, SILENCE).starts
+    worker = crowd.workers[machine.name]
+    worker.expire()
+    crowd.apply(machine, worker.report(), MessageSource.HEARTBEAT)
+    (start,) = plan_pass(placement_input, crowd.at_us, SILENCE).starts
+    assert start.job is waiting
+
+
 # Attempts that run already are adopted, however many an older leader has started there.
 def test_crowd_of_an_earlier_leader_is_adopted() -> None:
     state = cluster(Team("red", 10_000, 10_000))
--- a/weldhead/cluster_state/cluster.py
+++ b/weldhead/cluster_state/cluster.py
@@ -120,6 +120,8 @@
             self.release(attempt)
         machine.unacknowledged.clear()
         self.remove_orphans(machine, set(machine.orphans))
+        # Ended attempts that were not forgotten had occupied task slots.
+        machine.notify_changed()
         return released
 
     def add_orphan(
