What services hold is added up once a review, and the search for machines has a cost guard

The review of failures, five times a second, added up what services hold for each failing job. test_search_for_a_machine_does_not_grow_with_the_fleet counts what one look at the fleet examines, at two sizes.

--- a/tests/scheduling/test_cost_at_size.py
+++ b/tests/scheduling/test_cost_at_size.py
@@ -21,6 +21,7 @@
 from weldhead.cluster_state.state_writer import StateWriter
 from weldhead.protocol.settings import Team
 from weldhead.reachability.silence import are_likely_lost
+from weldhead.scheduling.autoscaling import machine_availability
 from weldhead.scheduling.autoscaling.rental_offers import PendingRental, RentalOffer, RentalOffers
 from weldhead.scheduling.autoscaling.scale_out import plan_scale_out
 from weldhead.scheduling.forecast.run_times import RunTimeEstimates
@@ -84,6 +85,20 @@
     assert counts["is_over_guarantee"] <= 64 * 5 + 2 * 51
 
 
+@pytest.mark.parametrize("machines", [400, 1600])
+def test_search_for_a_machine_does_not_grow_with_the_fleet(
+    monkeypatch: pytest.MonkeyPatch, machines: int
+) -> None:
+    """One look at the fleet examines the running tasks of so many machines, however many it has."""
+    fleet = full_fleet(machines, 50)
+    plan = plan_starts(fleet, RunTimeEstimates(), ServiceLevelObjectives([]), S, 10 * S, 45 * S)
+    counts: dict[str, int] = {}
+    count_calls(monkeypatch, machine_availability, "estimate_available_us", counts)
+    offers, settings = RentalOffers([machine_type()]), TUNABLES.fleet.settings()
+    plan_scale_out(fleet, plan, offers, RunTimeEstimates(), ServiceLevelObjectives([]), S, settings)
+    assert 0 < counts["estimate_available_us"] <= machine_availability.MAX_EXAMINED_MACHINES
+
+
 def test_pending_rentals_count_when_more_are_planned() -> None:
     """While rental requests were pending, each scale-out pass rented the same capacity again."""
     fleet = cluster(Team("red", 1_000, 1_000))
--- a/weldhead/controller/workers/machine_monitor.py
+++ b/weldhead/controller/workers/machine_monitor.py
@@ -336,8 +336,9 @@
             log.info("job %s is %s: failed %d times, on %d machines", job.id, health.value,
                 job.failures, len(job.failed_machines))  # fmt: skip
             self._on_probation[job.id] = job
+        held = cluster.amounts_held_by_services() if self._on_probation else {}
         for job_id, job in list(self._on_probation.items()):
-            stranded = job.on_probation and self.failures.is_stranded(job, cluster, at_us)
+            stranded = job.on_probation and self.failures.is_stranded(job, cluster, at_us, held)
             if stranded and not job.stranded:
                 self.failures.await_other_machine(job, at_us)
                 log.info("job %s needs a machine on which it has not failed", job.id)
