One form for a machine's amounts: what services hold uses the shared list too

HeldAmounts restated CPUs, GPUs, memory and task slots, which the list of add_tasks and empty_amounts already holds; two wrappers of preemption had become empty shells around add_tasks. Two tests share their beginning.

--- a/tests/controller/workers/test_tasks_per_machine.py
+++ b/tests/controller/workers/test_tasks_per_machine.py
@@ -91,6 +91,17 @@
                     task.state, task.why = "ended", why
 
 
+def crowd_of_ended_tasks() -> tuple[Crowd, Machine]:
+    """A machine with as many ended tasks as its worker can list, none of them forgotten."""
+    crowd = Crowd(1)
+    (machine,) = crowd.cluster.machines.values()
+    add_job(crowd.cluster, job_spec(1, tasks=MAX_TASKS_PER_MACHINE, cpus=0.0, memory_gb=0.0))
+    crowd.step(committed=False, direct=False)
+    crowd.end_tasks("done")
+    crowd.step(committed=False, direct=False)
+    return crowd, machine
+
+
 # The largest heartbeat and the largest answer that the limits allow, with spaces between fields.
 def test_longest_list_and_most_commands_fit_into_a_body() -> None:
     entry: dict[str, Any] = {
@@ -138,12 +149,7 @@
 # Placement does not search full machines again until they change: room for ended tasks that the
 # worker has forgotten is a change.
 def test_forgotten_tasks_make_room_for_others() -> None:
-    crowd = Crowd(1)
-    (machine,) = crowd.cluster.machines.values()
-    add_job(crowd.cluster, job_spec(1, tasks=MAX_TASKS_PER_MACHINE, cpus=0.0, memory_gb=0.0))
-    crowd.step(committed=False, direct=False)
-    crowd.end_tasks("done")
-    crowd.step(committed=False, direct=False)
+    crowd, machine = crowd_of_ended_tasks()
     crowd.step(committed=True, direct=False)
     assert machine.free_task_slots == 0 and not machine.attempts
     heartbeat = crowd.workers[machine.name].report()
@@ -155,12 +161,7 @@
 
 # A new session starts with an empty list, whatever was not forgotten in the one before.
 def test_new_session_makes_room_for_others() -> None:
-    crowd = Crowd(1)
-    (machine,) = crowd.cluster.machines.values()
-    add_job(crowd.cluster, job_spec(1, tasks=MAX_TASKS_PER_MACHINE, cpus=0.0, memory_gb=0.0))
-    crowd.step(committed=False, direct=False)
-    crowd.end_tasks("done")
-    crowd.step(committed=False, direct=False)
+    crowd, machine = crowd_of_ended_tasks()
     assert machine.free_task_slots == 0 and not machine.attempts
     waiting = add_job(crowd.cluster, job_spec(2, tasks=1, cpus=0.0, memory_gb=0.0))
     placement_input = PlacementInput(crowd.cluster, RunTimeEstimates(), GOALS, PATIENCE)
--- a/tests/support/reference_decisions.py
+++ b/tests/support/reference_decisions.py
@@ -14,7 +14,7 @@
 from weldhead.cluster_state.capacity_index import CapacityIndex
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import EPSILON, tasks_that_fit
+from weldhead.cluster_state.machines import EPSILON, add_tasks, tasks_that_fit
 from weldhead.cluster_state.reclaim import Reclaim, ReclaimLists
 from weldhead.cluster_state.states import StopRequest
 from weldhead.quota.amounts import Resource
@@ -150,7 +150,7 @@
             room = machine.free_amounts()
             for attempt in machine.attempts.values():
                 if attempt.stop_request is not StopRequest.NO:
-                    self._add_task_resources(room, attempt.job, 1)
+                    add_tasks(room, attempt.job.spec, 1)
                     self.freed[attempt.job.team] += attempt.job.spec.cpus
             self._capacity[machine.name] = (
                 room if is_schedulable(machine, at_us, settings.silence_us) else None
@@ -161,7 +161,7 @@
                 continue
             held = self._capacity.get(entry.machine)
             if held is not None:
-                self._add_task_resources(held, job, -1)
+                add_tasks(held, job.spec, -1)
             self.claimed[job.team] += job.spec.cpus
         self._victim_jobs = sorted(
             (job for job in cluster.jobs.values() if job.active),
--- a/weldhead/cluster_state/cluster.py
+++ b/weldhead/cluster_state/cluster.py
@@ -12,7 +12,7 @@
 
 from weldhead.cluster_state.change_feed import Registry
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import EPSILON, HeldAmounts, Machine
+from weldhead.cluster_state.machines import EPSILON, Machine, add_tasks
 from weldhead.cluster_state.states import StopRequest, TaskState
 from weldhead.protocol.settings import Team
 from weldhead.quota.amounts import ZERO_AMOUNT, Amount
@@ -198,13 +198,13 @@
         used = cpus + reserved[0], cards + reserved[1]
         return count_within_limit(team, used, job.spec, job.spec.tasks)
 
-    def amounts_held_by_services(self) -> dict[str, HeldAmounts]:
-        """Return what the tasks of services hold, by machine, until they are cancelled."""
-        held: dict[str, HeldAmounts] = defaultdict(HeldAmounts)
+    def amounts_held_by_services(self) -> dict[str, list[float]]:
+        """Return the CPUs, GPUs, memory and task slots that services hold, by machine."""
+        held: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0, 0.0])
         for job in self.active_jobs.values():
             if job.spec.is_service and not job.must_stop:
                 for attempt in job.active.values():
-                    held[attempt.machine].add(job.spec)
+                    add_tasks(held[attempt.machine], job.spec, 1)
         return held
 
     def waiting_jobs(self) -> list[Job]:
--- a/weldhead/cluster_state/machines.py
+++ b/weldhead/cluster_state/machines.py
@@ -2,7 +2,6 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
 
 from weldhead.clock import latest_lease_end_us
 from weldhead.cluster_state.change_feed import ChangeFeeds
@@ -62,23 +61,6 @@
     amounts[3] += task_count
 
 
-@dataclass
-class HeldAmounts:
-    """Amounts of a machine that tasks hold which do not end by themselves."""
-
-    cpus: float = 0.0
-    gpus: float = 0.0
-    memory_gb: float = 0.0
-    tasks: int = 0
-
-    def add(self, spec: JobSpec) -> None:
-        """Add the amounts of one task of a job."""
-        self.tasks += 1
-        self.cpus += spec.cpus
-        self.gpus += spec.gpus
-        self.memory_gb += spec.memory_gb
-
-
 class Machine:
     """A rented machine, with its capacity, its attempts and the state of its worker."""
 
@@ -282,24 +264,17 @@
             and (spec.spot or not self.spot)
         )
 
-    def could_run(self, job: Job, held: HeldAmounts | None) -> bool:
+    def could_run(self, job: Job, held: list[float] | None) -> bool:
         """Whether a task of a job may run here once all tasks but those of services have ended.
 
-        ``held`` is what the services hold on this machine; None: nothing.
+        ``held`` are the CPUs, GPUs, memory and task slots that services hold here; None: nothing.
         """
         if not self.accepts_new_tasks or not self.type.fits(job.spec) or not self.allows(job):
             return False
         if held is None:
             return True
-        return bool(
-            tasks_that_fit(
-                job.spec,
-                self.type.cpus - held.cpus,
-                self.type.gpus - held.gpus,
-                self.type.memory_gb - held.memory_gb,
-                MAX_TASKS_PER_MACHINE - held.tasks,
-            )
-        )
+        left = [total - used for total, used in zip(empty_amounts(self.type), held, strict=True)]
+        return tasks_that_fit(job.spec, *left) > 0
 
     def record_image(self, image: str, size_gb: float) -> None:
         """Record the use of an image; drop the least recently used images beyond the cache size."""
--- a/weldhead/controller/workers/machine_monitor.py
+++ b/weldhead/controller/workers/machine_monitor.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import cache
 
 from weldhead.clock import SECOND_US, now_us
 from weldhead.cluster_state.change_feed import ChangeFeed
@@ -336,9 +337,12 @@
             log.info("job %s is %s: failed %d times, on %d machines", job.id, health.value,
                 job.failures, len(job.failed_machines))  # fmt: skip
             self._on_probation[job.id] = job
-        held = cluster.amounts_held_by_services() if self._on_probation else {}
+        # Added up once a review, and only if a job needs it.
+        held_by_services = cache(cluster.amounts_held_by_services)
         for job_id, job in list(self._on_probation.items()):
-            stranded = job.on_probation and self.failures.is_stranded(job, cluster, at_us, held)
+            stranded = job.on_probation and self.failures.is_stranded(
+                job, cluster, at_us, held_by_services
+            )
             if stranded and not job.stranded:
                 self.failures.await_other_machine(job, at_us)
                 log.info("job %s needs a machine on which it has not failed", job.id)
--- a/weldhead/failure_attribution/failure_tracker.py
+++ b/weldhead/failure_attribution/failure_tracker.py
@@ -4,13 +4,13 @@
 learns from the next ones.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from weldhead.clock import MILLISECOND_US, SECOND_US
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Attempt, Job
-from weldhead.cluster_state.machines import HeldAmounts, Machine
+from weldhead.cluster_state.machines import Machine
 from weldhead.cluster_state.states import AttemptPhase
 from weldhead.failure_attribution.judgement import (
     FailureEvidence,
@@ -172,7 +172,7 @@
         job: Job,
         cluster: Cluster,
         at_us: int,
-        held_by_services: Mapping[str, HeldAmounts] | None = None,
+        held_by_services: Callable[[], Mapping[str, list[float]]] | None = None,
     ) -> bool:
         """Return whether no machine is left to try a failing job on, and one may be rented.
 
@@ -180,7 +180,7 @@
         ``MIN_RENTAL_DELAY_US`` after its last failure, or ``RETRIAL_DELAY_US`` after it was last
         tried on a machine that was new to it. A machine that services fill for good is
         none to try the job on, nor are machines that had no room for ``MAX_WAIT_FOR_ROOM_US``.
-        Without ``held_by_services``, what services hold is looked up.
+        ``held_by_services`` returns what services hold, by machine, if a caller has it already.
         """
         failing_job = self._failing_jobs.get(job.id)
         if failing_job is None or failing_job.health is JobHealth.HEALTHY or job.active:
@@ -196,9 +196,7 @@
             return False
         if at_us >= from_us + MAX_WAIT_FOR_ROOM_US:
             return True
-        held = held_by_services
-        if held is None:
-            held = cluster.amounts_held_by_services()
+        held = (held_by_services or cluster.amounts_held_by_services)()
         return not any(
             machine.name not in tried_machines and machine.could_run(job, held.get(machine.name))
             for machine in cluster.machines.values()
--- a/weldhead/scheduling/autoscaling/machine_availability.py
+++ b/weldhead/scheduling/autoscaling/machine_availability.py
@@ -14,7 +14,7 @@
 from weldhead.clock import seconds_us
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.jobs import Job
-from weldhead.cluster_state.machines import HeldAmounts, Machine, allocate_tasks, empty_amounts
+from weldhead.cluster_state.machines import Machine, allocate_tasks, empty_amounts
 from weldhead.provisioning.boot_times import BootExpectations
 from weldhead.scheduling.autoscaling.rental_offers import (
     PendingRental,
@@ -89,7 +89,7 @@
         self._earliest_by_kind: dict[tuple[TaskShape, int, str], int | None] = {}
         self._new_machines: list[_NewMachine] | None = None
         #: What services hold, by machine; None until first needed.
-        self._held_by_services: dict[str, HeldAmounts] | None = None
+        self._held_by_services: dict[str, list[float]] | None = None
 
     def starts(self, job: Job, count: int, ready_us: int, task_us: int) -> TaskStarts:
         """Return when ``count`` tasks that are ready at ``ready_us`` can start at the earliest.
--- a/weldhead/scheduling/preemption/gpu_claims.py
+++ b/weldhead/scheduling/preemption/gpu_claims.py
@@ -175,14 +175,14 @@
                 if takes_gpus and not self._can_lose_gpus(claimant, attempt, lost_units_by_team):
                     continue
                 chosen.append((key, attempt))
-                _adjust_shortage(shortage, attempt.job, -1)
+                add_tasks(shortage, attempt.job.spec, -1)
         if _is_short(shortage) or not chosen:
             return None
         # Victims that later choices made unnecessary are removed, the most protected ones first.
         for item in sorted(chosen, key=lambda item: item[0], reverse=True):
-            _adjust_shortage(shortage, item[1].job, 1)
+            add_tasks(shortage, item[1].job.spec, 1)
             if _is_short(shortage):
-                _adjust_shortage(shortage, item[1].job, -1)
+                add_tasks(shortage, item[1].job.spec, -1)
             else:
                 chosen.remove(item)
         if not chosen:
@@ -228,8 +228,3 @@
     if gpus_only:
         return gpus > EPSILON
     return max(cpus, gpus, memory_gb, task_slots) > EPSILON
-
-
-def _adjust_shortage(shortage: list[float], job: Job, sign: int) -> None:
-    """Add the resources of one task to the shortage, or subtract them if ``sign`` is -1."""
-    add_tasks(shortage, job.spec, sign)
--- a/weldhead/scheduling/preemption/preemption_pass.py
+++ b/weldhead/scheduling/preemption/preemption_pass.py
@@ -115,9 +115,8 @@
         self.has_freed_surplus = False
 
     def _add_capacity_delta(self, machine_name: str, job: Job, sign: int) -> None:
-        self._add_task_resources(
-            self._capacity_delta.setdefault(machine_name, [0.0, 0.0, 0.0, 0.0]), job, sign
-        )
+        delta = self._capacity_delta.setdefault(machine_name, [0.0, 0.0, 0.0, 0.0])
+        add_tasks(delta, job.spec, sign)
 
     def available_capacity(self, machine_name: str) -> list[float] | None:
         """Return the capacity that is free or being freed; None if no task may be placed."""
@@ -162,11 +161,6 @@
             for level, team in self._levels_and_teams
         )
 
-    @staticmethod
-    def _add_task_resources(capacity: list[float], job: Job, sign: int) -> None:
-        """Add the resources of one task to a capacity, or subtract them if ``sign`` is -1."""
-        add_tasks(capacity, job.spec, sign)
-
     @staticmethod
     def _fits(capacity: list[float], job: Job) -> bool:
         """Return whether one task of a job fits into a capacity."""
@@ -419,7 +413,7 @@
         """
         capacity = list(available)
         victims = [first_victim]
-        self._add_task_resources(capacity, first_victim.job, 1)
+        add_tasks(capacity, first_victim.job.spec, 1)
         if self._fits(capacity, claimant):
             return victims
         return self._add_victims(claimant, victims, machine, capacity, within_guarantee)
@@ -452,7 +446,7 @@
             if not self._can_lose_gpus(claimant, attempt, victims):
                 continue
             victims.append(attempt)
-            self._add_task_resources(capacity, attempt.job, 1)
+            add_tasks(capacity, attempt.job.spec, 1)
             if self._fits(capacity, claimant):
                 return victims
         return []
@@ -463,9 +457,9 @@
         """Record the chosen victims in the state of this pass and return the reclaim request."""
         for victim in victims:
             self.victim_ids.add(id(victim))
-            self._add_task_resources(capacity, victim.job, 1)
+            add_tasks(capacity, victim.job.spec, 1)
             self.quota_account.record_stop(victim.job.team, victim.job.spec)
-        self._add_task_resources(capacity, claimant, -1)
+        add_tasks(capacity, claimant.spec, -1)
         self.quota_account.record_claim(claimant.team, claimant.spec)
         if victims and capacity[0] > EPSILON:
             for progress in self._progress_by_kind.values():
