Log what a leader's authority and a worker's commands rest on

Followers log the leader and its fencing token; the leader logs every 10 s, with the fleet's line, since when it leads and the age and revision of its last read and write; commands are logged at debug with token, session and message; an attempt of this term that is listed as live after it was seen to end is a warning and is counted.

--- a/weldhead/cluster_state/cluster.py
+++ b/weldhead/cluster_state/cluster.py
@@ -18,6 +18,10 @@
 from weldhead.quota.amounts import ZERO_AMOUNT, Amount
 from weldhead.quota.teams import ResourceUsage, count_within_limit
 
+#: The low bits of an attempt number count the attempts of a task within a term; the term's fencing
+#: token is above them.
+ATTEMPT_COUNT_BITS = 20
+
 
 @dataclass(frozen=True)
 class UnverifiedUsage:
@@ -76,7 +80,7 @@
         """
         counts = self._attempt_counts[job_id]
         count = counts[index] = max(counts.get(index, 0), self._highest_finished_count) + 1
-        return (self.token << 20) + count
+        return (self.token << ATTEMPT_COUNT_BITS) + count
 
     def forget_attempt_numbers(self, job_id: str) -> None:
         """Forget the attempt counts of an ended job.
@@ -87,6 +91,10 @@
         if counts:
             self._highest_finished_count = max(self._highest_finished_count, max(counts.values()))
 
+    def is_of_this_term(self, attempt_number: int) -> bool:
+        """Whether this leader's term has made an attempt number."""
+        return attempt_number >> ATTEMPT_COUNT_BITS == self.token
+
     def start(self, job: Job, index: int, machine: Machine, at_us: int) -> Attempt:
         """Create an attempt of a task and assign it to a machine."""
         attempt = Attempt(job, index, self.next_attempt_number(job.id, index), machine.name, at_us)
--- a/weldhead/controller/fleet/autoscaler.py
+++ b/weldhead/controller/fleet/autoscaler.py
@@ -67,6 +67,7 @@
                 if at_us >= last_log_us + FLEET_LOG_INTERVAL_US:
                     last_log_us = at_us
                     self._log_fleet()
+                    log.info("%s", self._term.describe_authority(at_us))
                     self.audit(at_us)
                 if self._term.ready:
                     self._scale(at_us)
--- a/weldhead/controller/leadership/leader_election.py
+++ b/weldhead/controller/leadership/leader_election.py
@@ -202,6 +202,7 @@
                 # The state service may still renew the lease of this node, but another node has
                 # replaced the key.
                 self.step_down(f"{record.name} has replaced it")
+        self._log_leader(record.name, entry.version)
         self.known_leader, self.known_leader_token = record, entry.version
         self._key_absent.clear()
         if record.name == self.settings.name:
@@ -213,6 +214,11 @@
             # connections were noticed at that time, but the failure detector examines it no longer.
             self.failure_detector.suspect(record.name)
 
+    def _log_leader(self, name: str, token: int) -> None:
+        """Log which other controller leads, when that is new to this node."""
+        if token != self.known_leader_token and name != self.settings.name:
+            log.info("%s follows leader %s, fencing token %d", self.settings.name, name, token)
+
     async def _replace_key_of_earlier_process(self, record: LeaderRecord, token: int) -> None:
         """Replace the key that a previous process of this node wrote, as that process has ended.
 
@@ -557,6 +563,7 @@
             self.step_down(f"{name} leads with token {token}")
         if token > self.known_leader_token or (self.known_leader is None and self.leader is None):
             if self.leader is None:
+                self._log_leader(name, token)
                 self.known_leader = LeaderRecord(name, "", self.timing.ttl_us)
                 self.known_leader_token = token
 
--- a/weldhead/controller/term.py
+++ b/weldhead/controller/term.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from weldhead.calendars.job_deadlines import JobDeadlines
-from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, seconds_us
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, seconds_us, to_seconds
 from weldhead.cluster_state.cluster import Cluster
 from weldhead.cluster_state.dependency_graph import DependencyGraph
 from weldhead.cluster_state.preemption_history import PreemptionHistory
@@ -121,3 +121,13 @@
         Answers of this leader are recorded for each machine, also before the term is loaded.
         """
         return self.previous_leader_expired_us
+
+    def describe_authority(self, at_us: int) -> str:
+        """Return what the term's commands and answers rest on, as text for a log line."""
+        return (
+            f"term {self.token}: {self.settings.name} leads since "
+            f"{to_seconds(at_us - self.won_us):.0f} s; state service: "
+            f"last read {self.state.last_read.describe(at_us)}, "
+            f"last write {self.state.last_write.describe(at_us)}; "
+            f"attempts listed again: {self.reconciliation_counts.relisted_attempts}"
+        )
--- a/weldhead/controller/workers/command_dispatcher.py
+++ b/weldhead/controller/workers/command_dispatcher.py
@@ -8,7 +8,7 @@
 from weldhead.cluster_state.jobs import Attempt
 from weldhead.cluster_state.machines import Machine
 from weldhead.controller.term import Term
-from weldhead.controller.workers.pending_commands import pending_commands
+from weldhead.controller.workers.pending_commands import log_commands, pending_commands
 from weldhead.protocol.wire import Command, Heartbeat
 from weldhead.reconciliation.command_queue import CommandQueue, queue_position
 from weldhead.transport import worker_commands
@@ -145,6 +145,7 @@
         """Send commands and apply the answer; return whether there may be more to send."""
         term = self._term
         started = [machine.attempts[command.task] for command in commands if command.op == "run"]
+        log_commands("direct request", term.token, machine, commands)
         try:
             heartbeat = await self._send(machine, machine.session, commands, term.lease_us)
         except NotConnectedError:
--- a/weldhead/controller/workers/heartbeat_handler.py
+++ b/weldhead/controller/workers/heartbeat_handler.py
@@ -14,7 +14,12 @@
     is_newer,
 )
 from weldhead.controller.workers.machine_monitor import MachineMonitor
-from weldhead.controller.workers.pending_commands import kill_all, pending_commands, pending_kills
+from weldhead.controller.workers.pending_commands import (
+    kill_all,
+    log_commands,
+    pending_commands,
+    pending_kills,
+)
 from weldhead.controller.workers.reachability_monitor import ReachabilityMonitor
 from weldhead.protocol.wire import Heartbeat, HeartbeatAnswer
 from weldhead.reachability.freshness import Freshness, can_answer
@@ -80,6 +85,7 @@
             sequence=heartbeat.sequence,
         )
         self._reachability.record_answer(machine, heartbeat, commands, at_us, relayed=relayed)
+        log_commands("answer", self._term.token, machine, commands)
         return HeartbeatAnswer(self._term.token, commands)
 
     def _answer_superseded(self, machine: Machine) -> HeartbeatAnswer | None:
@@ -152,6 +158,17 @@
             self._machine_monitor.interrupted[machine.name] = machine
             self._machine_monitor.evacuate(machine, at_us)
 
+    def _report_relisted(self, machine: Machine, effect: HeartbeatEffect) -> None:
+        """Warn of attempts that run although this leader has seen them end."""
+        self._term.reconciliation_counts.relisted_attempts += len(effect.relisted)
+        for task in effect.relisted:
+            log.warning(
+                "task %s attempt %d, believed gone, is listed again by machine %s as %s: "
+                "message %d/%d, fencing token %d",
+                task.task, task.attempt, machine.name, task.state, *machine.newest_message,
+                self._term.token,
+            )  # fmt: skip
+
     def _apply_effect(self, machine: Machine, effect: HeartbeatEffect, at_us: int) -> None:
         self._recovery.check_known()
         if effect.verdicts:
@@ -162,6 +179,7 @@
             self._term.estimates.observe(job, run_us)
         if effect.verified_start_us:
             self._machine_monitor.failures.record_success(machine, effect.verified_start_us)
+        self._report_relisted(machine, effect)
         for attempt in effect.failed:
             self._machine_monitor.record_failure(attempt, at_us)
         for attempt, reason in effect.lost:
--- a/weldhead/controller/workers/heartbeat_reconciler.py
+++ b/weldhead/controller/workers/heartbeat_reconciler.py
@@ -60,6 +60,8 @@
     failed: list[Attempt] = field(default_factory=list)
     #: How often each verdict was given on attempts that this term has not started.
     verdicts: dict[AttemptVerdict, int] = field(default_factory=dict)
+    #: Attempts that this term has started and seen to end, and that are listed as live again.
+    relisted: list[ReportedTask] = field(default_factory=list)
     #: Whether capacity became free or a machine became usable, so that a placement pass is needed.
     capacity_freed: bool = False
 
@@ -304,6 +306,9 @@
         """
         key = (task.task, task.attempt)
         machine, cluster = self._machine, self._cluster
+        if task.state != "ended" and key not in machine.orphans:
+            if cluster.is_of_this_term(task.attempt):
+                self._effect.relisted.append(task)
         if key in machine.unacknowledged:
             return None
         verdict = classify_attempt(cluster, machine, task)
--- a/weldhead/controller/workers/pending_commands.py
+++ b/weldhead/controller/workers/pending_commands.py
@@ -5,12 +5,25 @@
 follow in the next one; kills come first.
 """
 
+import logging
 from collections.abc import Callable
 
 from weldhead.cluster_state.machines import Machine
 from weldhead.cluster_state.states import AttemptPhase, StopRequest
 from weldhead.protocol.wire import MAX_COMMANDS, Command, Heartbeat
 
+log = logging.getLogger(__name__)
+
+
+def log_commands(channel: str, token: int, machine: Machine, commands: list[Command]) -> None:
+    """Log commands with what allows them: token, session and the newest message of the worker."""
+    if commands and log.isEnabledFor(logging.DEBUG):
+        listed = ", ".join(f"{c.op} {c.task}@{c.attempt}" for c in commands)
+        log.debug(
+            "commands to machine %s by %s: fencing token %d, message %d/%d: %s",
+            machine.name, channel, token, *machine.newest_message, listed,
+        )  # fmt: skip
+
 
 def kill_all(heartbeat: Heartbeat) -> list[Command]:
     """Return the kills of all attempts that a worker lists as not ended, as many as fit."""
--- a/weldhead/reconciliation/attempt_verdicts.py
+++ b/weldhead/reconciliation/attempt_verdicts.py
@@ -115,6 +115,8 @@
 
     def __init__(self) -> None:
         self.attempts: Counter[AttemptVerdict] = Counter()
+        #: How many attempts were listed as live again after the leader had seen them end.
+        self.relisted_attempts = 0
 
     def summary(self, cluster: Cluster) -> str:
         """Return one line on the machines and attempts found by recovery, for the log."""
--- a/weldhead/transport/state_client.py
+++ b/weldhead/transport/state_client.py
@@ -6,11 +6,12 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
 
-from weldhead.clock import MILLISECOND_US, SECOND_US, now_us
+from weldhead.clock import MILLISECOND_US, SECOND_US, now_us, to_seconds
 from weldhead.protocol import http_status
 from weldhead.protocol.settings import StateLimits
 from weldhead.protocol.wire import (
@@ -93,6 +94,23 @@
         raise CallError(f"answer cannot be decoded: {error}") from error
 
 
+@dataclass(frozen=True, slots=True)
+class AnsweredCall:
+    """The last answered read or write: when the answer came, and the highest revision seen so far.
+
+    The time is microseconds of the steady clock; 0: there was none.
+    """
+
+    answered_us: int = 0
+    revision: int = 0
+
+    def describe(self, at_us: int) -> str:
+        """Return the call's age and revision as text for a log line."""
+        if not self.answered_us:
+            return "none"
+        return f"{to_seconds(at_us - self.answered_us):.1f} s ago at revision {self.revision}"
+
+
 class StateClient:
     """Makes all calls to the state service."""
 
@@ -119,6 +137,7 @@
         #: never).
         self.last_served_us = 0
         self.last_failed_us = 0
+        self.last_read = self.last_write = AnsweredCall()
 
     @property
     def is_available(self) -> bool:
@@ -165,6 +184,10 @@
             self.last_served_us = max(self.last_served_us, sent_us)
         return status, answer
 
+    def _record_read(self, revision: int) -> None:
+        highest = max(revision, self.last_read.revision)
+        self.last_read = AnsweredCall(now_us(), highest)
+
     async def get(
         self, key: str, *, urgent: bool = False, timeout_us: int = 800 * MILLISECOND_US
     ) -> KeyValue | None:
@@ -172,11 +195,13 @@
         status, body = await self._call("GET", f"/store/{key}", None, timeout_us, urgent)
         if status == http_status.NOT_FOUND:
             # Only an answer with the service's revision proves that the key is absent.
-            decode(body, CommittedRevision)
+            self._record_read(decode(body, CommittedRevision).revision)
             return None
         if status != http_status.OK:
             raise CallError(f"state service: {status}")
-        return decode(body, KeyValue)
+        entry = decode(body, KeyValue)
+        self._record_read(entry.version)
+        return entry
 
     async def pages(self, prefix: str) -> AsyncIterator[tuple[list[KeyValue], int]]:
         """Read all keys with a prefix; yield each page with the first page's revision.
@@ -201,6 +226,7 @@
                 log.info("page of keys %s after %s not read, retrying: %s", prefix, last_key, error)
                 await asyncio.sleep(PAGE_RETRY_DELAY_S)
                 continue
+            self._record_read(page.revision)
             if revision is None:
                 revision = page.revision
             if page.more and not page.items:
@@ -243,7 +269,10 @@
             submission_wait_us=submission_wait_us,
         )
         if status == http_status.OK:
-            return decode(answer, CommittedRevision).revision
+            revision = decode(answer, CommittedRevision).revision
+            highest = max(revision, self.last_write.revision)
+            self.last_write = AnsweredCall(now_us(), highest)
+            return revision
         if status == http_status.CONFLICT:
             raise ConflictError(answer.decode("utf-8", "replace"))
         if status == http_status.BAD_REQUEST and b"no such lease" in answer:
@@ -284,4 +313,6 @@
             raise RevisionCompactedError(prefix, revision)
         if status != http_status.OK:
             raise CallError(f"state service: {status}")
-        return decode(body, KeyChanges)
+        changes = decode(body, KeyChanges)
+        self._record_read(changes.revision)
+        return changes
