--- a/tests/emulator/test_fault_combinations.py
+++ b/tests/emulator/test_fault_combinations.py
@@ -31,7 +31,7 @@
         # It is valid, and written and read it is the same.
         assert parse_scenario("s.toml", scenario_text(drawn, "why\nand how")) == drawn
         kinds |= {fault.kind for fault in drawn.faults}
-    assert len(kinds) == 28
+    assert len(kinds) == 29
 
 
 @pytest.mark.parametrize("name", ["drawn", "cards", "meet-held-commands"])
--- a/weldhead/emulator/combinations.py
+++ b/weldhead/emulator/combinations.py
@@ -5,7 +5,15 @@
 
 import msgspec
 
-from weldhead.emulator.scenario import Event, Fault, Kind, Role, Scenario, WriteKind
+from weldhead.emulator.scenario import (
+    LEAST_COPY_S,
+    Event,
+    Fault,
+    Kind,
+    Role,
+    Scenario,
+    WriteKind,
+)
 
 #: When the first fault comes at the earliest and the latest, in seconds, and how much longer
 #: one that is tied to an event waits for it.
@@ -19,7 +27,8 @@
 CHANGES = 0.7
 
 _COMMANDS: tuple[Event, ...] = ("run_sent", "kill_sent", "forget_sent")
-_ALWAYS: tuple[Event, ...] = ("confirmed", "write_sent", "write_given_up", *_COMMANDS)
+_OF_TASKS: tuple[Event, ...] = ("task_stopped", "task_moved", "job_ended")
+_ALWAYS: tuple[Event, ...] = ("confirmed", "write_sent", "write_given_up", *_COMMANDS, *_OF_TASKS)
 _OF_TERMS: tuple[Event, ...] = (
     "term_won",
     "term_loaded",
@@ -27,7 +36,19 @@
     "first_run_sent",
     "first_run_started",
 )
-_OF_MACHINES = {*_COMMANDS, "first_run_sent", "first_run_started"}
+_OF_MACHINES = {
+    *_COMMANDS,
+    "first_run_sent",
+    "first_run_started",
+    "machine_back",
+    "task_stopped",
+    "task_moved",
+}
+#: What the process that is back after such a fault brings about.
+_RETURNS: dict[Kind, Event] = {
+    "controllers_end": "controller_back",
+    "machines_restart": "machine_back",
+}
 _WRITES: tuple[WriteKind, ...] = (
     "lease",
     "submission",
@@ -74,13 +95,14 @@
 def _tie(rng: random.Random, scenario: Scenario, fault: Fault, before: list[Fault]) -> None:
     """Have it wait for an event; for one of a new term only if something may bring that."""
     changes = any(other.kind.startswith(("controllers_", "store_")) for other in before)
-    fault.on = event = rng.choice(_ALWAYS + (_OF_TERMS if changes else ()))
+    returns = tuple(event for kind, event in _RETURNS.items() if kind in {o.kind for o in before})
+    fault.on = event = rng.choice(_ALWAYS + (_OF_TERMS if changes else ()) + returns)
     fault.nth, fault.after_s = rng.choice((1, 1, 2, 4)), rng.choice(AFTER_S)
     fault.at_s = min([FIRST_S, *(other.at_s for other in before)])
     fault.until_s = min(LAST_S + WAITS_S, scenario.seconds)
     if event in ("write_sent", "write_given_up"):
         fault.write = rng.choice(_WRITES)
-    if event in _OF_MACHINES and fault.kind.startswith("machines_"):
+    if event in _OF_MACHINES and fault.kind.startswith(("machines_", "commands_copied")):
         fault.concerned = rng.random() < 0.5
 
 
@@ -132,6 +154,9 @@
     fault.chance, fault.most_s = rng.choice((0.05, 0.1, 0.3)), 2 * scenario.lease_s
     if fault.kind == "commands_late":
         fault.chance, fault.most_s = rng.choice((0.3, 1.0)), 16.0
+    elif fault.kind == "commands_copied":
+        fault.chance, fault.least_s = rng.choice((0.1, 0.5, 1.0)), LEAST_COPY_S
+        fault.for_s, fault.most_s = rng.choice((10.0, 30.0)), rng.choice((2.0, 15.0, 60.0))
     elif fault.kind == "reports_copied":
         fault.for_s, fault.for_next = rng.choice((10.0, 30.0)), rng.random() < 0.5
         fault.most_s = 1.0 if fault.for_next else fault.most_s
@@ -173,6 +198,7 @@
     "messages_late": _messages,
     "reports_copied": _messages,
     "commands_late": _messages,
+    "commands_copied": _messages,
     "boots_late": _boots,
     "boots_fail": _boots,
     "users_ask_everywhere": _users,
--- a/weldhead/emulator/events.py
+++ b/weldhead/emulator/events.py
@@ -112,6 +112,14 @@
             network.on_answered.append(self._answered)
         if "first_run_started" in wanted:
             checker.on_started.append(self._started)
+        if "task_moved" in wanted:
+            checker.on_started.append(self._moved)
+        if "task_stopped" in wanted:
+            checker.on_told_to_stop.append(self._stopped)
+        if "job_ended" in wanted:
+            checker.on_complete.append(self._ended)
+        #: The machine on which each task ran last.
+        self._last_machine: dict[str, str] = {}
 
     def happened(
         self, event: Event, controller: str, machine: str = "", write: WriteKind | None = None
@@ -217,6 +225,18 @@
                 self._seen.add(("first_run_started", token))
                 self.happened("first_run_started", self.leader, machine)
 
+    def _moved(self, task: str, machine: str) -> None:
+        previous = self._last_machine.get(task, machine)
+        self._last_machine[task] = machine
+        if previous != machine:
+            self.happened("task_moved", self.leader, previous)
+
+    def _stopped(self, _task: str, machine: str) -> None:
+        self.happened("task_stopped", self.leader, machine)
+
+    def _ended(self, _job_id: str) -> None:
+        self.happened("job_ended", self.leader)
+
 
 def kinds(batch: Batch) -> Iterator[WriteKind]:
     """Say of what kinds a transaction's writes are."""
--- a/weldhead/emulator/experiment.py
+++ b/weldhead/emulator/experiment.py
@@ -353,6 +353,7 @@
     checker.counts["late writes"] = experiment.store.late_writes
     checker.counts["commands held"] = experiment.network.commands_held
     checker.counts["reports kept"] = experiment.network.kept_delivered
+    checker.counts["copied commands"] = experiment.network.command_copies.count
     checker.counts["cloud calls"] = experiment.cloud.calls
     checker.counts["terms"] = len(led)
     checker.counts["bytes"] = experiment.network.bytes
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -15,7 +15,7 @@
 from weldhead.emulator.message_faults import MessageFaults
 from weldhead.emulator.network import LinkConditions, Network, cut_for
 from weldhead.emulator.roles import Roles
-from weldhead.emulator.scenario import Event, Fault, Kind, Scenario
+from weldhead.emulator.scenario import LEAST_COPY_S, Event, Fault, Kind, Scenario
 from weldhead.emulator.services import LateWrites, SimulatedCloud, SimulatedStore
 from weldhead.emulator.users import Users
 from weldhead.emulator.zones import ZoneCuts
@@ -104,6 +104,8 @@
             )
             if fault.kind == "store_late_writes":
                 fault.most_s = 12.0
+            elif fault.kind == "commands_copied":
+                fault.least_s = LEAST_COPY_S
             elif fault.kind == "store_slow":
                 fault.most_s = min(fault.most_s, 0.4)
             if drawn.backs_s:
@@ -151,6 +153,10 @@
             "zone": self.zone_cuts.befall,
         }
         await asyncio.sleep(fault.at_s)
+        if fault.kind == "commands_copied" and fault.on is not None:
+            await self._befall_copied_commands(fault)
+            self._record_end()
+            return
         comes, happened = await self._tie(fault)
         if comes:
             self._checker.note("fault", fault.kind)
@@ -161,11 +167,24 @@
                 await background_tasks.get(fault.kind.partition("_")[0], self._messages.befall)(
                     fault
                 )
-        # What lapses is over as well: the rest of the run is judged as calm.
+        self._record_end()
+
+    def _record_end(self) -> None:
+        """A fault is over, or has lapsed; after the last one the run is judged as calm."""
         self._left -= 1
         if not self._left:
             self._checker.calm_us = self._loop.true_us
 
+    async def _befall_copied_commands(self, fault: Fault) -> None:
+        """Copy direct commands until an event comes, and have the copies arrive after it."""
+        window = self._messages.hold_command_copies(fault)
+        comes, happened = await self._tie(fault)
+        self._network.command_copies.close(window)
+        if comes:
+            self._checker.note("fault", fault.kind)
+            concerned = happened.machine if fault.concerned and happened is not None else ""
+            await self._messages.release_command_copies(window, concerned)
+
     # -- controllers -----------------------------------------------------------------------
 
     async def _befall_controllers(self, fault: Fault) -> None:
@@ -202,6 +221,7 @@
         controller.end()
         await asyncio.sleep(back_s)
         controller.start()
+        self._events.happened("controller_back", controller.name)
 
     async def _end_winners(self, until_s: float, back_s: float) -> None:
         """End a controller whenever the leader's key is vacant or has a new owner."""
@@ -242,6 +262,7 @@
                 await asyncio.sleep(fault.back_s)
                 for machine in chosen:
                     machine.come_back()
+                    self._events.happened("machine_back", self._events.leader, machine.name)
             case "machines_sick":
                 for machine in chosen:
                     machine.fall_sick()
--- a/weldhead/emulator/message_faults.py
+++ b/weldhead/emulator/message_faults.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from weldhead.cluster_state.records import LEADER_KEY
+from weldhead.emulator.command_copies import CopyWindow
 from weldhead.emulator.controller import SimulatedController
 from weldhead.emulator.events import LOOK_S, Events
 from weldhead.emulator.loop import VirtualLoop
@@ -43,6 +44,8 @@
                 await self._weather(replace(fair, lost=lost), fault.for_s)
             case "commands_late":
                 await self._hold_commands(fault)
+            case "commands_copied":
+                await self._copy_commands(fault)
             case "reports_copied" if fault.for_next:
                 await self._keep_reports(fault)
             case "reports_copied":
@@ -69,6 +72,26 @@
         # The last of them are still to be carried out.
         await asyncio.sleep(fault.most_s)
 
+    async def _copy_commands(self, fault: Fault) -> None:
+        copies = self._network.command_copies
+        window = CopyWindow(fault.chance, fault.least_s, fault.most_s)
+        copies.open(window)
+        await asyncio.sleep(fault.for_s)
+        copies.close(window)
+        # The last copies are still on their way.
+        await asyncio.sleep(fault.most_s)
+
+    def hold_command_copies(self, fault: Fault) -> CopyWindow:
+        """Make copies that wait for the event that the fault is tied to."""
+        window = CopyWindow(fault.chance, fault.least_s, fault.most_s, hold=True)
+        self._network.command_copies.open(window)
+        return window
+
+    async def release_command_copies(self, window: CopyWindow, machine: str) -> None:
+        """Let the copies go that waited for an event, and wait until all have arrived."""
+        self._network.command_copies.release(window, machine)
+        await asyncio.sleep(window.most_s)
+
     async def _copy_reports(self, fault: Fault) -> None:
         network = self._network
         network.copied, network.copied_s = fault.chance, fault.most_s
--- a/weldhead/emulator/network.py
+++ b/weldhead/emulator/network.py
@@ -16,6 +16,7 @@
 from typing import Any, Literal
 
 from weldhead.clock import SECOND_US
+from weldhead.emulator.command_copies import AnsweredCommands, CommandCopies
 from weldhead.emulator.loop import ProcessInstance, VirtualLoop, current_life
 from weldhead.emulator.processor import packet_us, request_us
 from weldhead.transport.http_client import CallError, HttpClient, NotConnectedError
@@ -88,6 +89,7 @@
         #: Whose direct commands are held up and stay unanswered.
         self.commands_held_up: dict[str, DelayedMessage] = {}
         self.commands_held = self.kept_delivered = 0
+        self.command_copies = CommandCopies(rng, self._deliver_again)
         #: Who is told of each request just before it leaves (caller, called, path, body), of
         #: each answer (called, caller, path, answer), and of requests that were sent and got no
         #: answer (as of those that leave).
@@ -213,7 +215,9 @@
                 for look in self.on_sent:
                     look(life.machine, machine, path, body or b"")
                 sent = True
-                return await self._exchange(life, listener, method, "/" + path, body or b"")
+                return await self._exchange(
+                    life, listener, address, method, "/" + path, body or b""
+                )
         except asyncio.TimeoutError as error:
             self._give_up(life, machine, path, body, sent=sent)
             raise CallError(f"{method} {url}: no answer in time") from error
@@ -254,13 +258,18 @@
         """Have a report come once more, whatever has become of its sender by then."""
         self._reported_to[address] = None
         target = self._rng.choice([address, *self._reported_to])
-        self._report_again(machine, target, body, self._rng.uniform(0, self.copied_s))
+        after_s = self._rng.uniform(0, self.copied_s)
+        self._deliver_again(machine, target, "/v1/report", body, after_s)
+
+    def _deliver_again(
+        self, source: str, address: str, path: str, body: bytes, after_s: float
+    ) -> None:
+        """Have a copy of a request arrive after so many seconds; its answer is for nobody."""
 
-    def _report_again(self, machine: str, address: str, body: bytes, after_s: float) -> None:
         async def serve(listener: _Listener) -> None:
-            self.caller.set(machine)
+            self.caller.set(source)
             assert listener.serve is not None
-            await listener.serve("POST", "/v1/report", body)
+            await listener.serve("POST", path, body)
 
         def arrive() -> None:
             listener = self._listener(address)
@@ -276,10 +285,17 @@
             for address in addresses:
                 self.kept_delivered += 1
                 after_s = self._rng.choice((0.0, self._rng.uniform(0, most_s)))
-                self._report_again(machine, address, body, after_s + self._delay_s())
+                after_s += self._delay_s()
+                self._deliver_again(machine, address, "/v1/report", body, after_s)
 
     async def _exchange(
-        self, life: ProcessInstance, listener: _Listener, method: str, path: str, body: bytes
+        self,
+        life: ProcessInstance,
+        listener: _Listener,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
     ) -> Response:
         loop, weather = self._loop, self.weather
         answered: asyncio.Future[Response] = loop.create_future()
@@ -313,8 +329,12 @@
             self._carry(target.machine, life, lambda: give(answer))
 
         def give(answer: Response) -> None:
-            if not answered.done():
-                answered.set_result(answer)
+            if answered.done():
+                return
+            answered.set_result(answer)
+            if path == "/commands" and answer.status == 200:
+                sent = AnsweredCommands(life.machine, target.machine, address, body)
+                self.command_copies.answered(sent)
 
         if life.ended:
             raise CallError("the caller has ended")
--- a/weldhead/emulator/scenario.py
+++ b/weldhead/emulator/scenario.py
@@ -14,6 +14,8 @@
 
 #: No process is back sooner.
 LEAST_BACK_S = 0.05
+#: No copy of direct commands arrives sooner after the answer.
+LEAST_COPY_S = 0.5
 
 Kind = Literal[
     "controllers_end",
@@ -38,6 +40,7 @@
     "messages_late",
     "reports_copied",
     "commands_late",
+    "commands_copied",
     "machines_sick",
     "zone_cut",
     "boots_late",
@@ -51,7 +54,8 @@
 
 #: What a fault can be tied to: a user learns that a job is withdrawn; a term is won, loaded,
 #: ready; a write leaves a controller, or gets no answer in time; a command is sent, or the
-#: first task of a term runs.
+#: first task of a term runs; a controller's or a worker's process is back; a running task is told
+#: to stop, or runs on another machine than before; the last task of a job completes.
 Event = Literal[
     "confirmed",
     "term_won",
@@ -64,6 +68,11 @@
     "forget_sent",
     "first_run_sent",
     "first_run_started",
+    "controller_back",
+    "machine_back",
+    "task_stopped",
+    "task_moved",
+    "job_ended",
 ]
 #: Of what kind a write is: by its key, and of leases.
 WriteKind = Literal[
@@ -100,7 +109,16 @@
     "zone": "zone_cut",
     "services": "zone_cut",
 }
-_OF_MACHINES = ("run_sent", "kill_sent", "forget_sent", "first_run_sent", "first_run_started")
+_OF_MACHINES = (
+    "run_sent",
+    "kill_sent",
+    "forget_sent",
+    "first_run_sent",
+    "first_run_started",
+    "machine_back",
+    "task_stopped",
+    "task_moved",
+)
 
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True, rename="kebab"):
@@ -125,7 +143,10 @@
     and is executed ``least_s`` to ``most_s`` later; ``at_once``: it is executed at once, and
     only its answer comes that late. ``writes``: only those of these kinds (empty: of all).
     ``commands_late``: so with the chosen controllers' direct commands, which stay unanswered
-    and are carried out once. ``reports_copied`` with ``for_next``: the copies are kept until a
+    and are carried out once. ``commands_copied``: the share ``chance`` of all direct commands that
+    were carried out and answered arrives once more, ``least_s`` to ``most_s`` later; tied to an
+    event, of those since ``at_s``, so much after the event (``concerned``: at its machine only).
+    ``reports_copied`` with ``for_next``: the copies are kept until a
     new term begins, and then come at every controller within ``most_s``.
 
     Mute machines open connections to none of ``count`` controllers, and can be reached.
@@ -324,7 +345,7 @@
         for field, kind in _OF_ONE_KIND.items():
             if getattr(fault, field) and fault.kind != kind:
                 yield ["faults", number, field.replace("_", "-")], f"is of {kind}"
-        if fault.kind in ("store_late_writes", "commands_late"):
+        if fault.kind in ("store_late_writes", "commands_late", "commands_copied"):
             if not 0 <= fault.least_s <= fault.most_s:
                 yield ["faults", number, "least-s"], "must be from 0 to most-s"
         if fault.kind == "users_cancel_now" and not fault.count:
@@ -366,7 +387,7 @@
     if fault.role in ("successor", "follower") and scenario.controllers < 2:
         yield "role", "there is one controller"
     if fault.concerned and fault.on is not None:
-        if not fault.kind.startswith("machines_"):
+        if not fault.kind.startswith(("machines_", "commands_copied")):
             yield "concerned", f"{fault.kind} is of no machine"
         elif fault.on not in _OF_MACHINES:
             yield "concerned", f"{fault.on} is of no machine"
