An attempt started by a direct request stays listed until no copy of it can match

Cause: a worker that was told to forget an attempt does not know it any more, so a second delivery of the direct request that started it, answered seconds or minutes before, runs it again as long as token and session match. The leader gave up the one thing that made the copy harmless, the name known at the worker, while copies could match.

The leader now remembers which attempts it has started by direct requests in a worker's session and has none of them forgotten; the worker refuses every copy because it lists the attempt, whether that ended as done, with an error, halted or refused. A new session or a later term's token makes all copies invalid, and only then are they forgotten. An attempt of this term that a machine lists and the leader does not know (the machine was recorded anew) is kept as well. Starts that go out in the answer to a report have no late copies, since workers drop late answers, and are forgotten as before. At most 64 attempts a machine and session are started directly, which bounds reports and task slots; further ones go into answers to reports.

The generated histories of delayed commands deliver answered requests again.

--- /dev/null
+++ b/tests/controller/workers/test_copied_commands.py
@@ -0,0 +1,170 @@
+"""Copies of direct requests that were carried out and answered."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from tests.support.builders import add_job, add_machine, cluster, job_spec, report
+from tests.support.held_network import Network
+from tests.support.leaders import fixed_clock
+from weldhead.cluster_state.cluster import Cluster
+from weldhead.cluster_state.machines import MAX_DIRECT_RUNS, Machine
+from weldhead.controller.workers.heartbeat_reconciler import apply_heartbeat
+from weldhead.controller.workers.pending_commands import pending_commands
+from weldhead.protocol.wire import Command, ReportedTask
+from weldhead.reconciliation.buffered_heartbeats import MessageSource
+from weldhead.site.worker import Slot, Worker
+
+SECOND_US = 1_000_000
+
+
+def finish(network: Network, worker: Worker, slot: Slot) -> None:
+    worker.handle_exit(slot.task, slot.attempt, 0)
+    network.done.add(slot.task)
+
+
+def fail(_network: Network, worker: Worker, slot: Slot) -> None:
+    worker.handle_exit(slot.task, slot.attempt, 1)
+
+
+def halt(_network: Network, worker: Worker, slot: Slot) -> None:
+    slot.is_stopping = True
+    worker.handle_exit(slot.task, slot.attempt, None)
+
+
+async def start_directly(network: Network) -> None:
+    await network.take_over()
+    for _ in range(2):
+        network.round(heard=True)
+    await network.place(network.leader)
+    for number in range(len(network.wire.requests)):
+        await network.request(number, "arrive")
+        await network.request(number, "answer")
+
+
+async def settle_ends(network: Network) -> None:
+    """Workers report the ends, which are committed, and hear the answers."""
+    for _ in range(4):
+        network.clock.us += SECOND_US
+        network.round(heard=True)
+        await network.save()
+        await network.look()
+
+
+@pytest.mark.parametrize("end", [finish, fail, halt])
+def test_copied_start_does_not_run_an_ended_attempt_again(
+    end: Callable[[Network, Worker, Slot], None],
+) -> None:
+    async def scenario() -> None:
+        with fixed_clock() as clock:
+            network = Network(clock)
+            await start_directly(network)
+            assert network.starts
+            for worker in network.hosts.values():
+                for slot in list(worker.slots.values()):
+                    end(network, worker, slot)
+            await settle_ends(network)
+            started = list(network.starts)
+            for number in range(len(network.wire.requests)):
+                await network.request(number, "again")
+            assert network.starts == started
+            await network.close()
+
+    asyncio.run(scenario())
+
+
+def test_copied_start_of_a_refused_attempt_does_not_run_when_there_is_room() -> None:
+    async def scenario() -> None:
+        with fixed_clock() as clock:
+            network = Network(clock)
+            for worker in network.hosts.values():
+                worker.machine_info.cpus = 0.0
+            await start_directly(network)
+            await settle_ends(network)
+            assert network.wire.requests and not network.starts
+            for worker in network.hosts.values():
+                worker.machine_info.cpus = 4.0
+            for number in range(len(network.wire.requests)):
+                await network.request(number, "again")
+            assert not network.starts
+            await network.close()
+
+    asyncio.run(scenario())
+
+
+def test_copied_start_reaches_a_moved_task_and_leaves_one_attempt_running() -> None:
+    async def scenario() -> None:
+        with fixed_clock() as clock:
+            network = Network(clock)
+            await start_directly(network)
+            for worker in network.hosts.values():
+                for slot in list(worker.slots.values()):
+                    fail(network, worker, slot)
+            await settle_ends(network)
+            answered = len(network.wire.requests)
+            clock.us += 2 * SECOND_US
+            await network.place(network.leader)
+            for number in range(answered, len(network.wire.requests)):
+                await network.request(number, "arrive")
+                await network.request(number, "answer")
+            assert network.live()
+            for number in range(answered):
+                await network.request(number, "again")
+            network.check()
+            await network.close()
+
+    asyncio.run(scenario())
+
+
+def pending(machine: Machine, sequence: int | None) -> list[Command]:
+    return pending_commands(machine, lambda task: True, may_start=True, sequence=sequence)
+
+
+def start_and_end(cluster_state: Cluster, machine: Machine, *, directly: bool) -> tuple[str, int]:
+    job = add_job(cluster_state, job_spec())
+    attempt = cluster_state.start(job, 0, machine, 0)
+    sequence = machine.newest_message[1] + 1
+    assert [command.op for command in pending(machine, None if directly else sequence)] == ["run"]
+    attempt.sent_directly = False
+    ended = [ReportedTask(attempt.task, attempt.number, "ended", "error")]
+    heartbeat = report(machine, sequence + 1, ended)
+    apply_heartbeat(cluster_state, machine, heartbeat, 0, MessageSource.HEARTBEAT)
+    return attempt.task, attempt.number
+
+
+def test_attempt_started_by_an_answer_is_forgotten() -> None:
+    cluster_state = cluster()
+    machine = add_machine(cluster_state)
+    key = start_and_end(cluster_state, machine, directly=False)
+    assert pending(machine, 9) == [Command("forget", *key)]
+
+
+def test_new_session_lets_direct_starts_begin_anew() -> None:
+    cluster_state = cluster()
+    machine = add_machine(cluster_state)
+    key = start_and_end(cluster_state, machine, directly=True)
+    assert pending(machine, 9) == [] and machine.direct_runs == {key}
+    new_session = report(machine, 1, [], session=2)
+    apply_heartbeat(cluster_state, machine, new_session, 0, MessageSource.HEARTBEAT)
+    assert not machine.direct_runs and not machine.unacknowledged
+
+
+def test_start_goes_into_an_answer_when_direct_starts_are_used_up() -> None:
+    cluster_state = cluster()
+    machine = add_machine(cluster_state)
+    machine.direct_runs = {(f"run-9/{number}", 1) for number in range(MAX_DIRECT_RUNS)}
+    attempt = cluster_state.start(add_job(cluster_state, job_spec()), 0, machine, 0)
+    assert pending(machine, None) == []
+    assert pending(machine, 9) == [Command("run", attempt.task, attempt.number)]
+
+
+def test_ended_attempt_of_this_term_stays_listed_on_a_machine_recorded_again() -> None:
+    cluster_state = cluster()
+    machine = add_machine(cluster_state)
+    job = add_job(cluster_state, job_spec())
+    number = cluster_state.next_attempt_number(job.id, 0)
+    ended = [ReportedTask(f"{job.id}/0", number, "ended", "error")]
+    heartbeat = report(machine, 5, ended)
+    apply_heartbeat(cluster_state, machine, heartbeat, 0, MessageSource.HEARTBEAT)
+    assert pending(machine, 5) == []
--- a/tests/controller/workers/test_delayed_commands.py
+++ b/tests/controller/workers/test_delayed_commands.py
@@ -99,6 +99,7 @@
 EVENTS = (
     *("round",) * 8, *("place",) * 6, *("direct",) * 5, *("exit",) * 5, *("direct arrives",) * 2,
     *("speak",) * 2, *("arrive",) * 2, *("copy",) * 2, *("save",) * 2, *("take over",) * 2,
+    *("direct again",) * 3,
     "meet", "arrive old", "lost", "place old", "direct answered", "direct fails",
     "direct refused", "stop", "kill", "rest", "delete",
 )  # fmt: skip
@@ -132,8 +133,19 @@
             case "direct":
                 for fate in ("arrive", "answer"):
                     await network.request(-1 - number % 3, fate)
-            case "direct arrives" | "direct answered" | "direct fails" | "direct refused":
-                fates = {"arrives": "arrive", "answered": "answer", "fails": "fail"}
+            case (
+                "direct arrives"
+                | "direct answered"
+                | "direct fails"
+                | "direct refused"
+                | "direct again"
+            ):
+                fates = {
+                    "arrives": "arrive",
+                    "answered": "answer",
+                    "fails": "fail",
+                    "again": "again",
+                }
                 await network.request(number, fates.get(event.split()[1], "refuse"))
             case "exit":
                 network.exit(number)
--- a/tests/support/held_network.py
+++ b/tests/support/held_network.py
@@ -287,6 +287,14 @@
                 self._execute(worker, sent.commands if good else [], actions)
                 body = msgspec.json.encode(worker.build_report(self.clock()))
                 request.reply = (200 if good else 409), body
+            case "again" if worker is not None and request.reply is not None:
+                # A copy of a request that was carried out; its answer is for nobody.
+                sent = request.sent
+                good, actions = worker.handle_commands(
+                    sent.session, sent.token, sent.commands, self.clock()
+                )
+                self._execute(worker, sent.commands if good else [], actions)
+                worker.build_report(self.clock())
             case "answer" if waits and request.reply is not None:
                 request.answer.set_result(request.reply)
             case "fail" if waits:
--- a/weldhead/cluster_state/cluster.py
+++ b/weldhead/cluster_state/cluster.py
@@ -127,6 +127,7 @@
         for attempt in released:
             self.release(attempt)
         machine.unacknowledged.clear()
+        machine.direct_runs.clear()
         self.remove_orphans(machine, set(machine.orphans))
         # Ended attempts that were not forgotten had occupied task slots.
         machine.notify_changed()
--- a/weldhead/cluster_state/machines.py
+++ b/weldhead/cluster_state/machines.py
@@ -9,6 +9,10 @@
 from weldhead.cluster_state.states import AttemptPhase
 from weldhead.protocol.wire import MAX_TASKS_PER_MACHINE, JobSpec, MachineType, ReportedTask
 
+#: How many attempts may be started by direct requests in one session of a worker. They stay in its
+#: heartbeats after their end and keep their task slots, so the number bounds both.
+MAX_DIRECT_RUNS = 64
+
 #: Tolerance for comparing sums of amounts, which are decimals on the wire.
 EPSILON = 1e-6
 
@@ -71,6 +75,7 @@
         "command_in_flight",
         "cpus",
         "deleting",
+        "direct_runs",
         "draining",
         "enrolled",
         "enrollment_pending",
@@ -152,6 +157,10 @@
         self.attempts: dict[str, Attempt] = {}
         #: Exited attempts that the worker is to forget, as task and attempt number.
         self.unacknowledged: set[tuple[str, int]] = set()
+        #: Attempts whose ``run`` was sent in a direct request under this term's token and in the
+        #: worker's session. A copy of the request may arrive at any time and is harmless only
+        #: while the worker lists the attempt, so the worker is not told to forget it.
+        self.direct_runs: set[tuple[str, int]] = set()
         #: Attempts that have to be stopped and that no job counts, as task and attempt number.
         self.orphans: set[tuple[str, int]] = set()
         self.interruption_us = 0
@@ -243,6 +252,15 @@
         listed = len(self.attempts) + len(self.unacknowledged) + len(self.orphans)
         return MAX_TASKS_PER_MACHINE - listed
 
+    @property
+    def accepts_direct_runs(self) -> bool:
+        """Whether one more attempt may be started by a direct request."""
+        return len(self.direct_runs) < MAX_DIRECT_RUNS
+
+    def forgettable_attempts(self) -> set[tuple[str, int]]:
+        """Return the ended attempts that no copy of a direct request can start again."""
+        return self.unacknowledged - self.direct_runs
+
     def free_amounts(self) -> list[float]:
         """Return the free CPUs, GPUs, memory and task slots."""
         return [self.cpus, self.gpus, self.memory_gb, self.free_task_slots]
--- a/weldhead/controller/workers/command_dispatcher.py
+++ b/weldhead/controller/workers/command_dispatcher.py
@@ -151,6 +151,7 @@
         except NotConnectedError:
             for attempt in started:
                 attempt.sent_directly = False
+                machine.direct_runs.discard((attempt.task, attempt.number))
             self._on_unanswered(machine)
             return False
         except CallError as error:
--- a/weldhead/controller/workers/heartbeat_reconciler.py
+++ b/weldhead/controller/workers/heartbeat_reconciler.py
@@ -306,9 +306,8 @@
         """
         key = (task.task, task.attempt)
         machine, cluster = self._machine, self._cluster
-        if task.state != "ended" and key not in machine.orphans:
-            if cluster.is_of_this_term(task.attempt):
-                self._effect.relisted.append(task)
+        if cluster.is_of_this_term(task.attempt):
+            self._record_relisted(task)
         if key in machine.unacknowledged:
             return None
         verdict = classify_attempt(cluster, machine, task)
@@ -348,6 +347,15 @@
         cluster.add_orphan(machine, key, job, self._at_us)
         return None
 
+    def _record_relisted(self, task: ReportedTask) -> None:
+        """Record an attempt that this term has started and no longer counts on this machine."""
+        key = (task.task, task.attempt)
+        if task.state != "ended" and key not in self._machine.orphans:
+            self._effect.relisted.append(task)
+        if key not in self._machine.unacknowledged:
+            # How it was started is not known any more, so it may have been by a direct request.
+            self._machine.direct_runs.add(key)
+
     def _acknowledge_ended(
         self, verdict: AttemptVerdict, job: Job | None, index: int, task: ReportedTask
     ) -> None:
--- a/weldhead/controller/workers/pending_commands.py
+++ b/weldhead/controller/workers/pending_commands.py
@@ -81,7 +81,7 @@
 ) -> list[Command]:
     """Return the commands to forget ended attempts."""
     forgets: list[Command] = []
-    for task, number in machine.unacknowledged:
+    for task, number in machine.forgettable_attempts():
         if len(forgets) >= limit:
             break
         current = machine.attempts.get(task)
@@ -93,7 +93,10 @@
 
 
 def _take_runs(machine: Machine, sequence: int | None, limit: int) -> list[Command]:
-    """Return the commands to run assigned attempts, and mark these attempts as sent."""
+    """Return the commands to run assigned attempts, and mark these attempts as sent.
+
+    A worker drops late answers to its heartbeats, so a ``run`` sent in an answer has no late copy.
+    """
     runs: list[Command] = []
     for attempt in machine.attempts.values():
         if len(runs) >= limit:
@@ -107,7 +110,10 @@
                 # The ``run`` is already in flight in the answer to a heartbeat. Sent twice, it
                 # could be executed again after the first execution has ended and was forgotten.
                 continue
+            if not machine.accepts_direct_runs:
+                continue
             attempt.sent_directly = True
+            machine.direct_runs.add((attempt.task, attempt.number))
         else:
             attempt.sent_sequence = sequence
         runs.append(Command("run", attempt.task, attempt.number))
--- a/weldhead/emulator/injected_bugs.py
+++ b/weldhead/emulator/injected_bugs.py
@@ -380,6 +380,11 @@
     yield patch.object(Job, "waiting", property(waiting))
 
 
+def _direct_runs_forgotten() -> Iterator[Any]:
+    """A worker forgets every ended attempt, also one that a copied command may start again."""
+    yield patch.object(Machine, "forgettable_attempts", lambda self: self.unacknowledged)
+
+
 def _interrupted_jobs_left() -> Iterator[Any]:
     """A job of which a task ended without completing is not placed again in that term."""
     waiting = Job.waiting
@@ -419,6 +424,7 @@
     "any-job-accepted": _any_job_accepted,
     "cancelled-jobs-started": _cancelled_jobs_started,
     "interrupted-jobs-left": _interrupted_jobs_left,
+    "direct-runs-forgotten": _direct_runs_forgotten,
 }
 
 
