An attempt that runs again after the leader saw it end is stopped or counted

What callers could see: after a worker has forgotten an ended attempt and a copied command has started it again, the next report lists it as running. If no report came in between, the leader still waited for the old end to be forgotten and passed over the entry: the task was counted for no team, was never stopped, and its worker was told to forget it instead. The check "this end is being acknowledged" looked at the attempt's name only, not at the state that is listed.

An entry that is listed as live is judged like any other attempt that the leader does not count: killed if its task is over or runs elsewhere, adopted if the task waits. This leader's own commands cannot lead there any more; an older controller that led before and forgot attempts can.

The new test fails before the change: the worker of a duplicate is sent forget in place of kill.

--- a/tests/controller/workers/test_copied_commands.py
+++ b/tests/controller/workers/test_copied_commands.py
@@ -168,3 +168,16 @@
     heartbeat = report(machine, 5, ended)
     apply_heartbeat(cluster_state, machine, heartbeat, 0, MessageSource.HEARTBEAT)
     assert pending(machine, 5) == []
+
+
+def test_attempt_that_runs_again_after_its_end_is_stopped() -> None:
+    cluster_state = cluster()
+    machine, other = add_machine(cluster_state), add_machine(cluster_state, "vm-000002")
+    task, number = start_and_end(cluster_state, machine, directly=False)
+    job = next(iter(cluster_state.jobs.values()))
+    cluster_state.start(job, 0, other, 0)
+    running = report(machine, 4, [ReportedTask(task, number, "running")])
+    effect = apply_heartbeat(cluster_state, machine, running, 0, MessageSource.HEARTBEAT)
+    assert [(listed.task, listed.attempt) for listed in effect.relisted] == [(task, number)]
+    assert pending(machine, 4) == [Command("kill", task, number, 0.0)]
+    cluster_state.check_invariants()
--- a/weldhead/controller/workers/heartbeat_reconciler.py
+++ b/weldhead/controller/workers/heartbeat_reconciler.py
@@ -306,10 +306,10 @@
         """
         key = (task.task, task.attempt)
         machine, cluster = self._machine, self._cluster
-        if cluster.is_of_this_term(task.attempt):
-            self._record_relisted(task)
-        if key in machine.unacknowledged:
+        if key in machine.unacknowledged and task.state == "ended":
             return None
+        if key in machine.unacknowledged or cluster.is_of_this_term(task.attempt):
+            self._record_relisted(task)
         verdict = classify_attempt(cluster, machine, task)
         job, index = find_job(cluster, task)
         must_stop = job is not None and job.must_stop
@@ -348,13 +348,13 @@
         return None
 
     def _record_relisted(self, task: ReportedTask) -> None:
-        """Record an attempt that this term has started and no longer counts on this machine."""
+        """Record an attempt that this leader has seen end, or has started and counts no longer."""
         key = (task.task, task.attempt)
         if task.state != "ended" and key not in self._machine.orphans:
             self._effect.relisted.append(task)
-        if key not in self._machine.unacknowledged:
-            # How it was started is not known any more, so it may have been by a direct request.
-            self._machine.direct_runs.add(key)
+        self._machine.unacknowledged.discard(key)
+        # How it was started is not known any more, so it may have been by a direct request.
+        self._machine.direct_runs.add(key)
 
     def _acknowledge_ended(
         self, verdict: AttemptVerdict, job: Job | None, index: int, task: ReportedTask
