--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -50,6 +50,7 @@
     "any-job-accepted": "odd-users",
     "cancelled-jobs-started": "odd-users",
     "interrupted-jobs-left": "left-waiting",
+    "direct-runs-forgotten": "meet-copied-commands",
 }
 #: Of what takes long to show, the whole run.
 LONG = {"left-waiting"}
