--- a/tests/controller/workers/test_copied_commands.py
+++ b/tests/controller/workers/test_copied_commands.py
@@ -181,3 +181,29 @@
     assert [(listed.task, listed.attempt) for listed in effect.relisted] == [(task, number)]
     assert pending(machine, 4) == [Command("kill", task, number, 0.0)]
     cluster_state.check_invariants()
+
+
+def test_attempt_listed_again_after_its_end_is_warned_of(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        with fixed_clock() as clock:
+            network = Network(clock, hosts=1)
+            await start_directly(network)
+            (worker,) = network.hosts.values()
+            for slot in list(worker.slots.values()):
+                fail(network, worker, slot)
+            await settle_ends(network)
+            # As if an older controller had made the worker forget the attempts.
+            listed = len(worker.slots)
+            worker.slots.clear()
+            network.round(heard=True)
+            await network.request(0, "again")
+            clock.us += SECOND_US
+            network.round(heard=True)
+            assert listed == network.leader.term.reconciliation_counts.relisted_attempts > 0
+            await network.close()
+
+    asyncio.run(scenario())
+    warnings = [record for record in caplog.records if "believed gone" in record.message]
+    assert warnings and all(record.levelname == "WARNING" for record in warnings)
+    assert "run-000001/0 attempt" in warnings[0].message
+    assert "machine vm-000000 as running: message 1/" in warnings[0].message
