A completed attempt is forgotten though it was started directly

Nearly all attempts end as done, and of these no copy can run: the worker finds the kept result and ends the attempt as done. So they are forgotten as before, once committed, and only attempts that ended otherwise stay listed; the bound counts those.

--- a/tests/controller/workers/test_copied_commands.py
+++ b/tests/controller/workers/test_copied_commands.py
@@ -9,7 +9,7 @@
 from tests.support.held_network import Network
 from tests.support.leaders import fixed_clock
 from weldhead.cluster_state.cluster import Cluster
-from weldhead.cluster_state.machines import MAX_DIRECT_RUNS, Machine
+from weldhead.cluster_state.machines import MAX_RETAINED_ATTEMPTS, Machine
 from weldhead.controller.workers.heartbeat_reconciler import apply_heartbeat
 from weldhead.controller.workers.pending_commands import pending_commands
 from weldhead.protocol.wire import Command, ReportedTask
@@ -121,13 +121,15 @@
     return pending_commands(machine, lambda task: True, may_start=True, sequence=sequence)
 
 
-def start_and_end(cluster_state: Cluster, machine: Machine, *, directly: bool) -> tuple[str, int]:
+def start_and_end(
+    cluster_state: Cluster, machine: Machine, *, directly: bool, why: str = "error"
+) -> tuple[str, int]:
     job = add_job(cluster_state, job_spec())
     attempt = cluster_state.start(job, 0, machine, 0)
     sequence = machine.newest_message[1] + 1
     assert [command.op for command in pending(machine, None if directly else sequence)] == ["run"]
     attempt.sent_directly = False
-    ended = [ReportedTask(attempt.task, attempt.number, "ended", "error")]
+    ended = [ReportedTask(attempt.task, attempt.number, "ended", why)]
     heartbeat = report(machine, sequence + 1, ended)
     apply_heartbeat(cluster_state, machine, heartbeat, 0, MessageSource.HEARTBEAT)
     return attempt.task, attempt.number
@@ -140,6 +142,13 @@
     assert pending(machine, 9) == [Command("forget", *key)]
 
 
+def test_completed_attempt_is_forgotten_though_it_was_started_directly() -> None:
+    cluster_state = cluster()
+    machine = add_machine(cluster_state)
+    key = start_and_end(cluster_state, machine, directly=True, why="done")
+    assert pending(machine, 9) == [Command("forget", *key)]
+
+
 def test_new_session_lets_direct_starts_begin_anew() -> None:
     cluster_state = cluster()
     machine = add_machine(cluster_state)
@@ -150,10 +159,11 @@
     assert not machine.direct_runs and not machine.unacknowledged
 
 
-def test_start_goes_into_an_answer_when_direct_starts_are_used_up() -> None:
+def test_start_goes_into_an_answer_when_too_many_attempts_stay_listed() -> None:
     cluster_state = cluster()
     machine = add_machine(cluster_state)
-    machine.direct_runs = {(f"run-9/{number}", 1) for number in range(MAX_DIRECT_RUNS)}
+    machine.direct_runs = {(f"run-9/{number}", 1) for number in range(MAX_RETAINED_ATTEMPTS)}
+    machine.unacknowledged = set(machine.direct_runs)
     attempt = cluster_state.start(add_job(cluster_state, job_spec()), 0, machine, 0)
     assert pending(machine, None) == []
     assert pending(machine, 9) == [Command("run", attempt.task, attempt.number)]
--- a/weldhead/cluster_state/machines.py
+++ b/weldhead/cluster_state/machines.py
@@ -9,9 +9,9 @@
 from weldhead.cluster_state.states import AttemptPhase
 from weldhead.protocol.wire import MAX_TASKS_PER_MACHINE, JobSpec, MachineType, ReportedTask
 
-#: How many attempts may be started by direct requests in one session of a worker. They stay in its
-#: heartbeats after their end and keep their task slots, so the number bounds both.
-MAX_DIRECT_RUNS = 64
+#: How many ended attempts a worker may keep listed because a copy of a direct request could start
+#: them again. They take room in its heartbeats and task slots.
+MAX_RETAINED_ATTEMPTS = 64
 
 #: Tolerance for comparing sums of amounts, which are decimals on the wire.
 EPSILON = 1e-6
@@ -158,8 +158,9 @@
         #: Exited attempts that the worker is to forget, as task and attempt number.
         self.unacknowledged: set[tuple[str, int]] = set()
         #: Attempts whose ``run`` was sent in a direct request under this term's token and in the
-        #: worker's session. A copy of the request may arrive at any time and is harmless only
-        #: while the worker lists the attempt, so the worker is not told to forget it.
+        #: worker's session, unless they have completed. A copy of the request may arrive at any
+        #: time and is harmless only while the worker lists the attempt, so the worker is not told
+        #: to forget it. A completed task's result is kept: started again, it ends without running.
         self.direct_runs: set[tuple[str, int]] = set()
         #: Attempts that have to be stopped and that no job counts, as task and attempt number.
         self.orphans: set[tuple[str, int]] = set()
@@ -255,7 +256,7 @@
     @property
     def accepts_direct_runs(self) -> bool:
         """Whether one more attempt may be started by a direct request."""
-        return len(self.direct_runs) < MAX_DIRECT_RUNS
+        return len(self.unacknowledged & self.direct_runs) < MAX_RETAINED_ATTEMPTS
 
     def forgettable_attempts(self) -> set[tuple[str, int]]:
         """Return the ended attempts that no copy of a direct request can start again."""
--- a/weldhead/controller/workers/heartbeat_reconciler.py
+++ b/weldhead/controller/workers/heartbeat_reconciler.py
@@ -287,6 +287,7 @@
 
     def _complete(self, attempt: Attempt) -> None:
         job, effect = attempt.job, self._effect
+        self._machine.direct_runs.discard((attempt.task, attempt.number))
         # This leader has not observed an earlier leader's attempt from its start. The observed part
         # is not the run time: recorded as such, it made every estimate far too short after a
         # failover.
@@ -362,6 +363,8 @@
         """Record the end of an attempt that this leader has not started."""
         key = (task.task, task.attempt)
         self._machine.unacknowledged.add(key)
+        if task.why == "done":
+            self._machine.direct_runs.discard(key)
         self._cluster.remove_orphans(self._machine, {key} & self._machine.orphans)
         if job is None:
             return
