The bound on attempts that stay listed holds for live ones too

What callers would have seen: a job of hundreds of small tasks is cancelled, and its machines take few new tasks for the rest of the term.

The bound counts every attempt that a copy could start again, live or ended. Completed ones leave it at once, so a machine that runs up to 64 tasks starts as before; more go into answers to reports. An attempt of an earlier term that is listed again is not counted: its token refuses the copies.

The new test fails before: of 84 tasks 84 are started directly, and after the change 64, and 20 in the answer to the next report.

--- a/tests/controller/workers/test_copied_commands.py
+++ b/tests/controller/workers/test_copied_commands.py
@@ -159,14 +159,23 @@
     assert not machine.direct_runs and not machine.unacknowledged
 
 
-def test_start_goes_into_an_answer_when_too_many_attempts_stay_listed() -> None:
+def test_stopping_all_tasks_of_a_machine_leaves_no_more_listed_than_the_bound() -> None:
+    tasks = MAX_RETAINED_ATTEMPTS + 20
     cluster_state = cluster()
-    machine = add_machine(cluster_state)
-    machine.direct_runs = {(f"run-9/{number}", 1) for number in range(MAX_RETAINED_ATTEMPTS)}
-    machine.unacknowledged = set(machine.direct_runs)
-    attempt = cluster_state.start(add_job(cluster_state, job_spec()), 0, machine, 0)
-    assert pending(machine, None) == []
-    assert pending(machine, 9) == [Command("run", attempt.task, attempt.number)]
+    machine = add_machine(cluster_state, cpus=float(tasks), memory_gb=float(tasks))
+    job = add_job(cluster_state, job_spec(tasks=tasks, cpus=1.0, memory_gb=1.0))
+    attempts = [cluster_state.start(job, index, machine, 0) for index in range(tasks)]
+    direct = pending(machine, None)
+    assert len(direct) == MAX_RETAINED_ATTEMPTS and pending(machine, None) == []
+    # The others go out in the answer to the next heartbeat.
+    assert len(pending(machine, 9)) == tasks - MAX_RETAINED_ATTEMPTS
+    for attempt in attempts:
+        attempt.sent_directly = False
+    halted = [ReportedTask(attempt.task, attempt.number, "ended", "halted") for attempt in attempts]
+    heartbeat = report(machine, 10, halted)
+    apply_heartbeat(cluster_state, machine, heartbeat, 0, MessageSource.HEARTBEAT)
+    forgets = [command for command in pending(machine, 10) if command.op == "forget"]
+    assert len(forgets) == tasks - MAX_RETAINED_ATTEMPTS
 
 
 def test_ended_attempt_of_this_term_stays_listed_on_a_machine_recorded_again() -> None:
--- a/weldhead/cluster_state/machines.py
+++ b/weldhead/cluster_state/machines.py
@@ -9,8 +9,8 @@
 from weldhead.cluster_state.states import AttemptPhase
 from weldhead.protocol.wire import MAX_TASKS_PER_MACHINE, JobSpec, MachineType, ReportedTask
 
-#: How many ended attempts a worker may keep listed because a copy of a direct request could start
-#: them again. They take room in its heartbeats and task slots.
+#: How many attempts that a copy of a direct request could start again a worker may list, live and
+#: ended ones: those that end without completing keep their room in its heartbeats and task slots.
 MAX_RETAINED_ATTEMPTS = 64
 
 #: Tolerance for comparing sums of amounts, which are decimals on the wire.
@@ -256,7 +256,7 @@
     @property
     def accepts_direct_runs(self) -> bool:
         """Whether one more attempt may be started by a direct request."""
-        return len(self.unacknowledged & self.direct_runs) < MAX_RETAINED_ATTEMPTS
+        return len(self.direct_runs) < MAX_RETAINED_ATTEMPTS
 
     def forgettable_attempts(self) -> set[tuple[str, int]]:
         """Return the ended attempts that no copy of a direct request can start again."""
--- a/weldhead/controller/workers/heartbeat_reconciler.py
+++ b/weldhead/controller/workers/heartbeat_reconciler.py
@@ -60,7 +60,7 @@
     failed: list[Attempt] = field(default_factory=list)
     #: How often each verdict was given on attempts that this term has not started.
     verdicts: dict[AttemptVerdict, int] = field(default_factory=dict)
-    #: Attempts that this term has started and seen to end, and that are listed as live again.
+    #: Attempts that this leader has seen end, or has started and no longer counts, listed as live.
     relisted: list[ReportedTask] = field(default_factory=list)
     #: Whether capacity became free or a machine became usable, so that a placement pass is needed.
     capacity_freed: bool = False
@@ -354,8 +354,9 @@
         if task.state != "ended" and key not in self._machine.orphans:
             self._effect.relisted.append(task)
         self._machine.unacknowledged.discard(key)
-        # How it was started is not known any more, so it may have been by a direct request.
-        self._machine.direct_runs.add(key)
+        if self._cluster.is_of_this_term(task.attempt):
+            # How it was started is not known any more, so it may have been by a direct request.
+            self._machine.direct_runs.add(key)
 
     def _acknowledge_ended(
         self, verdict: AttemptVerdict, job: Job | None, index: int, task: ReportedTask
