One way to answer a report, to read an attempt's term, and to end a fault

Read again: commands in two of three answers to reports were not logged with what they rest on (kills to a machine that is not on record, and to an overtaken report); the bits of an attempt number stood in the emulator as numbers; a read and a write of the state service recorded their answers by two pieces of code; a copied command's fault ended on a path of its own; and each test of copied requests set up its network anew.

--- a/tests/controller/workers/test_copied_commands.py
+++ b/tests/controller/workers/test_copied_commands.py
@@ -1,7 +1,7 @@
 """Copies of direct requests that were carried out and answered."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -33,6 +33,24 @@
     worker.handle_exit(slot.task, slot.attempt, None)
 
 
+def play(history: Callable[[Network], Awaitable[None]], hosts: int = 3) -> None:
+    async def run() -> None:
+        with fixed_clock() as clock:
+            network = Network(clock, hosts)
+            try:
+                await history(network)
+            finally:
+                await network.close()
+
+    asyncio.run(run())
+
+
+async def repeat_requests(network: Network, count: int | None = None) -> None:
+    """Copies of the first requests, or of all, arrive."""
+    for number in range(len(network.wire.requests) if count is None else count):
+        await network.request(number, "again")
+
+
 async def start_directly(network: Network) -> None:
     await network.take_over()
     for _ in range(2):
@@ -56,65 +74,53 @@
 def test_copied_start_does_not_run_an_ended_attempt_again(
     end: Callable[[Network, Worker, Slot], None],
 ) -> None:
-    async def scenario() -> None:
-        with fixed_clock() as clock:
-            network = Network(clock)
-            await start_directly(network)
-            assert network.starts
-            for worker in network.hosts.values():
-                for slot in list(worker.slots.values()):
-                    end(network, worker, slot)
-            await settle_ends(network)
-            started = list(network.starts)
-            for number in range(len(network.wire.requests)):
-                await network.request(number, "again")
-            assert network.starts == started
-            await network.close()
-
-    asyncio.run(scenario())
+    async def history(network: Network) -> None:
+        await start_directly(network)
+        assert network.starts
+        for worker in network.hosts.values():
+            for slot in list(worker.slots.values()):
+                end(network, worker, slot)
+        await settle_ends(network)
+        started = list(network.starts)
+        await repeat_requests(network)
+        assert network.starts == started
+
+    play(history)
 
 
 def test_copied_start_of_a_refused_attempt_does_not_run_when_there_is_room() -> None:
-    async def scenario() -> None:
-        with fixed_clock() as clock:
-            network = Network(clock)
-            for worker in network.hosts.values():
-                worker.machine_info.cpus = 0.0
-            await start_directly(network)
-            await settle_ends(network)
-            assert network.wire.requests and not network.starts
-            for worker in network.hosts.values():
-                worker.machine_info.cpus = 4.0
-            for number in range(len(network.wire.requests)):
-                await network.request(number, "again")
-            assert not network.starts
-            await network.close()
-
-    asyncio.run(scenario())
+    async def history(network: Network) -> None:
+        for worker in network.hosts.values():
+            worker.machine_info.cpus = 0.0
+        await start_directly(network)
+        await settle_ends(network)
+        assert network.wire.requests and not network.starts
+        for worker in network.hosts.values():
+            worker.machine_info.cpus = 4.0
+        await repeat_requests(network)
+        assert not network.starts
+
+    play(history)
 
 
 def test_copied_start_reaches_a_moved_task_and_leaves_one_attempt_running() -> None:
-    async def scenario() -> None:
-        with fixed_clock() as clock:
-            network = Network(clock)
-            await start_directly(network)
-            for worker in network.hosts.values():
-                for slot in list(worker.slots.values()):
-                    fail(network, worker, slot)
-            await settle_ends(network)
-            answered = len(network.wire.requests)
-            clock.us += 2 * SECOND_US
-            await network.place(network.leader)
-            for number in range(answered, len(network.wire.requests)):
-                await network.request(number, "arrive")
-                await network.request(number, "answer")
-            assert network.live()
-            for number in range(answered):
-                await network.request(number, "again")
-            network.check()
-            await network.close()
-
-    asyncio.run(scenario())
+    async def history(network: Network) -> None:
+        await start_directly(network)
+        for worker in network.hosts.values():
+            for slot in list(worker.slots.values()):
+                fail(network, worker, slot)
+        await settle_ends(network)
+        answered = len(network.wire.requests)
+        network.clock.us += 2 * SECOND_US
+        await network.place(network.leader)
+        for number in range(answered, len(network.wire.requests)):
+            await network.request(number, "arrive")
+            await network.request(number, "answer")
+        assert network.live()
+        await repeat_requests(network, answered)
+        network.check()
+
+    play(history)
 
 
 def pending(machine: Machine, sequence: int | None) -> list[Command]:
@@ -203,25 +209,22 @@
 
 
 def test_attempt_listed_again_after_its_end_is_warned_of(caplog: pytest.LogCaptureFixture) -> None:
-    async def scenario() -> None:
-        with fixed_clock() as clock:
-            network = Network(clock, hosts=1)
-            await start_directly(network)
-            (worker,) = network.hosts.values()
-            for slot in list(worker.slots.values()):
-                fail(network, worker, slot)
-            await settle_ends(network)
-            # As if an older controller had made the worker forget the attempts.
-            listed = len(worker.slots)
-            worker.slots.clear()
-            network.round(heard=True)
-            await network.request(0, "again")
-            clock.us += SECOND_US
-            network.round(heard=True)
-            assert listed == network.leader.term.reconciliation_counts.relisted_attempts > 0
-            await network.close()
-
-    asyncio.run(scenario())
+    async def history(network: Network) -> None:
+        await start_directly(network)
+        (worker,) = network.hosts.values()
+        for slot in list(worker.slots.values()):
+            fail(network, worker, slot)
+        await settle_ends(network)
+        # As if an older controller had made the worker forget the attempts.
+        listed = len(worker.slots)
+        worker.slots.clear()
+        network.round(heard=True)
+        await network.request(0, "again")
+        network.clock.us += SECOND_US
+        network.round(heard=True)
+        assert listed == network.leader.term.reconciliation_counts.relisted_attempts > 0
+
+    play(history, hosts=1)
     warnings = [record for record in caplog.records if "believed gone" in record.message]
     assert warnings and all(record.levelname == "WARNING" for record in warnings)
     assert "run-000001/0 attempt" in warnings[0].message
--- a/weldhead/cluster_state/cluster.py
+++ b/weldhead/cluster_state/cluster.py
@@ -23,6 +23,11 @@
 ATTEMPT_COUNT_BITS = 20
 
 
+def token_of_attempt(number: int) -> int:
+    """Return the fencing token of the term that made an attempt number."""
+    return number >> ATTEMPT_COUNT_BITS
+
+
 @dataclass(frozen=True)
 class UnverifiedUsage:
     """The upper bound of a team's usage on machines that have not reported their tasks yet."""
@@ -93,7 +98,7 @@
 
     def is_of_this_term(self, attempt_number: int) -> bool:
         """Whether this leader's term has made an attempt number."""
-        return attempt_number >> ATTEMPT_COUNT_BITS == self.token
+        return token_of_attempt(attempt_number) == self.token
 
     def start(self, job: Job, index: int, machine: Machine, at_us: int) -> Attempt:
         """Create an attempt of a task and assign it to a machine."""
--- a/weldhead/controller/workers/command_dispatcher.py
+++ b/weldhead/controller/workers/command_dispatcher.py
@@ -145,7 +145,7 @@
         """Send commands and apply the answer; return whether there may be more to send."""
         term = self._term
         started = [machine.attempts[command.task] for command in commands if command.op == "run"]
-        log_commands("direct request", term.token, machine, commands)
+        log_commands("direct request", term.token, machine.name, machine.newest_message, commands)
         try:
             heartbeat = await self._send(machine, machine.session, commands, term.lease_us)
         except NotConnectedError:
--- a/weldhead/controller/workers/heartbeat_handler.py
+++ b/weldhead/controller/workers/heartbeat_handler.py
@@ -21,7 +21,7 @@
     pending_kills,
 )
 from weldhead.controller.workers.reachability_monitor import ReachabilityMonitor
-from weldhead.protocol.wire import Heartbeat, HeartbeatAnswer
+from weldhead.protocol.wire import Command, Heartbeat, HeartbeatAnswer
 from weldhead.reachability.freshness import Freshness, can_answer
 from weldhead.reconciliation.buffered_heartbeats import BufferedHeartbeat, MessageSource
 
@@ -61,7 +61,8 @@
         if machine is None:
             self._handle_unrecorded_machine(heartbeat)
             # The answer renews the lease, so it also kills all tasks there: no job counts them.
-            return HeartbeatAnswer(self._term.token, kill_all(heartbeat))
+            message = heartbeat.session, heartbeat.sequence
+            return self._answer(heartbeat.machine, message, kill_all(heartbeat))
         freshness = self._reachability.freshness(machine, heartbeat)
         if machine.deleting or freshness is Freshness.OUTDATED:
             return None
@@ -85,7 +86,13 @@
             sequence=heartbeat.sequence,
         )
         self._reachability.record_answer(machine, heartbeat, commands, at_us, relayed=relayed)
-        log_commands("answer", self._term.token, machine, commands)
+        return self._answer(machine.name, machine.newest_message, commands)
+
+    def _answer(
+        self, machine: str, message: tuple[int, int], commands: list[Command]
+    ) -> HeartbeatAnswer:
+        """Return an answer with commands that rest on a message (session and sequence number)."""
+        log_commands("answer", self._term.token, machine, message, commands)
         return HeartbeatAnswer(self._term.token, commands)
 
     def _answer_superseded(self, machine: Machine) -> HeartbeatAnswer | None:
@@ -94,7 +101,7 @@
             return None
         machine.lease_start_us = max(machine.lease_start_us, machine.last_message_us)
         # Every answer that renews a lease carries the kills. Unlike a run, a kill may be repeated.
-        return HeartbeatAnswer(self._term.token, pending_kills(machine))
+        return self._answer(machine.name, machine.newest_message, pending_kills(machine))
 
     def _record_lease_renewal(self, machine: Machine, freshness: Freshness, at_us: int) -> bool:
         """Record that an answer may renew the lease; return false if no answer must be sent."""
--- a/weldhead/controller/workers/pending_commands.py
+++ b/weldhead/controller/workers/pending_commands.py
@@ -15,13 +15,18 @@
 log = logging.getLogger(__name__)
 
 
-def log_commands(channel: str, token: int, machine: Machine, commands: list[Command]) -> None:
-    """Log commands with what allows them: token, session and the newest message of the worker."""
+def log_commands(
+    channel: str, token: int, machine: str, message: tuple[int, int], commands: list[Command]
+) -> None:
+    """Log commands with what allows them: the token, and the worker's message that they rest on.
+
+    ``message`` is its session and sequence number.
+    """
     if commands and log.isEnabledFor(logging.DEBUG):
         listed = ", ".join(f"{c.op} {c.task}@{c.attempt}" for c in commands)
         log.debug(
             "commands to machine %s by %s: fencing token %d, message %d/%d: %s",
-            machine.name, channel, token, *machine.newest_message, listed,
+            machine, channel, token, *message, listed,
         )  # fmt: skip
 
 
--- a/weldhead/emulator/checker.py
+++ b/weldhead/emulator/checker.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from weldhead.clock import SECOND_US
+from weldhead.cluster_state.cluster import token_of_attempt
 from weldhead.cluster_state.records import FinalRecord, JobRecord, final_key, job_key
 from weldhead.emulator.job_timelines import JobTimeline, unserved
 from weldhead.protocol.settings import Team
@@ -131,7 +132,7 @@
         self.look()
         self.note("start", task, attempt, site.machine)
         self.counts["starts"] += 1
-        self.first_starts.setdefault(attempt >> 20, self.now_us())
+        self.first_starts.setdefault(token_of_attempt(attempt), self.now_us())
         if (task, attempt) in self._begun:
             self.breaks("attempt_reused", f"{task} attempt {attempt} starts again")
         self._begun.add((task, attempt))
--- a/weldhead/emulator/faults.py
+++ b/weldhead/emulator/faults.py
@@ -145,6 +145,18 @@
         return self._rng.sample(up, round(len(up) * fault.share))
 
     async def _befall(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        if fault.kind == "commands_copied" and fault.on is not None:
+            await self._befall_copied_commands(fault)
+        else:
+            await self._befall_tied(fault)
+        # What lapses is over as well: the rest of the run is judged as calm.
+        self._left -= 1
+        if not self._left:
+            self._checker.calm_us = self._loop.true_us
+
+    async def _befall_tied(self, fault: Fault) -> None:
+        """Wait for what a fault is tied to, if anything, and let it come."""
         background_tasks: dict[str, Callable[[Fault], Awaitable[None]]] = {
             "controllers": self._befall_controllers,
             "store": self._befall_store,
@@ -152,11 +164,6 @@
             "users": self._befall_users,
             "zone": self.zone_cuts.befall,
         }
-        await asyncio.sleep(fault.at_s)
-        if fault.kind == "commands_copied" and fault.on is not None:
-            await self._befall_copied_commands(fault)
-            self._record_end()
-            return
         comes, happened = await self._tie(fault)
         if comes:
             self._checker.note("fault", fault.kind)
@@ -167,13 +174,6 @@
                 await background_tasks.get(fault.kind.partition("_")[0], self._messages.befall)(
                     fault
                 )
-        self._record_end()
-
-    def _record_end(self) -> None:
-        """A fault is over, or has lapsed; after the last one the run is judged as calm."""
-        self._left -= 1
-        if not self._left:
-            self._checker.calm_us = self._loop.true_us
 
     async def _befall_copied_commands(self, fault: Fault) -> None:
         """Copy direct commands until an event comes, and have the copies arrive after it."""
--- a/weldhead/emulator/injected_bugs.py
+++ b/weldhead/emulator/injected_bugs.py
@@ -15,7 +15,7 @@
 from weldhead.calendars.binding import read_calendar_state
 from weldhead.calendars.job_deadlines import JobDeadlines
 from weldhead.clock import SECOND_US, now_us
-from weldhead.cluster_state.cluster import Cluster
+from weldhead.cluster_state.cluster import ATTEMPT_COUNT_BITS, Cluster
 from weldhead.cluster_state.jobs import Attempt, Job
 from weldhead.cluster_state.machines import Machine
 from weldhead.cluster_state.records import LEADER_KEY, CalendarDeadline, FinalRecord, JobRecord
@@ -76,7 +76,7 @@
     unique = Cluster.next_attempt_number
 
     def next_attempt_number(self: Cluster, job_id: str, index: int) -> int:
-        return unique(self, job_id, index) - (self.token << 20)
+        return unique(self, job_id, index) - (self.token << ATTEMPT_COUNT_BITS)
 
     yield patch.object(Cluster, "next_attempt_number", next_attempt_number)
 
--- a/weldhead/transport/state_client.py
+++ b/weldhead/transport/state_client.py
@@ -104,6 +104,10 @@
     answered_us: int = 0
     revision: int = 0
 
+    def next(self, revision: int) -> "AnsweredCall":
+        """Return the call that has just been answered with this revision."""
+        return AnsweredCall(now_us(), max(revision, self.revision))
+
     def describe(self, at_us: int) -> str:
         """Return the call's age and revision as text for a log line."""
         if not self.answered_us:
@@ -184,10 +188,6 @@
             self.last_served_us = max(self.last_served_us, sent_us)
         return status, answer
 
-    def _record_read(self, revision: int) -> None:
-        highest = max(revision, self.last_read.revision)
-        self.last_read = AnsweredCall(now_us(), highest)
-
     async def get(
         self, key: str, *, urgent: bool = False, timeout_us: int = 800 * MILLISECOND_US
     ) -> KeyValue | None:
@@ -195,12 +195,12 @@
         status, body = await self._call("GET", f"/store/{key}", None, timeout_us, urgent)
         if status == http_status.NOT_FOUND:
             # Only an answer with the service's revision proves that the key is absent.
-            self._record_read(decode(body, CommittedRevision).revision)
+            self.last_read = self.last_read.next(decode(body, CommittedRevision).revision)
             return None
         if status != http_status.OK:
             raise CallError(f"state service: {status}")
         entry = decode(body, KeyValue)
-        self._record_read(entry.version)
+        self.last_read = self.last_read.next(entry.version)
         return entry
 
     async def pages(self, prefix: str) -> AsyncIterator[tuple[list[KeyValue], int]]:
@@ -226,7 +226,7 @@
                 log.info("page of keys %s after %s not read, retrying: %s", prefix, last_key, error)
                 await asyncio.sleep(PAGE_RETRY_DELAY_S)
                 continue
-            self._record_read(page.revision)
+            self.last_read = self.last_read.next(page.revision)
             if revision is None:
                 revision = page.revision
             if page.more and not page.items:
@@ -270,8 +270,7 @@
         )
         if status == http_status.OK:
             revision = decode(answer, CommittedRevision).revision
-            highest = max(revision, self.last_write.revision)
-            self.last_write = AnsweredCall(now_us(), highest)
+            self.last_write = self.last_write.next(revision)
             return revision
         if status == http_status.CONFLICT:
             raise ConflictError(answer.decode("utf-8", "replace"))
@@ -314,5 +313,5 @@
         if status != http_status.OK:
             raise CallError(f"state service: {status}")
         changes = decode(body, KeyChanges)
-        self._record_read(changes.revision)
+        self.last_read = self.last_read.next(changes.revision)
         return changes
